--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,674 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func settings() Settings {
+	return Settings{
+		Fleet: 2, Workers: 4, MaxHeld: 50, MaxAttempts: 4, Tick: 5 * ms, Cancels: true, Listed: true,
+		Classes: []Class{
+			{Name: "safe", Aim: 2 * time.Second, Deadline: 10 * time.Second, Worth: 1, LateShare: 0.5, Effect: Safe},
+			{Name: "keyed", Aim: 2 * time.Second, Deadline: 10 * time.Second, Worth: 1, LateShare: 0.5, Effect: Keyed,
+				SameZone: true, Window: 3 * time.Second},
+			{Name: "unsafe", Aim: 2 * time.Second, Deadline: 10 * time.Second, Worth: 1, LateShare: 0.5, Effect: Unsafe},
+			{Name: "ordered", Aim: 2 * time.Second, Deadline: 10 * time.Second, Worth: 1, LateShare: 0.5, Effect: Unsafe,
+				Ordered: true},
+		},
+		Kinds:   []Kind{{PerCall: 1}, {PerCall: 3}, {PerCall: 1, Apart: true}},
+		ZoneFee: []float64{0, 0.05},
+		Rules: Rules{AnswerGrace: 20 * ms, DrainGrace: time.Second, OverloadFactor: 2, Fall: 2 * time.Second,
+			ColdFrom: 0.2, Cold: 10 * time.Second, OrderSettle: 100 * ms},
+	}
+}
+
+// rig drives one Chooser and keeps what it did.
+type rig struct {
+	t   *testing.T
+	c   *Chooser
+	now time.Duration
+	try map[string]int
+}
+
+func newRig(t *testing.T, s Settings, hosts ...Host) *rig {
+	t.Helper()
+	c, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, c: c, now: time.Hour, try: map[string]int{}}
+	r.step(Listing{Whole: true, Hosts: hosts})
+	return r
+}
+
+func (r *rig) step(events ...Event) []Action {
+	acts := r.c.Step(r.now, events)
+	for _, a := range acts {
+		if s, ok := a.(Send); ok {
+			r.try[s.ID]++
+		}
+	}
+	return acts
+}
+
+// after lets time pass in ticks, waking the Chooser, and returns all actions.
+func (r *rig) after(d time.Duration) []Action {
+	var acts []Action
+	for end := r.now + d; r.now < end; {
+		r.now += 5 * ms
+		acts = append(acts, r.step(Woken{})...)
+	}
+	return acts
+}
+
+func (r *rig) end(id, host string, o Outcome, more ...func(*Result)) Result {
+	e := Result{ID: id, Host: host, Attempt: r.try[id] - 1, Outcome: o, Took: 50 * ms, Done: o == Served}
+	for _, m := range more {
+		m(&e)
+	}
+	return e
+}
+
+func sends(acts []Action) (out []Send) {
+	for _, a := range acts {
+		if s, ok := a.(Send); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func answers(acts []Action) string {
+	out := ""
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Refuse:
+			out += "refuse " + a.ID + ";"
+		case Fail:
+			out += "fail " + a.ID + ";"
+		}
+	}
+	return out
+}
+
+func ready(addr string, dest, kind, zone int) Host {
+	return Host{Addr: addr, Dest: dest, Kind: kind, Zone: zone, Rate: 100, State: Ready}
+}
+
+func arrival(id string, class int) Arrival {
+	return Arrival{ID: id, Class: class, Dest: 1, Left: 10 * time.Second}
+}
+
+func TestOracleByHand(t *testing.T) {
+	tab := table{width: 10 * ms, weight: 1}
+	for range 90 {
+		tab.add(15 * ms)
+	}
+	for range 10 {
+		tab.add(905 * ms)
+	}
+	tab.look()
+	if tab.edge != 20*ms {
+		t.Errorf("edge %v with a tenth of the answers 60 times slower, want the bucket of the fast ones, 20ms", tab.edge)
+	}
+	same := table{width: 10 * ms, weight: 1}
+	for i := range 100 {
+		same.add(time.Duration(100+i%10) * ms)
+	}
+	same.look()
+	if same.edge != 110*ms {
+		t.Errorf("edge %v for like answers, want 110ms, the end of their bucket", same.edge)
+	}
+	few := table{width: 10 * ms, weight: 1}
+	for range minSamples - 1 {
+		few.add(15 * ms)
+	}
+	few.look()
+	if few.edge != 0 {
+		t.Errorf("edge %v from %d samples, want none", few.edge, minSamples-1)
+	}
+	few.add(5 * time.Second) // beyond the bound
+	if few.beyond < 1 || few.total != minSamples {
+		t.Errorf("beyond %v, total %v after a sample over the bound", few.beyond, few.total)
+	}
+}
+
+func TestTableFades(t *testing.T) {
+	tab := table{width: 10 * ms, weight: 1}
+	for range 1000 {
+		tab.add(15 * ms)
+	}
+	for range 2 * memory {
+		tab.add(505 * ms)
+	}
+	tab.look()
+	if tab.edge < 510*ms {
+		t.Errorf("edge %v after the destination slowed, want it relearned to 510ms", tab.edge)
+	}
+	for range 10000 {
+		tab.add(505 * ms)
+	}
+	if math.IsInf(tab.weight, 0) || tab.weight > 1e7 {
+		t.Errorf("weight %v grows without bound", tab.weight)
+	}
+}
+
+// TestAnswers has one row for each outcome and effect: what becomes of the message.
+func TestAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		class   int
+		outcome Outcome
+		want    string // immediate answer; "again" for one more send
+	}{
+		{0, Error, "again"}, {0, Timeout, "again"}, {0, Reset, "again"}, {0, NoConnection, "again"},
+		{1, Error, "again"}, {1, Timeout, "again"}, {1, NotSent, "again"},
+		{2, Error, "fail m;"}, {2, Timeout, "fail m;"}, {2, Reset, "fail m;"}, {2, Cancelled, "fail m;"},
+		{2, NoConnection, "again"}, {2, Refused, "again"}, {2, NotSent, "again"},
+	} {
+		t.Run(fmt.Sprintf("class%d-outcome%d", tc.class, tc.outcome), func(t *testing.T) {
+			r := newRig(t, settings(), ready("a", 1, 0, 0))
+			if n := len(sends(r.step(arrival("m", tc.class)))); n != 1 {
+				t.Fatalf("%d sends for an arrival, want 1", n)
+			}
+			r.now += 50 * ms
+			acts := r.step(r.end("m", "a", tc.outcome))
+			got := answers(acts)
+			if tc.want == "again" {
+				acts = append(acts, r.after(3*time.Second)...)
+				if got = answers(acts); got != "" || len(sends(acts)) != 1 {
+					t.Errorf("answers %q, %d sends, want one more send", got, len(sends(acts)))
+				}
+			} else if got != tc.want || len(sends(acts)) != 0 {
+				t.Errorf("answers %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestHeldIsAnsweredInTime(t *testing.T) {
+	r := newRig(t, settings()) // no host at all
+	r.step(arrival("m", 2))
+	if got := answers(r.after(9900 * ms)); got != "" {
+		t.Fatalf("answered early: %q", got)
+	}
+	if got := answers(r.after(100 * ms)); got != "refuse m;" {
+		t.Errorf("at the deadline %q, want a refusal", got)
+	}
+	if len(r.c.msgs) != 0 || r.c.held != 0 {
+		t.Errorf("%d messages kept, %d held after the answer", len(r.c.msgs), r.c.held)
+	}
+}
+
+func TestKeyedStaysInZoneAndWindow(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 2, 0), ready("b", 1, 2, 1))
+	first := sends(r.step(arrival("m", 1)))[0].Host
+	r.now += 50 * ms
+	acts := r.step(r.end("m", first, Error))
+	acts = append(acts, r.after(2800*ms)...)
+	for _, s := range sends(acts) {
+		if s.Host != first {
+			t.Errorf("resent to %s, outside the zone of %s", s.Host, first)
+		}
+	}
+	if len(sends(acts)) != 1 {
+		t.Fatalf("%d sends within the window, want 1", len(sends(acts)))
+	}
+	r.now += 100 * ms
+	acts = r.step(r.end("m", first, Error))
+	if got := answers(append(acts, r.after(time.Second)...)); got != "fail m;" {
+		t.Errorf("after its window %q, want it failed", got)
+	}
+}
+
+func TestDrainingGetsNothingNew(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	h := ready("a", 1, 0, 0)
+	h.State = Draining
+	if n := len(sends(r.step(Listing{Hosts: []Host{h}}, arrival("m", 0)))); n != 0 {
+		t.Errorf("%d sends to a draining host", n)
+	}
+	if n := len(sends(r.step(Listing{Whole: true}))); n != 0 {
+		t.Errorf("%d sends to a host that is gone", n)
+	}
+}
+
+func TestToldWaitIsKept(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	r.step(arrival("m", 0))
+	r.now += 50 * ms
+	acts := r.step(r.end("m", "a", Refused, func(e *Result) { e.Wait = 700 * ms }), arrival("n", 2))
+	if acts = append(acts, r.after(695*ms)...); len(sends(acts)) != 0 {
+		t.Errorf("%d sends within the wait", len(sends(acts)))
+	}
+	if len(sends(r.after(2*time.Second))) == 0 {
+		t.Errorf("nothing sent after the wait")
+	}
+}
+
+func TestOrderOfAKey(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	m, n := arrival("m", 3), arrival("n", 3)
+	m.Key, n.Key = "k", "k"
+	if got := sends(r.step(m, n)); len(got) != 1 || got[0].ID != "m" {
+		t.Fatalf("sent %v, want m alone", got)
+	}
+	r.now += 50 * ms
+	acts := r.step(r.end("m", "a", Reset))
+	if acts = append(acts, r.after(95*ms)...); len(sends(acts)) != 0 {
+		t.Errorf("sent %v while the key rests", sends(acts))
+	}
+	if got := sends(r.after(3 * time.Second)); len(got) != 1 || got[0].ID != "n" {
+		t.Errorf("sent %v after the rest, want n", got)
+	}
+	r.step(r.end("n", "a", Served))
+	r.after(200 * ms)
+	if len(r.c.lines) != 0 {
+		t.Errorf("%d keys kept", len(r.c.lines))
+	}
+}
+
+func TestEachFurtherTryWaitsLonger(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	for i := range 2 * minSamples {
+		id := fmt.Sprint("w", i)
+		r.step(arrival(id, 0))
+		r.now += 50 * ms
+		r.step(r.end(id, "a", Served))
+	}
+	got := sends(r.step(arrival("m", 0)))
+	last := got[0].Timeout
+	if last >= 2*time.Second {
+		t.Fatalf("first time-out %v, want the oracle's edge", last)
+	}
+	for range 2 {
+		r.now += last
+		acts := r.step(r.end("m", "a", Timeout))
+		if got = append(sends(acts), sends(r.after(3*time.Second))...); len(got) != 1 {
+			t.Fatalf("%d sends after a time-out", len(got))
+		}
+		if got[0].Timeout < last+r.c.bound/buckets {
+			t.Errorf("time-out %v after %v, want a bucket more", got[0].Timeout, last)
+		}
+		last = got[0].Timeout
+	}
+}
+
+func TestOneDestinationStaysUnderThreeQuarters(t *testing.T) {
+	for _, tc := range []struct{ workers, want int }{{1, 1}, {3, 2}, {4, 2}, {8, 5}} {
+		s := settings()
+		s.Workers = tc.workers
+		r := newRig(t, s, ready("a", 1, 0, 0))
+		var events []Event
+		for i := range 20 {
+			events = append(events, arrival(fmt.Sprint(i), 0))
+		}
+		if n := len(sends(r.step(events...))); n != tc.want {
+			t.Errorf("%d calls out to one destination with %d slots, want %d", n, tc.workers, tc.want)
+		}
+	}
+}
+
+func TestCallsAreShared(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 1, 0))
+	if n := len(sends(r.step(arrival("1", 0), arrival("2", 0), arrival("3", 0)))); n != 3 || r.c.busy != 1 {
+		t.Errorf("%d sends in %d calls, want 3 in one", n, r.c.busy)
+	}
+}
+
+// TestColdReturn: two failures make a unit suspect; after it answers again, the relay stays within
+// its share of the rule's budget.
+func TestColdReturn(t *testing.T) {
+	s := settings()
+	s.Workers = 100
+	h := ready("a", 1, 0, 0)
+	h.Rate = 10
+	r := newRig(t, s, h)
+	for _, id := range []string{"x", "y"} {
+		r.step(arrival(id, 2))
+		r.now += 50 * ms
+		r.step(r.end(id, "a", Error))
+	}
+	var events []Event
+	for i := range 60 {
+		events = append(events, arrival(fmt.Sprint(i), 0))
+	}
+	trial := append(sends(r.step(events...)), sends(r.after(time.Second))...)
+	if len(trial) != 1 {
+		t.Fatalf("%d calls to a suspect unit, want a single trial", len(trial))
+	}
+	acts := r.step(r.end(trial[0].ID, "a", Served))
+	acts = append(acts, r.after(s.Rules.Fall)...)
+	share := s.Rules.ColdFrom + (1-s.Rules.ColdFrom)*s.Rules.Fall.Seconds()/s.Rules.Cold.Seconds()
+	most := s.Rules.OverloadFactor * share * 10 * s.Rules.Fall.Seconds() / 2
+	if n := float64(len(sends(acts))); n < 1 || n > most {
+		t.Errorf("%v calls in the first window after an outage, want 1 to %v", n, most)
+	}
+}
+
+// TestStuckCallsAreCalledOff guards the slots: calls nobody answers may not hold them all.
+func TestStuckCallsAreCalledOff(t *testing.T) {
+	s := settings()
+	s.Workers = 2
+	r := newRig(t, s, ready("a", 1, 0, 0), ready("b", 2, 0, 0), ready("c", 3, 0, 0))
+	for i := 1; i <= 3; i++ {
+		m := arrival(fmt.Sprint(i), 2)
+		m.Dest = i
+		r.step(m)
+	}
+	for _, a := range r.after(4 * time.Second) {
+		if _, ok := a.(Cancel); ok {
+			return
+		}
+	}
+	t.Errorf("no call was called off while another destination waited for a slot")
+}
+
+// TestOneHostDownLeavesItsDestinationWell: the loss of one machine is not that of the destination.
+func TestOneHostDownLeavesItsDestinationWell(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0), ready("b", 1, 0, 0))
+	for i := range 6 {
+		id := fmt.Sprint(i)
+		for _, s := range sends(r.step(arrival(id, 0))) {
+			r.now += 50 * ms
+			for s.Host == "a" {
+				again := sends(r.step(r.end(id, "a", NoConnection)))
+				if len(again) != 1 {
+					t.Fatalf("%d sends after a failed connection, want one to the other host", len(again))
+				}
+				s = again[0]
+			}
+			r.step(r.end(id, s.Host, Served))
+		}
+	}
+	if u := r.c.dests[1].units[0]; u.state != healthy {
+		t.Errorf("unit is in state %d", u.state)
+	}
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	for name, spoil := range map[string]func(*Settings){
+		"workers": func(s *Settings) { s.Workers = 0 }, "fleet": func(s *Settings) { s.Fleet = 0 },
+		"classes": func(s *Settings) { s.Classes = nil }, "aim": func(s *Settings) { s.Classes[0].Aim = 0 },
+		"tick": func(s *Settings) { s.Tick = 0 }, "fall": func(s *Settings) { s.Rules.Fall = 0 },
+	} {
+		s := settings()
+		spoil(&s)
+		if _, err := New(s, 1); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// TestLargeFleetSpacesItsCalls: where this relay's share of the budget is under one call in the
+// rule's window, it sends less than one call in it.
+func TestLargeFleetSpacesItsCalls(t *testing.T) {
+	s := settings()
+	s.Fleet, s.Workers = 12, 100
+	h := ready("a", 1, 0, 0)
+	h.Rate = 4
+	r := newRig(t, s, h)
+	for _, id := range []string{"x", "y"} {
+		r.after(time.Second)
+		r.step(arrival(id, 2))
+		r.now += 50 * ms
+		r.step(r.end(id, "a", Error))
+	}
+	var events []Event
+	for i := range 20 {
+		events = append(events, arrival(fmt.Sprint(i), 0))
+	}
+	trials := 0
+	out := sends(r.step(events...))
+	for end := r.now + 8*time.Second; r.now < end; {
+		var ends []Event
+		for _, o := range out {
+			trials++
+			ends = append(ends, r.end(o.ID, "a", NoConnection))
+		}
+		r.now += 5 * ms
+		out = sends(r.step(append(ends, Woken{})...))
+	}
+	// Within twice this relay's share of the budget: 2 x 2 x 0.2 x 4 x 2 s / 12 relays, for
+	// four windows, once the first gaps have grown.
+	if trials < 1 || trials > 7 {
+		t.Errorf("%d trials in eight seconds, want one to seven", trials)
+	}
+}
+
+// TestBacklogHoldsRestartsBack: while a message waits for the destination,
+// a call is given up only when it is very likely lost.
+func TestBacklogHoldsRestartsBack(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	for i := range 4 * minSamples {
+		id := fmt.Sprint("w", i)
+		r.step(arrival(id, 0))
+		r.now += 50 * ms
+		r.step(r.end(id, "a", Served, func(e *Result) {
+			if e.Took = 100 * ms; i%8 == 0 {
+				e.Took = 1900 * ms // a tail that restarts would cut
+			}
+		}))
+	}
+	quiet := sends(r.step(arrival("m", 0)))[0].Timeout
+	var events []Event
+	for i := range 12 {
+		events = append(events, arrival(fmt.Sprint(i), 0))
+	}
+	busy := sends(r.step(events...))[0].Timeout
+	if quiet >= 1900*ms || busy < 1900*ms {
+		t.Errorf("time-out %v without and %v with a backlog, want it below and above the tail of 1.9s", quiet, busy)
+	}
+}
+
+// TestLostCallsAreCalledOff: a call that nobody answers is given up for want of a slot even where
+// its destination goes on serving others.
+func TestLostCallsAreCalledOff(t *testing.T) {
+	s := settings()
+	s.Workers = 3
+	r := newRig(t, s, ready("a", 1, 0, 0), ready("b", 2, 0, 0), ready("c", 3, 0, 0))
+	r.step(arrival("lost", 2))
+	var out []Send
+	for i := range 200 {
+		var events []Event
+		for _, x := range out {
+			events = append(events, r.end(x.ID, x.Host, Served))
+		}
+		for dest := 1; dest <= 3; dest++ {
+			for k := range 2 {
+				m := arrival(fmt.Sprint(i, dest, k), 0)
+				m.Dest = dest
+				events = append(events, m)
+			}
+		}
+		acts := r.step(events...)
+		for _, a := range acts {
+			if c, ok := a.(Cancel); ok && c.ID == "lost" {
+				return
+			}
+		}
+		out = sends(acts)
+		r.now += 50 * ms
+	}
+	t.Errorf("the lost call was never called off")
+}
+
+// TestRefusalsInALargeFleet: relays that meet a destination seldom come back after growing pauses, and
+// not in step, so that together they get under its limit.
+func TestRefusalsInALargeFleet(t *testing.T) {
+	s := settings()
+	s.Fleet = 40
+	h := ready("a", 1, 0, 0)
+	h.Rate = 4
+	var first []time.Duration
+	for seed := range uint64(5) {
+		r := newRig(t, s, h)
+		r.c.rand = rand.New(rand.NewPCG(seed, 0))
+		r.step(arrival("m", 0))
+		start, tries := r.now, 0
+		for r.now < start+9*time.Second {
+			if r.c.msgs["m"] != nil && r.c.msgs["m"].call != nil {
+				r.step(r.end("m", "a", Refused))
+				tries++
+			}
+			if r.after(5 * ms); tries == 1 && r.c.msgs["m"].call != nil {
+				first = append(first, r.now-start)
+			}
+		}
+		if tries > 5 {
+			t.Errorf("%d tries in nine seconds of refusals, want at most five", tries)
+		}
+	}
+	if slices.Sort(first); len(first) < 5 || first[4]-first[0] < 50*ms {
+		t.Errorf("second tries after %v, want them spread", first)
+	}
+}
+
+// TestRelaysDoNotAllLikeOneHost: relays of a large fleet spread over the hosts of a destination.
+func TestRelaysDoNotAllLikeOneHost(t *testing.T) {
+	s := settings()
+	s.Fleet = 40
+	used := map[string]int{}
+	for seed := range uint64(20) {
+		c, err := New(s, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, b := ready("a", 1, 0, 0), ready("b", 1, 0, 0)
+		a.Rate, b.Rate = 4, 4
+		acts := c.Step(time.Hour, []Event{Listing{Whole: true, Hosts: []Host{a, b}}, arrival("m", 0)})
+		used[sends(acts)[0].Host]++
+	}
+	if used["a"] < 4 || used["b"] < 4 {
+		t.Errorf("first calls of 20 relays went to %v, want both hosts well used", used)
+	}
+}
+
+// TestPausesLengthenWhereRetriesFail: where calls after a refusal are hardly ever served, as where refused
+// calls use up the limit, the pause goes to the even share of a call at once.
+func TestPausesLengthenWhereRetriesFail(t *testing.T) {
+	s := settings()
+	s.Fleet = 40
+	h := ready("a", 1, 0, 0)
+	h.Rate = 4
+	pause := func(luck float64) time.Duration {
+		r := newRig(t, s, h)
+		r.c.luck[0] = luck
+		r.step(arrival("m", 0))
+		r.now += 50 * ms
+		r.step(r.end("m", "a", Refused))
+		return r.c.dests[1].units[0].pauseUntil - r.now
+	}
+	if often, never := pause(0.5), pause(0.05); often > 2*time.Second || never < 5*time.Second {
+		t.Errorf("pauses %v where retries are served and %v where not, want under 2s and over 5s", often, never)
+	}
+}
+
+// TestSlowCallsAreServedInTheEnd: each further try of a message is called off later than the one before.
+func TestSlowCallsAreServedInTheEnd(t *testing.T) {
+	s := settings()
+	s.Workers, s.MaxHeld = 2, 1000
+	r := newRig(t, s, ready("slow", 1, 0, 0), ready("b", 2, 0, 0), ready("c", 3, 0, 0))
+	var took []time.Duration
+	var events []Event
+	events = append(events, arrival("m", 0))
+	sent := r.now
+	for i := 0; r.now < sent+9*time.Second && len(took) < 2; i++ {
+		for dest := 2; dest <= 3; dest++ {
+			m := arrival(fmt.Sprint(i, dest), 0)
+			m.Dest = dest
+			events = append(events, m)
+		}
+		acts := r.step(events...)
+		events = nil
+		for _, a := range acts {
+			switch a := a.(type) {
+			case Send:
+				if a.ID == "m" {
+					sent = r.now
+				} else {
+					events = append(events, r.end(a.ID, a.Host, Served))
+				}
+			case Cancel:
+				took = append(took, r.now-sent)
+				events = append(events, r.end(a.ID, "slow", Cancelled))
+			}
+		}
+		r.now += 50 * ms
+	}
+	if len(took) < 2 || took[1] < took[0]*3/2 {
+		t.Errorf("tries were called off after %v, want the second after longer", took)
+	}
+}
+
+// TestFirstFailureWhereSeldomMet: a relay of a large fleet that has nothing served lately to speak against
+// an outage takes the first failure for one, and does not try again at once; a small fleet's relay goes on.
+func TestFirstFailureWhereSeldomMet(t *testing.T) {
+	for fleet, want := range map[int]health{2: healthy, 40: suspect} {
+		s := settings()
+		s.Fleet = fleet
+		h := ready("a", 1, 0, 0)
+		h.Rate = 4
+		r := newRig(t, s, h)
+		r.after(5 * time.Second)
+		r.step(arrival("m", 0))
+		r.step(r.end("m", "a", NoConnection))
+		if got := r.c.dests[1].units[0].state; got != want {
+			t.Errorf("fleet of %d: health %v after the first failure, want %v", fleet, got, want)
+		}
+		if n := len(sends(r.after(5 * time.Second))); want == suspect && n > 0 {
+			t.Errorf("fleet of %d: %d calls within 5s of the first failure, want none", fleet, n)
+		}
+	}
+}
+
+// TestARelayThatStoodStill: outcomes that come all at once after a gap are taken in before anything is
+// judged, so that the relay's own stall is no silence of a destination.
+func TestARelayThatStoodStill(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0), ready("b", 2, 0, 0))
+	other := arrival("n", 0)
+	other.Dest = 2
+	r.step(arrival("m", 0), other)
+	r.now += 5 * time.Second
+	r.step(Woken{}, r.end("m", "a", Served), r.end("n", "b", Served))
+	for id, d := range r.c.dests {
+		if got := d.units[0].state; got != healthy {
+			t.Errorf("destination %d: health %v after the relay's own stall, want healthy", id, got)
+		}
+	}
+}
+
+// TestALongList: thousands of hosts at once, listed twice, cost no table
+// each and leave the relay able to send; hosts that leave are forgotten.
+func TestALongList(t *testing.T) {
+	var hosts, gone []Host
+	for i := range 5000 {
+		h := ready(fmt.Sprint("h", i), i, 0, 0)
+		hosts = append(hosts, h)
+		h.State = Gone
+		gone = append(gone, h)
+	}
+	r := newRig(t, settings(), hosts...)
+	r.step(Listing{Whole: true, Hosts: hosts})
+	m := arrival("m", 0)
+	m.Dest = 4999
+	if got := sends(r.step(m)); len(got) != 1 || got[0].Host != "h4999" {
+		t.Fatalf("sends %v, want one to h4999", got)
+	}
+	for id, d := range r.c.dests {
+		if d.table.count != nil {
+			t.Fatalf("destination %d has a table before its first answer", id)
+		}
+	}
+	r.step(r.end("m", "h4999", Served))
+	r.step(Listing{Hosts: gone})
+	if len(r.c.dests) != 0 || len(r.c.hosts) != 0 {
+		t.Errorf("%d destinations and %d hosts remembered after all left", len(r.c.dests), len(r.c.hosts))
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,490 @@
+// Package wire speaks the simulator's line protocol and maps it to package
+// choice. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"basaltcross.example/basaltcross/choice"
+)
+
+var outcomes = map[string]choice.Outcome{
+	"served": choice.Served, "server_error": choice.Error, "turned_away": choice.Refused,
+	"no_answer": choice.Timeout, "no_connection": choice.NoConnection, "connection_lost": choice.Reset,
+	"called_off": choice.Cancelled, "not_sent": choice.NotSent,
+}
+
+// line is one parsed line; the first fault met while reading fields stays.
+type line struct {
+	number int
+	name   string
+	fields map[string]string
+	err    error
+}
+
+// parse fills the given map, which is emptied first.
+func parse(number int, text string, fields map[string]string) (*line, error) {
+	clear(fields)
+	l := &line{number: number, fields: fields}
+	var rest string
+	l.name, rest, _ = strings.Cut(text, "\t")
+	for rest != "" {
+		name, value, ok := strings.Cut(rest, "=")
+		if !ok || name == "" || strings.Contains(name, "\t") {
+			return nil, fmt.Errorf("line %d: %s: part %q is not name=value", number, l.name, rest)
+		}
+		rest = ""
+		if name != "config" && name != "note-text" { // text runs to the end of the line
+			value, rest, _ = strings.Cut(value, "\t")
+		}
+		if _, twice := l.fields[name]; twice {
+			return nil, fmt.Errorf("line %d: %s: field %s stands twice", number, l.name, name)
+		}
+		l.fields[name] = value
+	}
+	return l, nil
+}
+
+func (l *line) fail(field, what string) {
+	if l.err == nil {
+		l.err = fmt.Errorf("line %d: %s: field %s: %s", l.number, l.name, field, what)
+	}
+}
+
+func (l *line) text(field string) string {
+	v := l.fields[field]
+	if v == "" {
+		l.fail(field, "missing")
+	}
+	return v
+}
+
+func (l *line) number64(field string, required bool) float64 {
+	v, ok := l.fields[field]
+	if !ok || v == "" {
+		if required || ok {
+			l.fail(field, "missing")
+		}
+		return 0
+	}
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		l.fail(field, fmt.Sprintf("%q is no number", v))
+		return 0
+	}
+	return f
+}
+
+func (l *line) seconds(field string, required bool) time.Duration {
+	f := l.number64(field, required)
+	if math.Abs(f) > 1e9 {
+		l.fail(field, fmt.Sprintf("%g seconds is out of range", f))
+		return 0
+	}
+	return seconds(f)
+}
+
+func (l *line) whole(field string, required bool) int {
+	v, ok := l.fields[field]
+	if !ok && !required {
+		return 0
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil {
+		if v == "" {
+			l.fail(field, "missing")
+		} else {
+			l.fail(field, fmt.Sprintf("%q is no whole number", v))
+		}
+	}
+	return int(n)
+}
+
+func (l *line) outcome(field string) choice.Outcome {
+	o, ok := outcomes[l.text(field)]
+	if !ok {
+		l.fail(field, fmt.Sprintf("%q is no outcome", l.fields[field]))
+	}
+	return o
+}
+
+func (l *line) row(field string) []float64 {
+	v := l.fields[field]
+	if v == "" || v == "-" {
+		return nil
+	}
+	var row []float64
+	for part := range strings.SplitSeq(v, ",") {
+		f, err := strconv.ParseFloat(part, 64)
+		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+			l.fail(field, fmt.Sprintf("%q is no row of numbers", v))
+			return nil
+		}
+		row = append(row, f)
+	}
+	return row
+}
+
+func seconds(f float64) time.Duration { return time.Duration(math.Round(f*1e6)) * time.Microsecond }
+
+// config is the part of the settings object that is read.
+type config struct {
+	Bounds struct {
+		Cancel      bool `json:"cancel"`
+		MaxAttempts int  `json:"max-attempts"`
+		MostHeld    int  `json:"most-held"`
+	} `json:"bounds"`
+	Classes []struct {
+		Name      string  `json:"name"`
+		Aim       float64 `json:"aim"`
+		GiveUp    float64 `json:"give-up"`
+		Effect    string  `json:"effect"`
+		Group     string  `json:"group"`
+		KeepOrder bool    `json:"keep-order"`
+		LateShare float64 `json:"late-share"`
+		Window    float64 `json:"window"`
+		Worth     float64 `json:"worth"`
+	} `json:"classes"`
+	Family struct {
+		Late      string    `json:"late"`
+		OwnLimits []bool    `json:"own-limits"`
+		PerCall   []int     `json:"per-call"`
+		Workers   int       `json:"workers"`
+		ZoneFee   []float64 `json:"zone-fee"`
+	} `json:"family-info"`
+	FleetSize  int `json:"fleet-size"`
+	Index      int `json:"index"`
+	LoadReport struct {
+		Columns []string `json:"columns"`
+		How     string   `json:"how"`
+	} `json:"load-report"`
+	RegistryMode string `json:"registry-mode"`
+	Rules        struct {
+		Cold           float64 `json:"cold"`
+		ColdFrom       float64 `json:"cold-from"`
+		DrainGrace     float64 `json:"drain-grace"`
+		Fall           float64 `json:"fall"`
+		GraceToAnswer  float64 `json:"grace-to-answer"`
+		OrderSettle    float64 `json:"order-settle"`
+		OverloadFactor float64 `json:"overload-factor"`
+	} `json:"rules"`
+	Skus    []string `json:"skus"`
+	Tick    float64  `json:"tick"`
+	Weights string   `json:"weights"`
+}
+
+func settings(text string) (choice.Settings, error) {
+	var c config
+	if err := json.Unmarshal([]byte(text), &c); err != nil {
+		return choice.Settings{}, err
+	}
+	s := choice.Settings{
+		Index: c.Index, Fleet: c.FleetSize, Workers: c.Family.Workers, MaxHeld: c.Bounds.MostHeld,
+		MaxAttempts: c.Bounds.MaxAttempts, Tick: seconds(c.Tick), ZoneFee: c.Family.ZoneFee,
+		Halving: c.Family.Late == "halving", Listed: c.Weights == "nominal" || c.Weights == "rough",
+		Cancels: c.Bounds.Cancel, Subscribe: c.RegistryMode == "subscribe",
+		ReportLimit: -1,
+		Rules: choice.Rules{
+			AnswerGrace: seconds(c.Rules.GraceToAnswer), DrainGrace: seconds(c.Rules.DrainGrace),
+			OverloadFactor: c.Rules.OverloadFactor, Fall: seconds(c.Rules.Fall),
+			ColdFrom: c.Rules.ColdFrom, Cold: seconds(c.Rules.Cold), OrderSettle: seconds(c.Rules.OrderSettle),
+		},
+	}
+	if c.LoadReport.How == "inline" {
+		s.ReportLimit = slices.Index(c.LoadReport.Columns, "x1")
+	}
+	for _, k := range c.Classes {
+		effect, ok := map[string]choice.Effect{
+			"idempotent": choice.Safe, "deduplicated": choice.Keyed, "at_most_once": choice.Unsafe}[k.Effect]
+		if !ok {
+			return s, fmt.Errorf("classes: %q is no effect", k.Effect)
+		}
+		s.Classes = append(s.Classes, choice.Class{
+			Name: k.Name, Aim: seconds(k.Aim), Deadline: seconds(k.GiveUp), Worth: k.Worth,
+			LateShare: k.LateShare, Effect: effect, SameZone: k.Group != "all",
+			Window: seconds(k.Window), Ordered: k.KeepOrder,
+		})
+	}
+	for i := range c.Skus {
+		k := choice.Kind{PerCall: 1}
+		if i < len(c.Family.OwnLimits) {
+			k.Apart = c.Family.OwnLimits[i]
+		}
+		if i < len(c.Family.PerCall) {
+			k.PerCall = max(1, c.Family.PerCall[i])
+		}
+		s.Kinds = append(s.Kinds, k)
+	}
+	return s, nil
+}
+
+// instance is one chooser with the events that a batch holds for it.
+type instance struct {
+	name    string
+	chooser *choice.Chooser
+	events  []choice.Event
+	due     bool // among those with an event in this batch
+}
+
+type server struct {
+	in     *bufio.Reader
+	out    *bufio.Writer
+	number int
+	fields map[string]string // of the line read last
+	sheets map[int][]choice.Host
+	insts  map[string]*instance
+	turn   []*instance // instances with an event in this batch, by first event
+}
+
+// Serve answers batches until the input ends.
+func Serve(r io.Reader, w io.Writer) error {
+	s := &server{in: bufio.NewReaderSize(r, 1<<16), out: bufio.NewWriterSize(w, 1<<16),
+		fields: map[string]string{}, sheets: map[int][]choice.Host{}, insts: map[string]*instance{}}
+	for {
+		l, err := s.read()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err == nil {
+			err = s.batch(l)
+		}
+		if errors.Is(err, io.EOF) {
+			return fmt.Errorf("line %d: batch ends without YOUR_TURN", s.number)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// read returns the next line that is not empty.
+func (s *server) read() (*line, error) {
+	for {
+		text, err := s.in.ReadString('\n')
+		if err != nil && (text == "" || !errors.Is(err, io.EOF)) {
+			return nil, err
+		}
+		s.number++
+		if text = strings.TrimRight(text, "\r\n"); text != "" {
+			return parse(s.number, text, s.fields)
+		}
+	}
+}
+
+func (s *server) batch(l *line) error {
+	if l.name != "BATCH" {
+		return fmt.Errorf("line %d: %s where BATCH was due", l.number, l.name)
+	}
+	clock := l.seconds("clock", true)
+	if l.err != nil {
+		return l.err
+	}
+	s.turn = s.turn[:0]
+	for {
+		l, err := s.read()
+		if err != nil {
+			return err
+		}
+		if l.name == "YOUR_TURN" {
+			break
+		}
+		if l.name == "CATALOG" {
+			err = s.catalog(l)
+		} else {
+			err = s.event(l)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	for _, in := range s.turn {
+		if s.insts[in.name] == in {
+			s.step(clock, in)
+		}
+	}
+	s.out.WriteString("DONE\n")
+	return s.out.Flush()
+}
+
+// step runs one chooser and prints what it answers; a panic becomes the fault line.
+func (s *server) step(clock time.Duration, in *instance) {
+	defer func() {
+		if p := recover(); p != nil {
+			text := strings.NewReplacer("\n", " ", "\t", " ").Replace(fmt.Sprint(p))
+			fmt.Fprintf(s.out, "BUG\trelay-id=%s\tnote-text=%s\n", in.name, text)
+		}
+	}()
+	events := in.events
+	in.events, in.due = nil, false
+	for _, a := range in.chooser.Step(clock, events) {
+		s.print(in.name, a)
+	}
+}
+
+func (s *server) catalog(l *line) error {
+	sheet, n := l.whole("sheet", true), l.whole("records", true)
+	if l.err != nil {
+		return l.err
+	}
+	hosts := []choice.Host{}
+	for range n {
+		e, err := s.read()
+		if err != nil {
+			return err
+		}
+		if e.name != "HOST" {
+			return fmt.Errorf("line %d: %s where HOST was due", e.number, e.name)
+		}
+		h := choice.Host{Addr: e.text("host"), Dest: e.whole("cell", true), Kind: e.whole("kind", false),
+			Zone: e.whole("rack-zone", false), Rate: e.number64("size", false)}
+		switch state := e.whole("condition", false); state {
+		case 0:
+			h.State = choice.Gone
+		case 1:
+			h.State = choice.Ready
+		case 2:
+			h.State = choice.Draining
+		default:
+			e.fail("condition", fmt.Sprintf("%d is no state", state))
+		}
+		if e.err != nil {
+			return e.err
+		}
+		hosts = append(hosts, h)
+	}
+	s.sheets[sheet] = hosts
+	return nil
+}
+
+func (s *server) event(l *line) error {
+	name := l.text("relay-id")
+	if l.err != nil {
+		return l.err
+	}
+	in := s.insts[name]
+	switch l.name {
+	case "CONFIGURE":
+		return s.configure(l, name)
+	case "DETACH":
+		delete(s.insts, name)
+		return nil
+	}
+	e, err := s.translate(l)
+	if err == nil {
+		err = l.err
+	}
+	if err == nil && in == nil {
+		err = fmt.Errorf("line %d: %s: field relay-id: %s was never configured", l.number, l.name, name)
+	}
+	if err != nil {
+		return err
+	}
+	if !in.due {
+		in.due = true
+		s.turn = append(s.turn, in)
+	}
+	if e != nil {
+		in.events = append(in.events, e)
+	}
+	return nil
+}
+
+func (s *server) configure(l *line, name string) error {
+	seed, err := strconv.ParseUint(l.text("entropy"), 10, 64)
+	if err != nil {
+		l.fail("entropy", "no whole number")
+	}
+	text := l.text("config")
+	if l.err != nil {
+		return l.err
+	}
+	set, err := settings(text)
+	if err != nil {
+		return fmt.Errorf("line %d: CONFIGURE: field config: %w", l.number, err)
+	}
+	c, err := choice.New(set, seed)
+	if err != nil {
+		return fmt.Errorf("line %d: CONFIGURE: field config: %w", l.number, err)
+	}
+	in := &instance{name: name, chooser: c, due: true}
+	s.insts[name] = in
+	s.turn = append(s.turn, in)
+	return nil
+}
+
+// translate maps one event line; the event is nil where choice has no use for it.
+func (s *server) translate(l *line) (choice.Event, error) {
+	switch l.name {
+	case "ACCEPT":
+		return choice.Arrival{ID: l.text("op-id"), Class: l.whole("priority", false), Dest: l.whole("far-end", true),
+			Left: l.seconds("left", true), Key: l.fields["subject"]}, nil
+	case "ATTEMPT_END":
+		return choice.Result{ID: l.text("op-id"), Host: l.text("host"), Attempt: l.whole("try", false),
+			Outcome: l.outcome("how"), Took: l.seconds("cost-time", false), Done: l.whole("over", false) == 1,
+			Wait: time.Duration(l.whole("remark-ms", false)) * time.Millisecond, Report: l.row("feedback")}, nil
+	case "UPDATE":
+		scope := l.whole("scope", false)
+		if scope < 0 || scope > 3 {
+			l.fail("scope", fmt.Sprintf("%d is no scope", scope))
+		}
+		if scope == 3 {
+			return choice.Listing{Failed: true}, nil
+		}
+		sheet := l.whole("sheet", false)
+		hosts, ok := s.sheets[sheet]
+		if !ok {
+			l.fail("sheet", fmt.Sprintf("no CATALOG %d was given", sheet))
+		}
+		return choice.Listing{Whole: scope != 0, Hosts: hosts}, nil
+	case "CLIENT_GONE":
+		return choice.Withdrawn{ID: l.text("op-id")}, nil
+	case "FIRED":
+		l.whole("tag", false)
+		return choice.Woken{}, nil
+	case "PROBE_DONE":
+		l.text("host")
+		l.outcome("how")
+		return nil, nil // no probe is ever sent
+	case "FROM_PEER":
+		if b := l.fields["bytes"]; b != "" && b != "-" {
+			if _, err := base64.StdEncoding.DecodeString(b); err != nil {
+				l.fail("bytes", "not base64")
+			}
+		}
+		return nil, nil
+	case "FIRST_BYTE":
+		l.text("op-id")
+		return nil, nil
+	}
+	return nil, fmt.Errorf("line %d: unknown message %q", l.number, l.name)
+}
+
+func (s *server) print(inst string, a choice.Action) {
+	sec := func(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', -1, 64) }
+	switch a := a.(type) {
+	case choice.Send:
+		fmt.Fprintf(s.out, "PLACE\trelay-id=%s\top-id=%s\thost=%s\tmax-wait=%s\n", inst, a.ID, a.Host, sec(a.Timeout))
+	case choice.Refuse:
+		fmt.Fprintf(s.out, "DENY\trelay-id=%s\top-id=%s\n", inst, a.ID)
+	case choice.Fail:
+		fmt.Fprintf(s.out, "SURRENDER\trelay-id=%s\top-id=%s\n", inst, a.ID)
+	case choice.Cancel:
+		fmt.Fprintf(s.out, "REVOKE\trelay-id=%s\top-id=%s\ttry=%d\n", inst, a.ID, a.Attempt)
+	case choice.Wake:
+		fmt.Fprintf(s.out, "ARM\trelay-id=%s\twait=%s\ttag=0\n", inst, sec(a.After))
+	case choice.Subscribe:
+		fmt.Fprintf(s.out, "OBSERVE\trelay-id=%s\twant=1\n", inst)
+	case choice.Log:
+		fmt.Fprintf(s.out, "EMIT\trelay-id=%s\tnote-text=%s\n", inst, a.Text)
+	}
+}
