--- a/choice/api.go
+++ b/choice/api.go
@@ -150,6 +150,7 @@
 type Woken struct{}
 
 func (Arrival) event()   {}
+func (Restored) event()  {}
 func (Result) event()    {}
 func (Withdrawn) event() {}
 func (Listing) event()   {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -64,6 +64,8 @@
 		switch e := e.(type) {
 		case Arrival:
 			c.arrive(e)
+		case Restored:
+			c.restore(e)
 		case Result:
 			c.result(e)
 		case Withdrawn:
--- /dev/null
+++ b/cmd/larchrouter/main.go
@@ -0,0 +1,47 @@
+// Command larchrouter is one relay on real sockets.
+package main
+
+import (
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"basaltcross.example/basaltcross/internal/relay"
+)
+
+func main() {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	if err := run(); err != nil {
+		slog.Error("cannot start", "err", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	conf, err := relay.ReadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(conf.Cores)))
+	if conf.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(conf.MemoryMB*0.6) << 20) // files count as well, and the runtime is not exact
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	r, err := relay.New(conf)
+	if err != nil {
+		return err
+	}
+	go func() {
+		s := <-stop
+		slog.Info("stopping", "signal", s.String())
+		r.Drain()
+	}()
+	slog.Info("serving", "addr", r.Addr())
+	r.Serve()
+	slog.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/relay/config.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+
+	"basaltcross.example/basaltcross/internal/settings"
+)
+
+// Config is what a relay is told at its start.
+type Config struct {
+	Listen    string
+	Discovery string
+	State     string // folder that lasts
+	Seed      uint64
+	Cores     float64
+	MemoryMB  float64
+	Sockets   int
+	DiskMB    float64
+	Known     list
+	Settings  settings.Settings
+}
+
+// ReadConfig reads the file that BALANCER_CONFIG names. The other variables win over it.
+func ReadConfig(env func(string) string) (Config, error) {
+	var c Config
+	path := env("BALANCER_CONFIG")
+	if path == "" {
+		return c, fmt.Errorf("BALANCER_CONFIG is not set")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return c, fmt.Errorf("BALANCER_CONFIG: %w", err)
+	}
+	var f struct {
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			Cores    float64 `json:"cores"`
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+			DiskMB   float64 `json:"disk_mb"`
+		} `json:"limits"`
+		Known    list            `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(data, &f); err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	or := func(name, value string) string {
+		if v := env(name); v != "" {
+			return v
+		}
+		return value
+	}
+	c = Config{Listen: or("BALANCER_LISTEN", f.Listen), Discovery: or("BALANCER_DISCOVERY", f.Discovery),
+		State: env("BALANCER_STATE"), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
+		Sockets: f.Limits.Sockets, DiskMB: f.Limits.DiskMB, Known: f.Known}
+	for name, v := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "BALANCER_STATE": c.State} {
+		if v == "" {
+			return c, fmt.Errorf("%s: %s is missing", path, name)
+		}
+	}
+	if c.Sockets < 16 || c.DiskMB <= 0 {
+		return c, fmt.Errorf("%s: limits: sockets is %d and disk_mb %g, must be at least 16 and above 0",
+			path, c.Sockets, c.DiskMB)
+	}
+	if f.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return c, fmt.Errorf("%s: seed: %w", path, err)
+		}
+	}
+	if c.Settings, err = settings.Parse(f.Settings); err != nil {
+		return c, fmt.Errorf("%s: settings: %w", path, err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,412 @@
+// Package relay is the real relay round package choice: it keeps the time, the
+// sockets and the durable record, and decides nothing about hosts, time-outs
+// or further tries.
+//
+// One goroutine, the loop, owns the Chooser and all state. Everything else
+// posts functions to it; it runs those that have come in as one batch, lets
+// the Chooser decide once, writes the journal, and carries the actions out.
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/settings"
+	"golang.org/x/net/netutil"
+)
+
+const (
+	batchMost = 256
+	maxOwed   = 8192
+)
+
+// message is one that this relay owes its end.
+type message struct {
+	*entry
+	class int
+	due   time.Duration
+	call  *call   // out now
+	fresh *intake // its client still waits for an answer
+	over  bool
+}
+
+// Relay is one relay. Fields below the channels belong to the loop.
+type Relay struct {
+	conf     Config
+	set      settings.Settings
+	began    time.Time
+	server   *http.Server
+	listener net.Listener
+	hostSide *http.Transport
+	platform *http.Client
+	calls    context.Context
+	endCalls context.CancelCauseFunc
+	ends     context.CancelFunc // of discovery and notices
+	inbox    chan func()
+	notices  chan notice
+	quit     chan struct{}
+
+	chooser *choice.Chooser
+	journal *journal
+	held    map[string]*message
+	past    recent
+	hosts   map[string]*host
+	dests   map[int]bool // ever listed
+	events  []choice.Event
+	fresh   []*message
+	records []record
+	untold  []notice // go out once they are recorded
+	wake    *time.Timer
+	wakeAt  time.Duration
+	woken   bool
+	out     int  // calls
+	owed    int  // notices
+	stopped bool // no more decisions; outcomes are still recorded
+}
+
+// New replays the journal and listens; Serve does the rest.
+func New(conf Config) (*Relay, error) {
+	set := conf.Settings
+	r := &Relay{conf: conf, set: set, began: time.Now(), held: map[string]*message{}, hosts: map[string]*host{},
+		dests: map[int]bool{}, inbox: make(chan func(), 1024), notices: make(chan notice, 2*maxOwed),
+		quit: make(chan struct{}), wake: time.NewTimer(time.Hour)}
+	idle := set.IdleConn - min(500*time.Millisecond, set.IdleConn/4)
+	r.hostSide = newTransport(set.DialTimeout, idle, set.Workers, conf.Sockets/4)
+	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	r.calls, r.endCalls = context.WithCancelCause(context.Background())
+	var err error
+	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
+		return nil, err
+	}
+	if r.journal, err = openJournal(conf.State, int64(conf.DiskMB*1e6)); err != nil {
+		return nil, err
+	}
+	if conf.Known.Full || len(conf.Known.Servers) > 0 {
+		r.listed(conf.Known)
+	}
+	r.restore()
+	l, err := net.Listen("tcp", conf.Listen)
+	if err != nil {
+		return nil, err
+	}
+	r.listener = l
+	r.server = &http.Server{Handler: r.handler(), ReadTimeout: headerIn, WriteTimeout: headerIn,
+		IdleTimeout: idleIn, MaxHeaderBytes: 16 << 10}
+	return r, nil
+}
+
+// Addr is where clients connect.
+func (r *Relay) Addr() string { return r.listener.Addr().String() }
+
+// Serve runs the relay until Drain has ended it.
+func (r *Relay) Serve() {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.ends = cancel
+	go r.follow(ctx, r.conf.Known.Version)
+	go r.tell(ctx)
+	go r.server.Serve(netutil.LimitListener(r.listener, r.conf.Sockets/2))
+	r.loop()
+	cancel()
+	r.server.Close()
+	r.endCalls(errStopping)
+}
+
+// The times of an orderly stop, from SIGTERM. New connections come for 0.4 s
+// more, SIGKILL after 3.7 s.
+const (
+	stopKeeping = 500 * time.Millisecond  // then connections end between requests
+	stopTaking  = 800 * time.Millisecond  // then none is accepted
+	stopSending = 2600 * time.Millisecond // then no more calls go out
+	stopAll     = 3300 * time.Millisecond // then calls still out are left to the journal
+)
+
+// Drain stops the relay in order: it takes on and delivers while clients still
+// come, lets calls out finish, and leaves the rest to the journal.
+func (r *Relay) Drain() {
+	begin := time.Now()
+	rest := func(d time.Duration) time.Duration { return max(0, d-time.Since(begin)) }
+	time.Sleep(rest(stopKeeping))
+	r.server.SetKeepAlivesEnabled(false)
+	time.Sleep(rest(stopTaking))
+	ctx, cancel := context.WithTimeout(context.Background(), rest(stopSending))
+	r.server.Shutdown(ctx)
+	cancel()
+	idle := make(chan struct{}, 1)
+	for {
+		r.post(func() {
+			if r.stopped = r.stopped || time.Since(begin) >= stopSending; r.out == 0 &&
+				(r.stopped || len(r.held)+r.owed == 0) {
+				select {
+				case idle <- struct{}{}:
+				default:
+				}
+			}
+		})
+		select {
+		case <-idle:
+		case <-time.After(rest(stopAll)):
+		case <-time.After(20 * time.Millisecond):
+			if time.Since(begin) < stopAll {
+				continue
+			}
+		}
+		break
+	}
+	close(r.quit)
+}
+
+func (r *Relay) now() time.Duration { return time.Since(r.began) }
+
+// post hands the loop something to do.
+func (r *Relay) post(f func()) {
+	select {
+	case r.inbox <- f:
+	case <-r.quit:
+	}
+}
+
+func (r *Relay) loop() {
+	for {
+		r.step()
+		select {
+		case f := <-r.inbox:
+			f()
+		case <-r.wake.C:
+			r.woken = true
+		case <-r.quit:
+			r.flush()
+			return
+		}
+		for n := 1; n < batchMost; n++ {
+			select {
+			case f := <-r.inbox:
+				f()
+				continue
+			default:
+			}
+			break
+		}
+	}
+}
+
+// restore takes up what the journal holds.
+func (r *Relay) restore() {
+	wall := time.Now().UnixMilli()
+	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	for _, id := range r.journal.order {
+		e := r.journal.entries[id]
+		if e.Status != "" {
+			r.owe(notice{e.ID, e.Status, e.Again})
+			continue
+		}
+		if e.Out {
+			// The process died before the outcome was recorded: it may have run.
+			r.record(record{Op: opOutcome, ID: id, Ran: true})
+		}
+		class := -1
+		for i, k := range r.set.Classes {
+			if k.Name == e.Class {
+				class = i
+			}
+		}
+		if class < 0 {
+			r.give(&message{entry: e}, notice{e.ID, undeliverable, 0})
+			continue
+		}
+		m := &message{entry: e, class: class, due: r.now() + ms(e.Due-wall)}
+		r.held[id] = m
+		ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall)},
+			Attempts: e.Tries, Timeout: ms(e.Wait), Ran: e.Ran, RanAgo: ms(wall - e.RanAt), RanZone: e.Zone}
+		if e.Out && !e.Ran {
+			ev.Ran, ev.RanAgo, ev.RanZone = true, ms(wall-e.OutAt), e.OutTo
+		}
+		r.events = append(r.events, ev)
+	}
+	slog.Info("journal replayed", "held", len(r.held), "owed", r.owed)
+}
+
+func (r *Relay) record(rec record) { r.records = append(r.records, rec) }
+
+// owe has a notice told once what it says is recorded.
+func (r *Relay) owe(n notice) {
+	r.owed++
+	r.untold = append(r.untold, n)
+}
+
+// give ends a message undelivered.
+func (r *Relay) give(m *message, n notice) {
+	r.record(record{Op: opNotice, ID: m.ID, Status: n.Status, Again: n.Again})
+	r.owe(n)
+	r.drop(m)
+}
+
+// drop forgets a message that has ended.
+func (r *Relay) drop(m *message) {
+	m.over = true
+	delete(r.held, m.ID)
+	r.past.add(m.ID)
+}
+
+// flush records what has ended. What cannot be written now is kept: until then
+// a restart takes it for unfinished, which errs on the safe side.
+func (r *Relay) flush() {
+	if len(r.records) > 0 {
+		if err := r.journal.append(r.records...); err != nil {
+			slog.Error("not recorded", "records", len(r.records), "err", err)
+			if len(r.records) > 4*maxOwed {
+				r.records = r.records[1:]
+			}
+		} else {
+			r.records = r.records[:0]
+		}
+	}
+	for _, n := range r.untold {
+		r.notices <- n // holds more than can be owed
+	}
+	r.untold = r.untold[:0]
+}
+
+// step lets the Chooser decide on what has come in, and carries its actions out.
+func (r *Relay) step() {
+	if r.stopped {
+		r.events = nil
+		for _, m := range r.fresh {
+			r.refuse(m, comeBack)
+		}
+		r.fresh = nil
+		r.flush()
+		return
+	}
+	if r.woken {
+		r.events = append(r.events, choice.Woken{})
+	}
+	if len(r.events) == 0 {
+		r.flush()
+		return
+	}
+	events, now := r.events, r.now()
+	r.events = nil
+	if r.woken {
+		r.woken, r.wakeAt = false, 0
+	}
+	var sends []choice.Send
+	for _, a := range r.chooser.Step(now, events) {
+		switch a := a.(type) {
+		case choice.Send:
+			sends = append(sends, a)
+		case choice.Refuse:
+			r.final(a.ID, deferred, comeBack)
+		case choice.Fail:
+			r.final(a.ID, undeliverable, 0)
+		case choice.Cancel:
+			if m := r.held[a.ID]; m != nil && m.call != nil {
+				m.call.cancel(errCalled)
+			}
+		case choice.Wake:
+			if at := now + a.After; r.wakeAt == 0 || at < r.wakeAt {
+				r.wakeAt = at
+				r.wake.Reset(a.After)
+			}
+		case choice.Log:
+			slog.Info(a.Text)
+		}
+	}
+	r.flush()
+	for _, m := range r.fresh {
+		if m.over {
+			continue
+		}
+		// Only what is in the journal is taken on.
+		if err := r.journal.append(record{Op: opTaken, Entry: m.entry}); err != nil {
+			slog.Error("message not taken on", "err", err)
+			r.events = append(r.events, choice.Withdrawn{ID: m.ID})
+			r.refuse(m, comeBack)
+			continue
+		}
+		m.fresh.reply <- answer{status: http.StatusAccepted}
+		m.fresh = nil
+	}
+	r.fresh = r.fresh[:0]
+	r.dispatch(sends)
+	if len(r.events) > 0 {
+		r.post(func() {})
+	}
+}
+
+// refuse ends a message that was never taken on.
+func (r *Relay) refuse(m *message, after time.Duration) {
+	m.over = true
+	delete(r.held, m.ID)
+	m.fresh.reply <- answer{status: http.StatusServiceUnavailable, after: after, text: "refused"}
+}
+
+// final ends a message that the Chooser has given up, at once.
+func (r *Relay) final(id, status string, after time.Duration) {
+	switch m := r.held[id]; {
+	case m == nil:
+	case m.fresh != nil:
+		r.refuse(m, after)
+	default:
+		r.give(m, notice{id, status, after.Milliseconds()})
+	}
+}
+
+// dispatch groups the sends of one Step into calls, records them, and starts them.
+func (r *Relay) dispatch(sends []choice.Send) {
+	open := map[string]*call{}
+	var calls []*call
+	wall := time.Now().UnixMilli()
+	for _, s := range sends {
+		m, h := r.held[s.ID], r.hosts[s.Host]
+		if m == nil || h == nil || h.dest != m.Dest || h.closed.Load() {
+			r.events = append(r.events, choice.Result{ID: s.ID, Host: s.Host, Outcome: choice.NotSent})
+			continue
+		}
+		c := open[s.Host]
+		if c == nil || len(c.members) >= h.perCall {
+			c = &call{host: h}
+			open[s.Host] = c
+			calls = append(calls, c)
+		}
+		c.members, c.sends = append(c.members, m), append(c.sends, s)
+	}
+	for _, c := range calls {
+		var recs []record
+		for i, m := range c.members {
+			recs = append(recs, record{Op: opTry, ID: m.ID, At: wall, Wait: c.sends[i].Timeout.Milliseconds(), Zone: c.host.zone})
+		}
+		// An attempt that a restart would not know of must not go out.
+		if err := r.journal.append(recs...); err != nil {
+			slog.Error("attempts not sent", "err", err)
+			for _, s := range c.sends {
+				r.events = append(r.events, choice.Result{ID: s.ID, Host: s.Host, Outcome: choice.NotSent})
+			}
+			continue
+		}
+		r.start(c)
+	}
+}
+
+// ended takes in what became of one message's attempt.
+func (r *Relay) ended(c *call, m *message, e end, took, wait time.Duration) {
+	if m.call != c {
+		return // its own time was up before the call's
+	}
+	m.call = nil
+	r.events = append(r.events, choice.Result{ID: m.ID, Host: c.host.id, Outcome: e.outcome, Took: took, Wait: wait,
+		Done: e.done || e.outcome == choice.Served})
+	if m.over {
+		return
+	}
+	if e.done || e.outcome == choice.Served {
+		r.record(record{Op: opEnd, ID: m.ID})
+		r.drop(m)
+		return
+	}
+	never := e.outcome == choice.Refused || e.outcome == choice.NoConnection || e.outcome == choice.NotSent
+	r.record(record{Op: opOutcome, ID: m.ID, Ran: !never})
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,17 +5,16 @@
 import (
 	"bufio"
 	"encoding/base64"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"basaltcross.example/basaltcross/choice"
+	"basaltcross.example/basaltcross/internal/settings"
 )
 
 var outcomes = map[string]choice.Outcome{
@@ -137,97 +136,6 @@
 
 func seconds(f float64) time.Duration { return time.Duration(math.Round(f*1e6)) * time.Microsecond }
 
-// config is the part of the settings object that is read.
-type config struct {
-	Bounds struct {
-		Cancel      bool `json:"cancel"`
-		MaxAttempts int  `json:"max-attempts"`
-		MostHeld    int  `json:"most-held"`
-	} `json:"bounds"`
-	Classes []struct {
-		Name      string  `json:"name"`
-		Aim       float64 `json:"aim"`
-		GiveUp    float64 `json:"give-up"`
-		Effect    string  `json:"effect"`
-		Group     string  `json:"group"`
-		KeepOrder bool    `json:"keep-order"`
-		LateShare float64 `json:"late-share"`
-		Window    float64 `json:"window"`
-		Worth     float64 `json:"worth"`
-	} `json:"classes"`
-	Family struct {
-		Late      string    `json:"late"`
-		OwnLimits []bool    `json:"own-limits"`
-		PerCall   []int     `json:"per-call"`
-		Workers   int       `json:"workers"`
-		ZoneFee   []float64 `json:"zone-fee"`
-	} `json:"family-info"`
-	FleetSize  int `json:"fleet-size"`
-	Index      int `json:"index"`
-	LoadReport struct {
-		Columns []string `json:"columns"`
-		How     string   `json:"how"`
-	} `json:"load-report"`
-	RegistryMode string `json:"registry-mode"`
-	Rules        struct {
-		Cold           float64 `json:"cold"`
-		ColdFrom       float64 `json:"cold-from"`
-		DrainGrace     float64 `json:"drain-grace"`
-		Fall           float64 `json:"fall"`
-		GraceToAnswer  float64 `json:"grace-to-answer"`
-		OrderSettle    float64 `json:"order-settle"`
-		OverloadFactor float64 `json:"overload-factor"`
-	} `json:"rules"`
-	Skus    []string `json:"skus"`
-	Tick    float64  `json:"tick"`
-	Weights string   `json:"weights"`
-}
-
-func settings(text string) (choice.Settings, error) {
-	var c config
-	if err := json.Unmarshal([]byte(text), &c); err != nil {
-		return choice.Settings{}, err
-	}
-	s := choice.Settings{
-		Index: c.Index, Fleet: c.FleetSize, Workers: c.Family.Workers, MaxHeld: c.Bounds.MostHeld,
-		MaxAttempts: c.Bounds.MaxAttempts, Tick: seconds(c.Tick), ZoneFee: c.Family.ZoneFee,
-		Halving: c.Family.Late == "halving", Listed: c.Weights == "nominal" || c.Weights == "rough",
-		Cancels: c.Bounds.Cancel, Subscribe: c.RegistryMode == "subscribe",
-		ReportLimit: -1,
-		Rules: choice.Rules{
-			AnswerGrace: seconds(c.Rules.GraceToAnswer), DrainGrace: seconds(c.Rules.DrainGrace),
-			OverloadFactor: c.Rules.OverloadFactor, Fall: seconds(c.Rules.Fall),
-			ColdFrom: c.Rules.ColdFrom, Cold: seconds(c.Rules.Cold), OrderSettle: seconds(c.Rules.OrderSettle),
-		},
-	}
-	if c.LoadReport.How == "inline" {
-		s.ReportLimit = slices.Index(c.LoadReport.Columns, "x1")
-	}
-	for _, k := range c.Classes {
-		effect, ok := map[string]choice.Effect{
-			"idempotent": choice.Safe, "deduplicated": choice.Keyed, "at_most_once": choice.Unsafe}[k.Effect]
-		if !ok {
-			return s, fmt.Errorf("classes: %q is no effect", k.Effect)
-		}
-		s.Classes = append(s.Classes, choice.Class{
-			Name: k.Name, Aim: seconds(k.Aim), Deadline: seconds(k.GiveUp), Worth: k.Worth,
-			LateShare: k.LateShare, Effect: effect, SameZone: k.Group != "all",
-			Window: seconds(k.Window), Ordered: k.KeepOrder,
-		})
-	}
-	for i := range c.Skus {
-		k := choice.Kind{PerCall: 1}
-		if i < len(c.Family.OwnLimits) {
-			k.Apart = c.Family.OwnLimits[i]
-		}
-		if i < len(c.Family.PerCall) {
-			k.PerCall = max(1, c.Family.PerCall[i])
-		}
-		s.Kinds = append(s.Kinds, k)
-	}
-	return s, nil
-}
-
 // instance is one chooser with the events that a batch holds for it.
 type instance struct {
 	name    string
@@ -408,11 +316,11 @@
 	if l.err != nil {
 		return l.err
 	}
-	set, err := settings(text)
+	set, err := settings.Parse([]byte(text))
 	if err != nil {
 		return fmt.Errorf("line %d: CONFIGURE: field config: %w", l.number, err)
 	}
-	c, err := choice.New(set, seed)
+	c, err := choice.New(set.Settings, seed)
 	if err != nil {
 		return fmt.Errorf("line %d: CONFIGURE: field config: %w", l.number, err)
 	}
