--- a/choice/example_test.go
+++ b/choice/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"basaltcross.example/basaltcross/choice"
+	"larchrouter/choice"
 )
 
 // A relay's own loop: hand in what happened, carry out what comes back.
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"basaltcross.example/basaltcross/internal/wire"
+	"larchrouter/internal/wire"
 )
 
 func main() {
--- a/cmd/larchrouter/main.go
+++ b/cmd/larchrouter/main.go
@@ -9,7 +9,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"basaltcross.example/basaltcross/internal/relay"
+	"larchrouter/internal/relay"
 )
 
 func main() {
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"basaltcross.example/basaltcross/choice"
+	"larchrouter/choice"
 )
 
 var (
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -6,7 +6,7 @@
 	"os"
 	"strconv"
 
-	"basaltcross.example/basaltcross/internal/settings"
+	"larchrouter/internal/settings"
 )
 
 // Config is what a relay is told at its start.
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"basaltcross.example/basaltcross/choice"
+	"larchrouter/choice"
 )
 
 // server is one entry of discovery's list.
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"basaltcross.example/basaltcross/choice"
+	"larchrouter/choice"
 )
 
 const (
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,9 +14,9 @@
 	"net/http"
 	"time"
 
-	"basaltcross.example/basaltcross/choice"
-	"basaltcross.example/basaltcross/internal/settings"
 	"golang.org/x/net/netutil"
+	"larchrouter/choice"
+	"larchrouter/internal/settings"
 )
 
 const (
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"basaltcross.example/basaltcross/choice"
+	"larchrouter/choice"
 )
 
 // Settings are the figures for the decisions, and what only a real relay uses.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,8 +13,8 @@
 	"strings"
 	"time"
 
-	"basaltcross.example/basaltcross/choice"
-	"basaltcross.example/basaltcross/internal/settings"
+	"larchrouter/choice"
+	"larchrouter/internal/settings"
 )
 
 var outcomes = map[string]choice.Outcome{
