--- a/choice/api.go
+++ b/choice/api.go
@@ -151,6 +151,7 @@
 
 func (Arrival) event()   {}
 func (Restored) event()  {}
+func (Unwell) event()    {}
 func (Result) event()    {}
 func (Withdrawn) event() {}
 func (Listing) event()   {}
@@ -168,8 +169,12 @@
 	Timeout time.Duration
 }
 
-// Refuse ends a message: it did not run, and the client may safely come again.
-type Refuse struct{ ID string }
+// Refuse ends a message: it did not run, and the client may safely come again,
+// best after the given time.
+type Refuse struct {
+	ID    string
+	After time.Duration
+}
 
 // Fail ends a message; whether it ran is not known.
 type Fail struct{ ID string }
@@ -186,6 +191,14 @@
 // Subscribe asks for changes of the endpoint list.
 type Subscribe struct{}
 
+// Health tells that a host began or ceased to be in an outage, or cold after one.
+// A relay keeps it, and hands it to its successor as Unwell.
+type Health struct {
+	Host   string
+	Unwell bool
+	Base   float64 // messages a second served to this relay before
+}
+
 // Log is a line for the operators.
 type Log struct{ Text string }
 
@@ -196,3 +209,4 @@
 func (Wake) action()      {}
 func (Subscribe) action() {}
 func (Log) action()       {}
+func (Health) action()    {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -2,7 +2,7 @@
 
 // All decisions of the gateway; the interface is in api.go, plain state in state.go. In reading
 // order: constants; the endpoint list; the timeout oracle; health, pacing and waits; admission and
-// final answers; order of keys; the turn.
+// final answers; the turn. Order of keys is in order.go, what outlasts a process in restore.go.
 
 import (
 	"cmp"
@@ -66,6 +66,8 @@
 			c.arrive(e)
 		case Restored:
 			c.restore(e)
+		case Unwell:
+			c.unwell(e)
 		case Result:
 			c.result(e)
 		case Withdrawn:
@@ -358,6 +360,7 @@
 	c.log("destination %d unit %s suspect: %s", d.id, u.name, why)
 	u.state, u.since, u.trials, u.streak = suspect, c.now, 0, 0
 	u.trialAt = c.now + c.gap(u)
+	c.act(Health{u.name, true, u.base})
 }
 
 func (c *Chooser) log(format string, args ...any) { c.act(Log{fmt.Sprintf(format, args...)}) }
@@ -433,12 +436,14 @@
 		u.risky, u.errors = false, false
 	case u.state == suspect && short:
 		u.state, u.since, u.risky, u.recent = healthy, c.now, false, 0
+		c.act(Health{u.name, false, 0})
 	case u.state == suspect:
 		u.state, u.since, u.recent = recovering, c.now, 0
 		c.log("destination %d unit %s recovering", d.id, u.name)
 	case u.state == recovering && c.now-u.since >= c.set.Rules.Cold:
 		u.state, u.since, u.risky, u.errors = healthy, c.now, false, false
 		c.log("destination %d unit %s healthy", d.id, u.name)
+		c.act(Health{u.name, false, 0})
 	}
 }
 
@@ -527,6 +532,7 @@
 		return
 	}
 	k, h, u, d := m.call, m.call.host, m.call.host.unit, m.dest
+	u.waitUntil = max(u.waitUntil, c.now+e.Wait) // it binds with any outcome
 	m.call, m.last = nil, h
 	if k.members = remove(k.members, m); len(k.members) == 0 {
 		c.busy, d.out, h.out = c.busy-1, d.out-1, h.out-1
@@ -603,7 +609,7 @@
 // final answers a message that is not out: refused where that is lawful, else failed.
 func (c *Chooser) final(m *message) {
 	if !m.ran || m.class.Effect == Safe || m.class.Effect == Keyed && !m.class.SameZone {
-		c.act(Refuse{m.ID})
+		c.act(Refuse{m.ID, c.comeBack(m.dest)})
 	} else {
 		c.act(Fail{m.ID})
 	}
@@ -679,26 +685,6 @@
 	}
 }
 
-// Order of keys.
-
-// hasTurn tells whether the order of its key lets a message go.
-func (c *Chooser) hasTurn(m *message) bool {
-	if !m.class.Ordered || m.Key == "" {
-		return true
-	}
-	l := c.lines[m.Key]
-	return l.queue[0] == m && c.now >= l.rest
-}
-
-func (c *Chooser) freeLines() {
-	c.resting = slices.DeleteFunc(c.resting, func(l *line) bool {
-		if len(l.queue) == 0 && c.now >= l.rest {
-			delete(c.lines, l.key)
-		}
-		return len(l.queue) > 0 || c.now >= l.rest
-	})
-}
-
 // The turn.
 
 // turn fills the free slots: the destination with the fewest calls out goes first.
--- a/choice/restore.go
+++ b/choice/restore.go
@@ -27,3 +27,42 @@
 		c.final(m)
 	}
 }
+
+// Unwell says that an earlier process of this relay saw an outage at a host whose
+// end it did not see. It follows the first Listing.
+type Unwell struct {
+	Host string
+	Base float64 // as Health told it
+}
+
+// unwell guards a returning destination against a relay that forgot the outage by a restart.
+func (c *Chooser) unwell(e Unwell) {
+	h := c.hosts[e.Host]
+	if h == nil {
+		return
+	}
+	h.unit.served = e.Base
+	h.unit.risky, h.unit.errors, h.unit.bad = true, true, 1 // one answer does not prove it well
+	c.suspect(h.unit, h.dest, "unwell before the restart")
+}
+
+// comeBack is when a client had best hand a refused message in again: once a unit of its
+// destination may be sent to, and what waits there has gone.
+func (c *Chooser) comeBack(d *dest) time.Duration {
+	open, rate := time.Duration(-1), 0.0
+	for _, u := range d.units {
+		at := max(u.waitUntil, u.pauseUntil)
+		if u.state == suspect {
+			at = max(at, u.trialAt)
+		}
+		if left := max(0, at-c.now); open < 0 || left < open {
+			open = left
+		}
+		rate += u.served
+	}
+	after := max(open, c.minAim/4)
+	if rate > 0 {
+		after = max(after, min(c.minAim, time.Duration(float64(len(d.waiting))/rate*float64(time.Second))))
+	}
+	return min(after, c.bound)
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -46,7 +46,7 @@
 	longPause  = time.Second
 )
 
-// listen follows discovery until the context ends. The list counts as told
+// follow watches discovery until the context ends. The list counts as told
 // while the next call comes within 200 ms of the last answer, so a watch is
 // renewed at once; only failures are followed by a pause.
 func (r *Relay) follow(ctx context.Context, version int64) {
@@ -54,6 +54,9 @@
 	pause := firstPause
 	for ctx.Err() == nil {
 		l, err := r.ask(ctx, version, full)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			slog.Warn("discovery does not answer", "err", err)
 			select {
@@ -114,7 +117,7 @@
 	}
 	for _, s := range l.Servers {
 		h := choice.Host{Addr: s.ID, Dest: s.Cell, Kind: slices.Index(r.set.KindNames, s.Kind),
-			Zone: slices.Index(r.set.Zones, s.Zone), Rate: s.Weight}
+			Zone: r.zone(s.Zone), Rate: s.Weight}
 		switch s.State {
 		case "active":
 			h.State = choice.Ready
@@ -144,3 +147,13 @@
 	}
 	r.events = append(r.events, ev)
 }
+
+// zone is the number of a zone; one that the settings do not name gets the next.
+func (r *Relay) zone(name string) int {
+	i := slices.Index(r.set.Zones, name)
+	if i < 0 {
+		i = len(r.set.Zones)
+		r.set.Zones = append(r.set.Zones, name)
+	}
+	return i
+}
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -135,28 +135,36 @@
 	refuse := answer{status: http.StatusServiceUnavailable, after: comeBack, text: "no room"}
 	switch {
 	case in.ctx.Err() != nil: // nobody waits for the answer any more
-	case r.held[id] != nil && r.held[id].fresh != nil:
-		in.reply <- refuse // twice at once; the first one's answer is not known yet
-	case r.held[id] != nil || r.past.has(id):
-		in.reply <- answer{status: http.StatusAccepted} // the client sent it again after its connection broke
+	case r.held[id] != nil: // the client sent it again after its connection broke
+		m := r.held[id]
+		m.twice = true
+		if m.fresh == nil {
+			in.reply <- answer{status: http.StatusAccepted}
+		} else {
+			m.fresh = append(m.fresh, in)
+		}
+	case r.past.has(id):
+		in.reply <- answer{status: http.StatusAccepted}
 	case !r.dests[in.entry.Dest]:
 		in.reply <- answer{status: http.StatusNotFound, text: "unknown destination"}
 	case r.stopped || r.set.MaxHeld > 0 && len(r.held) >= r.set.MaxHeld || r.owed >= maxOwed:
 		in.reply <- refuse
 	default:
-		m := &message{entry: in.entry, class: in.class, due: in.due, fresh: in}
+		m := &message{entry: in.entry, class: in.class, due: in.due, fresh: []*intake{in}}
 		r.held[id] = m
 		r.fresh = append(r.fresh, m)
 		r.events = append(r.events, choice.Arrival{ID: id, Class: in.class, Dest: in.entry.Dest, Left: in.due - r.now()})
 	}
 }
 
-// withdraw ends a message that its client may hand in again under another id.
+// withdraw ends a message whose client left unanswered: it may hand it in again under
+// another id. One that was sent, or came twice, goes on; its id may still be in use.
 func (r *Relay) withdraw(id string) {
-	if m := r.held[id]; m != nil {
+	if m := r.held[id]; m != nil && m.Tries == 0 && !m.twice {
 		r.events = append(r.events, choice.Withdrawn{ID: id})
 		r.record(record{Op: opEnd, ID: id})
-		r.drop(m)
+		m.over = true
+		delete(r.held, id)
 	}
 }
 
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -25,6 +25,9 @@
 // errFull says that the journal has no room for one more message.
 var errFull = errors.New("journal: disk budget used up")
 
+// errUnwritten says that earlier records still wait to be written.
+var errUnwritten = errors.New("journal: earlier records are not written yet")
+
 // entry is all that is needed to send a message again, or to end it.
 type entry struct {
 	ID     string `json:"id"`
@@ -54,18 +57,20 @@
 	opOutcome = "outcome" // it ended
 	opNotice  = "notice"  // the message ended undelivered; its notice is owed
 	opEnd     = "end"     // nothing more is owed
+	opHealth  = "health"  // ID is a host: an outage was seen there (Ran), or has passed
 )
 
 type record struct {
-	Op     string `json:"op"`
-	ID     string `json:"i,omitempty"`
-	Entry  *entry `json:"e,omitempty"`
-	At     int64  `json:"at,omitempty"`
-	Wait   int64  `json:"w,omitempty"`
-	Zone   int    `json:"z,omitempty"`
-	Ran    bool   `json:"r,omitempty"`
-	Status string `json:"s,omitempty"`
-	Again  int64  `json:"a,omitempty"`
+	Op     string  `json:"op"`
+	ID     string  `json:"i,omitempty"`
+	Entry  *entry  `json:"e,omitempty"`
+	At     int64   `json:"at,omitempty"`
+	Wait   int64   `json:"w,omitempty"`
+	Zone   int     `json:"z,omitempty"`
+	Ran    bool    `json:"r,omitempty"`
+	Status string  `json:"s,omitempty"`
+	Again  int64   `json:"a,omitempty"`
+	Base   float64 `json:"b,omitempty"`
 }
 
 func frame(buf []byte, r record) []byte {
@@ -105,13 +110,15 @@
 	size    int64
 	live    int64 // what a compacted journal takes at most
 	entries map[string]*entry
-	order   []string // ids as taken on; ended ones are dropped by compaction
-	broken  error    // a failed write could not be undone
+	unwell  map[string]record // hosts in an outage, or cold after it
+	order   []string          // ids as taken on; ended ones are dropped by compaction
+	broken  error             // a failed write could not be undone
 }
 
 // openJournal replays what an earlier process left and starts a compacted file.
 func openJournal(dir string, budget int64) (*journal, error) {
-	j := &journal{path: filepath.Join(dir, "journal"), budget: budget - 4*blockSize, entries: map[string]*entry{}}
+	j := &journal{path: filepath.Join(dir, "journal"), budget: budget - 4*blockSize, entries: map[string]*entry{},
+		unwell: map[string]record{}}
 	// A leftover copy is of a compaction that a kill cut short: the old file still holds all.
 	if err := os.Remove(j.path + ".tmp"); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
@@ -145,6 +152,16 @@
 func (j *journal) apply(r record, n int64) {
 	e := j.entries[r.ID]
 	switch {
+	case r.Op == opHealth && r.Ran:
+		if _, ok := j.unwell[r.ID]; !ok {
+			j.live += slack
+		}
+		j.unwell[r.ID] = r
+	case r.Op == opHealth:
+		if _, ok := j.unwell[r.ID]; ok {
+			j.live -= slack
+		}
+		delete(j.unwell, r.ID)
 	case r.Op == opTaken && r.Entry != nil && j.entries[r.Entry.ID] == nil:
 		e = r.Entry
 		e.size = n + slack
@@ -180,9 +197,12 @@
 		before := len(buf)
 		buf = frame(buf, r)
 		ends[i] = int64(len(buf) - before)
-		if r.Op == opTaken {
+		switch r.Op {
+		case opTaken:
 			grows += ends[i] + slack
 			spare = reserve
+		case opHealth:
+			grows += slack
 		}
 	}
 	n := int64(len(buf))
@@ -220,6 +240,9 @@
 			order = append(order, id)
 		}
 	}
+	for _, h := range j.unwell {
+		buf = frame(buf, h)
+	}
 	f, err := os.OpenFile(j.path+".tmp", os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
 	if err != nil {
 		return fmt.Errorf("journal: %w", err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"golang.org/x/net/netutil"
@@ -22,6 +23,8 @@
 const (
 	batchMost = 256
 	maxOwed   = 8192
+	// forgetUnwell is when an outage last heard of is over for a restarted relay.
+	forgetUnwell = 5 * time.Minute
 )
 
 // message is one that this relay owes its end.
@@ -29,11 +32,19 @@
 	*entry
 	class int
 	due   time.Duration
-	call  *call   // out now
-	fresh *intake // its client still waits for an answer
+	call  *call     // out now
+	fresh []*intake // its client still waits for an answer; more than one if it sent it twice
+	twice bool      // its client sent it on a second connection
 	over  bool
 }
 
+func (m *message) answer(a answer) {
+	for _, in := range m.fresh {
+		in.reply <- a
+	}
+	m.fresh = nil
+}
+
 // Relay is one relay. Fields below the channels belong to the loop.
 type Relay struct {
 	conf     Config
@@ -45,10 +56,10 @@
 	platform *http.Client
 	calls    context.Context
 	endCalls context.CancelCauseFunc
-	ends     context.CancelFunc // of discovery and notices
 	inbox    chan func()
 	notices  chan notice
 	quit     chan struct{}
+	once     sync.Once
 
 	chooser *choice.Chooser
 	journal *journal
@@ -105,7 +116,6 @@
 // Serve runs the relay until Drain has ended it.
 func (r *Relay) Serve() {
 	ctx, cancel := context.WithCancel(context.Background())
-	r.ends = cancel
 	go r.follow(ctx, r.conf.Known.Version)
 	go r.tell(ctx)
 	go r.server.Serve(netutil.LimitListener(r.listener, r.conf.Sockets/2))
@@ -156,9 +166,12 @@
 		}
 		break
 	}
-	close(r.quit)
+	r.stop()
 }
 
+// stop ends the relay as it is; the journal has the rest.
+func (r *Relay) stop() { r.once.Do(func() { close(r.quit) }) }
+
 func (r *Relay) now() time.Duration { return time.Since(r.began) }
 
 // post hands the loop something to do.
@@ -199,6 +212,9 @@
 	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 	for _, id := range r.journal.order {
 		e := r.journal.entries[id]
+		if e == nil {
+			continue
+		}
 		if e.Status != "" {
 			r.owe(notice{e.ID, e.Status, e.Again})
 			continue
@@ -226,6 +242,13 @@
 		}
 		r.events = append(r.events, ev)
 	}
+	for id, s := range r.journal.unwell {
+		if time.Duration(wall-s.At)*time.Millisecond < forgetUnwell {
+			r.events = append(r.events, choice.Unwell{Host: id, Base: s.Base})
+		} else {
+			r.record(record{Op: opHealth, ID: id})
+		}
+	}
 	slog.Info("journal replayed", "held", len(r.held), "owed", r.owed)
 }
 
@@ -251,18 +274,17 @@
 	r.past.add(m.ID)
 }
 
-// flush records what has ended. What cannot be written now is kept: until then
-// a restart takes it for unfinished, which errs on the safe side.
+// flush records what has ended. What cannot be written now is kept, and no notice
+// goes out before it is: a client told to come again, and a restart that takes the
+// message up again, would deliver it twice.
 func (r *Relay) flush() {
 	if len(r.records) > 0 {
 		if err := r.journal.append(r.records...); err != nil {
 			slog.Error("not recorded", "records", len(r.records), "err", err)
-			if len(r.records) > 4*maxOwed {
-				r.records = r.records[1:]
-			}
-		} else {
-			r.records = r.records[:0]
+			time.AfterFunc(longPause, func() { r.post(func() {}) })
+			return
 		}
+		r.records = r.records[:0]
 	}
 	for _, n := range r.untold {
 		r.notices <- n // holds more than can be owed
@@ -299,7 +321,7 @@
 		case choice.Send:
 			sends = append(sends, a)
 		case choice.Refuse:
-			r.final(a.ID, deferred, comeBack)
+			r.final(a.ID, deferred, min(a.After, r.set.MaxRetryAfter))
 		case choice.Fail:
 			r.final(a.ID, undeliverable, 0)
 		case choice.Cancel:
@@ -311,6 +333,8 @@
 				r.wakeAt = at
 				r.wake.Reset(a.After)
 			}
+		case choice.Health:
+			r.record(record{Op: opHealth, ID: a.Host, Ran: a.Unwell, Base: a.Base, At: time.Now().UnixMilli()})
 		case choice.Log:
 			slog.Info(a.Text)
 		}
@@ -327,8 +351,7 @@
 			r.refuse(m, comeBack)
 			continue
 		}
-		m.fresh.reply <- answer{status: http.StatusAccepted}
-		m.fresh = nil
+		m.answer(answer{status: http.StatusAccepted})
 	}
 	r.fresh = r.fresh[:0]
 	r.dispatch(sends)
@@ -341,7 +364,7 @@
 func (r *Relay) refuse(m *message, after time.Duration) {
 	m.over = true
 	delete(r.held, m.ID)
-	m.fresh.reply <- answer{status: http.StatusServiceUnavailable, after: after, text: "refused"}
+	m.answer(answer{status: http.StatusServiceUnavailable, after: after, text: "refused"})
 }
 
 // final ends a message that the Chooser has given up, at once.
@@ -379,8 +402,13 @@
 		for i, m := range c.members {
 			recs = append(recs, record{Op: opTry, ID: m.ID, At: wall, Wait: c.sends[i].Timeout.Milliseconds(), Zone: c.host.zone})
 		}
-		// An attempt that a restart would not know of must not go out.
-		if err := r.journal.append(recs...); err != nil {
+		// An attempt that a restart would not know of must not go out, nor one whose record
+		// would come before an outcome that could not be written yet.
+		err := errUnwritten
+		if len(r.records) == 0 {
+			err = r.journal.append(recs...)
+		}
+		if err != nil {
 			slog.Error("attempts not sent", "err", err)
 			for _, s := range c.sends {
 				r.events = append(r.events, choice.Result{ID: s.ID, Host: s.Host, Outcome: choice.NotSent})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -383,7 +383,7 @@
 	case choice.Send:
 		fmt.Fprintf(s.out, "PLACE\trelay-id=%s\top-id=%s\thost=%s\tmax-wait=%s\n", inst, a.ID, a.Host, sec(a.Timeout))
 	case choice.Refuse:
-		fmt.Fprintf(s.out, "DENY\trelay-id=%s\top-id=%s\n", inst, a.ID)
+		fmt.Fprintf(s.out, "DENY\trelay-id=%s\top-id=%s\tnot-before-for=%s\n", inst, a.ID, sec(a.After))
 	case choice.Fail:
 		fmt.Fprintf(s.out, "SURRENDER\trelay-id=%s\top-id=%s\n", inst, a.ID)
 	case choice.Cancel:
