--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -31,6 +31,7 @@
 	sends   []choice.Send
 	body    []byte
 	key     string
+	size    int           // of its members' frames
 	timeout time.Duration // the longest of its members'
 	cancel  context.CancelCauseFunc
 }
@@ -92,15 +93,9 @@
 	if len(c.members) == 1 {
 		c.body, c.key = c.members[0].Body, c.members[0].Key
 	} else {
-		var b bytes.Buffer
 		for _, m := range c.members {
-			key := m.Key
-			if key == "" {
-				key = "-"
-			}
-			fmt.Fprintf(&b, "%s %s %d\r\n%s\r\n", m.ID, key, len(m.Body), m.Body)
+			c.body = append(c.body, frameOf(m)...)
 		}
-		c.body = b.Bytes()
 		// The members share one connection until the longest of their time-outs. One whose own time
 		// is up before that gets its end then; before it, a restart would be a second copy.
 		for _, m := range c.members {
@@ -134,6 +129,15 @@
 	}()
 }
 
+// frameOf is a message as it stands in the body of a call with several.
+func frameOf(m *message) []byte {
+	key := m.Key
+	if key == "" {
+		key = "-"
+	}
+	return fmt.Appendf(nil, "%s %s %d\r\n%s\r\n", m.ID, key, len(m.Body), m.Body)
+}
+
 // exchange makes one call and tells each member's end. Took is taken here, so
 // that no delay of the loop is learnt as latency.
 func (r *Relay) exchange(ctx context.Context, c *call, ids []string) (ends []end, took, wait time.Duration) {
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -184,6 +184,25 @@
 	want(t, "end of the fifth", r.events[4].(choice.Result).Done, false)
 }
 
+// Guards against a body over 64 KiB, which a host need not take: sends that do not fit one call go in another.
+func TestLargeMessagesDoNotShareACall(t *testing.T) {
+	r := caller()
+	r.began, r.inbox, r.calls = time.Now(), make(chan func(), 10), context.Background()
+	r.journal = open(t, t.TempDir(), 3e6)
+	h := &host{id: "s-1", addr: "127.0.0.1:1", dest: 7, perCall: 5}
+	r.hosts, r.held = map[string]*host{"s-1": h}, map[string]*message{}
+	var sends []choice.Send
+	for i, size := range []int{maxBody, maxBody / 2, 10} {
+		id := fmt.Sprint("m", i)
+		put(t, r.journal, taken(id, size))
+		r.held[id] = &message{entry: r.journal.entries[id], due: time.Hour}
+		sends = append(sends, choice.Send{ID: id, Host: "s-1", Timeout: time.Minute})
+	}
+	r.dispatch(sends)
+	want(t, "calls", r.out, 2)
+	want(t, "messages in the second", len(r.held["m1"].call.members), 2)
+}
+
 // Guards against taking a message for safe to repeat that a garbled answer says nothing sure of.
 func FuzzBatchEnds(f *testing.F) {
 	f.Add("a ok\r\nb later\r\n")
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -136,12 +136,6 @@
 		at += n
 	}
 	j.size = int64(len(data))
-	if j.size > 0 && j.size+j.live > j.budget {
-		// No room for a copy (a damaged or foreign file, as the running journal keeps it): rewrite in place.
-		if err := os.Remove(j.path); err != nil {
-			return nil, err
-		}
-	}
 	if err := j.compact(); err != nil {
 		return nil, err
 	}
@@ -243,6 +237,12 @@
 	for _, h := range j.unwell {
 		buf = frame(buf, h)
 	}
+	if j.size+int64(len(buf)) > j.budget {
+		// Not a file that this journal wrote, which keeps room for its copy: make room first.
+		if err := os.Remove(j.path); err != nil {
+			return fmt.Errorf("journal: %w", err)
+		}
+	}
 	f, err := os.OpenFile(j.path+".tmp", os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
 	if err != nil {
 		return fmt.Errorf("journal: %w", err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,7 +87,7 @@
 		quit: make(chan struct{}), wake: time.NewTimer(time.Hour)}
 	idle := set.IdleConn - min(500*time.Millisecond, set.IdleConn/4)
 	r.hostSide = newTransport(set.DialTimeout, idle, set.Workers, conf.Sockets/4)
-	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn}}
 	r.calls, r.endCalls = context.WithCancelCause(context.Background())
 	var err error
 	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
@@ -389,12 +389,13 @@
 			r.events = append(r.events, choice.Result{ID: s.ID, Host: s.Host, Outcome: choice.NotSent})
 			continue
 		}
-		c := open[s.Host]
-		if c == nil || len(c.members) >= h.perCall {
+		c, size := open[s.Host], len(frameOf(m))
+		if c == nil || len(c.members) >= h.perCall || c.size+size > maxBody { // no body may be longer
 			c = &call{host: h}
 			open[s.Host] = c
 			calls = append(calls, c)
 		}
+		c.size += size
 		c.members, c.sends = append(c.members, m), append(c.sends, s)
 	}
 	for _, c := range calls {
