--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -564,3 +564,91 @@
 		want(t, "calls", len(calls), 0)
 	}
 }
+
+// Guards the two rules that matter most across every kind of failure and two kills: what was taken on
+// ends, and what may not be repeated is not. Hosts answer, refuse, fail, break off and hang in turn.
+func TestNothingLostOrRepeatedAcrossKills(t *testing.T) {
+	const messages = 60
+	classes := []string{"job-order", "status-update", "payment"}
+	type run struct{ host, id string }
+	var mu sync.Mutex
+	ran, tries, over := map[run]int{}, map[string]int{}, map[string]bool{}
+	progress := make(chan struct{}, 10000)
+	hostNamed := func(name string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			io.Copy(io.Discard, req.Body)
+			id := req.Header.Get("X-Request-Id")
+			n, _ := strconv.Atoi(id[1:])
+			mu.Lock()
+			tries[id]++
+			how := (n/3 + tries[id] - 1) % 5
+			if how != 1 {
+				ran[run{name, id}]++
+			}
+			over[id] = over[id] || how == 0
+			mu.Unlock()
+			progress <- struct{}{}
+			switch how {
+			case 1:
+				w.Header().Set("Retry-After", "0.02")
+				w.WriteHeader(429)
+			case 2:
+				w.WriteHeader(500)
+			case 3:
+				panic(http.ErrAbortHandler)
+			case 4:
+				<-req.Context().Done()
+			}
+		}))
+		s.Config.ErrorLog = nil
+		t.Cleanup(s.CloseClientConnections)
+		return s.Listener.Addr().String()
+	}
+	p := newPlatform(t, at("s-1", hostNamed("a"), "taller"), at("s-2", hostNamed("b"), "almacen"))
+	state := t.TempDir()
+	cmd, addr := process(t, p, state)
+	took := map[string]bool{}
+	for n := range messages {
+		if n == messages/3 || n == 2*messages/3 {
+			wait(t, progress, "call")
+			cmd.Process.Kill()
+			cmd.Wait()
+			cmd, addr = process(t, p, state)
+		}
+		id := fmt.Sprint("m", n)
+		status, _ := hand(t, addr, id, classes[n%3], "X-Deadline-Ms", "2000")
+		took[id] = status == 202
+	}
+	for left := true; left; {
+		select {
+		case n := <-p.notices:
+			mu.Lock()
+			over[n.ID] = true
+			mu.Unlock()
+		case <-progress:
+		case <-time.After(30 * time.Second):
+			t.Fatal("messages without an end")
+		}
+		left = false
+		mu.Lock()
+		for id, ok := range took {
+			left = left || ok && !over[id]
+		}
+		mu.Unlock()
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for n := range messages {
+		id := fmt.Sprint("m", n)
+		a, b := ran[run{"a", id}], ran[run{"b", id}]
+		if classes[n%3] == "payment" && a+b > 1 {
+			t.Errorf("payment %s may have run %d times", id, a+b)
+		}
+		if classes[n%3] == "job-order" && a > 0 && b > 0 {
+			t.Errorf("job order %s may have run in both buildings", id)
+		}
+		if tries[id] > 6 {
+			t.Errorf("%s went out %d times, 6 are allowed", id, tries[id])
+		}
+	}
+}
