Replace a wake-up that fell due unread, so that no relay sleeps past a deadline

Cause: a Step for another reason just after the wake-up fell due, and before the loop read its tick, asked for a later one; Relay.step kept the old time (wakeAt was not 0), read the stale tick, and had no timer left, while the Chooser waited for the one it had asked for. With nothing else coming in, messages stayed without an end. Seen: 4 of 16 stressed runs (8 at once, -race, one processor each) of the test across kills ended with messages without an end. Conclusion: mended, with a test of its own.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -329,10 +329,7 @@
 				m.call.cancel(errCalled)
 			}
 		case choice.Wake:
-			if at := now + a.After; r.wakeAt == 0 || at < r.wakeAt {
-				r.wakeAt = at
-				r.wake.Reset(a.After)
-			}
+			r.arm(now, a.After)
 		case choice.Health:
 			r.record(record{Op: opHealth, ID: a.Host, Ran: a.Unwell, Base: a.Base, At: time.Now().UnixMilli()})
 		case choice.Log:
@@ -360,6 +357,16 @@
 	}
 }
 
+// arm sets the timer for the earliest wake-up asked for. One that fell due, but whose tick
+// the loop has not read yet, no longer counts: the Chooser has asked anew, will not ask
+// again before that, and without the guard sleeps until something else comes in.
+func (r *Relay) arm(now, after time.Duration) {
+	if at := now + after; r.wakeAt <= now || at < r.wakeAt {
+		r.wakeAt = at
+		r.wake.Reset(after) // drops an unread tick
+	}
+}
+
 // refuse ends a message that was never taken on.
 func (r *Relay) refuse(m *message, after time.Duration) {
 	m.over = true
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -413,6 +413,23 @@
 	}
 }
 
+// Guards against a relay that sleeps past a deadline: a step for another reason comes just after a
+// wake-up fell due and before its tick was read.
+func TestWakeThatFellDueIsReplaced(t *testing.T) {
+	r := &Relay{wake: time.NewTimer(time.Hour)}
+	r.arm(0, time.Nanosecond)
+	r.arm(time.Second, 50*time.Millisecond)
+	want(t, "next wake-up", r.wakeAt, time.Second+50*time.Millisecond)
+	begin := time.Now()
+	<-r.wake.C
+	if early := time.Since(begin) < 40*time.Millisecond; early {
+		t.Fatal("the old tick came through")
+	}
+	r.arm(2*time.Second, time.Second)
+	r.arm(2*time.Second, time.Minute)
+	want(t, "earlier wake-up", r.wakeAt, 3*time.Second)
+}
+
 // Real processes.
 
 var program = sync.OnceValues(func() (string, error) {
