Close the gaps of a whole list and of a loop that posts to itself

Cause: a whole list closed all hosts for a moment, so a call about to go could come back as not sent; and Relay.step posted to its own inbox, which would stop the loop for good if that were full. Both found by reading. Conclusion: no change in behaviour but for these two.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -106,11 +106,6 @@
 // listed takes in news of the list: at once for the calls that have not gone yet, and for the decisions.
 func (r *Relay) listed(l list) {
 	ev := choice.Listing{Whole: l.Full}
-	if l.Full {
-		for _, h := range r.hosts {
-			h.closed.Store(true)
-		}
-	}
 	old := r.hosts
 	if l.Full {
 		r.hosts = map[string]*host{}
@@ -145,6 +140,13 @@
 		r.hosts[s.ID] = n
 		r.dests[s.Cell] = true
 	}
+	if l.Full { // only now: one that stays must not look closed for a moment to a call about to go
+		for id, h := range old {
+			if r.hosts[id] != h {
+				h.closed.Store(true)
+			}
+		}
+	}
 	r.events = append(r.events, ev)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -182,14 +182,22 @@
 	}
 }
 
+// atOnce is always ready.
+var atOnce = func() <-chan struct{} { c := make(chan struct{}); close(c); return c }()
+
 func (r *Relay) loop() {
 	for {
 		r.step()
+		var again <-chan struct{}
+		if len(r.events) > 0 { // the step left some; nothing else may come in for long
+			again = atOnce
+		}
 		select {
 		case f := <-r.inbox:
 			f()
 		case <-r.wake.C:
 			r.woken = true
+		case <-again:
 		case <-r.quit:
 			r.flush()
 			return
@@ -352,9 +360,6 @@
 	}
 	r.fresh = r.fresh[:0]
 	r.dispatch(sends)
-	if len(r.events) > 0 {
-		r.post(func() {})
-	}
 }
 
 // arm sets the timer for the earliest wake-up asked for. One that fell due, but whose tick
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -362,6 +363,38 @@
 	}
 }
 
+// Guards against calls held back, or let through, by a whole list: it closes just the hosts it leaves out.
+func TestWholeListClosesWhatIsMissing(t *testing.T) {
+	r := &Relay{hosts: map[string]*host{}, dests: map[int]bool{}}
+	r.listed(list{1, true, []server{at("s-1", "x:1", "taller"), at("s-2", "x:2", "taller"), at("s-3", "x:3", "taller")}})
+	one, two, three := r.hosts["s-1"], r.hosts["s-2"], r.hosts["s-3"]
+	r.listed(list{2, true, []server{at("s-1", "x:1", "taller"), at("s-3", "x:9", "taller")}})
+	want(t, "the one that stays is closed", one.closed.Load(), false)
+	want(t, "the one left out is closed", two.closed.Load(), true)
+	want(t, "the one that moved is closed at its old place", three.closed.Load(), true)
+	want(t, "and open at the new one", r.hosts["s-3"].closed.Load(), false)
+}
+
+// Guards against attempts that are neither sent nor reported while the disk is broken.
+func TestBrokenJournalSendsNothing(t *testing.T) {
+	calls := make(chan *seen, 10)
+	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), nil)
+	set := make(chan bool)
+	r.post(func() {
+		r.journal.broken = errors.New("disk gone")
+		close(set)
+	})
+	<-set
+	status, _ := hand(t, r.Addr(), "m1", "payment")
+	want(t, "status", status, 503)
+	r.post(func() { r.journal.broken = nil })
+	status, _ = hand(t, r.Addr(), "m2", "payment")
+	want(t, "status", status, 202)
+	c := wait(t, calls, "call")
+	want(t, "id", c.id, "m2")
+	c.answer <- 200
+}
+
 // Guards against building changes on another history of the list.
 func TestOlderVersionIsResynced(t *testing.T) {
 	p := newPlatform(t, at("s-1", "127.0.0.1:1", "taller"))
@@ -669,3 +702,26 @@
 		}
 	}
 }
+
+// Guards against a stop that waits for a host that never answers, until SIGKILL ends it: the call is
+// left to the journal, and the next process ends the message.
+func TestSIGTERMWithCallThatHangs(t *testing.T) {
+	calls := make(chan *seen, 10)
+	p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
+	state := t.TempDir()
+	cmd, addr := process(t, p, state)
+	hand(t, addr, "m1", "payment")
+	wait(t, calls, "call")
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("exit: %v, want 0", err)
+	}
+	if len(p.notices) > 0 {
+		t.Fatalf("notice %v before the message's time was up", <-p.notices)
+	}
+	process(t, p, state)
+	want(t, "notice", wait(t, p.notices, "notice"), notice{"m1", undeliverable, 0})
+	want(t, "further calls", len(calls), 0)
+}
