--- a/cmd/larchrouter/main.go
+++ b/cmd/larchrouter/main.go
@@ -14,13 +14,17 @@
 
 func main() {
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err := run(); err != nil {
+	// From the start: either ends the process while it is not caught.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := run(stop, reload); err != nil {
 		slog.Error("cannot start", "err", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+func run(stop, reload <-chan os.Signal) error {
 	conf, err := relay.ReadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -29,8 +33,6 @@
 	if conf.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(conf.MemoryMB*0.6) << 20) // files count as well, and the runtime is not exact
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	r, err := relay.New(conf)
 	if err != nil {
 		return err
@@ -40,6 +42,17 @@
 		slog.Info("stopping", "signal", s.String())
 		r.Drain()
 	}()
+	go func() {
+		for range reload {
+			addrs, err := relay.ReadDiscovery(os.Getenv)
+			if err != nil {
+				slog.Error("configuration not read again, the old one stays", "err", err)
+				continue
+			}
+			slog.Info("configuration read again", "discovery", addrs[0])
+			r.Rediscover(addrs)
+		}
+	}()
 	slog.Info("serving", "addr", r.Addr())
 	r.Serve()
 	slog.Info("stopped")
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -18,6 +18,9 @@
 	"larchrouter/choice"
 )
 
+// maxHead is what a peer's answer may have before its body.
+const maxHead = 32 << 10
+
 var (
 	errTimeout  = errors.New("time-out")
 	errCalled   = errors.New("called off")
@@ -78,8 +81,9 @@
 		// A host may get all of the slots at once; the library's 2 would close the rest after each call.
 		MaxIdleConnsPerHost: workers,
 		// Hosts end idle connections; a request that crosses that is lost as a reset.
-		IdleConnTimeout:    idle,
-		DisableCompression: true,
+		IdleConnTimeout:        idle,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHead,
 	}
 }
 
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -12,8 +12,8 @@
 // Config is what a relay is told at its start.
 type Config struct {
 	Listen    string
-	Discovery string
-	State     string // folder that lasts
+	Discovery []string // addresses to try in turn
+	State     string   // folder that lasts
 	Seed      uint64
 	Cores     float64
 	MemoryMB  float64
@@ -23,7 +23,8 @@
 	Settings  settings.Settings
 }
 
-// ReadConfig reads the file that BALANCER_CONFIG names. The other variables win over it.
+// ReadConfig reads the file that BALANCER_CONFIG names. The other variables win over it;
+// where BALANCER_DISCOVERY does, the file's address comes second, since it may be newer.
 func ReadConfig(env func(string) string) (Config, error) {
 	var c Config
 	path := env("BALANCER_CONFIG")
@@ -56,14 +57,17 @@
 		}
 		return value
 	}
-	c = Config{Listen: or("BALANCER_LISTEN", f.Listen), Discovery: or("BALANCER_DISCOVERY", f.Discovery),
+	c = Config{Listen: or("BALANCER_LISTEN", f.Listen), Discovery: []string{or("BALANCER_DISCOVERY", f.Discovery)},
 		State: env("BALANCER_STATE"), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets, DiskMB: f.Limits.DiskMB, Known: f.Known}
-	for name, v := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "BALANCER_STATE": c.State} {
+	for name, v := range map[string]string{"listen": c.Listen, "discovery": c.Discovery[0], "BALANCER_STATE": c.State} {
 		if v == "" {
 			return c, fmt.Errorf("%s: %s is missing", path, name)
 		}
 	}
+	if f.Discovery != "" && f.Discovery != c.Discovery[0] {
+		c.Discovery = append(c.Discovery, f.Discovery)
+	}
 	if c.Sockets < 16 || c.DiskMB <= 0 {
 		return c, fmt.Errorf("%s: limits: sockets is %d and disk_mb %g, must be at least 16 and above 0",
 			path, c.Sockets, c.DiskMB)
@@ -78,3 +82,15 @@
 	}
 	return c, nil
 }
+
+// ReadDiscovery reads the file again for the address of discovery, which now wins over BALANCER_DISCOVERY.
+// A file that ReadConfig would not start with is an error.
+func ReadDiscovery(env func(string) string) ([]string, error) {
+	c, err := ReadConfig(func(name string) string {
+		if name == "BALANCER_DISCOVERY" {
+			return ""
+		}
+		return env(name)
+	})
+	return c.Discovery, err
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"hash/crc32"
 	"log/slog"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -39,28 +42,76 @@
 	closed     atomic.Bool // drains or is gone: nothing new may go there
 }
 
+// agent is the platform's agent: discovery, and the taker of notices.
+type agent struct {
+	addrs  []string // where it may be; the first is in use
+	life   context.Context
+	leave  context.CancelFunc
+	client *http.Client
+}
+
 const (
-	watchFor   = 5 * time.Second // a silent agent is noticed not long after
-	watchSlack = time.Second
-	firstPause = 50 * time.Millisecond
-	longPause  = time.Second
+	watchFor    = 2 * time.Second // a silent agent is noticed soon after, well within the 6 s after which news counts as told
+	watchSlack  = 500 * time.Millisecond
+	firstPause  = 50 * time.Millisecond
+	longPause   = time.Second
+	forgetDest  = time.Minute // one without hosts for so long is unknown again
+	forgetGone  = time.Minute // an outage of a host that left is over by then
+	maxListSize = 4 << 20
 )
 
+// Rediscover has the agent looked for at other addresses from now on. Watches and
+// notices on their way to the old one are broken off; the notices go to the new one.
+func (r *Relay) Rediscover(addrs []string) { r.agent.Swap(r.newAgent(addrs)).drop() }
+
+func (r *Relay) newAgent(addrs []string) *agent {
+	a := &agent{addrs: addrs, client: &http.Client{Transport: &http.Transport{DisableCompression: true,
+		MaxResponseHeaderBytes: maxHead, MaxConnsPerHost: 4, IdleConnTimeout: 5 * watchFor}}}
+	a.life, a.leave = context.WithCancel(r.life)
+	return a
+}
+
+func (a *agent) drop() {
+	if a != nil {
+		a.leave()
+		a.client.CloseIdleConnections()
+	}
+}
+
+// unreachable turns to the next address if a connection could not be made. It guards against an
+// environment that still names an old one after a restart. Silence proves nothing: discovery may be down.
+func (r *Relay) unreachable(a *agent, err error) {
+	if op := (*net.OpError)(nil); len(a.addrs) > 1 && errors.As(err, &op) && op.Op == "dial" {
+		next := r.newAgent(append(slices.Clone(a.addrs[1:]), a.addrs[0]))
+		if r.agent.CompareAndSwap(a, next) {
+			slog.Info("turning to another address of discovery", "addr", next.addrs[0])
+			a.drop()
+		} else {
+			next.drop()
+		}
+	}
+}
+
 // follow watches discovery until the context ends. The list counts as told
 // while the next call comes within 200 ms of the last answer, so a watch is
 // renewed at once; only failures are followed by a pause.
-func (r *Relay) follow(ctx context.Context, version int64) {
-	full := true // the known list may be old
-	pause := firstPause
+func (r *Relay) follow(ctx context.Context) {
+	var a *agent
+	var version int64
+	full, pause := true, firstPause // the known list may be old
 	for ctx.Err() == nil {
-		l, err := r.ask(ctx, version, full)
-		if ctx.Err() != nil {
-			return
+		if now := r.agent.Load(); now != a {
+			a, full, version = now, true, 0
+		}
+		l, err := r.ask(a, version, full)
+		if a.life.Err() != nil {
+			continue // another took its place
 		}
 		if err != nil {
 			slog.Warn("discovery does not answer", "err", err)
+			r.unreachable(a, err)
 			select {
-			case <-ctx.Done():
+			case <-r.agent.Load().life.Done():
 			case <-time.After(pause):
 			}
 			pause = min(2*pause, longPause)
@@ -79,20 +130,20 @@
 	}
 }
 
-func (r *Relay) ask(ctx context.Context, version int64, full bool) (l list, err error) {
-	url := "http://" + r.conf.Discovery + "/discovery/hosts"
+func (r *Relay) ask(a *agent, version int64, full bool) (l list, err error) {
+	url := "http://" + a.addrs[0] + "/discovery/hosts"
 	limit := watchSlack
 	if !full {
 		url = fmt.Sprintf("%s?since=%d&timeout_ms=%d", url, version, watchFor.Milliseconds())
 		limit += watchFor
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(a.life, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return l, err
 	}
-	resp, err := r.platform.Do(req)
+	resp, err := a.client.Do(req)
 	if err != nil {
 		return l, err
 	}
@@ -100,7 +151,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return l, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	return l, json.NewDecoder(http.MaxBytesReader(nil, resp.Body, 4<<20)).Decode(&l)
+	return l, json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxListSize)).Decode(&l)
 }
 
 // listed takes in news of the list: at once for the calls that have not gone yet, and for the decisions.
@@ -138,7 +189,7 @@
 		}
 		n.closed.Store(h.State != choice.Ready)
 		r.hosts[s.ID] = n
-		r.dests[s.Cell] = true
+		r.dests[s.Cell] = r.now()
 	}
 	if l.Full { // only now: one that stays must not look closed for a moment to a call about to go
 		for id, h := range old {
@@ -148,14 +199,35 @@
 		}
 	}
 	r.events = append(r.events, ev)
+	r.forget()
+}
+
+// knows tells whether a destination has hosts, or had some not long ago.
+func (r *Relay) knows(dest int) bool { _, ok := r.dests[dest]; return ok }
+
+// forget sheds what hangs on hosts that are gone for good: ids are ever new.
+func (r *Relay) forget() {
+	now, wall := r.now(), time.Now().UnixMilli()
+	for _, h := range r.hosts {
+		r.dests[h.dest] = now
+	}
+	for d, at := range r.dests {
+		if now-at > forgetDest {
+			delete(r.dests, d)
+		}
+	}
+	for id, s := range r.journal.unwell {
+		if r.hosts[id] == nil && time.Duration(wall-s.At)*time.Millisecond > forgetGone {
+			r.record(record{Op: opHealth, ID: id})
+		}
+	}
 }
 
-// zone is the number of a zone; one that the settings do not name gets the next.
+// zone is the number of a zone. One that the settings do not name has the same number at any time, also
+// after a restart: the journal holds numbers.
 func (r *Relay) zone(name string) int {
-	i := slices.Index(r.set.Zones, name)
-	if i < 0 {
-		i = len(r.set.Zones)
-		r.set.Zones = append(r.set.Zones, name)
+	if i := slices.Index(r.set.Zones, name); i >= 0 {
+		return i
 	}
-	return i
+	return len(r.set.Zones) + int(crc32.ChecksumIEEE([]byte(name)))
 }
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -14,11 +14,14 @@
 
 const (
 	maxBody  = 64 << 10
-	maxName  = 200              // bytes of an id or a key
-	maxLeft  = 24 * time.Hour   // a longer deadline is a mistake
-	comeBack = time.Second      // advice where the decisions give none
-	headerIn = 5 * time.Second  // for a request to come in whole
-	idleIn   = 60 * time.Second // for a client's idle connection
+	maxName  = 200            // bytes of an id or a key
+	maxLeft  = 24 * time.Hour // a longer deadline is a mistake
+	comeBack = time.Second    // advice where the decisions give none
+	// A client is owed an answer or a close in 3 s from connecting, however little it sends.
+	requestIn = 2 * time.Second // for a request to come in whole
+	answerIn  = 5 * time.Second // for its answer to be written
+	idleIn    = 3 * time.Second // for a client's idle connection; some are kept for good
+	growBody  = 4 << 10         // first buffer for a body
 )
 
 // intake is a message that waits for the answer whether it is taken on.
@@ -40,16 +43,46 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /up", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("POST /api", r.serveAPI)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if status, text := unframed(req); status != 0 {
+			w.Header().Set("Connection", "close") // what follows on it may be part of this body
+			http.Error(w, text, status)
+			return
+		}
+		mux.ServeHTTP(w, req)
+	})
+}
+
+// unframed tells what is wrong with the stated length of a request; it guards against another
+// hidden in the body. Clients state Content-Length. net/http drops it where Transfer-Encoding
+// stands beside it, and drops Transfer-Encoding from HTTP/1.0.
+func unframed(req *http.Request) (status int, text string) {
+	switch {
+	case !req.ProtoAtLeast(1, 1):
+		return http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed"
+	case len(req.TransferEncoding) > 0:
+		return http.StatusBadRequest, "Transfer-Encoding is not taken"
+	case req.ContentLength > maxBody:
+		return http.StatusRequestEntityTooLarge, "body is over 64 KiB"
+	}
+	return 0, ""
 }
 
 func (r *Relay) serveAPI(w http.ResponseWriter, req *http.Request) {
 	came := r.now()
-	in, status, err := r.read(w, req, came)
+	in, status, err := r.read(req, came)
 	if err != nil {
+		if err == errNoRoom {
+			w.Header().Set("Retry-After", "1")
+		}
+		if err == errNoRoom || err == errBody {
+			w.Header().Set("Connection", "close") // the rest of the body is not waited for
+		}
 		http.Error(w, err.Error(), status)
 		return
 	}
+	defer r.reading.Add(-int64(cap(in.entry.Body)))
+	requestRead(req.Context())
 	r.post(func() { r.take(in) })
 	var a answer
 	select {
@@ -73,7 +106,7 @@
 }
 
 // read checks a request; its error is the client's.
-func (r *Relay) read(w http.ResponseWriter, req *http.Request, came time.Duration) (*intake, int, error) {
+func (r *Relay) read(req *http.Request, came time.Duration) (*intake, int, error) {
 	bad := func(text string) (*intake, int, error) { return nil, http.StatusBadRequest, errors.New(text) }
 	e := &entry{ID: req.Header.Get("X-Request-Id"), Class: req.Header.Get("X-Class"),
 		Key: req.Header.Get("Idempotency-Key")}
@@ -101,18 +134,43 @@
 		return bad("X-Addressing is missing or malformed")
 	}
 	e.Dest = dest
-	e.Body, err = io.ReadAll(http.MaxBytesReader(w, req.Body, maxBody))
-	if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
-		return nil, http.StatusRequestEntityTooLarge, errors.New("body is over 64 KiB")
-	}
-	if err != nil {
-		return bad("body could not be read")
+	if e.Body, err = r.readBody(req.Body, int(req.ContentLength)); err == errNoRoom {
+		return nil, http.StatusServiceUnavailable, err
+	} else if err != nil {
+		return nil, http.StatusBadRequest, errBody
 	}
 	left := time.Duration(ms) * time.Millisecond
 	e.Due = time.Now().Add(left - (r.now() - came)).UnixMilli()
 	return &intake{entry: e, class: class, due: came + left, ctx: req.Context(), reply: make(chan answer, 1)}, 0, nil
 }
 
+var (
+	errNoRoom = errors.New("no room")
+	errBody   = errors.New("body could not be read")
+)
+
+// readBody reads a body of a stated length. Its buffer grows as bytes come, within what bodies
+// being read may hold together, so that lengths that are only stated take no memory.
+func (r *Relay) readBody(from io.Reader, size int) ([]byte, error) {
+	var body []byte
+	for len(body) < size {
+		if len(body) == cap(body) {
+			grown := min(size, max(growBody, 4*cap(body)))
+			if more := int64(grown - cap(body)); r.reading.Add(more) > r.bodies {
+				r.reading.Add(-int64(grown))
+				return nil, errNoRoom
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := io.ReadFull(from, body[len(body):cap(body)])
+		if body = body[:len(body)+n]; err != nil {
+			r.reading.Add(-int64(cap(body)))
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 // isName tells whether text can stand in a header and in a line of /receive-many.
 func isName(s string) bool {
 	return s != "" && len(s) <= maxName && strings.IndexFunc(s, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
@@ -135,6 +193,9 @@
 	refuse := answer{status: http.StatusServiceUnavailable, after: comeBack, text: "no room"}
 	switch {
 	case in.ctx.Err() != nil: // nobody waits for the answer any more
+	case r.held[id] != nil && !r.held[id].same(in.entry), r.past.has(id) && !r.past.is(in.entry):
+		// Another client's message: it must not pass for the one that has this id.
+		in.reply <- answer{status: http.StatusConflict, text: "X-Request-Id is in use"}
 	case r.held[id] != nil: // the client sent it again after its connection broke
 		m := r.held[id]
 		m.twice = true
@@ -145,13 +206,14 @@
 		}
 	case r.past.has(id):
 		in.reply <- answer{status: http.StatusAccepted}
-	case !r.dests[in.entry.Dest]:
+	case !r.knows(in.entry.Dest):
 		in.reply <- answer{status: http.StatusNotFound, text: "unknown destination"}
-	case r.stopped || r.set.MaxHeld > 0 && len(r.held) >= r.set.MaxHeld || r.owed >= maxOwed:
+	case r.stopped || r.set.MaxHeld > 0 && len(r.held) >= r.set.MaxHeld || r.owed >= maxOwed ||
+		r.bytes+int64(len(in.entry.Body)) > r.bodies:
 		in.reply <- refuse
 	default:
 		m := &message{entry: in.entry, class: in.class, due: in.due, fresh: []*intake{in}}
-		r.held[id] = m
+		r.hold(m)
 		r.fresh = append(r.fresh, m)
 		r.events = append(r.events, choice.Arrival{ID: id, Class: in.class, Dest: in.entry.Dest, Left: in.due - r.now()})
 	}
@@ -163,26 +225,34 @@
 	if m := r.held[id]; m != nil && m.Tries == 0 && !m.twice {
 		r.events = append(r.events, choice.Withdrawn{ID: id})
 		r.record(record{Op: opEnd, ID: id})
-		m.over = true
-		delete(r.held, id)
+		r.free(m)
 	}
 }
 
-// recent is a bounded memory of ids.
+// recent is a bounded memory of messages that have ended.
 type recent struct {
-	ids  map[string]bool
+	most int
+	sums map[string]uint32 // by id
 	ring []string
 	next int
 }
 
-func (s *recent) has(id string) bool { return s.ids[id] }
+func (s *recent) has(id string) bool { _, ok := s.sums[id]; return ok }
+
+func (s *recent) is(e *entry) bool { return s.sums[e.ID] == e.sum() }
 
-func (s *recent) add(id string) {
-	if s.ids == nil {
-		s.ids, s.ring = map[string]bool{}, make([]string, 4096)
+func (s *recent) add(e *entry) {
+	if s.sums == nil {
+		s.sums = map[string]uint32{}
+	}
+	id, sum := strings.Clone(e.ID), e.sum() // what a header gave may hold on to all of the head
+	s.sums[id] = sum
+	if len(s.ring) < s.most {
+		s.ring = append(s.ring, id)
+		return
 	}
-	delete(s.ids, s.ring[s.next])
+	delete(s.sums, s.ring[s.next])
+	s.sums[id] = sum
 	s.ring[s.next] = id
-	s.ids[id] = true
 	s.next = (s.next + 1) % len(s.ring)
 }
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 )
 
@@ -22,77 +23,123 @@
 	undeliverable = "undeliverable"
 	deferred      = "deferred"
 	noticeBatch   = 64
-	noticeTimeout = 500 * time.Millisecond
+	noticeTimeout = 250 * time.Millisecond // it is answered at once, and overdue 300 ms after the message's time
 )
 
+// outbox holds the notices that are to be posted. Putting one never blocks.
+type outbox struct {
+	*sync.Mutex
+	list []notice
+	come chan struct{} // one waits here when the list is not empty
+}
+
+func newOutbox() outbox { return outbox{Mutex: new(sync.Mutex), come: make(chan struct{}, 1)} }
+
+func (o *outbox) put(more ...notice) {
+	if len(more) == 0 {
+		return
+	}
+	o.Lock()
+	defer o.Unlock()
+	o.list = append(o.list, more...)
+	select {
+	case o.come <- struct{}{}:
+	default:
+	}
+}
+
+// take returns some of them, perhaps none.
+func (o *outbox) take() []notice {
+	o.Lock()
+	defer o.Unlock()
+	n := min(noticeBatch, len(o.list))
+	some := slices.Clone(o.list[:n])
+	if o.list = slices.Delete(o.list, 0, n); len(o.list) > 0 {
+		select {
+		case o.come <- struct{}{}:
+		default:
+		}
+	} else {
+		o.list = nil // a burst's memory is not kept
+	}
+	return some
+}
+
 // tell posts notices until the context ends. Each is repeated until it is
 // acknowledged: a message that was taken on is lost without it.
 func (r *Relay) tell(ctx context.Context) {
-	var owed []notice
 	for {
-		if len(owed) == 0 {
-			select {
-			case <-ctx.Done():
-				return
-			case n := <-r.notices:
-				owed = append(owed, n)
-			}
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.notices.come:
 		}
-		for more := true; more && len(owed) < noticeBatch; {
-			select {
-			case n := <-r.notices:
-				owed = append(owed, n)
-			default:
-				more = false
-			}
+		some := r.notices.take()
+		if r.deliver(ctx, some) || len(some) == 1 {
+			continue
 		}
-		pause := firstPause
-		for {
-			err := r.postStatus(ctx, owed)
-			if err == nil {
-				break
-			}
-			slog.Warn("notices not taken", "count", len(owed), "err", err)
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(pause):
-			}
-			pause = min(2*pause, longPause)
+		for i := range some { // one of them is not taken: it must not hold up the others
+			r.deliver(ctx, some[i:i+1])
 		}
-		told := owed
-		r.post(func() {
-			for _, n := range told {
-				r.record(record{Op: opEnd, ID: n.ID})
+	}
+}
+
+// deliver posts notices until they are acknowledged or turned away, and tells which. One that is
+// turned away alone comes back later.
+func (r *Relay) deliver(ctx context.Context, some []notice) bool {
+	for pause := firstPause; ; pause = min(2*pause, longPause) {
+		a := r.agent.Load()
+		status, err := postStatus(a, some)
+		switch {
+		case ctx.Err() != nil:
+			return true // the journal has them
+		case status == http.StatusNoContent:
+			r.post(func() {
+				for _, n := range some {
+					r.record(record{Op: opEnd, ID: n.ID})
+				}
+				r.owed -= len(some)
+			})
+			return true
+		case a.life.Err() != nil:
+			pause = firstPause / 2 // another took its place
+			continue
+		}
+		slog.Warn("notices not taken", "count", len(some), "status", status, "err", err)
+		if err != nil {
+			r.unreachable(a, err)
+		} else if status/100 == 4 {
+			if len(some) == 1 {
+				time.AfterFunc(longPause, func() { r.notices.put(some...) })
 			}
-			r.owed -= len(told)
-		})
-		owed = nil
+			return false
+		}
+		select {
+		case <-r.agent.Load().life.Done():
+		case <-time.After(pause):
+		}
 	}
 }
 
-func (r *Relay) postStatus(ctx context.Context, all []notice) error {
+func postStatus(a *agent, some []notice) (status int, err error) {
 	var body bytes.Buffer
 	enc := json.NewEncoder(&body)
-	for _, n := range all {
+	for _, n := range some {
 		if err := enc.Encode(n); err != nil {
-			return err
+			return 0, err
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	ctx, cancel := context.WithTimeout(a.life, noticeTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.conf.Discovery+"/status", &body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.addrs[0]+"/status", &body)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	resp, err := r.platform.Do(req)
+	resp, err := a.client.Do(req)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer resp.Body.Close()
 	io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
-	if resp.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("status %d", resp.StatusCode)
-	}
-	return nil
+	return resp.StatusCode, nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,14 +8,18 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"hash/crc32"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
 	"larchrouter/choice"
 	"larchrouter/internal/settings"
 )
@@ -36,6 +40,20 @@
 	fresh []*intake // its client still waits for an answer; more than one if it sent it twice
 	twice bool      // its client sent it on a second connection
 	over  bool
+	bytes int64 // of its body, while it is held
+}
+
+// same tells whether a message is the one that was handed in before under its id.
+func (e *entry) same(o *entry) bool {
+	return e.Class == o.Class && e.Dest == o.Dest && e.Key == o.Key && bytes.Equal(e.Body, o.Body)
+}
+
+// sum stands for what same compares.
+func (e *entry) sum() uint32 {
+	h := crc32.NewIEEE()
+	io.WriteString(h, e.Class+" "+strconv.Itoa(e.Dest)+" "+e.Key+" ")
+	h.Write(e.Body)
+	return h.Sum32()
 }
 
 func (m *message) answer(a answer) {
@@ -53,11 +71,15 @@
 	server   *http.Server
 	listener net.Listener
 	hostSide *http.Transport
-	platform *http.Client
+	life     context.Context // of discovery and notices
+	end      context.CancelFunc
+	agent    atomic.Pointer[agent]
 	calls    context.Context
 	endCalls context.CancelCauseFunc
 	inbox    chan func()
-	notices  chan notice
+	notices  outbox
+	bodies   int64        // bytes that bodies may hold; those being read as many again
+	reading  atomic.Int64 // bytes of those
 	quit     chan struct{}
 	once     sync.Once
 
@@ -66,7 +88,8 @@
 	held    map[string]*message
 	past    recent
 	hosts   map[string]*host
-	dests   map[int]bool // ever listed
+	bytes   int64                 // of the bodies held
+	dests   map[int]time.Duration // when a host was last listed there
 	events  []choice.Event
 	fresh   []*message
 	records []record
@@ -83,11 +106,13 @@
 func New(conf Config) (*Relay, error) {
 	set := conf.Settings
 	r := &Relay{conf: conf, set: set, began: time.Now(), held: map[string]*message{}, hosts: map[string]*host{},
-		dests: map[int]bool{}, inbox: make(chan func(), 1024), notices: make(chan notice, 2*maxOwed),
-		quit: make(chan struct{}), wake: time.NewTimer(time.Hour)}
+		dests: map[int]time.Duration{}, inbox: make(chan func(), 256), notices: newOutbox(),
+		quit: make(chan struct{}), wake: time.NewTimer(time.Hour), bodies: bodyBytes(conf.MemoryMB)}
+	r.past.most = 4096
 	idle := set.IdleConn - min(500*time.Millisecond, set.IdleConn/4)
 	r.hostSide = newTransport(set.DialTimeout, idle, set.Workers, conf.Sockets/4)
-	r.platform = &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: idleIn}}
+	r.life, r.end = context.WithCancel(context.Background())
+	r.Rediscover(conf.Discovery)
 	r.calls, r.endCalls = context.WithCancelCause(context.Background())
 	var err error
 	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
@@ -104,23 +129,30 @@
 	if err != nil {
 		return nil, err
 	}
-	r.listener = l
-	r.server = &http.Server{Handler: r.handler(), ReadTimeout: headerIn, WriteTimeout: headerIn,
-		IdleTimeout: idleIn, MaxHeaderBytes: 16 << 10}
+	r.listener = &clients{TCPListener: l.(*net.TCPListener), most: conf.Sockets / 2, all: map[*client]bool{}}
+	r.server = &http.Server{Handler: r.handler(), ReadTimeout: requestIn, WriteTimeout: answerIn,
+		IdleTimeout: idleIn, MaxHeaderBytes: 16 << 10, ConnContext: withClient, ConnState: clientState}
 	return r, nil
 }
 
+// bodyBytes is what the bodies held may take of the memory. The journal's files count as memory as well.
+func bodyBytes(memoryMB float64) int64 {
+	if memoryMB <= 0 {
+		return 1 << 30
+	}
+	return int64(memoryMB / 8 * (1 << 20))
+}
+
 // Addr is where clients connect.
 func (r *Relay) Addr() string { return r.listener.Addr().String() }
 
 // Serve runs the relay until Drain has ended it.
 func (r *Relay) Serve() {
-	ctx, cancel := context.WithCancel(context.Background())
-	go r.follow(ctx, r.conf.Known.Version)
-	go r.tell(ctx)
-	go r.server.Serve(netutil.LimitListener(r.listener, r.conf.Sockets/2))
+	go r.follow(r.life)
+	go r.tell(r.life)
+	go r.server.Serve(r.listener)
 	r.loop()
-	cancel()
+	r.end()
 	r.server.Close()
 	r.endCalls(errStopping)
 }
@@ -242,7 +274,7 @@
 			continue
 		}
 		m := &message{entry: e, class: class, due: r.now() + ms(e.Due-wall)}
-		r.held[id] = m
+		r.hold(m)
 		ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall)},
 			Attempts: e.Tries, Timeout: ms(e.Wait), Ran: e.Ran, RanAgo: ms(wall - e.RanAt), RanZone: e.Zone}
 		if e.Out && !e.Ran {
@@ -275,11 +307,23 @@
 	r.drop(m)
 }
 
-// drop forgets a message that has ended.
-func (r *Relay) drop(m *message) {
+func (r *Relay) hold(m *message) {
+	m.bytes = int64(len(m.Body))
+	r.bytes += m.bytes
+	r.held[m.ID] = m
+}
+
+func (r *Relay) free(m *message) {
 	m.over = true
 	delete(r.held, m.ID)
-	r.past.add(m.ID)
+	r.bytes -= m.bytes
+	m.bytes = 0
+}
+
+// drop forgets a message that has ended.
+func (r *Relay) drop(m *message) {
+	r.free(m)
+	r.past.add(m.entry)
 }
 
 // flush records what has ended. What cannot be written now is kept, and no notice
@@ -294,9 +338,7 @@
 		}
 		r.records = r.records[:0]
 	}
-	for _, n := range r.untold {
-		r.notices <- n // holds more than can be owed
-	}
+	r.notices.put(r.untold...)
 	r.untold = r.untold[:0]
 }
 
@@ -374,8 +416,7 @@
 
 // refuse ends a message that was never taken on.
 func (r *Relay) refuse(m *message, after time.Duration) {
-	m.over = true
-	delete(r.held, m.ID)
+	r.free(m)
 	m.answer(answer{status: http.StatusServiceUnavailable, after: after, text: "refused"})
 }
 
--- /dev/null
+++ b/internal/relay/service_test.go
@@ -0,0 +1,339 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(30 * time.Second))
+	return conn
+}
+
+// answered reads the answer to raw bytes, and whether the relay closed the connection after it.
+func answered(t *testing.T, conn net.Conn) (status int, header http.Header, closed bool) {
+	t.Helper()
+	in := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	if resp.Close {
+		rest, _ := io.ReadAll(in)
+		want(t, "further bytes", string(rest), "")
+	}
+	return resp.StatusCode, resp.Header, resp.Close
+}
+
+func request(id, more, body string) string {
+	return "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id + "\r\nX-Class: payment\r\nX-Deadline-Ms: 15000\r\n" +
+		"X-Addressing: dest=7\r\n" + more + "\r\n" + body
+}
+
+// Guards against a request hidden in the body of another: whatever the stated lengths leave over is not served.
+func TestHiddenRequestIsNotServed(t *testing.T) {
+	calls := make(chan *seen, 10)
+	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), nil)
+	hidden := request("hidden", "Content-Length: 1\r\n", "x")
+	chunked := fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n", 5+len(hidden))
+	for name, text := range map[string]string{
+		"both":        request("outer", chunked, "0\r\n\r\n"+hidden),
+		"elsewhere":   strings.Replace(request("outer", chunked, "0\r\n\r\n"+hidden), "/api", "/nothing", 1),
+		"chunked":     request("outer", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"+hidden),
+		"HTTP/1.0":    strings.Replace(request("outer", "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n", hidden), "/1.1", "/1.0", 1),
+		"two codings": request("outer", "Transfer-Encoding: gzip\r\nContent-Length: 0\r\n", hidden),
+	} {
+		conn := dial(t, r.Addr())
+		io.WriteString(conn, text)
+		status, _, closed := answered(t, conn)
+		if status < 400 || !closed {
+			t.Errorf("%s: status %d, closed %v, want an error and a close", name, status, closed)
+		}
+	}
+	hand(t, r.Addr(), "m1", "payment")
+	c := wait(t, calls, "call")
+	want(t, "id of the first call", c.id, "m1")
+	c.answer <- 200
+}
+
+// Guards against a body that is waited for although its stated length is already too much.
+func TestLongBodyIsRefusedAtOnce(t *testing.T) {
+	r := startRelay(t, newPlatform(t), nil)
+	conn := dial(t, r.Addr())
+	io.WriteString(conn, request("m1", "Content-Length: 60000000\r\n", ""))
+	status, _, closed := answered(t, conn)
+	want(t, "status", status, 413)
+	want(t, "closed", closed, true)
+}
+
+// Guards against a half request that holds its connection for longer than a client is owed an answer in.
+func TestHalfRequestIsEndedSoon(t *testing.T) {
+	r := startRelay(t, newPlatform(t, at("s-1", "127.0.0.1:1", "taller")), nil)
+	begin := time.Now()
+	body, head := dial(t, r.Addr()), dial(t, r.Addr())
+	io.WriteString(body, request("m1", "Content-Length: 10\r\n", "half"))
+	io.WriteString(head, "POST /api HTTP/1.1\r\nHo")
+	status, _, closed := answered(t, body)
+	want(t, "status", status, 400)
+	want(t, "closed", closed, true)
+	io.Copy(io.Discard, head)
+	if took := time.Since(begin); took > 4*time.Second {
+		t.Fatalf("the connections were held for %v, 3 s are allowed", took)
+	}
+}
+
+// Guards against silent and idle connections that keep others from being accepted.
+func TestSilentClientsMakeRoom(t *testing.T) {
+	calls := make(chan *seen, 10)
+	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), func(c *Config) { c.Sockets = 32 })
+	silent := make([]net.Conn, 40)
+	for i := range silent {
+		silent[i] = dial(t, r.Addr())
+	}
+	conn := dial(t, r.Addr())
+	io.WriteString(conn, request("m1", "Content-Length: 1\r\n", "x"))
+	status, _, _ := answered(t, conn)
+	want(t, "status", status, 202)
+	silent[0].SetReadDeadline(time.Now().Add(requestIn / 2)) // it was closed to make room, not for its silence
+	if _, err := silent[0].Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
+		t.Fatalf("the oldest silent connection: %v, want its end", err)
+	}
+	wait(t, calls, "call").answer <- 200
+}
+
+// Guards against closing a connection whose request is not answered yet.
+func TestSpareConnection(t *testing.T) {
+	now := time.Now()
+	conn := func(age time.Duration, asked, open bool) *client {
+		return &client{at: now.Add(-age), asked: asked, open: open}
+	}
+	silent, idle, older, busy, young := conn(time.Second, false, false), conn(time.Second, true, false),
+		conn(2*time.Second, true, false), conn(time.Minute, true, true), conn(time.Millisecond, false, false)
+	newest := conn(0, false, false)
+	s := &clients{all: map[*client]bool{silent: true, idle: true, older: true, busy: true, young: true, newest: true}}
+	for _, next := range []*client{silent, older, idle, young, newest} {
+		if got := s.spare(newest); got != next {
+			t.Fatalf("closed is %+v, want %+v", got, next)
+		}
+		delete(s.all, next)
+	}
+}
+
+// Guards against another client's message that passes for the one with its id, or harms it.
+func TestForeignMessageWithAHeldID(t *testing.T) {
+	calls := make(chan *seen, 10)
+	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), nil)
+	status, _ := hand(t, r.Addr(), "m1", "job-order")
+	want(t, "status", status, 202)
+	c := wait(t, calls, "call")
+	for range 2 {
+		status, _ = hand(t, r.Addr(), "m1", "job-order", "Idempotency-Key", "other")
+		want(t, "status of another message with that id", status, 409)
+		c.answer <- 200
+		hand(t, r.Addr(), "m2", "payment") // the next call comes after the first one's end
+		c = wait(t, calls, "call")
+		want(t, "id of the next call", c.id, "m2")
+		status, _ = hand(t, r.Addr(), "m1", "job-order")
+		want(t, "status of the same message", status, 202)
+		return
+	}
+}
+
+// Guards against memory that grows with the bodies held.
+func TestBodiesHaveABudget(t *testing.T) {
+	calls := make(chan *seen, 10)
+	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), func(c *Config) { c.MemoryMB = 0.5 })
+	body := strings.Repeat("x", 40<<10)
+	post := func(id string) (int, http.Header) {
+		conn := dial(t, r.Addr())
+		io.WriteString(conn, request(id, fmt.Sprintf("Content-Length: %d\r\n", len(body)), body))
+		status, header, _ := answered(t, conn)
+		return status, header
+	}
+	status, _ := post("m1")
+	want(t, "status", status, 202)
+	first := wait(t, calls, "call")
+	status, header := post("m2")
+	want(t, "status over the budget", status, 503)
+	want(t, "Retry-After", header.Get("Retry-After"), "1.000")
+	first.answer <- 200
+	for status != 202 { // as soon as the first one's end has come
+		status, _ = post("m3")
+	}
+	wait(t, calls, "call").answer <- 200
+
+	r = &Relay{bodies: 5 << 10}
+	if _, err := r.readBody(strings.NewReader(body), len(body)); err != errNoRoom {
+		t.Fatalf("error is %v, want no room", err)
+	}
+	if _, err := r.readBody(strings.NewReader("short"), 60<<10); err != io.ErrUnexpectedEOF {
+		t.Fatalf("error is %v, want an early end", err)
+	}
+	want(t, "bytes of bodies being read", r.reading.Load(), 0)
+}
+
+// Guards against a loop that stands still while more notices are owed than fit anywhere.
+func TestNoticesNeverBlock(t *testing.T) {
+	o := newOutbox()
+	for range 100_000 {
+		o.put(notice{"m", deferred, 0})
+	}
+	n := 0
+	for len(o.come) > 0 {
+		<-o.come
+		n += len(o.take())
+	}
+	want(t, "notices", n, 100_000)
+}
+
+// Guards against one notice that is never taken and holds up all others.
+func TestBadNoticeHoldsUpNoOther(t *testing.T) {
+	told := make(chan string, 10)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		body, _ := io.ReadAll(req.Body)
+		if bytes.Contains(body, []byte(`"bad"`)) {
+			w.WriteHeader(400)
+			return
+		}
+		for dec := json.NewDecoder(bytes.NewReader(body)); ; {
+			var n notice
+			if dec.Decode(&n) != nil {
+				break
+			}
+			told <- n.ID
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	t.Cleanup(s.CloseClientConnections)
+	r := startRelay(t, newPlatform(t), func(c *Config) { c.Discovery = []string{s.Listener.Addr().String()} })
+	r.post(func() {
+		for _, id := range []string{"a", "bad", "b"} {
+			r.owe(notice{id, undeliverable, 0})
+		}
+	})
+	want(t, "first", wait(t, told, "notice"), "a")
+	want(t, "second", wait(t, told, "notice"), "b")
+}
+
+// Guards against growth where ids of hosts are ever new.
+func TestGoneHostsAreForgotten(t *testing.T) {
+	r := &Relay{hosts: map[string]*host{}, dests: map[int]time.Duration{}, journal: open(t, t.TempDir(), 3e6),
+		began: time.Now().Add(-time.Hour)}
+	long := time.Now().Add(-time.Hour).UnixMilli()
+	put(t, r.journal, record{Op: opHealth, ID: "s-0", Ran: true, At: long}, record{Op: opHealth, ID: "s-1", Ran: true, At: long})
+	r.dests[6] = 0
+	r.listed(list{1, true, []server{at("s-1", "x:1", "nowhere")}})
+	r.flush()
+	want(t, "the gone one's outage is kept", r.journal.unwell["s-0"].Ran, false)
+	want(t, "the listed one's outage is kept", r.journal.unwell["s-1"].Ran, true)
+	want(t, "destination 6 is known", r.knows(6), false)
+	want(t, "destination 7 is known", r.knows(7), true)
+	want(t, "the number of an unnamed zone changes", r.zone("nowhere") == r.zone("nowhere") && r.zone("a") != r.zone("b"), true)
+	want(t, "zones", len(r.set.Zones), 0)
+}
+
+// Guards against an end by SIGHUP, and against list and notices from where discovery no longer is.
+func TestReload(t *testing.T) {
+	calls := make(chan *seen, 10)
+	old := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
+	next := newPlatform(t, at("s-2", fakeHost(t, "b", calls), "taller"))
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, state := filepath.Join(t.TempDir(), "config.json"), t.TempDir()
+	write := func(data []byte) {
+		if err := os.WriteFile(config, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	logs := make(chan string, 1000)
+	start := func() (*exec.Cmd, string) {
+		cmd := exec.Command(path)
+		cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+config, "BALANCER_STATE="+state, "BALANCER_DISCOVERY="+old.addr())
+		out, err := cmd.StderrPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+		go func() {
+			for s := bufio.NewScanner(out); s.Scan(); {
+				logs <- s.Text()
+			}
+		}()
+		for {
+			if _, addr, ok := strings.Cut(wait(t, logs, "log"), "addr="); ok {
+				return cmd, addr
+			}
+		}
+	}
+	write(testConfig(t, old))
+	cmd, addr := start()
+	hangup := func(until string) {
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		for !strings.Contains(wait(t, logs, "log"), until) {
+		}
+	}
+	deliver := func(id, from string) {
+		status, _ := hand(t, addr, id, "payment")
+		want(t, "status", status, 202)
+		c := wait(t, calls, "call")
+		want(t, "host", c.host, from)
+		c.answer <- 500 // its notice is owed
+	}
+	for q := ""; !strings.Contains(q, "since=1&"); {
+		q = wait(t, old.asked, "watch")
+	}
+	deliver("m1", "a")
+	want(t, "notice", wait(t, old.notices, "notice").ID, "m1")
+
+	write([]byte("{"))
+	hangup("not read again")
+	write(testConfig(t, next))
+	hangup("read again")
+	for q := ""; !strings.Contains(q, "since=1&"); {
+		q = wait(t, next.asked, "watch at the new address")
+	}
+	deliver("m2", "b")
+	want(t, "notice", wait(t, next.notices, "notice").ID, "m2")
+
+	// The environment still names the old address, where nobody listens any more.
+	cmd.Process.Kill()
+	cmd.Wait()
+	old.CloseClientConnections()
+	old.Listener.Close()
+	_, addr = start()
+	for len(next.asked) > 0 {
+		<-next.asked
+	}
+	for q := ""; !strings.Contains(q, "since=1&"); {
+		q = wait(t, next.asked, "watch after the restart")
+	}
+	deliver("m3", "b")
+	want(t, "notice", wait(t, next.notices, "notice").ID, "m3")
+}
