--- a/choice/api.go
+++ b/choice/api.go
@@ -90,6 +90,7 @@
 	Reset
 	Cancelled
 	NotSent
+	Spoilt // an answer that cannot be read: it may have run, and one says nothing of the host
 )
 
 // An Event tells a Chooser what happened. The types below are the events.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,7 +29,7 @@
 	budgetShare     = 0.9 // of the rule's budget for a cold destination
 	// cut of a unit's pace: a fifth on a refusal. grow is what it regains in a second without, and
 	// search the same where no rate is listed.
-	cut, grow, search = 0.8, 0.05, 0.1
+	cut, grow, search = 0.8, 0.05, 0.07
 	// aside is the share of worth by which a host that just failed, or is not yet well, comes later.
 	aside  = 0.02
 	glance = 200 // looks without news within the shortest aim
@@ -355,7 +355,7 @@
 
 func (c *Chooser) suspect(u *unit, d *dest, why string) {
 	if u.state == healthy {
-		u.base = max(u.served, 1/c.set.Rules.Cold.Seconds())
+		u.base = max(c.flow(u), 1/c.set.Rules.Cold.Seconds())
 	}
 	c.log("destination %d unit %s suspect: %s", d.id, u.name, why)
 	u.state, u.since, u.trials, u.streak = suspect, c.now, 0, 0
@@ -371,7 +371,14 @@
 	if u.listed > 0 {
 		return u.listed
 	}
-	return max(u.served*float64(c.set.Fleet), 8/c.minAim.Seconds())
+	return max(c.flow(u)*float64(c.set.Fleet), 8/c.minAim.Seconds())
+}
+
+// flow is the rate that a unit served to this relay, messages a second. The smoothed rate begins at 0: it is
+// scaled by the part of its time that has passed, lest a young unit pass for one that takes little.
+func (c *Chooser) flow(u *unit) float64 {
+	age, cold := max(c.now-u.born, 2*time.Second), c.set.Rules.Cold
+	return u.served / (1 - math.Exp(-age.Seconds()/cold.Seconds()))
 }
 
 // even is the time in which this relay's even share of that is one call.
@@ -403,7 +410,7 @@
 			u.limit = own
 		}
 		u.limit = max(u.limit*cut, 1/c.set.Rules.Cold.Seconds(), u.listed/float64(c.set.Fleet)/2)
-		u.cutAt, u.tokens = c.now, min(u.tokens, 0)
+		u.cutAt, u.tokens = c.now, max(-u.limit/2, min(u.tokens, 0)) // not the debt of all calls while there was no limit
 	}
 	// Refusals alone, for longer than a limit explains, are those of a shut destination.
 	fall := c.set.Rules.Fall
@@ -548,7 +555,7 @@
 		if e.Took <= d.table.edge {
 			d.backoff = 0
 		}
-		h.fails = 0
+		h.fails, h.spoilt = 0, 0
 		if d.refused > 0 {
 			*d.luck += (1 - *d.luck) / 16
 		}
@@ -558,6 +565,10 @@
 		c.refused(u, d, e.Wait)
 	case Error, Reset:
 		c.failed(h, e.Outcome)
+	case Spoilt: // it guards against holding stray noise for an outage: the host did answer
+		if h.spoilt++; h.spoilt > outage {
+			c.failed(h, Error)
+		}
 	case Timeout, Cancelled:
 		d.table.cutShort()
 		if u.lastServed < k.sent {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -169,7 +169,7 @@
 	}{
 		{0, Error, "again"}, {0, Timeout, "again"}, {0, Reset, "again"}, {0, NoConnection, "again"},
 		{1, Error, "again"}, {1, Timeout, "again"}, {1, NotSent, "again"},
-		{2, Error, "fail m;"}, {2, Timeout, "fail m;"}, {2, Reset, "fail m;"}, {2, Cancelled, "fail m;"},
+		{0, Spoilt, "again"}, {2, Spoilt, "fail m;"}, {2, Error, "fail m;"}, {2, Timeout, "fail m;"}, {2, Reset, "fail m;"}, {2, Cancelled, "fail m;"},
 		{2, NoConnection, "again"}, {2, Refused, "again"}, {2, NotSent, "again"},
 	} {
 		t.Run(fmt.Sprintf("class%d-outcome%d", tc.class, tc.outcome), func(t *testing.T) {
@@ -672,3 +672,54 @@
 		t.Errorf("%d destinations and %d hosts remembered after all left", len(r.c.dests), len(r.c.hosts))
 	}
 }
+
+// Guards against holding stray noise for an outage: the host did answer.
+func TestSpoiltAnswersAreNoOutage(t *testing.T) {
+	r := newRig(t, settings(), ready("a", 1, 0, 0))
+	call := func(id string, o Outcome) (unwell bool) {
+		acts := r.step(arrival(id, 2))
+		for len(sends(acts)) == 0 {
+			acts = r.after(10 * ms)
+		}
+		for _, a := range r.step(r.end(id, "a", o)) {
+			h, ok := a.(Health)
+			unwell = unwell || ok && h.Unwell
+		}
+		return unwell
+	}
+	for i := range 30 {
+		if call(fmt.Sprint("m", i), []Outcome{Served, Spoilt}[i%2]) {
+			t.Fatalf("an outage is seen at call %d, with every second answer spoilt", i)
+		}
+	}
+	unwell := false
+	for i := range 6 {
+		unwell = unwell || call(fmt.Sprint("n", i), Spoilt)
+	}
+	if !unwell {
+		t.Error("no outage is seen where all answers are spoilt")
+	}
+}
+
+// Guards against a standstill at the first refusal: calls sent while there was no limit are no debt. And against
+// taking a young unit for one that serves little, since the smoothed rate begins at 0.
+func TestFirstLimitOfAYoungUnit(t *testing.T) {
+	s := settings()
+	s.Listed, s.Fleet = false, 1
+	r := newRig(t, s, Host{Addr: "a", Dest: 1, State: Ready})
+	u := r.c.hosts["a"].unit
+	for i := range 60 { // 20 a second
+		id := fmt.Sprint("m", i)
+		r.step(arrival(id, 2))
+		r.step(r.end(id, "a", Served))
+		r.after(50 * ms)
+	}
+	if flow := r.c.flow(u); flow < 12 || flow > 25 {
+		t.Errorf("flow is %.1f after 3 s of 20 a second", flow)
+	}
+	r.step(arrival("full", 2))
+	r.step(r.end("full", "a", Refused))
+	if u.limit <= 0 || u.tokens < -u.limit {
+		t.Errorf("limit %.1f, tokens %.1f after the first refusal, want a debt of under a second", u.limit, u.tokens)
+	}
+}
--- a/choice/fuzz_test.go
+++ b/choice/fuzz_test.go
@@ -147,7 +147,7 @@
 		case 1:
 			for _, id := range ids {
 				if lives[id].out != "" {
-					o := Outcome(arg % int(NotSent+1))
+					o := Outcome(arg % int(Spoilt+1))
 					play(finish(id, o, time.Duration(arg/8)*50*ms))
 					if l := lives[id]; l.over || o == Timeout || o == Reset || o == Cancelled {
 						if l.key != "" && l.over && l.unsureAt > 0 {
--- a/choice/state.go
+++ b/choice/state.go
@@ -43,6 +43,7 @@
 	out     int
 	liking  float64       // this relay's own liking, by chance
 	fails   int           // in a row
+	spoilt  int           // answers in a row
 	retryAt time.Duration // after failures
 }
 
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -5,26 +5,21 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math"
-	"net"
 	"net/http"
-	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"larchrouter/choice"
 )
 
-// maxHead is what a peer's answer may have before its body.
-const maxHead = 32 << 10
-
 var (
 	errTimeout  = errors.New("time-out")
 	errCalled   = errors.New("called off")
 	errStopping = errors.New("relay stops")
+	errGated    = errors.New("host drains or is gone")
 )
 
 // call is one call out, with one message or several.
@@ -45,48 +40,6 @@
 	done    bool // the host holds the message to be over
 }
 
-// hostConn remembers whether a write failed: then the last byte never went out.
-type hostConn struct {
-	net.Conn
-	failed atomic.Bool
-}
-
-func (c *hostConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.failed.Store(true)
-	}
-	return n, err
-}
-
-// onceBody is a request body that net/http cannot rewind. It guards against
-// the library's own resends: a request that bears an Idempotency-Key is sent
-// again after a broken connection if its body is empty or has GetBody.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
-
-// newTransport returns the client side towards hosts.
-func newTransport(dial, idle time.Duration, workers, conns int) *http.Transport {
-	d := &net.Dialer{Timeout: dial}
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return &hostConn{Conn: c}, nil
-		},
-		MaxIdleConns: conns,
-		// A host may get all of the slots at once; the library's 2 would close the rest after each call.
-		MaxIdleConnsPerHost: workers,
-		// Hosts end idle connections; a request that crosses that is lost as a reset.
-		IdleConnTimeout:        idle,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHead,
-	}
-}
-
 // start builds the call here in the loop, so that its goroutine shares nothing with it.
 func (r *Relay) start(c *call) {
 	now := r.now()
@@ -147,99 +100,88 @@
 func (r *Relay) exchange(ctx context.Context, c *call, ids []string) (ends []end, took, wait time.Duration) {
 	ctx, stop := context.WithTimeoutCause(ctx, c.timeout, errTimeout)
 	defer stop()
-	all := func(o choice.Outcome) []end {
-		ends := make([]end, len(ids))
-		for i := range ends {
-			ends[i].outcome = o
-		}
-		return ends
-	}
+	all := func(e end) []end { return slices.Repeat([]end{e}, len(ids)) }
 	begin := time.Now()
-	resp, never, reused, gated, err := r.send(ctx, c, ids)
-	// A kept connection that had ended before anything was written is no call yet: once more on another.
-	for tries := 0; err != nil && never && reused && ctx.Err() == nil && !gated && tries < 3; tries++ {
-		resp, never, reused, gated, err = r.send(ctx, c, ids)
+	conn, err := r.send(ctx, c, ids)
+	if err != nil {
+		o := choice.NoConnection
+		if err == errGated || err == errNoDescriptor || context.Cause(ctx) == errCalled {
+			o = choice.NotSent // nothing that the host did
+		}
+		return all(end{outcome: o}), time.Since(begin), 0
 	}
+	a := conn.reply()
 	took = time.Since(begin)
-	if err == nil {
-		defer resp.Body.Close()
-		body, rerr := io.ReadAll(io.LimitReader(resp.Body, maxBody)) // drained, so that the connection is kept
-		wait = retryAfter(resp.Header)
-		if len(ids) > 1 && resp.StatusCode == http.StatusOK {
-			took = time.Since(begin)
-			if rerr == nil {
-				return batchEnds(body, ids), took, wait
-			}
-			never, err = false, rerr
-		} else {
-			ends = all(choice.Error)
-			for i := range ends {
-				ends[i] = single(resp, len(ids) > 1)
-			}
-			return ends, took, wait
-		}
+	if a.clean {
+		r.conns.put(conn)
+	} else {
+		conn.Close()
 	}
-	switch cause := context.Cause(ctx); {
-	case gated:
-		return all(choice.NotSent), took, 0
-	case never:
-		return all(choice.NoConnection), took, 0
-	case cause == errCalled:
-		return all(choice.Cancelled), took, 0
-	case cause == errTimeout:
-		return all(choice.Timeout), took, 0
+	switch {
+	case a.begun:
+		if a.status != 0 {
+			took = a.at.Sub(begin)
+		}
+		if ends = all(single(a, len(ids) > 1)); len(ids) > 1 && a.status == http.StatusOK {
+			ends = batchEnds(a, ids)
+		}
+		return ends, took, retryAfter(a.header)
+	case context.Cause(ctx) == errCalled:
+		return all(end{outcome: choice.Cancelled}), took, 0
+	case context.Cause(ctx) == errTimeout:
+		return all(end{outcome: choice.Timeout}), took, 0
 	}
-	return all(choice.Reset), took, 0
+	return all(end{outcome: choice.Reset}), took, 0
 }
 
-// send writes one request. On an error, never tells that its last byte
-// certainly did not go out; unsure counts as gone.
-func (r *Relay) send(ctx context.Context, c *call, ids []string) (
-	resp *http.Response, never, reused, gated bool, err error) {
-	var conn *hostConn
-	var wrote atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) {
-			conn, _ = i.Conn.(*hostConn)
-			reused = i.Reused
-			// It may have taken long to come up: nothing new goes to a host that drains by now.
-			if gated = c.host.closed.Load(); gated {
-				i.Conn.Close()
-			}
-		},
-		// It comes before the last flush, so it proves nothing; its absence does.
-		WroteRequest: func(i httptrace.WroteRequestInfo) { wrote.Store(i.Err == nil) },
-	})
-	path := "/receive"
+// send writes one request. On an error its last byte was not written, so that it has not run.
+func (r *Relay) send(ctx context.Context, c *call, ids []string) (*hostConn, error) {
+	var b bytes.Buffer
 	if len(ids) > 1 {
-		path = "/receive-many"
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.host.addr+path, nil)
-	if err != nil {
-		return nil, true, false, false, err
-	}
-	req.Body, req.ContentLength = onceBody{bytes.NewReader(c.body)}, int64(len(c.body))
-	if len(ids) == 1 {
-		req.Header.Set("X-Request-Id", ids[0])
+		fmt.Fprintf(&b, "POST /receive-many HTTP/1.1\r\nHost: %s\r\n", c.host.addr)
+	} else {
+		fmt.Fprintf(&b, "POST /receive HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n", c.host.addr, ids[0])
 		if c.key != "" {
-			req.Header.Set("Idempotency-Key", c.key)
+			fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", c.key)
+		}
+	}
+	fmt.Fprintf(&b, "X-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", max(1, c.timeout.Milliseconds()), len(c.body))
+	b.Write(c.body)
+	for {
+		conn, err := r.conns.get(ctx, c.host)
+		if err != nil {
+			return nil, err
+		}
+		// It may have taken long to come up: nothing new goes to a host that drains by now.
+		if c.host.closed.Load() {
+			conn.Close()
+			return nil, errGated
+		}
+		if _, err = conn.Write(b.Bytes()); err == nil {
+			return conn, nil
+		}
+		conn.Close()
+		// A kept connection that had ended before is no call yet: once more on another.
+		if !conn.kept || ctx.Err() != nil {
+			return nil, err
 		}
 	}
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(1, c.timeout.Milliseconds()), 10))
-	resp, err = r.hostSide.RoundTrip(req)
-	never = err != nil && (conn == nil || !wrote.Load() || conn.failed.Load())
-	return resp, never, reused, gated, err
 }
 
-// single reads an answer that holds for the whole call.
-func single(resp *http.Response, many bool) end {
-	switch resp.StatusCode {
-	case http.StatusOK:
+// single reads an answer that holds for the whole call. A spoilt one proves nothing but that
+// of 200 to a single message: the call may have run.
+func single(a reply, many bool) end {
+	if a.status == http.StatusOK {
 		return end{outcome: choice.Served}
+	}
+	if a.status == 0 || !a.whole || a.noise {
+		return end{outcome: choice.Spoilt}
+	}
+	switch a.status {
 	case http.StatusTooManyRequests:
 		return end{outcome: choice.Refused}
 	case http.StatusServiceUnavailable:
-		if resp.Header.Get("X-Over-Slots") == "1" {
+		if a.header.Get("X-Over-Slots") == "1" {
 			return end{outcome: choice.NotSent}
 		}
 		return end{outcome: choice.Refused}
@@ -255,31 +197,41 @@
 	return end{outcome: choice.Error}
 }
 
-// batchEnds reads the answer of a call with several messages. One that is not told of may have run.
-func batchEnds(body []byte, ids []string) []end {
-	told := map[string]end{}
-	for line := range strings.Lines(string(body)) {
+// batchEnds reads the answer of a call with several messages. It proves something only if it
+// tells of each of them once, and of nothing else; else all of them may have run.
+func batchEnds(a reply, ids []string) []end {
+	nothing := slices.Repeat([]end{{outcome: choice.Spoilt}}, len(ids))
+	if !a.whole {
+		return nothing
+	}
+	ends, told := make([]end, len(ids)), make([]bool, len(ids))
+	for line := range strings.Lines(string(a.body)) {
 		id, what, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if id == "" {
+			continue
+		}
+		i := slices.Index(ids, id)
+		if i < 0 || told[i] {
+			return nothing
+		}
+		told[i] = true
 		switch strings.TrimSpace(what) {
 		case "ok":
-			told[id] = end{outcome: choice.Served}
+			ends[i] = end{outcome: choice.Served}
+		case "error":
+			ends[i] = end{outcome: choice.Error}
 		case "later":
-			told[id] = end{outcome: choice.Refused}
+			ends[i] = end{outcome: choice.Refused}
 		case "gone":
-			told[id] = end{outcome: choice.NotSent, done: true}
+			ends[i] = end{outcome: choice.NotSent, done: true}
 		case "exhausted":
-			told[id] = end{outcome: choice.NotSent}
+			ends[i] = end{outcome: choice.NotSent}
 		default:
-			told[id] = end{outcome: choice.Error}
+			return nothing
 		}
 	}
-	ends := make([]end, len(ids))
-	for i, id := range ids {
-		e, ok := told[id]
-		if !ok {
-			e = end{outcome: choice.Error}
-		}
-		ends[i] = e
+	if slices.Contains(told, false) {
+		return nothing
 	}
 	return ends
 }
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -18,7 +18,7 @@
 )
 
 func caller() *Relay {
-	return &Relay{hostSide: newTransport(time.Second, time.Minute, 7, 64)}
+	return &Relay{conns: newHostConns(time.Second, time.Minute, 64)}
 }
 
 func oneCall(addr, body string) *call {
@@ -63,8 +63,9 @@
 			}
 		}()
 		r := caller()
-		want(t, "first outcome", outcome(r, context.Background(), oneCall(l.Addr().String(), body)), choice.Served)
-		want(t, "outcome of a call that breaks", outcome(r, context.Background(), oneCall(l.Addr().String(), body)), choice.Reset)
+		c := oneCall(l.Addr().String(), body)
+		want(t, "first outcome", outcome(r, context.Background(), c), choice.Served)
+		want(t, "outcome of a call that breaks", outcome(r, context.Background(), c), choice.Reset)
 		want(t, "requests on the wire", got.Load(), 2)
 	}
 }
@@ -87,8 +88,8 @@
 	defer s.Close()
 	r := caller()
 	c := oneCall(s.Listener.Addr().String(), "x")
-	dial := r.hostSide.DialContext
-	r.hostSide.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+	dial := r.conns.dial
+	r.conns.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c.host.closed.Store(true)
 		return dial(ctx, network, addr)
 	}
@@ -123,11 +124,14 @@
 func TestStatuses(t *testing.T) {
 	for status, o := range map[int]end{200: {choice.Served, false}, 500: {choice.Error, false}, 429: {choice.Refused, false},
 		503: {choice.Refused, false}, 504: {choice.NotSent, false}, 410: {choice.NotSent, true}, 418: {choice.Error, false}} {
-		want(t, fmt.Sprint("end after ", status), single(&http.Response{StatusCode: status}, false), o)
+		want(t, fmt.Sprint("end after ", status), single(reply{status: status, whole: true}, false), o)
+		if status != 200 {
+			want(t, fmt.Sprint("end after a spoilt ", status), single(reply{status: status}, false), end{choice.Spoilt, false})
+		}
 	}
-	over := &http.Response{StatusCode: 503, Header: http.Header{"X-Over-Slots": {"1"}}}
+	over := reply{status: 503, whole: true, header: http.Header{"X-Over-Slots": {"1"}}}
 	want(t, "end without a slot", single(over, false), end{choice.NotSent, false})
-	want(t, "end of a call too large", single(&http.Response{StatusCode: 413}, true), end{choice.NotSent, false})
+	want(t, "end of a call too large", single(reply{status: 413, whole: true}, true), end{choice.NotSent, false})
 }
 
 // Guards against a connection for each message.
@@ -144,8 +148,9 @@
 	s.Start()
 	defer s.Close()
 	r := caller()
+	c := oneCall(s.Listener.Addr().String(), "x")
 	for range 5 {
-		want(t, "outcome", outcome(r, context.Background(), oneCall(s.Listener.Addr().String(), "x")), choice.Served)
+		want(t, "outcome", outcome(r, context.Background(), c), choice.Served)
 	}
 	want(t, "connections", conns.Load(), 1)
 }
@@ -156,7 +161,7 @@
 		b, _ := io.ReadAll(req.Body)
 		bodies <- req.URL.Path + "\n" + string(b)
 		w.Header().Set("Retry-After", "0.5")
-		io.WriteString(w, "a ok\r\nb error\r\nc later\r\nd gone\r\ne exhausted\r\n")
+		io.WriteString(w, "a ok\r\nb error\r\nc later\r\nd gone\r\ne exhausted\r\nf ok\r\n")
 	}))
 	defer s.Close()
 	r := caller()
@@ -177,7 +182,7 @@
 		got = append(got, e.(choice.Result).Outcome)
 		want(t, "wait", e.(choice.Result).Wait, 500*time.Millisecond)
 	}
-	if !slices.Equal(got, []choice.Outcome{choice.Served, choice.Error, choice.Refused, choice.NotSent, choice.NotSent, choice.Error}) {
+	if !slices.Equal(got, []choice.Outcome{choice.Served, choice.Error, choice.Refused, choice.NotSent, choice.NotSent, choice.Served}) {
 		t.Fatalf("outcomes %v", got)
 	}
 	want(t, "end of the fourth", r.events[3].(choice.Result).Done, true)
@@ -210,14 +215,191 @@
 	f.Add("\x00 ok\r\na exhausted")
 	f.Fuzz(func(t *testing.T, body string) {
 		ids := []string{"a", "b"}
-		ends := batchEnds([]byte(body), ids)
+		ends := batchEnds(reply{whole: true, body: []byte(body)}, ids)
 		if len(ends) != len(ids) {
 			t.Fatalf("%d ends for %d messages", len(ends), len(ids))
 		}
 		for i, e := range ends {
-			if e.outcome != choice.Error && !strings.Contains(body, ids[i]) {
+			if e.outcome != choice.Spoilt && !strings.Contains(body, ids[i]) {
 				t.Fatalf("%q is %v without being named", ids[i], e)
 			}
 		}
 	})
 }
+
+// rawHost reads each request whole and answers with the bytes that the test gives for it, in turn.
+func rawHost(t *testing.T, answers ...string) (addr string, ended chan bool) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended = make(chan bool, 100) // connections that the relay closed
+	left := make(chan string, len(answers))
+	for _, a := range answers {
+		left <- a
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				for in := bufio.NewReader(conn); ; {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						ended <- true
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					io.WriteString(conn, <-left)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), ended
+}
+
+const (
+	okAnswer  = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	badAnswer = "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"
+)
+
+// Guards against mixed-up answers: what lies behind one is not the answer to the next call.
+func TestSurplusIsNotTheNextAnswer(t *testing.T) {
+	for _, behind := range []string{okAnswer, "noise", okAnswer[:20]} {
+		for _, ahead := range []string{"", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"} {
+			addr, ended := rawHost(t, ahead+okAnswer+behind, badAnswer)
+			r, c := caller(), oneCall(addr, "x")
+			want(t, "first outcome", outcome(r, context.Background(), c), choice.Served)
+			want(t, "next outcome", outcome(r, context.Background(), c), choice.Error)
+			wait(t, ended, "close of the spoilt connection")
+		}
+	}
+}
+
+// Guards the same where the surplus comes only when its connection stands idle.
+func TestSurplusOnAnIdleConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	s := newHostConns(time.Second, time.Minute, 2)
+	h := &host{addr: l.Addr().String()}
+	c, err := s.get(t.Context(), h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	s.put(c)
+	again, err := s.get(t.Context(), h)
+	if err != nil || again != c {
+		t.Fatalf("got %p, %v, want the connection that was kept", again, err)
+	}
+	io.WriteString(peer, okAnswer)
+	c.room.N = 1
+	if _, err := c.in.Peek(1); err != nil { // a part of it has come, the rest with it
+		t.Fatal(err)
+	}
+	s.put(c)
+	again, err = s.get(t.Context(), h)
+	if err != nil || again == c {
+		t.Fatalf("got the same connection, %v, want another", err)
+	}
+	want(t, "connections open", s.open, 1)
+}
+
+// Guards against spoilt answers that prove too much, or that hold a slot until the time-out: only a
+// first line of 200 to a single message is sure.
+func TestSpoiltAnswers(t *testing.T) {
+	for text, o := range map[string]choice.Outcome{
+		"HTTP/1.1 200 OK\r\nno colon here\r\n\r\n":                                           choice.Served,
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok":                                     choice.Served,
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 2\r\n\r\nok":               choice.Served,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":                        choice.Served,
+		"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 1<<20): choice.Served,
+		"HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Y: z\r\n", 1<<17):                          choice.Served,
+		"HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n":                                       choice.Spoilt,
+		"HTTP/1.1 OK 200\r\nContent-Length: 0\r\n\r\n":                                       choice.Spoilt,
+		"\x00\x01noise\r\n\r\n":                                                              choice.Spoilt,
+		"no end of the line":                                                                 choice.Spoilt,
+		strings.Repeat("y", 1<<20):                                                           choice.Spoilt,
+		"HTTP/1.1 429 No\r\nRetry-After: 1\r\nContent-Length: 9\r\n\r\nx":                    choice.Spoilt,
+		"HTTP/1.1 503 No\r\nContent-Length: x\r\n\r\n":                                       choice.Spoilt,
+		"HTTP/1.1 504 No\r\nContent-Length: 1\r\n\r\nx and noise":                            choice.Spoilt,
+		"HTTP/1.1 410 No\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nx":                        choice.Spoilt,
+		"HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n":                                       choice.Refused,
+		strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100) + okAnswer:                      choice.Spoilt,
+	} {
+		addr, ended := rawHost(t, text)
+		r, c := caller(), oneCall(addr, "x")
+		c.timeout = time.Hour
+		want(t, fmt.Sprintf("outcome of %.60q", text), outcome(r, context.Background(), c), o)
+		if o != choice.Refused {
+			wait(t, ended, "close after a spoilt answer")
+		}
+	}
+}
+
+func TestSpoiltBatchProvesNothing(t *testing.T) {
+	ids := []string{"a", "b"}
+	for _, body := range []string{"a ok\r\n", "a ok\r\nb ok\r\nc ok\r\n", "a later\r\na later\r\nb ok\r\n", "a ok\r\nb o", "", "noise"} {
+		for i, e := range batchEnds(reply{whole: true, body: []byte(body)}, ids) {
+			want(t, fmt.Sprintf("%s after %q", ids[i], body), e, end{choice.Spoilt, false})
+		}
+	}
+	cut := reply{body: []byte("a later\r\nb later\r\n")}
+	want(t, "an answer that is not whole", batchEnds(cut, ids)[0], end{choice.Spoilt, false})
+}
+
+// Guards against a new host that gets the connections of a gone one at its address, and against
+// connections of hosts that left.
+func TestConnectionsEndWithTheirHost(t *testing.T) {
+	addr, ended := rawHost(t, okAnswer, okAnswer)
+	r := caller()
+	r.hosts, r.dests, r.journal = map[string]*host{}, map[int]time.Duration{}, &journal{}
+	for version, id := range []string{"s-1", "s-2"} {
+		r.listed(list{int64(version), true, []server{at(id, addr, "taller")}})
+		c := oneCall(addr, "x")
+		c.host = r.hosts[id]
+		want(t, "outcome", outcome(r, context.Background(), c), choice.Served)
+		want(t, "connections open", r.conns.open, 1)
+	}
+	wait(t, ended, "close of the gone one's connection")
+	r.listed(list{3, false, []server{{ID: "s-2", Addr: addr, Cell: 7, State: "leaving"}}})
+	wait(t, ended, "close of the leaving one's connection")
+	want(t, "connections open", r.conns.open, 0)
+}
+
+// Guards against telling the relay's own want of descriptors as a host's failure, and against more
+// connections than the limit allows.
+func TestConnectionsAreBounded(t *testing.T) {
+	addr, ended := rawHost(t, okAnswer, okAnswer)
+	r := &Relay{conns: newHostConns(time.Second, time.Minute, 1)}
+	one, two := oneCall(addr, "x"), oneCall(addr, "x")
+	want(t, "outcome", outcome(r, context.Background(), one), choice.Served)
+	want(t, "outcome at another host", outcome(r, context.Background(), two), choice.Served)
+	wait(t, ended, "close of the idle one")
+	c, err := r.conns.get(t.Context(), two.host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want(t, "outcome while all are in use", outcome(r, context.Background(), one), choice.NotSent)
+	c.Close()
+	want(t, "connections open", r.conns.open, 0)
+}
+
+// Guards against idle connections that outlast the time after which hosts end them.
+func TestIdleConnectionExpires(t *testing.T) {
+	addr, ended := rawHost(t, okAnswer)
+	r := &Relay{conns: newHostConns(time.Second, time.Millisecond, 4)}
+	want(t, "outcome", outcome(r, context.Background(), oneCall(addr, "x")), choice.Served)
+	wait(t, ended, "close")
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -68,8 +68,8 @@
 	if f.Discovery != "" && f.Discovery != c.Discovery[0] {
 		c.Discovery = append(c.Discovery, f.Discovery)
 	}
-	if c.Sockets < 16 || c.DiskMB <= 0 {
-		return c, fmt.Errorf("%s: limits: sockets is %d and disk_mb %g, must be at least 16 and above 0",
+	if c.Sockets < 64 || c.DiskMB <= 0 {
+		return c, fmt.Errorf("%s: limits: sockets is %d and disk_mb %g, must be at least 64 and above 0",
 			path, c.Sockets, c.DiskMB)
 	}
 	if f.Seed != "" {
--- /dev/null
+++ b/internal/relay/conns.go
@@ -0,0 +1,283 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	maxHead    = 32 << 10               // of an answer
+	maxInterim = 8                      // 1xx answers ahead of one
+	restIn     = 200 * time.Millisecond // for the rest of an answer that has begun
+)
+
+var errNoDescriptor = errors.New("no descriptor is free for a connection")
+
+// hostConns keeps the connections to hosts. net/http's Transport is not used: it pools them by
+// address, so that a new host gets those of a gone one; it hands what lies behind an answer to
+// the next call; and it does not tell whether the last byte of a request was written.
+type hostConns struct {
+	dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	rest time.Duration // one that stood idle for so long is closed
+	most int           // open or coming up
+
+	mu   sync.Mutex
+	open int
+	idle map[*host][]*hostConn // the one used last at the end
+}
+
+type hostConn struct {
+	net.Conn
+	set    *hostConns
+	host   *host
+	room   io.LimitedReader // bounds what in reads
+	in     *bufio.Reader
+	kept   bool        // from an earlier call
+	since  time.Time   // idle
+	expiry *time.Timer // while idle
+	unbind func() bool // from the context of its call
+	once   sync.Once
+}
+
+func newHostConns(dial, rest time.Duration, most int) *hostConns {
+	return &hostConns{dial: (&net.Dialer{Timeout: dial}).DialContext, rest: rest, most: most, idle: map[*host][]*hostConn{}}
+}
+
+// get returns a kept connection to a host, or a new one. It ends with the context.
+func (s *hostConns) get(ctx context.Context, h *host) (*hostConn, error) {
+	for c := s.pop(h); c != nil; c = s.pop(h) {
+		if c.quiet() {
+			c.kept = true
+			c.bind(ctx)
+			return c, nil
+		}
+		c.Close()
+	}
+	if !s.reserve() {
+		return nil, errNoDescriptor
+	}
+	conn, err := s.dial(ctx, "tcp", h.addr)
+	if err != nil {
+		s.mu.Lock()
+		s.open--
+		s.mu.Unlock()
+		for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL} {
+			if errors.Is(err, own) {
+				return nil, errNoDescriptor
+			}
+		}
+		return nil, err
+	}
+	c := &hostConn{Conn: conn, set: s, host: h}
+	c.room.R = conn
+	c.in = bufio.NewReader(&c.room)
+	c.bind(ctx)
+	return c, nil
+}
+
+// bind closes the connection when the context ends: so a call is given up.
+func (c *hostConn) bind(ctx context.Context) { c.unbind = context.AfterFunc(ctx, c.close) }
+
+func (s *hostConns) pop(h *host) *hostConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := s.idle[h]
+	if len(all) == 0 {
+		return nil
+	}
+	c := all[len(all)-1]
+	s.remove(c)
+	return c
+}
+
+// remove takes an idle connection out. The lock is held.
+func (s *hostConns) remove(c *hostConn) {
+	c.expiry.Stop()
+	all := s.idle[c.host]
+	for i := range all {
+		if all[i] == c {
+			all = append(all[:i:i], all[i+1:]...)
+			break
+		}
+	}
+	if s.idle[c.host] = all; len(all) == 0 {
+		delete(s.idle, c.host)
+	}
+}
+
+// reserve makes room for one more connection, in the place of the one idle for longest if need be.
+func (s *hostConns) reserve() bool {
+	s.mu.Lock()
+	var oldest *hostConn
+	if s.open >= s.most {
+		for _, all := range s.idle {
+			if oldest == nil || all[0].since.Before(oldest.since) {
+				oldest = all[0]
+			}
+		}
+		if oldest == nil {
+			s.mu.Unlock()
+			return false
+		}
+		s.remove(oldest)
+	}
+	s.open++
+	s.mu.Unlock()
+	if oldest != nil {
+		oldest.Close()
+	}
+	return true
+}
+
+// put keeps a connection whose answer was read whole, with nothing behind it.
+func (s *hostConns) put(c *hostConn) {
+	if !c.unbind() || c.SetReadDeadline(time.Time{}) != nil {
+		c.Close()
+		return
+	}
+	s.mu.Lock()
+	keep := !c.host.closed.Load()
+	if keep {
+		c.since = time.Now()
+		c.expiry = time.AfterFunc(s.rest, func() { s.expire(c) })
+		s.idle[c.host] = append(s.idle[c.host], c)
+	}
+	s.mu.Unlock()
+	if !keep {
+		c.Close()
+	}
+}
+
+func (s *hostConns) expire(c *hostConn) {
+	s.mu.Lock()
+	idle := false
+	for _, o := range s.idle[c.host] {
+		idle = idle || o == c
+	}
+	if idle {
+		s.remove(c)
+	}
+	s.mu.Unlock()
+	if idle {
+		c.Close()
+	}
+}
+
+// shut closes the idle connections of a host that gets no further calls. Its closed is set before.
+func (s *hostConns) shut(h *host) {
+	for c := s.pop(h); c != nil; c = s.pop(h) {
+		c.Close()
+	}
+}
+
+func (c *hostConn) close() { c.Close() }
+
+func (c *hostConn) Close() (err error) {
+	c.once.Do(func() {
+		err = c.Conn.Close()
+		c.set.mu.Lock()
+		c.set.open--
+		c.set.mu.Unlock()
+	})
+	return err
+}
+
+// quiet tells whether nothing has come on an idle connection: neither its end, nor bytes that
+// would pass for the next answer.
+func (c *hostConn) quiet() bool {
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, err := syscall.Read(int(fd), one[:])
+		quiet = n < 0 && err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// reply is what came back of one call.
+type reply struct {
+	begun  bool // something came
+	status int  // of the first line; 0 if it could not be read
+	at     time.Time
+	header http.Header
+	body   []byte
+	whole  bool // header and body were read to their end
+	noise  bool // what lies behind it is no further answer
+	clean  bool // nothing lies behind it: the connection may be used again
+}
+
+// reply reads an answer. However it ends, what was read until then stands.
+func (c *hostConn) reply() (a reply) {
+	for range maxInterim {
+		c.room.N = maxHead
+		if _, err := c.in.Peek(1); err != nil {
+			return a
+		}
+		a.begun, a.at = true, time.Now()
+		c.SetReadDeadline(a.at.Add(restIn))
+		a.status = statusOf(firstLine(c.in))
+		if a.status == 0 {
+			return a
+		}
+		resp, err := http.ReadResponse(c.in, &http.Request{Method: http.MethodPost})
+		if err != nil {
+			return a
+		}
+		if a.status/100 == 1 {
+			a.status = 0
+			c.SetReadDeadline(time.Time{})
+			continue
+		}
+		c.room.N = maxBody + maxHead
+		a.header = resp.Header
+		a.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+		a.whole = err == nil && len(a.body) <= maxBody
+		behind, _ := c.in.Peek(c.in.Buffered())
+		a.noise = len(behind) > 0 && !bytes.HasPrefix(behind, []byte("HTTP/1."))
+		a.clean = a.whole && !resp.Close && len(behind) == 0
+		return a
+	}
+	return a
+}
+
+// firstLine looks at the first line without reading it; nil if it does not end.
+func firstLine(in *bufio.Reader) []byte {
+	for {
+		seen, _ := in.Peek(in.Buffered())
+		if i := bytes.IndexByte(seen, '\n'); i >= 0 {
+			return seen[:i]
+		}
+		if _, err := in.Peek(len(seen) + 1); err != nil {
+			return nil
+		}
+	}
+}
+
+// statusOf reads a status line; 0 if it is none.
+func statusOf(line []byte) int {
+	proto, rest, _ := bytes.Cut(bytes.TrimRight(line, "\r"), []byte(" "))
+	code, _, _ := bytes.Cut(rest, []byte(" "))
+	n, err := strconv.Atoi(string(code))
+	if !bytes.HasPrefix(proto, []byte("HTTP/1.")) || err != nil || len(code) != 3 || n < 100 {
+		return 0
+	}
+	return n
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -171,18 +171,19 @@
 			h.State = choice.Draining
 		}
 		ev.Hosts = append(ev.Hosts, h)
-		if was := old[s.ID]; was != nil {
-			was.closed.Store(h.State != choice.Ready)
+		was := old[s.ID]
+		if was != nil {
+			r.gate(was, h.State != choice.Ready)
 		}
 		if h.State == choice.Gone {
 			delete(r.hosts, s.ID)
 			continue
 		}
 		n := &host{id: s.ID, addr: s.Addr, dest: s.Cell, zone: h.Zone, perCall: 1}
-		if was := old[s.ID]; was != nil && was.addr == n.addr && was.dest == n.dest {
+		if was != nil && was.addr == n.addr && was.dest == n.dest {
 			n = was // calls that are out hold on to it
 		} else if was != nil {
-			was.closed.Store(true)
+			r.gate(was, true)
 		}
 		if h.Kind >= 0 {
 			n.perCall = r.set.Kinds[h.Kind].PerCall
@@ -194,7 +195,7 @@
 	if l.Full { // only now: one that stays must not look closed for a moment to a call about to go
 		for id, h := range old {
 			if r.hosts[id] != h {
-				h.closed.Store(true)
+				r.gate(h, true)
 			}
 		}
 	}
@@ -202,6 +203,13 @@
 	r.forget()
 }
 
+// gate tells whether new calls may go to a host. One that gets none keeps no idle connections.
+func (r *Relay) gate(h *host, closed bool) {
+	if h.closed.Store(closed); closed {
+		r.conns.shut(h)
+	}
+}
+
 // knows tells whether a destination has hosts, or had some not long ago.
 func (r *Relay) knows(dest int) bool { _, ok := r.dests[dest]; return ok }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,7 @@
 const (
 	batchMost = 256
 	maxOwed   = 8192
+	keptBack  = 16 // descriptors for all but clients and hosts; conf.Sockets is at least 64
 	// forgetUnwell is when an outage last heard of is over for a restarted relay.
 	forgetUnwell = 5 * time.Minute
 )
@@ -70,7 +71,7 @@
 	began    time.Time
 	server   *http.Server
 	listener net.Listener
-	hostSide *http.Transport
+	conns    *hostConns
 	life     context.Context // of discovery and notices
 	end      context.CancelFunc
 	agent    atomic.Pointer[agent]
@@ -109,8 +110,9 @@
 		dests: map[int]time.Duration{}, inbox: make(chan func(), 256), notices: newOutbox(),
 		quit: make(chan struct{}), wake: time.NewTimer(time.Hour), bodies: bodyBytes(conf.MemoryMB)}
 	r.past.most = 4096
-	idle := set.IdleConn - min(500*time.Millisecond, set.IdleConn/4)
-	r.hostSide = newTransport(set.DialTimeout, idle, set.Workers, conf.Sockets/4)
+	rest := set.IdleConn - min(500*time.Millisecond, set.IdleConn/4) // hosts end idle ones; what crosses that is lost
+	// Descriptors: half for clients, a few for journal, discovery and the runtime, the rest for hosts.
+	r.conns = newHostConns(set.DialTimeout, rest, conf.Sockets/2-keptBack)
 	r.life, r.end = context.WithCancel(context.Background())
 	r.Rediscover(conf.Discovery)
 	r.calls, r.endCalls = context.WithCancelCause(context.Background())
--- a/internal/relay/service_test.go
+++ b/internal/relay/service_test.go
@@ -105,7 +105,7 @@
 // Guards against silent and idle connections that keep others from being accepted.
 func TestSilentClientsMakeRoom(t *testing.T) {
 	calls := make(chan *seen, 10)
-	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), func(c *Config) { c.Sockets = 32 })
+	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), func(c *Config) { c.Sockets = 64 })
 	silent := make([]net.Conn, 40)
 	for i := range silent {
 		silent[i] = dial(t, r.Addr())
@@ -238,7 +238,7 @@
 // Guards against growth where ids of hosts are ever new.
 func TestGoneHostsAreForgotten(t *testing.T) {
 	r := &Relay{hosts: map[string]*host{}, dests: map[int]time.Duration{}, journal: open(t, t.TempDir(), 3e6),
-		began: time.Now().Add(-time.Hour)}
+		began: time.Now().Add(-time.Hour), conns: newHostConns(time.Second, time.Minute, 64)}
 	long := time.Now().Add(-time.Hour).UnixMilli()
 	put(t, r.journal, record{Op: opHealth, ID: "s-0", Ran: true, At: long}, record{Op: opHealth, ID: "s-1", Ran: true, At: long})
 	r.dests[6] = 0
