--- a/choice/choice.go
+++ b/choice/choice.go
@@ -410,7 +410,7 @@
 			u.limit = own
 		}
 		u.limit = max(u.limit*cut, 1/c.set.Rules.Cold.Seconds(), u.listed/float64(c.set.Fleet)/2)
-		u.cutAt, u.tokens = c.now, max(-u.limit/2, min(u.tokens, 0)) // not the debt of all calls while there was no limit
+		u.cutAt, u.tokens = c.now, max(-u.limit/2, min(u.tokens, 0)) // calls without a limit are no debt
 	}
 	// Refusals alone, for longer than a limit explains, are those of a shut destination.
 	fall := c.set.Rules.Fall
