--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,6 +30,7 @@
 	// cut of a unit's pace: a fifth on a refusal. grow is what it regains in a second without, and
 	// search the same where no rate is listed.
 	cut, grow, search = 0.8, 0.05, 0.07
+	brisk             = 4 // calls a second from which pace is learnt by calls, not by seconds
 	// aside is the share of worth by which a host that just failed, or is not yet well, comes later.
 	aside  = 0.02
 	glance = 200 // looks without news within the shortest aim
@@ -406,7 +407,11 @@
 	if c.now-u.cutAt >= time.Second && !c.thin(u) {
 		// Over at least the even share of a call, or the refused call alone counts as more than its share.
 		span := min(max(time.Second, c.even(u)), c.set.Rules.Cold)
-		if own := c.sent(u, span) / span.Seconds(); u.limit == 0 || own < u.limit {
+		own := c.sent(u, span) / span.Seconds()
+		if flow := c.flow(u); flow > brisk { // one refusal in a lull says little of what it takes
+			own = max(own, flow)
+		}
+		if u.limit == 0 || own < u.limit {
 			u.limit = own
 		}
 		u.limit = max(u.limit*cut, 1/c.set.Rules.Cold.Seconds(), u.listed/float64(c.set.Fleet)/2)
@@ -508,7 +513,7 @@
 	if u.listed > 0 {
 		u.limit = min(u.limit*(1+grow*min(dt, 1)), u.listed)
 	} else {
-		u.limit *= 1 + search*min(dt, 1)
+		u.limit *= 1 + search*min(dt, 1)*min(max(1, u.limit/brisk), 4) // each call served tells as much
 	}
 	u.tokens = min(u.tokens+u.limit*dt, max(1, u.limit*c.minAim.Seconds()/8))
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -723,3 +723,29 @@
 		t.Errorf("limit %.1f, tokens %.1f after the first refusal, want a debt of under a second", u.limit, u.tokens)
 	}
 }
+
+// Guards against a backlog behind a pace that regains as little a second with many calls as with few, and against
+// a pace cut to what was sent in a lull.
+func TestPaceOfABriskUnit(t *testing.T) {
+	s := settings()
+	s.Listed, s.Fleet = false, 1
+	r := newRig(t, s, Host{Addr: "a", Dest: 1, State: Ready})
+	u := r.c.hosts["a"].unit
+	u.born, u.served, u.lastServed = r.now-time.Hour, 20, r.now
+	r.step(arrival("full", 2))
+	r.step(r.end("full", "a", Refused))
+	if u.limit < 0.7*20 {
+		t.Errorf("limit %.1f after a refusal at one call a second, want it near the 20 served before", u.limit)
+	}
+	for _, tc := range []struct{ limit, least, most float64 }{{2, 2.1, 2.3}, {16, 20, 26}} {
+		u.limit, u.limitAt = tc.limit, r.now
+		for range 20 { // two seconds
+			r.now += 100 * ms
+			r.c.now = r.now
+			r.c.refill(u)
+		}
+		if u.limit < tc.least || u.limit > tc.most {
+			t.Errorf("limit %.1f grew to %.1f in 2 s, want %.1f to %.1f", tc.limit, u.limit, tc.least, tc.most)
+		}
+	}
+}
