--- a/choice/api.go
+++ b/choice/api.go
@@ -90,7 +90,7 @@
 	Reset
 	Cancelled
 	NotSent
-	Spoilt // an answer that cannot be read: it may have run, and one says nothing of the host
+	Spoilt // no answer that can be read, by no fault of the host's: it may have run, and one says nothing of its health
 )
 
 // An Event tells a Chooser what happened. The types below are the events.
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -119,6 +119,7 @@
 	}
 	switch {
 	case a.begun:
+		conn.note(false)
 		if a.status != 0 {
 			took = a.at.Sub(begin)
 		}
@@ -131,6 +132,10 @@
 	case context.Cause(ctx) == errTimeout:
 		return all(end{outcome: choice.Timeout}), took, 0
 	}
+	conn.note(true)
+	if conn.kept { // it may have been dropped on the way, which is no sign of its host's health
+		return all(end{outcome: choice.Spoilt}), took, 0
+	}
 	return all(end{outcome: choice.Reset}), took, 0
 }
 
--- a/internal/relay/conns.go
+++ b/internal/relay/conns.go
@@ -30,9 +30,55 @@
 	rest time.Duration // one that stood idle for so long is closed
 	most int           // open or coming up
 
-	mu   sync.Mutex
-	open int
-	idle map[*host][]*hostConn // the one used last at the end
+	mu    sync.Mutex
+	open  int
+	idle  map[*host][]*hostConn // the one used last at the end
+	stale staleness
+}
+
+// staleness learns how long a connection may stand idle and still be used: something on the way
+// may drop it long before its host would, and the next call on it is a reset that may have run.
+type staleness struct {
+	used, broke [10]float64 // by idle time: under 25 ms, 50 ms, 100 ms, ...
+	trust       time.Duration
+	until       time.Time
+}
+
+const (
+	firstIdle  = 25 * time.Millisecond
+	brokeLeast = 3   // resets, before they mean anything
+	brokeShare = 0.1 // of the calls after such a time
+	doubtFor   = 30 * time.Second
+)
+
+// note takes in how a call on a kept connection went.
+func (s *staleness) note(idle time.Duration, broke bool, now time.Time) {
+	i := 0
+	for most := firstIdle; idle >= most && i < len(s.used)-1; most *= 2 {
+		i++
+	}
+	if s.used[i]++; broke {
+		s.broke[i]++
+	}
+	if s.used[i] > 200 { // old ones fade
+		s.used[i], s.broke[i] = s.used[i]/2, s.broke[i]/2
+	}
+	if s.broke[i] >= brokeLeast && s.broke[i] >= brokeShare*s.used[i] {
+		least := time.Duration(0)
+		if i > 0 {
+			least = firstIdle << (i - 1)
+		}
+		if s.until.Before(now) || least < s.trust {
+			s.trust = least
+		}
+		s.until = now.Add(doubtFor)
+		s.used[i], s.broke[i] = 0, 0
+	}
+}
+
+// trusts tells whether a connection that stood idle for so long may be used.
+func (s *staleness) trusts(idle time.Duration, now time.Time) bool {
+	return idle < s.trust || !now.Before(s.until)
 }
 
 type hostConn struct {
@@ -41,10 +87,11 @@
 	host   *host
 	room   io.LimitedReader // bounds what in reads
 	in     *bufio.Reader
-	kept   bool        // from an earlier call
-	since  time.Time   // idle
-	expiry *time.Timer // while idle
-	unbind func() bool // from the context of its call
+	kept   bool          // from an earlier call
+	since  time.Time     // idle
+	stood  time.Duration // idle before its call
+	expiry *time.Timer   // while idle
+	unbind func() bool   // from the context of its call
 	once   sync.Once
 }
 
@@ -55,8 +102,8 @@
 // get returns a kept connection to a host, or a new one. It ends with the context.
 func (s *hostConns) get(ctx context.Context, h *host) (*hostConn, error) {
 	for c := s.pop(h); c != nil; c = s.pop(h) {
-		if c.quiet() {
-			c.kept = true
+		if s.trusts(c) && c.quiet() {
+			c.kept, c.stood = true, time.Since(c.since)
 			c.bind(ctx)
 			return c, nil
 		}
@@ -84,6 +131,22 @@
 	return c, nil
 }
 
+func (s *hostConns) trusts(c *hostConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	return s.stale.trusts(now.Sub(c.since), now)
+}
+
+// note takes in whether a call on a kept connection broke without an answer.
+func (c *hostConn) note(broke bool) {
+	if c.kept {
+		c.set.mu.Lock()
+		c.set.stale.note(c.stood, broke, time.Now())
+		c.set.mu.Unlock()
+	}
+}
+
 // bind closes the connection when the context ends: so a call is given up.
 func (c *hostConn) bind(ctx context.Context) { c.unbind = context.AfterFunc(ctx, c.close) }
 
