--- a/internal/relay/journal.go
+++ b/internal/journal/journal.go
@@ -1,13 +1,18 @@
-package relay
+// Package journal is the durable record of what a relay owes: what it has taken on, the attempts made,
+// and how messages ended. It knows records, not decisions.
+package journal
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"os"
 	"path/filepath"
+	"strconv"
 )
 
 // The journal is one append-only file of records: length, CRC32, JSON. What
@@ -22,14 +27,14 @@
 	reserve    = 1 << 17 // of the budget, kept for records of messages already held
 )
 
-// errFull says that the journal has no room for one more message.
-var errFull = errors.New("journal: disk budget used up")
+// ErrFull says that the journal has no room for one more message.
+var ErrFull = errors.New("journal: disk budget used up")
 
-// errUnwritten says that earlier records still wait to be written.
-var errUnwritten = errors.New("journal: earlier records are not written yet")
+// ErrUnwritten says that earlier records still wait to be written.
+var ErrUnwritten = errors.New("journal: earlier records are not written yet")
 
-// entry is all that is needed to send a message again, or to end it.
-type entry struct {
+// Entry is all that is needed to send a message again, or to end it.
+type Entry struct {
 	ID     string `json:"id"`
 	Class  string `json:"class"`
 	Dest   int    `json:"dest"`
@@ -50,20 +55,34 @@
 	size int64 // bytes that it takes in a compacted journal at most
 }
 
+// Same tells whether a message is the one that was handed in before under its id.
+func (e *Entry) Same(o *Entry) bool {
+	return e.Class == o.Class && e.Dest == o.Dest && e.Key == o.Key && bytes.Equal(e.Body, o.Body)
+}
+
+// Sum stands for what Same compares.
+func (e *Entry) Sum() uint32 {
+	h := crc32.NewIEEE()
+	io.WriteString(h, e.Class+" "+strconv.Itoa(e.Dest)+" "+e.Key+" ")
+	h.Write(e.Body)
+	return h.Sum32()
+}
+
 // What a record tells of a message.
 const (
-	opTaken   = "taken"   // Entry: taken on, or carried over by compaction
-	opTry     = "try"     // an attempt is about to go
-	opOutcome = "outcome" // it ended
-	opNotice  = "notice"  // the message ended undelivered; its notice is owed
-	opEnd     = "end"     // nothing more is owed
-	opHealth  = "health"  // ID is a host: an outage was seen there (Ran), or has passed
+	OpTaken   = "taken"   // Entry: taken on, or carried over by compaction
+	OpTry     = "try"     // an attempt is about to go
+	OpOutcome = "outcome" // it ended
+	OpNotice  = "notice"  // the message ended undelivered; its notice is owed
+	OpEnd     = "end"     // nothing more is owed
+	OpHealth  = "health"  // ID is a host: an outage was seen there (Ran), or has passed
 )
 
-type record struct {
+// Record is one line of a message's life; its Op says which, and which fields count.
+type Record struct {
 	Op     string  `json:"op"`
 	ID     string  `json:"i,omitempty"`
-	Entry  *entry  `json:"e,omitempty"`
+	Entry  *Entry  `json:"e,omitempty"`
 	At     int64   `json:"at,omitempty"`
 	Wait   int64   `json:"w,omitempty"`
 	Zone   int     `json:"z,omitempty"`
@@ -73,7 +92,7 @@
 	Base   float64 `json:"b,omitempty"`
 }
 
-func frame(buf []byte, r record) []byte {
+func frame(buf []byte, r Record) []byte {
 	payload, err := json.Marshal(r)
 	if err != nil {
 		panic(err) // no field of a record can fail
@@ -85,7 +104,7 @@
 
 // unframe reads the record at the start of data and tells how long it is. A
 // torn or corrupt one is an error: what follows it cannot be trusted.
-func unframe(data []byte) (r record, n int, err error) {
+func unframe(data []byte) (r Record, n int, err error) {
 	if len(data) < headerSize {
 		return r, 0, errors.New("torn header")
 	}
@@ -103,22 +122,26 @@
 	return r, headerSize + int(size), nil
 }
 
-type journal struct {
+// Journal is an open journal. It is not safe for concurrent use. The exported fields are for
+// reading, save Budget and Broken.
+type Journal struct {
 	path    string
-	budget  int64 // for all files together
+	Budget  int64 // bytes, for all files together
 	f       *os.File
 	size    int64
 	live    int64 // what a compacted journal takes at most
-	entries map[string]*entry
-	unwell  map[string]record // hosts in an outage, or cold after it
-	order   []string          // ids as taken on; ended ones are dropped by compaction
-	broken  error             // a failed write could not be undone
+	Entries map[string]*Entry
+	Unwell  map[string]Record // hosts in an outage, or cold after it
+	Order   []string          // ids as taken on; ended ones are dropped by compaction
+	// Broken fails every further Append; it is set when a failed write could not be undone, and by tests.
+	Broken error
 }
 
-// openJournal replays what an earlier process left and starts a compacted file.
-func openJournal(dir string, budget int64) (*journal, error) {
-	j := &journal{path: filepath.Join(dir, "journal"), budget: budget - 4*blockSize, entries: map[string]*entry{},
-		unwell: map[string]record{}}
+// Open replays what an earlier process left in a folder and starts a compacted file there. Budget is
+// what its files may take together, in bytes.
+func Open(dir string, budget int64) (*Journal, error) {
+	j := &Journal{path: filepath.Join(dir, "journal"), Budget: budget - 4*blockSize, Entries: map[string]*Entry{},
+		Unwell: map[string]Record{}}
 	// A leftover copy is of a compaction that a kill cut short: the old file still holds all.
 	if err := os.Remove(j.path + ".tmp"); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
@@ -143,46 +166,46 @@
 }
 
 // apply brings the entries up to date with one record.
-func (j *journal) apply(r record, n int64) {
-	e := j.entries[r.ID]
+func (j *Journal) apply(r Record, n int64) {
+	e := j.Entries[r.ID]
 	switch {
-	case r.Op == opHealth && r.Ran:
-		if _, ok := j.unwell[r.ID]; !ok {
+	case r.Op == OpHealth && r.Ran:
+		if _, ok := j.Unwell[r.ID]; !ok {
 			j.live += slack
 		}
-		j.unwell[r.ID] = r
-	case r.Op == opHealth:
-		if _, ok := j.unwell[r.ID]; ok {
+		j.Unwell[r.ID] = r
+	case r.Op == OpHealth:
+		if _, ok := j.Unwell[r.ID]; ok {
 			j.live -= slack
 		}
-		delete(j.unwell, r.ID)
-	case r.Op == opTaken && r.Entry != nil && j.entries[r.Entry.ID] == nil:
+		delete(j.Unwell, r.ID)
+	case r.Op == OpTaken && r.Entry != nil && j.Entries[r.Entry.ID] == nil:
 		e = r.Entry
 		e.size = n + slack
 		j.live += e.size
-		j.entries[e.ID] = e
-		j.order = append(j.order, e.ID)
+		j.Entries[e.ID] = e
+		j.Order = append(j.Order, e.ID)
 	case e == nil:
-	case r.Op == opTry:
+	case r.Op == OpTry:
 		e.Tries++
 		e.Out, e.OutAt, e.OutTo, e.Wait = true, r.At, r.Zone, r.Wait
-	case r.Op == opOutcome && e.Out:
+	case r.Op == OpOutcome && e.Out:
 		e.Out = false
 		if r.Ran && !e.Ran {
 			e.Ran, e.RanAt, e.Zone = true, e.OutAt, e.OutTo
 		}
-	case r.Op == opNotice:
+	case r.Op == OpNotice:
 		e.Status, e.Again, e.Body, e.Out = r.Status, r.Again, nil, false
-	case r.Op == opEnd:
+	case r.Op == OpEnd:
 		j.live -= e.size
-		delete(j.entries, r.ID)
+		delete(j.Entries, r.ID)
 	}
 }
 
-// append writes records and applies them. When it fails nothing was recorded.
-func (j *journal) append(recs ...record) error {
-	if j.broken != nil {
-		return j.broken
+// Append writes records and applies them. When it fails nothing was recorded.
+func (j *Journal) Append(recs ...Record) error {
+	if j.Broken != nil {
+		return j.Broken
 	}
 	var buf []byte
 	var grows, spare int64
@@ -192,28 +215,28 @@
 		buf = frame(buf, r)
 		ends[i] = int64(len(buf) - before)
 		switch r.Op {
-		case opTaken:
+		case OpTaken:
 			grows += ends[i] + slack
 			spare = reserve
-		case opHealth:
+		case OpHealth:
 			grows += slack
 		}
 	}
 	n := int64(len(buf))
 	// The file and its compacted copy must fit together at any time.
-	fits := func() bool { return j.size+n+j.live+grows+spare <= j.budget }
+	fits := func() bool { return j.size+n+j.live+grows+spare <= j.Budget }
 	if !fits() {
 		if err := j.compact(); err != nil {
 			return err
 		}
 		if !fits() {
-			return errFull
+			return ErrFull
 		}
 	}
 	if _, err := j.f.WriteAt(buf, j.size); err != nil {
 		// Half a record would hide all that follows it from a replay.
 		if terr := j.f.Truncate(j.size); terr != nil {
-			j.broken = fmt.Errorf("journal: %w, and could not be cut back: %w", err, terr)
+			j.Broken = fmt.Errorf("journal: %w, and could not be cut back: %w", err, terr)
 		}
 		return fmt.Errorf("journal: %w", err)
 	}
@@ -225,19 +248,19 @@
 }
 
 // compact writes what is still owed to a new file and puts it in the old one's place.
-func (j *journal) compact() error {
+func (j *Journal) compact() error {
 	var buf []byte
-	order := j.order[:0:0]
-	for _, id := range j.order {
-		if e := j.entries[id]; e != nil {
-			buf = frame(buf, record{Op: opTaken, Entry: e})
+	order := j.Order[:0:0]
+	for _, id := range j.Order {
+		if e := j.Entries[id]; e != nil {
+			buf = frame(buf, Record{Op: OpTaken, Entry: e})
 			order = append(order, id)
 		}
 	}
-	for _, h := range j.unwell {
+	for _, h := range j.Unwell {
 		buf = frame(buf, h)
 	}
-	if j.size+int64(len(buf)) > j.budget {
+	if j.size+int64(len(buf)) > j.Budget {
 		// Not a file that this journal wrote, which keeps room for its copy: make room first.
 		if err := os.Remove(j.path); err != nil {
 			return fmt.Errorf("journal: %w", err)
@@ -259,6 +282,9 @@
 	if j.f != nil {
 		j.f.Close()
 	}
-	j.f, j.size, j.order, j.broken = f, int64(len(buf)), order, nil
+	j.f, j.size, j.Order, j.Broken = f, int64(len(buf)), order, nil
 	return nil
 }
+
+// Close closes the file. What was appended stays.
+func (j *Journal) Close() error { return j.f.Close() }
--- a/internal/relay/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -1,4 +1,4 @@
-package relay
+package journal
 
 import (
 	"bytes"
@@ -9,9 +9,9 @@
 	"testing"
 )
 
-func open(t *testing.T, dir string, budget int64) *journal {
+func open(t *testing.T, dir string, budget int64) *Journal {
 	t.Helper()
-	j, err := openJournal(dir, budget)
+	j, err := Open(dir, budget)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -19,33 +19,40 @@
 	return j
 }
 
-func put(t *testing.T, j *journal, recs ...record) {
+func want[T comparable](t *testing.T, what string, got, want T) {
 	t.Helper()
-	if err := j.append(recs...); err != nil {
+	if got != want {
+		t.Fatalf("%s is %v, want %v", what, got, want)
+	}
+}
+
+func put(t *testing.T, j *Journal, recs ...Record) {
+	t.Helper()
+	if err := j.Append(recs...); err != nil {
 		t.Fatal(err)
 	}
 }
 
-func taken(id string, size int) record {
-	return record{Op: opTaken, Entry: &entry{ID: id, Class: "payment", Dest: 7, Due: 99, Body: bytes.Repeat([]byte{7}, size)}}
+func taken(id string, size int) Record {
+	return Record{Op: OpTaken, Entry: &Entry{ID: id, Class: "payment", Dest: 7, Due: 99, Body: bytes.Repeat([]byte{7}, size)}}
 }
 
 func TestJournalReplay(t *testing.T) {
 	dir := t.TempDir()
 	j := open(t, dir, 3e6)
 	put(t, j, taken("a", 10), taken("b", 10), taken("c", 10), taken("d", 10))
-	put(t, j, record{Op: opTry, ID: "a", At: 5, Wait: 300, Zone: 2}, record{Op: opOutcome, ID: "a", Ran: true},
-		record{Op: opTry, ID: "a", At: 9, Zone: 1}, record{Op: opOutcome, ID: "a", Ran: true})
-	put(t, j, record{Op: opTry, ID: "b", At: 6, Zone: 1}, record{Op: opEnd, ID: "c"},
-		record{Op: opNotice, ID: "d", Status: deferred, Again: 700}, record{Op: opHealth, ID: "s-1", Ran: true, Base: 2})
+	put(t, j, Record{Op: OpTry, ID: "a", At: 5, Wait: 300, Zone: 2}, Record{Op: OpOutcome, ID: "a", Ran: true},
+		Record{Op: OpTry, ID: "a", At: 9, Zone: 1}, Record{Op: OpOutcome, ID: "a", Ran: true})
+	put(t, j, Record{Op: OpTry, ID: "b", At: 6, Zone: 1}, Record{Op: OpEnd, ID: "c"},
+		Record{Op: OpNotice, ID: "d", Status: "deferred", Again: 700}, Record{Op: OpHealth, ID: "s-1", Ran: true, Base: 2})
 	for range 2 { // the second time from the compacted file
 		j = open(t, dir, 3e6)
-		want(t, "entries", len(j.entries), 3)
-		a, b, d := j.entries["a"], j.entries["b"], j.entries["d"]
+		want(t, "entries", len(j.Entries), 3)
+		a, b, d := j.Entries["a"], j.Entries["b"], j.Entries["d"]
 		want(t, "a", fmt.Sprint(a.Tries, a.Ran, a.RanAt, a.Zone, a.Out, len(a.Body)), "2 true 5 2 false 10")
 		want(t, "b", fmt.Sprint(b.Tries, b.Ran, b.Out, b.OutAt, b.OutTo), "1 false true 6 1")
 		want(t, "d", fmt.Sprint(d.Status, " ", d.Again), "deferred 700")
-		want(t, "host in an outage", j.unwell["s-1"].Base, 2)
+		want(t, "host in an outage", j.Unwell["s-1"].Base, 2)
 	}
 }
 
@@ -66,9 +73,9 @@
 			t.Fatal(err)
 		}
 		j := open(t, dir, 3e6)
-		want(t, "entries", len(j.entries), 1)
+		want(t, "entries", len(j.Entries), 1)
 		put(t, j, taken("c", 10))
-		want(t, "entries after the next start", len(open(t, dir, 3e6).entries), 2)
+		want(t, "entries after the next start", len(open(t, dir, 3e6).Entries), 2)
 	}
 }
 
@@ -80,20 +87,20 @@
 	var err error
 	n := 0
 	for ; err == nil; n++ {
-		err = j.append(taken(fmt.Sprint("m", n), 5000))
+		err = j.Append(taken(fmt.Sprint("m", n), 5000))
 		if sum := j.size + j.live + 2*blockSize; sum > budget {
 			t.Fatalf("file and copy may take %d of %d", sum, budget)
 		}
 	}
-	if !errors.Is(err, errFull) {
+	if !errors.Is(err, ErrFull) {
 		t.Fatal(err)
 	}
 	for i := range n - 1 {
 		id := fmt.Sprint("m", i)
-		put(t, j, record{Op: opTry, ID: id}, record{Op: opOutcome, ID: id}, record{Op: opNotice, ID: id, Status: deferred})
+		put(t, j, Record{Op: OpTry, ID: id}, Record{Op: OpOutcome, ID: id}, Record{Op: OpNotice, ID: id, Status: "deferred"})
 	}
 	for i := range n - 1 {
-		put(t, j, record{Op: opEnd, ID: fmt.Sprint("m", i)})
+		put(t, j, Record{Op: OpEnd, ID: fmt.Sprint("m", i)})
 	}
 	want(t, "live bytes", j.live, 0)
 	put(t, j, taken("again", 5000))
@@ -111,52 +118,29 @@
 	}
 	defer ro.Close()
 	j.f = ro
-	if err := j.append(taken("b", 10)); err == nil {
+	if err := j.Append(taken("b", 10)); err == nil {
 		t.Fatal("a write to a read-only file went well")
 	}
-	want(t, "entries", len(j.entries), 1)
-	j.f, j.broken = good, nil
+	want(t, "entries", len(j.Entries), 1)
+	j.f, j.Broken = good, nil
 	put(t, j, taken("c", 10))
-	want(t, "entries after the next start", len(open(t, dir, 3e6).entries), 2)
-}
-
-// Guards against a refusal that becomes a crash: a relay whose disk is full answers 503 and goes on.
-func TestFullDiskRefuses(t *testing.T) {
-	calls := make(chan *seen, 10)
-	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), nil)
-	set := func(budget int64) (old int64) {
-		was := make(chan int64)
-		r.post(func() {
-			was <- r.journal.budget
-			r.journal.budget = budget
-		})
-		return wait(t, was, "budget")
-	}
-	old := set(1000)
-	status, _ := hand(t, r.Addr(), "m1", "payment")
-	want(t, "status", status, 503)
-	set(old)
-	status, _ = hand(t, r.Addr(), "m2", "payment")
-	want(t, "status", status, 202)
-	c := wait(t, calls, "call")
-	want(t, "id", c.id, "m2")
-	c.answer <- 200
+	want(t, "entries after the next start", len(open(t, dir, 3e6).Entries), 2)
 }
 
 func FuzzJournal(f *testing.F) {
-	good := frame(frame(nil, taken("a", 3)), record{Op: opTry, ID: "a"})
+	good := frame(frame(nil, taken("a", 3)), Record{Op: OpTry, ID: "a"})
 	f.Add(good)
 	f.Add(good[:len(good)-1])
-	f.Add(frame(nil, record{Op: opTaken}))
+	f.Add(frame(nil, Record{Op: OpTaken}))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		dir := t.TempDir()
 		if err := os.WriteFile(filepath.Join(dir, "journal"), data, 0o600); err != nil {
 			t.Fatal(err)
 		}
 		j := open(t, dir, 3e6)
-		before := len(j.entries)
+		before := len(j.Entries)
 		put(t, j, taken("a new id", 3))
-		if after := len(open(t, dir, 3e6).entries); after != before+1 {
+		if after := len(open(t, dir, 3e6).Entries); after != before+1 {
 			t.Fatalf("%d entries, then %d", before, after)
 		}
 	})
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/journal"
 )
 
 func caller() *Relay {
@@ -170,7 +171,7 @@
 	c := &call{host: &host{addr: s.Listener.Addr().String()}}
 	ids := []string{"a", "b", "c", "d", "e", "f"}
 	for _, id := range ids {
-		c.members = append(c.members, &message{entry: &entry{ID: id, Key: strings.Repeat("k", len(c.members)), Body: []byte("\r\n" + id)},
+		c.members = append(c.members, &message{Entry: &journal.Entry{ID: id, Key: strings.Repeat("k", len(c.members)), Body: []byte("\r\n" + id)},
 			due: time.Hour, over: true})
 		c.sends = append(c.sends, choice.Send{ID: id, Timeout: 20 * time.Second})
 	}
@@ -193,14 +194,17 @@
 func TestLargeMessagesDoNotShareACall(t *testing.T) {
 	r := caller()
 	r.began, r.inbox, r.calls = time.Now(), make(chan func(), 10), context.Background()
-	r.journal = open(t, t.TempDir(), 3e6)
+	r.journal = newJournal(t)
 	h := &host{id: "s-1", addr: "127.0.0.1:1", dest: 7, perCall: 5}
 	r.hosts, r.held = map[string]*host{"s-1": h}, map[string]*message{}
 	var sends []choice.Send
 	for i, size := range []int{maxBody, maxBody / 2, 10} {
 		id := fmt.Sprint("m", i)
-		put(t, r.journal, taken(id, size))
-		r.held[id] = &message{entry: r.journal.entries[id], due: time.Hour}
+		e := &journal.Entry{ID: id, Class: "payment", Dest: 7, Body: make([]byte, size)}
+		if err := r.journal.Append(journal.Record{Op: journal.OpTaken, Entry: e}); err != nil {
+			t.Fatal(err)
+		}
+		r.held[id] = &message{Entry: e, due: time.Hour}
 		sends = append(sends, choice.Send{ID: id, Host: "s-1", Timeout: time.Minute})
 	}
 	r.dispatch(sends)
@@ -364,7 +368,7 @@
 func TestConnectionsEndWithTheirHost(t *testing.T) {
 	addr, ended := rawHost(t, okAnswer, okAnswer)
 	r := caller()
-	r.hosts, r.dests, r.journal = map[string]*host{}, map[int]time.Duration{}, &journal{}
+	r.hosts, r.dests, r.journal = map[string]*host{}, map[int]time.Duration{}, &journal.Journal{}
 	for version, id := range []string{"s-1", "s-2"} {
 		r.listed(list{int64(version), true, []server{at(id, addr, "taller")}})
 		c := oneCall(addr, "x")
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/journal"
 )
 
 // server is one entry of discovery's list.
@@ -224,9 +225,9 @@
 			delete(r.dests, d)
 		}
 	}
-	for id, s := range r.journal.unwell {
+	for id, s := range r.journal.Unwell {
 		if r.hosts[id] == nil && time.Duration(wall-s.At)*time.Millisecond > forgetGone {
-			r.record(record{Op: opHealth, ID: id})
+			r.record(journal.Record{Op: journal.OpHealth, ID: id})
 		}
 	}
 }
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/journal"
 )
 
 const (
@@ -26,7 +27,7 @@
 
 // intake is a message that waits for the answer whether it is taken on.
 type intake struct {
-	entry *entry
+	entry *journal.Entry
 	class int
 	due   time.Duration
 	ctx   context.Context // of the client's request
@@ -108,7 +109,7 @@
 // read checks a request; its error is the client's.
 func (r *Relay) read(req *http.Request, came time.Duration) (*intake, int, error) {
 	bad := func(text string) (*intake, int, error) { return nil, http.StatusBadRequest, errors.New(text) }
-	e := &entry{ID: req.Header.Get("X-Request-Id"), Class: req.Header.Get("X-Class"),
+	e := &journal.Entry{ID: req.Header.Get("X-Request-Id"), Class: req.Header.Get("X-Class"),
 		Key: req.Header.Get("Idempotency-Key")}
 	if !isName(e.ID) {
 		return bad("X-Request-Id is missing or malformed")
@@ -193,7 +194,7 @@
 	refuse := answer{status: http.StatusServiceUnavailable, after: comeBack, text: "no room"}
 	switch {
 	case in.ctx.Err() != nil: // nobody waits for the answer any more
-	case r.held[id] != nil && !r.held[id].same(in.entry), r.past.has(id) && !r.past.is(in.entry):
+	case r.held[id] != nil && !r.held[id].Same(in.entry), r.past.has(id) && !r.past.is(in.entry):
 		// Another client's message: it must not pass for the one that has this id.
 		in.reply <- answer{status: http.StatusConflict, text: "X-Request-Id is in use"}
 	case r.held[id] != nil: // the client sent it again after its connection broke
@@ -212,7 +213,7 @@
 		r.bytes+int64(len(in.entry.Body)) > r.bodies:
 		in.reply <- refuse
 	default:
-		m := &message{entry: in.entry, class: in.class, due: in.due, fresh: []*intake{in}}
+		m := &message{Entry: in.entry, class: in.class, due: in.due, fresh: []*intake{in}}
 		r.hold(m)
 		r.fresh = append(r.fresh, m)
 		r.events = append(r.events, choice.Arrival{ID: id, Class: in.class, Dest: in.entry.Dest, Left: in.due - r.now()})
@@ -224,7 +225,7 @@
 func (r *Relay) withdraw(id string) {
 	if m := r.held[id]; m != nil && m.Tries == 0 && !m.twice {
 		r.events = append(r.events, choice.Withdrawn{ID: id})
-		r.record(record{Op: opEnd, ID: id})
+		r.record(journal.Record{Op: journal.OpEnd, ID: id})
 		r.free(m)
 	}
 }
@@ -239,13 +240,13 @@
 
 func (s *recent) has(id string) bool { _, ok := s.sums[id]; return ok }
 
-func (s *recent) is(e *entry) bool { return s.sums[e.ID] == e.sum() }
+func (s *recent) is(e *journal.Entry) bool { return s.sums[e.ID] == e.Sum() }
 
-func (s *recent) add(e *entry) {
+func (s *recent) add(e *journal.Entry) {
 	if s.sums == nil {
 		s.sums = map[string]uint32{}
 	}
-	id, sum := strings.Clone(e.ID), e.sum() // what a header gave may hold on to all of the head
+	id, sum := strings.Clone(e.ID), e.Sum() // what a header gave may hold on to all of the head
 	s.sums[id] = sum
 	if len(s.ring) < s.most {
 		s.ring = append(s.ring, id)
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -10,6 +10,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"larchrouter/internal/journal"
 )
 
 // notice tells the platform how a message ended that was not delivered.
@@ -96,7 +98,7 @@
 		case status == http.StatusNoContent:
 			r.post(func() {
 				for _, n := range some {
-					r.record(record{Op: opEnd, ID: n.ID})
+					r.record(journal.Record{Op: journal.OpEnd, ID: n.ID})
 				}
 				r.owed -= len(some)
 			})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,19 +8,16 @@
 package relay
 
 import (
-	"bytes"
 	"context"
-	"hash/crc32"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/journal"
 	"larchrouter/internal/settings"
 )
 
@@ -34,7 +31,7 @@
 
 // message is one that this relay owes its end.
 type message struct {
-	*entry
+	*journal.Entry
 	class int
 	due   time.Duration
 	call  *call     // out now
@@ -44,19 +41,6 @@
 	bytes int64 // of its body, while it is held
 }
 
-// same tells whether a message is the one that was handed in before under its id.
-func (e *entry) same(o *entry) bool {
-	return e.Class == o.Class && e.Dest == o.Dest && e.Key == o.Key && bytes.Equal(e.Body, o.Body)
-}
-
-// sum stands for what same compares.
-func (e *entry) sum() uint32 {
-	h := crc32.NewIEEE()
-	io.WriteString(h, e.Class+" "+strconv.Itoa(e.Dest)+" "+e.Key+" ")
-	h.Write(e.Body)
-	return h.Sum32()
-}
-
 func (m *message) answer(a answer) {
 	for _, in := range m.fresh {
 		in.reply <- a
@@ -85,7 +69,7 @@
 	once     sync.Once
 
 	chooser *choice.Chooser
-	journal *journal
+	journal *journal.Journal
 	held    map[string]*message
 	past    recent
 	hosts   map[string]*host
@@ -93,7 +77,7 @@
 	dests   map[int]time.Duration // when a host was last listed there
 	events  []choice.Event
 	fresh   []*message
-	records []record
+	records []journal.Record
 	untold  []notice // go out once they are recorded
 	wake    *time.Timer
 	wakeAt  time.Duration
@@ -120,7 +104,7 @@
 	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
 		return nil, err
 	}
-	if r.journal, err = openJournal(conf.State, int64(conf.DiskMB*1e6)); err != nil {
+	if r.journal, err = journal.Open(conf.State, int64(conf.DiskMB*1e6)); err != nil {
 		return nil, err
 	}
 	if conf.Known.Full || len(conf.Known.Servers) > 0 {
@@ -252,8 +236,8 @@
 func (r *Relay) restore() {
 	wall := time.Now().UnixMilli()
 	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
-	for _, id := range r.journal.order {
-		e := r.journal.entries[id]
+	for _, id := range r.journal.Order {
+		e := r.journal.Entries[id]
 		if e == nil {
 			continue
 		}
@@ -263,7 +247,7 @@
 		}
 		if e.Out {
 			// The process died before the outcome was recorded: it may have run.
-			r.record(record{Op: opOutcome, ID: id, Ran: true})
+			r.record(journal.Record{Op: journal.OpOutcome, ID: id, Ran: true})
 		}
 		class := -1
 		for i, k := range r.set.Classes {
@@ -272,10 +256,10 @@
 			}
 		}
 		if class < 0 {
-			r.give(&message{entry: e}, notice{e.ID, undeliverable, 0})
+			r.give(&message{Entry: e}, notice{e.ID, undeliverable, 0})
 			continue
 		}
-		m := &message{entry: e, class: class, due: r.now() + ms(e.Due-wall)}
+		m := &message{Entry: e, class: class, due: r.now() + ms(e.Due-wall)}
 		r.hold(m)
 		ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall)},
 			Attempts: e.Tries, Timeout: ms(e.Wait), Ran: e.Ran, RanAgo: ms(wall - e.RanAt), RanZone: e.Zone}
@@ -284,17 +268,17 @@
 		}
 		r.events = append(r.events, ev)
 	}
-	for id, s := range r.journal.unwell {
+	for id, s := range r.journal.Unwell {
 		if time.Duration(wall-s.At)*time.Millisecond < forgetUnwell {
 			r.events = append(r.events, choice.Unwell{Host: id, Base: s.Base})
 		} else {
-			r.record(record{Op: opHealth, ID: id})
+			r.record(journal.Record{Op: journal.OpHealth, ID: id})
 		}
 	}
 	slog.Info("journal replayed", "held", len(r.held), "owed", r.owed)
 }
 
-func (r *Relay) record(rec record) { r.records = append(r.records, rec) }
+func (r *Relay) record(rec journal.Record) { r.records = append(r.records, rec) }
 
 // owe has a notice told once what it says is recorded.
 func (r *Relay) owe(n notice) {
@@ -304,7 +288,7 @@
 
 // give ends a message undelivered.
 func (r *Relay) give(m *message, n notice) {
-	r.record(record{Op: opNotice, ID: m.ID, Status: n.Status, Again: n.Again})
+	r.record(journal.Record{Op: journal.OpNotice, ID: m.ID, Status: n.Status, Again: n.Again})
 	r.owe(n)
 	r.drop(m)
 }
@@ -325,7 +309,7 @@
 // drop forgets a message that has ended.
 func (r *Relay) drop(m *message) {
 	r.free(m)
-	r.past.add(m.entry)
+	r.past.add(m.Entry)
 }
 
 // flush records what has ended. What cannot be written now is kept, and no notice
@@ -333,7 +317,7 @@
 // message up again, would deliver it twice.
 func (r *Relay) flush() {
 	if len(r.records) > 0 {
-		if err := r.journal.append(r.records...); err != nil {
+		if err := r.journal.Append(r.records...); err != nil {
 			slog.Error("not recorded", "records", len(r.records), "err", err)
 			time.AfterFunc(longPause, func() { r.post(func() {}) })
 			return
@@ -383,7 +367,7 @@
 		case choice.Wake:
 			r.arm(now, a.After)
 		case choice.Health:
-			r.record(record{Op: opHealth, ID: a.Host, Ran: a.Unwell, Base: a.Base, At: time.Now().UnixMilli()})
+			r.record(journal.Record{Op: journal.OpHealth, ID: a.Host, Ran: a.Unwell, Base: a.Base, At: time.Now().UnixMilli()})
 		case choice.Log:
 			slog.Info(a.Text)
 		}
@@ -394,7 +378,7 @@
 			continue
 		}
 		// Only what is in the journal is taken on.
-		if err := r.journal.append(record{Op: opTaken, Entry: m.entry}); err != nil {
+		if err := r.journal.Append(journal.Record{Op: journal.OpTaken, Entry: m.Entry}); err != nil {
 			slog.Error("message not taken on", "err", err)
 			r.events = append(r.events, choice.Withdrawn{ID: m.ID})
 			r.refuse(m, comeBack)
@@ -454,15 +438,15 @@
 		c.members, c.sends = append(c.members, m), append(c.sends, s)
 	}
 	for _, c := range calls {
-		var recs []record
+		var recs []journal.Record
 		for i, m := range c.members {
-			recs = append(recs, record{Op: opTry, ID: m.ID, At: wall, Wait: c.sends[i].Timeout.Milliseconds(), Zone: c.host.zone})
+			recs = append(recs, journal.Record{Op: journal.OpTry, ID: m.ID, At: wall, Wait: c.sends[i].Timeout.Milliseconds(), Zone: c.host.zone})
 		}
 		// An attempt that a restart would not know of must not go out, nor one whose record
 		// would come before an outcome that could not be written yet.
-		err := errUnwritten
+		err := journal.ErrUnwritten
 		if len(r.records) == 0 {
-			err = r.journal.append(recs...)
+			err = r.journal.Append(recs...)
 		}
 		if err != nil {
 			slog.Error("attempts not sent", "err", err)
@@ -487,10 +471,10 @@
 		return
 	}
 	if e.done || e.outcome == choice.Served {
-		r.record(record{Op: opEnd, ID: m.ID})
+		r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
 		r.drop(m)
 		return
 	}
 	never := e.outcome == choice.Refused || e.outcome == choice.NoConnection || e.outcome == choice.NotSent
-	r.record(record{Op: opOutcome, ID: m.ID, Ran: !never})
+	r.record(journal.Record{Op: journal.OpOutcome, ID: m.ID, Ran: !never})
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -20,6 +20,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"larchrouter/internal/journal"
 )
 
 const testSettings = `{"bounds":{"cancel":true,"conn-idle":5,"dial-timeout":1,"max-attempts":6,"max-retry-after":2,"most-held":50},
@@ -129,6 +131,20 @@
 	return s.Listener.Addr().String()
 }
 
+// newJournal is an empty one of the test's own.
+func newJournal(t *testing.T, recs ...journal.Record) *journal.Journal {
+	t.Helper()
+	j, err := journal.Open(t.TempDir(), 3e6)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { j.Close() })
+	if err := j.Append(recs...); err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
 func testConfig(t *testing.T, p *platform) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -251,7 +267,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	held := make(chan int, 1)
-	in := &intake{entry: &entry{ID: "m1", Class: "payment", Dest: 7}, class: 2, due: r.now() + time.Second, ctx: ctx,
+	in := &intake{entry: &journal.Entry{ID: "m1", Class: "payment", Dest: 7}, class: 2, due: r.now() + time.Second, ctx: ctx,
 		reply: make(chan answer, 1)}
 	r.post(func() { r.take(in); held <- len(r.held) })
 	want(t, "messages held", wait(t, held, "count"), 0)
@@ -263,7 +279,7 @@
 	held := make(chan int, 1)
 	r.post(func() {
 		for _, id := range []string{"once", "twice"} {
-			r.held[id] = &message{entry: &entry{ID: id}, twice: id == "twice"}
+			r.held[id] = &message{Entry: &journal.Entry{ID: id}, twice: id == "twice"}
 			r.withdraw(id)
 		}
 		held <- len(r.held)
@@ -365,7 +381,7 @@
 
 // Guards against calls held back, or let through, by a whole list: it closes just the hosts it leaves out.
 func TestWholeListClosesWhatIsMissing(t *testing.T) {
-	r := &Relay{hosts: map[string]*host{}, dests: map[int]time.Duration{}, journal: &journal{},
+	r := &Relay{hosts: map[string]*host{}, dests: map[int]time.Duration{}, journal: &journal.Journal{},
 		conns: newHostConns(time.Second, time.Minute, 64)}
 	r.listed(list{1, true, []server{at("s-1", "x:1", "taller"), at("s-2", "x:2", "taller"), at("s-3", "x:3", "taller")}})
 	one, two, three := r.hosts["s-1"], r.hosts["s-2"], r.hosts["s-3"]
@@ -382,13 +398,13 @@
 	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), nil)
 	set := make(chan bool)
 	r.post(func() {
-		r.journal.broken = errors.New("disk gone")
+		r.journal.Broken = errors.New("disk gone")
 		close(set)
 	})
 	<-set
 	status, _ := hand(t, r.Addr(), "m1", "payment")
 	want(t, "status", status, 503)
-	r.post(func() { r.journal.broken = nil })
+	r.post(func() { r.journal.Broken = nil })
 	status, _ = hand(t, r.Addr(), "m2", "payment")
 	want(t, "status", status, 202)
 	c := wait(t, calls, "call")
@@ -419,7 +435,7 @@
 	want(t, "notice", n, notice{"m1", undeliverable, 0})
 	owed := make(chan int)
 	for {
-		r.post(func() { owed <- r.owed + len(r.journal.entries) })
+		r.post(func() { owed <- r.owed + len(r.journal.Entries) })
 		if wait(t, owed, "count") == 0 {
 			break
 		}
@@ -598,16 +614,16 @@
 		calls := make(chan *seen, 10)
 		p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
 		startRelay(t, p, func(conf *Config) {
-			j, err := openJournal(conf.State, 3e6)
+			j, err := journal.Open(conf.State, 3e6)
 			if err != nil {
 				t.Fatal(err)
 			}
 			past := time.Now().Add(-time.Second).UnixMilli()
-			recs := []record{{Op: opTaken, Entry: &entry{ID: "m1", Class: c.class, Dest: 7, Due: past}}}
+			recs := []journal.Record{{Op: journal.OpTaken, Entry: &journal.Entry{ID: "m1", Class: c.class, Dest: 7, Due: past}}}
 			if c.tried {
-				recs = append(recs, record{Op: opTry, ID: "m1", At: past})
+				recs = append(recs, journal.Record{Op: journal.OpTry, ID: "m1", At: past})
 			}
-			if err := j.append(recs...); err != nil {
+			if err := j.Append(recs...); err != nil {
 				t.Fatal(err)
 			}
 		})
--- a/internal/relay/service_test.go
+++ b/internal/relay/service_test.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"larchrouter/internal/journal"
 )
 
 func dial(t *testing.T, addr string) net.Conn {
@@ -237,15 +239,16 @@
 
 // Guards against growth where ids of hosts are ever new.
 func TestGoneHostsAreForgotten(t *testing.T) {
-	r := &Relay{hosts: map[string]*host{}, dests: map[int]time.Duration{}, journal: open(t, t.TempDir(), 3e6),
-		began: time.Now().Add(-time.Hour), conns: newHostConns(time.Second, time.Minute, 64)}
 	long := time.Now().Add(-time.Hour).UnixMilli()
-	put(t, r.journal, record{Op: opHealth, ID: "s-0", Ran: true, At: long}, record{Op: opHealth, ID: "s-1", Ran: true, At: long})
+	r := &Relay{hosts: map[string]*host{}, dests: map[int]time.Duration{},
+		journal: newJournal(t, journal.Record{Op: journal.OpHealth, ID: "s-0", Ran: true, At: long},
+			journal.Record{Op: journal.OpHealth, ID: "s-1", Ran: true, At: long}),
+		began: time.Now().Add(-time.Hour), conns: newHostConns(time.Second, time.Minute, 64)}
 	r.dests[6] = 0
 	r.listed(list{1, true, []server{at("s-1", "x:1", "nowhere")}})
 	r.flush()
-	want(t, "the gone one's outage is kept", r.journal.unwell["s-0"].Ran, false)
-	want(t, "the listed one's outage is kept", r.journal.unwell["s-1"].Ran, true)
+	want(t, "the gone one's outage is kept", r.journal.Unwell["s-0"].Ran, false)
+	want(t, "the listed one's outage is kept", r.journal.Unwell["s-1"].Ran, true)
 	want(t, "destination 6 is known", r.knows(6), false)
 	want(t, "destination 7 is known", r.knows(7), true)
 	want(t, "the number of an unnamed zone changes", r.zone("nowhere") == r.zone("nowhere") && r.zone("a") != r.zone("b"), true)
@@ -338,3 +341,26 @@
 	for wait(t, next.notices, "notice").ID != "m3" { // m2's may come again: the kill came before its end was recorded
 	}
 }
+
+// Guards against a refusal that becomes a crash: a relay whose disk is full answers 503 and goes on.
+func TestFullDiskRefuses(t *testing.T) {
+	calls := make(chan *seen, 10)
+	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller")), nil)
+	set := func(budget int64) (old int64) {
+		was := make(chan int64)
+		r.post(func() {
+			was <- r.journal.Budget
+			r.journal.Budget = budget
+		})
+		return wait(t, was, "budget")
+	}
+	old := set(1000)
+	status, _ := hand(t, r.Addr(), "m1", "payment")
+	want(t, "status", status, 503)
+	set(old)
+	status, _ = hand(t, r.Addr(), "m2", "payment")
+	want(t, "status", status, 202)
+	c := wait(t, calls, "call")
+	want(t, "id", c.id, "m2")
+	c.answer <- 200
+}
