Read the operator's file: HCL, every fault at once with its line and column

Need: without a platform nothing tells a relay its address, limits, classes and partners.

internal/config reads one HCL file, fills in defaults (the smallest file has a listen address and one partner with one endpoint) and checks what belongs together: ids and addresses twice, an endpoint in two partners, classes that nobody takes, a deadline under its aim, limits that do not fit one another, unknown keys. deploy/appliance.hcl is the commented example.

--- /dev/null
+++ b/deploy/appliance.hcl
@@ -0,0 +1,105 @@
+# Operator's file of a larchrouter that runs on its own: every setting, with its default where it has one.
+# Check it with `larchrouter check deploy/appliance.hcl`; run it with `larchrouter run --config ...`.
+# The smallest file has `listen` and one partner with one endpoint.
+
+# Where clients connect. (needed)
+listen = "127.0.0.1:8080"
+
+# Folder that outlasts the process: journal, lock, control socket. Relative to this file's folder.
+state = "larchrouter-state"
+
+# An orderly stop (`larchrouter stop`, SIGTERM, SIGINT) delivers for no longer than this;
+# what is left then is taken up by the next start. 1s to 1h.
+stop_within = "10s"
+
+limits {
+  held        = 2000 # messages held at once; more are refused with 503
+  slots       = 32   # calls out at once
+  attempts    = 6    # for one message
+  descriptors = 1024 # half for clients, 16 kept back, the rest for partners' connections: at least 2 * (slots + 16)
+  memory_mb   = 256  # bodies held may take an eighth
+  disk_mb     = 256  # journal and its copy together
+  cores       = 0    # 0 for all
+}
+
+# How messages ended can be asked for, until there are too many or they are too old.
+ends {
+  keep = 10000
+  for  = "24h"
+}
+
+# The socket that the command line and the console use: mode 0600, relative to `state`.
+control {
+  enabled = true
+  socket  = "control.sock"
+}
+
+# Figures of the rule on partners that return from an outage: one that comes back at cold_from of its
+# capacity and is warm after cold is sent at most overload_factor times what it can take, over fall.
+rules {
+  overload_factor = 2
+  fall            = "2s"
+  cold_from       = 0.22
+  cold            = "13s"
+}
+
+# Classes of messages. With none in the file, these three hold; with one, only those in the file.
+class "job-order" {
+  effect     = "keyed" # partners drop repeats of a key for the window
+  window     = "15s"
+  same_zone  = true # but only endpoints in the zone of the first attempt
+  aim        = "2s" # delivered by then, it earns all its worth
+  deadline   = "16s"
+  worth      = 1
+  late_share = 0.3 # what is left of the worth at the deadline
+}
+
+class "status-update" {
+  effect     = "safe" # a repeat does no harm
+  aim        = "3s"
+  deadline   = "24s"
+  worth      = 2
+  late_share = 0.5
+}
+
+class "payment" {
+  effect     = "unsafe" # a repeat must never happen
+  aim        = "4s"
+  deadline   = "20s"
+  worth      = 5
+  late_share = 0.3
+}
+
+# Places that endpoints are in. With none here, the endpoints' own are taken, at no fee.
+zone "taller" {}
+
+zone "oficinas" {
+  fee = 0.05 # of a message's worth, for each attempt that goes there
+}
+
+# Kinds of partners, beside the built-in "separate" (each endpoint has limits of its own; the default)
+# and "shared" (the endpoints share them).
+kind "marketplace" {
+  separate_limits = true
+  per_call        = 5 # messages that one call carries at most
+}
+
+partner "pay" {
+  classes = ["payment"] # all, if left out
+  endpoint "pay-1" {
+    address = "127.0.0.1:9001"
+    zone    = "oficinas"
+  }
+  endpoint "pay-2" {
+    address = "127.0.0.1:9002"
+    zone    = "taller"
+  }
+}
+
+partner "courier" {
+  kind    = "marketplace"
+  classes = ["job-order", "status-update"]
+  endpoint "courier-1" {
+    address = "127.0.0.1:9003"
+  }
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,427 @@
+// Package config reads and checks the operator's file: what a relay needs to know that no platform
+// tells it. The file is HCL. Everything wrong with it is told at once, each fault with its file, line,
+// column and what is allowed; a file with a fault yields nothing.
+package config
+
+import (
+	"fmt"
+	"hash/crc32"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+
+	"larchrouter/choice"
+)
+
+// File is a file that was read without a fault, with the defaults filled in.
+type File struct {
+	Path       string
+	Listen     string // host:port
+	State      string // folder, absolute
+	Limits     Limits
+	Ends       Ends
+	Control    Control
+	Rules      choice.Rules
+	Classes    []choice.Class
+	Zones      []Zone
+	Kinds      []Kind
+	Partners   []Partner
+	StopWithin time.Duration // an orderly stop takes no longer
+}
+
+// Limits bound what a relay uses.
+type Limits struct {
+	Held        int // messages
+	Slots       int // calls out at once
+	Attempts    int // for one message
+	Descriptors int // half of them for clients
+	MemoryMB    float64
+	DiskMB      float64
+	Cores       int // 0 for all
+}
+
+// Ends say how long the end of a message can be asked for.
+type Ends struct {
+	Keep int
+	For  time.Duration
+}
+
+// Control is the local control socket.
+type Control struct {
+	Enabled bool
+	Socket  string // absolute
+}
+
+// Zone is a place that endpoints are in.
+type Zone struct {
+	Name string
+	Fee  float64 // share of a message's worth that a route into it costs
+}
+
+// Kind is a kind of partner.
+type Kind struct {
+	Name string
+	choice.Kind
+}
+
+// Partner is one that messages are for.
+type Partner struct {
+	Name      string
+	Number    int // stands for the name where the platform has a number; the same for a name at any time
+	Kind      string
+	Classes   []string // that it takes
+	Endpoints []Endpoint
+}
+
+// Endpoint is one place where a partner takes messages.
+type Endpoint struct {
+	ID      string
+	Address string // host:port
+	Zone    string
+}
+
+// The bounds of what a file may say.
+const (
+	maxFile    = 4 << 20 // bytes
+	maxName    = 100     // bytes of a name
+	maxSocket  = 107     // bytes of a Unix socket's path, after unix(7)
+	maxHeld    = 1_000_000
+	maxSlots   = 10_000
+	perHeld    = 1 << 10 // bytes on disk that a held message with a small body takes in its place, and in the copy again
+	perEnd     = 512     // bytes on disk of an end, likewise
+	keptBack   = 16      // descriptors for neither clients nor partners
+	leastFiles = 64
+)
+
+var (
+	defaultZone  = "default"
+	builtinKinds = []Kind{
+		{"separate", choice.Kind{Apart: true, PerCall: 1}},
+		{"shared", choice.Kind{PerCall: 1}},
+	}
+	effects = map[string]choice.Effect{"safe": choice.Safe, "keyed": choice.Keyed, "unsafe": choice.Unsafe}
+)
+
+// DefaultClasses are those of a file that names none.
+func DefaultClasses() []choice.Class {
+	return []choice.Class{
+		{Name: "job-order", Effect: choice.Keyed, Aim: 2 * time.Second, Deadline: 16 * time.Second, Worth: 1, LateShare: 0.3,
+			Window: 15 * time.Second, SameZone: true},
+		{Name: "status-update", Effect: choice.Safe, Aim: 3 * time.Second, Deadline: 24 * time.Second, Worth: 2, LateShare: 0.5},
+		{Name: "payment", Effect: choice.Unsafe, Aim: 4 * time.Second, Deadline: 20 * time.Second, Worth: 5, LateShare: 0.3},
+	}
+}
+
+// DefaultRules are the figures of the operating rules of a file that says nothing of them.
+func DefaultRules() choice.Rules {
+	return choice.Rules{AnswerGrace: 20 * time.Millisecond, DrainGrace: 250 * time.Millisecond, OverloadFactor: 2,
+		Fall: 2 * time.Second, ColdFrom: 0.22, Cold: 13 * time.Second}
+}
+
+// Number is the number that stands for a partner's name. It depends on nothing else, as the journal holds it.
+func Number(partner string) int { return int(crc32.ChecksumIEEE([]byte(partner)) & 0x7fffffff) }
+
+// Read reads and checks a file. Paths in it are relative to its own folder.
+func Read(path string) (*File, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, Faults{{File: path, Text: reason(err)}}
+	}
+	if info.Size() > maxFile {
+		return nil, Faults{{File: path, Text: fmt.Sprintf("has %d bytes, %d at most", info.Size(), maxFile)}}
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Faults{{File: path, Text: reason(err)}}
+	}
+	abs, err := filepath.Abs(path)
+	if err != nil {
+		return nil, Faults{{File: path, Text: err.Error()}}
+	}
+	return Parse(data, path, filepath.Dir(abs))
+}
+
+func reason(err error) string {
+	if p, ok := err.(*os.PathError); ok {
+		return p.Err.Error()
+	}
+	return err.Error()
+}
+
+// Parse checks what a file holds. Path is for the diagnostics; dir is the folder that paths in it are relative to.
+func Parse(data []byte, path, dir string) (*File, error) {
+	r := &reader{}
+	parsed, diags := hclsyntax.ParseConfig(data, path, hcl.InitialPos)
+	if r.diags(diags, ""); diags.HasErrors() {
+		return nil, r.sorted()
+	}
+	top := r.open(parsed.Body, hcl.Range{Filename: path, Start: hcl.Pos{Line: 1, Column: 1}},
+		[]string{"listen", "state", "stop_within"},
+		map[string]string{"limits": "", "ends": "", "control": "", "rules": "", "class": "name", "zone": "name", "kind": "name",
+			"partner": "name"})
+	f := &File{Path: path, Listen: top.text("listen", ""), StopWithin: top.span("stop_within", 10*time.Second, time.Second, time.Hour)}
+	top.need("listen", `where clients connect, such as listen = "127.0.0.1:8080"`)
+	if top.has("listen") && f.Listen != "" {
+		address(top, "listen", f.Listen, 0)
+	}
+	f.State = under(dir, top.text("state", "larchrouter-state"))
+	f.limits(top)
+	f.control(top)
+	f.rules(top)
+	f.classes(top)
+	f.zones(top)
+	f.kinds(top)
+	f.partners(top)
+	if len(r.faults) > 0 {
+		return nil, r.sorted()
+	}
+	return f, nil
+}
+
+func under(dir, path string) string {
+	if filepath.IsAbs(path) {
+		return filepath.Clean(path)
+	}
+	return filepath.Join(dir, path)
+}
+
+// address faults what is no host:port.
+func address(b block, name, addr string, leastPort int) {
+	host, port, err := net.SplitHostPort(addr)
+	n, perr := strconv.Atoi(port)
+	if err != nil || host == "" || perr != nil || n < leastPort || n > 65535 || strings.ContainsAny(host, " /\\") {
+		b.fault(b.where(name), `%s is %q, must be host:port with a port from %d to 65535, such as "127.0.0.1:8080" or "[::1]:8080"`,
+			name, addr, leastPort)
+	}
+}
+
+func (f *File) limits(top block) {
+	b, _ := top.one("limits", "held", "slots", "attempts", "descriptors", "memory_mb", "disk_mb", "cores")
+	f.Limits = Limits{
+		Held: b.whole("held", 2000, 1, maxHeld), Slots: b.whole("slots", 32, 1, maxSlots), Attempts: b.whole("attempts", 6, 1, 100),
+		Descriptors: b.whole("descriptors", 1024, leastFiles, 1_000_000), MemoryMB: b.number("memory_mb", 256, 32, 1<<20),
+		DiskMB: b.number("disk_mb", 256, 1, 1<<20), Cores: b.whole("cores", 0, 0, 1024)}
+	if l, least := f.Limits, 2*(f.Limits.Slots+keptBack); l.Descriptors < least {
+		b.fault(b.where("descriptors"), "descriptors is %d, must be at least %d for %d slots: half are for clients, %d are kept back, and each call out takes one",
+			l.Descriptors, least, l.Slots, keptBack)
+	}
+	e, _ := top.one("ends", "keep", "for")
+	f.Ends = Ends{Keep: e.whole("keep", 10_000, 0, maxHeld), For: e.span("for", 24*time.Hour, time.Second, 30*24*time.Hour)}
+	least := 2 * (float64(f.Limits.Held)*perHeld + float64(f.Ends.Keep)*perEnd) / 1e6
+	if f.Limits.DiskMB < least {
+		b.fault(b.where("disk_mb"), "disk_mb is %s, must be at least %.0f for %d messages held and %d ends kept: a copy of the journal must fit beside it",
+			show(f.Limits.DiskMB), least+0.5, f.Limits.Held, f.Ends.Keep)
+	}
+}
+
+func (f *File) control(top block) {
+	b, _ := top.one("control", "enabled", "socket")
+	f.Control = Control{Enabled: b.truth("enabled", true), Socket: under(f.State, b.text("socket", "control.sock"))}
+	if n := len(f.Control.Socket); f.Control.Enabled && n > maxSocket {
+		b.fault(b.where("socket"), "the control socket's path %q has %d bytes, a Unix socket's may have %d: choose a shorter state folder or socket",
+			f.Control.Socket, n, maxSocket)
+	}
+}
+
+func (f *File) rules(top block) {
+	b, _ := top.one("rules", "overload_factor", "fall", "cold_from", "cold")
+	f.Rules = DefaultRules()
+	f.Rules.OverloadFactor = b.number("overload_factor", f.Rules.OverloadFactor, 1, 100)
+	f.Rules.Fall = b.span("fall", f.Rules.Fall, 100*time.Millisecond, time.Minute)
+	f.Rules.ColdFrom = b.number("cold_from", f.Rules.ColdFrom, 0.01, 1)
+	f.Rules.Cold = b.span("cold", f.Rules.Cold, time.Second, time.Hour)
+}
+
+// name checks a block's label, and faults it where it was used before.
+func name(b block, what string, c *hcl.Block, seen map[string]hcl.Range) (string, bool) {
+	n, at := c.Labels[0], c.LabelRanges[0]
+	if n == "" || len(n) > maxName || strings.IndexFunc(n, func(r rune) bool {
+		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("-_.", r))
+	}) >= 0 {
+		b.fault(at, "%s %q: a name has 1 to %d letters, digits, '-', '_' or '.'", what, n, maxName)
+		return n, false
+	}
+	if first, ok := seen[n]; ok {
+		b.fault(at, "%s %q is there twice, first in line %d", what, n, first.Start.Line)
+		return n, false
+	}
+	seen[n] = at
+	return n, true
+}
+
+func (f *File) classes(top block) {
+	seen := map[string]hcl.Range{}
+	any := false
+	for _, c := range top.blocks {
+		if c.Type != "class" {
+			continue
+		}
+		any = true
+		n, ok := name(top, "class", c, seen)
+		b := top.open(c.Body, c.DefRange, []string{"effect", "aim", "deadline", "worth", "late_share", "window", "same_zone"}, nil)
+		b.need("effect", "safe (a repeat does no harm), keyed (the partner drops repeats for the window) or unsafe (a repeat must never happen)")
+		b.need("deadline", "when a message is given up, such as \"20s\"")
+		effect := effects[b.choose("effect", "unsafe", "safe", "keyed", "unsafe")]
+		k := choice.Class{Name: n, Effect: effect, Deadline: b.span("deadline", 20*time.Second, 10*time.Millisecond, 24*time.Hour),
+			Worth: b.number("worth", 1, 0, 1e6), LateShare: b.number("late_share", 0.3, 0, 1)}
+		k.Aim = b.span("aim", min(k.Deadline, 2*time.Second), 10*time.Millisecond, 24*time.Hour)
+		if k.Aim > k.Deadline {
+			b.fault(b.where("aim"), "aim is %v, must be at most the deadline, %v", k.Aim, k.Deadline)
+		}
+		if effect == choice.Keyed {
+			b.need("window", "how long partners remember a key, such as \"15s\"")
+		} else {
+			for _, a := range []string{"window", "same_zone"} {
+				if b.has(a) {
+					b.fault(b.attrs[a].NameRange, "%s is for classes with effect = \"keyed\" alone", a)
+				}
+			}
+		}
+		k.Window = b.span("window", 0, 0, 24*time.Hour)
+		k.SameZone = b.truth("same_zone", false)
+		if ok {
+			f.Classes = append(f.Classes, k)
+		}
+	}
+	if !any {
+		f.Classes = DefaultClasses()
+	}
+}
+
+func (f *File) zones(top block) {
+	seen := map[string]hcl.Range{}
+	for _, c := range top.blocks {
+		if c.Type != "zone" {
+			continue
+		}
+		n, ok := name(top, "zone", c, seen)
+		b := top.open(c.Body, c.DefRange, []string{"fee"}, nil)
+		if fee := b.number("fee", 0, 0, 1); ok {
+			f.Zones = append(f.Zones, Zone{n, fee})
+		}
+	}
+}
+
+func (f *File) kinds(top block) {
+	seen := map[string]hcl.Range{}
+	for _, k := range builtinKinds {
+		f.Kinds = append(f.Kinds, k)
+	}
+	for _, c := range top.blocks {
+		if c.Type != "kind" {
+			continue
+		}
+		n, ok := name(top, "kind", c, seen)
+		b := top.open(c.Body, c.DefRange, []string{"separate_limits", "per_call"}, nil)
+		k := Kind{n, choice.Kind{Apart: b.truth("separate_limits", true), PerCall: b.whole("per_call", 1, 1, 100)}}
+		if slices.ContainsFunc(builtinKinds, func(o Kind) bool { return o.Name == n }) {
+			b.fault(c.LabelRanges[0], "kind %q is built in; give yours another name", n)
+		} else if ok {
+			f.Kinds = append(f.Kinds, k)
+		}
+	}
+}
+
+func names[T any](all []T, name func(T) string) []string {
+	var out []string
+	for _, one := range all {
+		out = append(out, name(one))
+	}
+	return out
+}
+
+func (f *File) partners(top block) {
+	classes := names(f.Classes, func(c choice.Class) string { return c.Name })
+	kinds := names(f.Kinds, func(k Kind) string { return k.Name })
+	zones := names(f.Zones, func(z Zone) string { return z.Name })
+	seen, ids, addrs, numbers := map[string]hcl.Range{}, map[string]hcl.Range{}, map[string]string{}, map[int]string{}
+	taken := map[string]bool{}
+	any := false
+	for _, c := range top.blocks {
+		if c.Type != "partner" {
+			continue
+		}
+		any = true
+		n, ok := name(top, "partner", c, seen)
+		b := top.open(c.Body, c.DefRange, []string{"kind", "classes"}, map[string]string{"endpoint": "id"})
+		p := Partner{Name: n, Number: Number(n), Kind: b.choose("kind", builtinKinds[0].Name, kinds...), Classes: b.texts("classes")}
+		if other, used := numbers[p.Number]; used && ok {
+			b.fault(c.LabelRanges[0], "partner %q has the number of partner %q, %d: rename one", n, other, p.Number)
+		}
+		numbers[p.Number] = n
+		for _, k := range p.Classes {
+			if !slices.Contains(classes, k) {
+				b.fault(b.where("classes"), "class %q is unknown; allowed: %s", k, strings.Join(classes, ", "))
+			}
+		}
+		if !b.has("classes") {
+			p.Classes = classes
+		} else if len(p.Classes) == 0 {
+			b.fault(b.where("classes"), "classes is empty: leave it out for all, or name some of %s", strings.Join(classes, ", "))
+		}
+		for _, e := range b.blocks {
+			p.Endpoints = append(p.Endpoints, f.endpoint(b, n, e, ids, addrs, zones))
+		}
+		if len(p.Endpoints) == 0 {
+			b.fault(c.DefRange, "partner %q has no endpoint: add endpoint \"%s-1\" { address = \"host:port\" }", n, n)
+		}
+		for _, k := range p.Classes {
+			taken[k] = true
+		}
+		f.Partners = append(f.Partners, p)
+	}
+	if !any {
+		top.fault(top.at, `no partner: add partner "NAME" { endpoint "ID" { address = "host:port" } }`)
+		return
+	}
+	for _, c := range top.blocks {
+		if c.Type == "class" && !taken[c.Labels[0]] {
+			top.fault(c.LabelRanges[0], "no partner takes class %q: add it to the classes of one, or take the class out", c.Labels[0])
+		}
+	}
+	if len(f.Zones) == 0 { // none declared: those that are used
+		for _, p := range f.Partners {
+			for _, e := range p.Endpoints {
+				if !slices.Contains(zones, e.Zone) {
+					zones = append(zones, e.Zone)
+					f.Zones = append(f.Zones, Zone{Name: e.Zone})
+				}
+			}
+		}
+	}
+}
+
+func (f *File) endpoint(b block, partner string, c *hcl.Block, ids map[string]hcl.Range, addrs map[string]string, zones []string) Endpoint {
+	id, _ := name(b, "endpoint", c, ids)
+	e := b.open(c.Body, c.DefRange, []string{"address", "zone"}, nil)
+	or := defaultZone
+	if len(zones) > 0 {
+		or = zones[0]
+	}
+	end := Endpoint{ID: id, Address: e.text("address", ""), Zone: e.text("zone", or)}
+	e.need("address", `where it takes messages, such as address = "127.0.0.1:9001"`)
+	if len(zones) > 0 && !slices.Contains(zones, end.Zone) {
+		e.fault(e.where("zone"), "zone %q is unknown; allowed: %s", end.Zone, strings.Join(zones, ", "))
+	}
+	if end.Address != "" {
+		address(e, "address", end.Address, 1)
+		if first, used := addrs[end.Address]; used {
+			other, _, _ := strings.Cut(first, "/")
+			what := "an endpoint has one place"
+			if other != partner {
+				what = "an endpoint belongs to one partner"
+			}
+			e.fault(e.where("address"), "address %s is that of endpoint %s already: %s", end.Address, first, what)
+		} else {
+			addrs[end.Address] = partner + "/" + id
+		}
+	}
+	return end
+}
