--- a/choice/choice.go
+++ b/choice/choice.go
@@ -360,7 +360,7 @@
 		u.base = max(c.flow(u), 1/c.set.Rules.Cold.Seconds())
 	}
 	c.log("destination %d unit %s suspect: %s", d.id, u.name, why)
-	u.state, u.since, u.trials, u.streak = suspect, c.now, 0, 0
+	u.state, u.since, u.why, u.trials, u.streak = suspect, c.now, why, 0, 0
 	u.trialAt = c.now + c.gap(u)
 	c.act(Health{u.name, true, u.base})
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -63,6 +63,7 @@
 	listed     float64 // calls a second from all relays, 0 if unknown
 	state      health
 	since      time.Duration // of the state
+	why        string        // it left the healthy state
 	waitUntil  time.Duration // told
 	pauseUntil time.Duration // own
 	recent     uint          // recent outcomes, a bit set for each failure
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -49,19 +49,43 @@
 	Out    bool   `json:"out,omitempty"`  // the last try has no outcome
 	OutAt  int64  `json:"out_at,omitempty"`
 	OutTo  int    `json:"out_to,omitempty"` // zone of its host
-	Status string `json:"status,omitempty"` // of the notice that is owed
+	Status string `json:"status,omitempty"` // of the notice that is owed, or how it ended where ends are kept
 	Again  int64  `json:"again,omitempty"`
 
+	// Where no platform is told of ends, a relay keeps them, and what became of each attempt.
+	Partner string    `json:"partner,omitempty"`
+	TakenAt int64     `json:"taken,omitempty"`
+	EndAt   int64     `json:"end,omitempty"`
+	Why     string    `json:"why,omitempty"` // it ended undelivered
+	Sum     uint32    `json:"sum,omitempty"` // of what was handed in, once the body is gone
+	Bytes   int       `json:"bytes,omitempty"`
+	Log     []Attempt `json:"log,omitempty"`
+
 	size int64 // bytes that it takes in a compacted journal at most
 }
 
+// Attempt is one try of a message, where they are kept.
+type Attempt struct {
+	Host    string `json:"h"`
+	At      int64  `json:"at"`          // Unix milliseconds
+	Took    int64  `json:"t,omitempty"` // milliseconds
+	Outcome string `json:"o,omitempty"` // empty while it is out, or if the process died under it
+	Ran     bool   `json:"r,omitempty"` // it may have run
+}
+
+// attemptRoom is what an attempt takes in a compacted journal at most, beside its host's name.
+const attemptRoom = 96
+
 // Same tells whether a message is the one that was handed in before under its id.
 func (e *Entry) Same(o *Entry) bool {
 	return e.Class == o.Class && e.Dest == o.Dest && e.Key == o.Key && bytes.Equal(e.Body, o.Body)
 }
 
-// Sum stands for what Same compares.
-func (e *Entry) Sum() uint32 {
+// Checksum stands for what Same compares, also once the body is gone.
+func (e *Entry) Checksum() uint32 {
+	if e.Sum != 0 {
+		return e.Sum
+	}
 	h := crc32.NewIEEE()
 	io.WriteString(h, e.Class+" "+strconv.Itoa(e.Dest)+" "+e.Key+" ")
 	h.Write(e.Body)
@@ -76,6 +100,7 @@
 	OpNotice  = "notice"  // the message ended undelivered; its notice is owed
 	OpEnd     = "end"     // nothing more is owed
 	OpHealth  = "health"  // ID is a host: an outage was seen there (Ran), or has passed
+	OpDrain   = "drain"   // ID is a target of a drain: it is in force (Ran), or was undone
 )
 
 // Record is one line of a message's life; its Op says which, and which fields count.
@@ -90,6 +115,9 @@
 	Status string  `json:"s,omitempty"`
 	Again  int64   `json:"a,omitempty"`
 	Base   float64 `json:"b,omitempty"`
+	Host   string  `json:"h,omitempty"` // of a try, where attempts are kept
+	Why    string  `json:"y,omitempty"` // of an outcome, its name; of a notice, the reason
+	Sum    uint32  `json:"m,omitempty"`
 }
 
 func frame(buf []byte, r Record) []byte {
@@ -132,6 +160,7 @@
 	live    int64 // what a compacted journal takes at most
 	Entries map[string]*Entry
 	Unwell  map[string]Record // hosts in an outage, or cold after it
+	Drains  map[string]Record // in force
 	Order   []string          // ids as taken on; ended ones are dropped by compaction
 	// Broken fails every further Append; it is set when a failed write could not be undone, and by tests.
 	Broken error
@@ -141,7 +170,7 @@
 // what its files may take together, in bytes.
 func Open(dir string, budget int64) (*Journal, error) {
 	j := &Journal{path: filepath.Join(dir, "journal"), Budget: budget - 4*blockSize, Entries: map[string]*Entry{},
-		Unwell: map[string]Record{}}
+		Unwell: map[string]Record{}, Drains: map[string]Record{}}
 	// A leftover copy is of a compaction that a kill cut short: the old file still holds all.
 	if err := os.Remove(j.path + ".tmp"); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, err
@@ -179,6 +208,14 @@
 			j.live -= slack
 		}
 		delete(j.Unwell, r.ID)
+	case r.Op == OpDrain:
+		if _, ok := j.Drains[r.ID]; ok {
+			j.live -= slack
+		}
+		if delete(j.Drains, r.ID); r.Ran {
+			j.live += slack
+			j.Drains[r.ID] = r
+		}
 	case r.Op == OpTaken && r.Entry != nil && j.Entries[r.Entry.ID] == nil:
 		e = r.Entry
 		e.size = n + slack
@@ -189,19 +226,37 @@
 	case r.Op == OpTry:
 		e.Tries++
 		e.Out, e.OutAt, e.OutTo, e.Wait = true, r.At, r.Zone, r.Wait
+		if r.Host != "" {
+			e.Log = append(e.Log, Attempt{Host: r.Host, At: r.At})
+			room := int64(attemptRoom + len(r.Host))
+			e.size += room
+			j.live += room
+		}
 	case r.Op == OpOutcome && e.Out:
 		e.Out = false
 		if r.Ran && !e.Ran {
 			e.Ran, e.RanAt, e.Zone = true, e.OutAt, e.OutTo
 		}
+		e.closeAttempt(r)
 	case r.Op == OpNotice:
+		less := int64(len(e.Body)+2)/3*4 - int64(len(r.Why)) // of the body as it stands in the journal
+		e.size -= less
+		j.live -= less
 		e.Status, e.Again, e.Body, e.Out = r.Status, r.Again, nil, false
+		e.EndAt, e.Why, e.Sum = r.At, r.Why, r.Sum
 	case r.Op == OpEnd:
 		j.live -= e.size
 		delete(j.Entries, r.ID)
 	}
 }
 
+// closeAttempt takes in how the last attempt ended, where they are kept.
+func (e *Entry) closeAttempt(r Record) {
+	if n := len(e.Log); n > 0 && e.Log[n-1].Outcome == "" {
+		e.Log[n-1].Outcome, e.Log[n-1].Took, e.Log[n-1].Ran = r.Why, r.Wait, r.Ran
+	}
+}
+
 // Append writes records and applies them. When it fails nothing was recorded.
 func (j *Journal) Append(recs ...Record) error {
 	if j.Broken != nil {
@@ -218,8 +273,14 @@
 		case OpTaken:
 			grows += ends[i] + slack
 			spare = reserve
-		case OpHealth:
+		case OpHealth, OpDrain:
 			grows += slack
+		case OpTry:
+			if r.Host != "" {
+				grows += int64(attemptRoom + len(r.Host))
+			}
+		case OpNotice:
+			grows += int64(len(r.Why))
 		}
 	}
 	n := int64(len(buf))
@@ -257,8 +318,10 @@
 			order = append(order, id)
 		}
 	}
-	for _, h := range j.Unwell {
-		buf = frame(buf, h)
+	for _, hosts := range []map[string]Record{j.Unwell, j.Drains} {
+		for _, h := range hosts {
+			buf = frame(buf, h)
+		}
 	}
 	if j.size+int64(len(buf)) > j.Budget {
 		// Not a file that this journal wrote, which keeps room for its copy: make room first.
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -240,13 +240,13 @@
 
 func (s *recent) has(id string) bool { _, ok := s.sums[id]; return ok }
 
-func (s *recent) is(e *journal.Entry) bool { return s.sums[e.ID] == e.Sum() }
+func (s *recent) is(e *journal.Entry) bool { return s.sums[e.ID] == e.Checksum() }
 
 func (s *recent) add(e *journal.Entry) {
 	if s.sums == nil {
 		s.sums = map[string]uint32{}
 	}
-	id, sum := strings.Clone(e.ID), e.Sum() // what a header gave may hold on to all of the head
+	id, sum := strings.Clone(e.ID), e.Checksum() // what a header gave may hold on to all of the head
 	s.sums[id] = sum
 	if len(s.ring) < s.most {
 		s.ring = append(s.ring, id)
