Run the relay without a platform, with a control API on a Unix socket

Need: a relay outside the platform had no membership, told nobody how messages ended, and could not be asked or drained.

--- a/cmd/larchrouter/main.go
+++ b/cmd/larchrouter/main.go
@@ -40,7 +40,7 @@
 	go func() {
 		s := <-stop
 		slog.Info("stopping", "signal", s.String())
-		r.Drain()
+		r.Terminate()
 	}()
 	go func() {
 		for range reload {
--- /dev/null
+++ b/internal/appliance/appliance.go
@@ -0,0 +1,179 @@
+// Package appliance puts a relay together that runs on its own: the operator's file, the lock on the state
+// folder, the relay, and the control socket.
+package appliance
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"larchrouter/choice"
+	"larchrouter/internal/config"
+	"larchrouter/internal/control"
+	"larchrouter/internal/relay"
+	"larchrouter/internal/settings"
+)
+
+// Figures that neither the file nor a platform gives.
+const (
+	tick          = 5 * time.Millisecond
+	dialTimeout   = time.Second
+	idleConn      = 5 * time.Second // partners are taken to close a connection that stood idle for so long
+	maxRetryAfter = time.Minute
+)
+
+// Appliance is a relay that runs.
+type Appliance struct {
+	file    *config.File
+	relay   *relay.Relay
+	control *control.Server // nil if it is off
+	lock    *os.File
+	done    chan struct{}
+}
+
+// Start starts a relay as a file says. Version is for people; tail may be nil.
+func Start(f *config.File, version string, tail *control.Tail) (*Appliance, error) {
+	if err := enoughFiles(f.Limits.Descriptors); err != nil {
+		return nil, err
+	}
+	lock, err := lockState(f.State)
+	if err != nil {
+		return nil, err
+	}
+	a := &Appliance{file: f, lock: lock, done: make(chan struct{})}
+	if a.relay, err = relay.New(Settings(f, version)); err != nil {
+		lock.Close()
+		return nil, err
+	}
+	if f.Control.Enabled {
+		if a.control, err = control.Listen(f.Control.Socket, a.relay, tail); err != nil {
+			a.relay.Abandon()
+			lock.Close()
+			return nil, err
+		}
+	}
+	go func() {
+		defer close(a.done)
+		a.relay.Serve()
+		if a.control != nil {
+			a.control.Close()
+		}
+		lock.Close()
+	}()
+	return a, nil
+}
+
+// Settings are a file's as the relay takes them.
+func Settings(f *config.File, version string) relay.Config {
+	set := settings.Settings{IdleConn: idleConn, DialTimeout: dialTimeout, MaxRetryAfter: maxRetryAfter,
+		Settings: choice.Settings{Fleet: 1, Workers: f.Limits.Slots, MaxHeld: f.Limits.Held, MaxAttempts: f.Limits.Attempts, Tick: tick,
+			Classes: f.Classes, Cancels: true, ReportLimit: -1, Rules: f.Rules}}
+	for _, z := range f.Zones {
+		set.Zones, set.ZoneFee = append(set.Zones, z.Name), append(set.ZoneFee, z.Fee)
+	}
+	for _, k := range f.Kinds {
+		set.KindNames, set.Kinds = append(set.KindNames, k.Name), append(set.Kinds, k.Kind)
+	}
+	return relay.Config{Listen: f.Listen, State: f.State, Seed: rand.Uint64(), Cores: float64(f.Limits.Cores),
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Descriptors, DiskMB: f.Limits.DiskMB, Settings: set,
+		Alone: &relay.Alone{Version: version, Partners: partners(f), EndsKeep: f.Ends.Keep, EndsAge: f.Ends.For, StopWithin: f.StopWithin}}
+}
+
+func partners(f *config.File) []relay.Partner {
+	var all []relay.Partner
+	for _, p := range f.Partners {
+		rp := relay.Partner{Name: p.Name, Number: p.Number, Kind: p.Kind, Classes: p.Classes}
+		for _, e := range p.Endpoints {
+			rp.Endpoints = append(rp.Endpoints, relay.Endpoint(e))
+		}
+		all = append(all, rp)
+	}
+	return all
+}
+
+// Addr is where clients connect.
+func (a *Appliance) Addr() string { return a.relay.Addr() }
+
+// Relay is the relay itself.
+func (a *Appliance) Relay() *relay.Relay { return a.relay }
+
+// Socket is the control socket's path.
+func (a *Appliance) Socket() string { return a.file.Control.Socket }
+
+// Done is closed when the relay has ended.
+func (a *Appliance) Done() <-chan struct{} { return a.done }
+
+// Reload takes in a file that was read again: its partners. It returns which of its other settings differ
+// from those that run, which take a restart.
+func (a *Appliance) Reload(f *config.File) (restart []string) {
+	a.relay.Reload(partners(f))
+	was, is := reflect.ValueOf(*a.file), reflect.ValueOf(*f)
+	for i := range was.NumField() {
+		name := was.Type().Field(i).Name
+		if !slices.Contains([]string{"Path", "Partners"}, name) && !reflect.DeepEqual(was.Field(i).Interface(), is.Field(i).Interface()) {
+			restart = append(restart, strings.ToLower(name))
+		}
+	}
+	return restart
+}
+
+// Stop stops the relay in order, within what its file says, and waits for its end.
+func (a *Appliance) Stop(by string) {
+	a.relay.Shutdown(by)
+	<-a.done
+}
+
+const lockName = "lock"
+
+// lockState makes the state folder, and holds it for this process: two relays that shared a journal would
+// send messages twice.
+func lockState(dir string) (*os.File, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, fmt.Errorf("state folder: %w", err)
+	}
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("state folder cannot be written: %w", err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		holder := make([]byte, 20)
+		n, _ := f.Read(holder)
+		f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, fmt.Errorf("state folder %s is in use by another relay, process %s", dir, strings.TrimSpace(string(holder[:n])))
+		}
+		return nil, fmt.Errorf("state folder %s cannot be locked: %w", dir, err)
+	}
+	// The number is for people: that it cannot be written, as on a full disk, is no reason to stay down.
+	if f.Truncate(0) == nil {
+		f.WriteAt([]byte(strconv.Itoa(os.Getpid())+"\n"), 0)
+	}
+	return f, nil
+}
+
+// enoughFiles raises the process's limit on descriptors to what the operator's file says.
+func enoughFiles(want int) error {
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+		return fmt.Errorf("limit on descriptors: %w", err)
+	}
+	if l.Cur >= uint64(want) {
+		return nil
+	}
+	if l.Max < uint64(want) {
+		return fmt.Errorf("limits.descriptors is %d, but this process may have %d at most: lower it, or raise the process's limit", want, l.Max)
+	}
+	l.Cur = uint64(want)
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+		return fmt.Errorf("limit on descriptors: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+// maxAnswer bounds what a client reads of one answer.
+const maxAnswer = 16 << 20
+
+// ErrNoRelay says that nobody serves the socket.
+var ErrNoRelay = errors.New("no relay runs there")
+
+// Client talks to a relay. It is safe for concurrent use.
+type Client struct {
+	path string
+	http http.Client
+}
+
+// Dial returns a client for a socket. It connects with the first call, and anew when a connection is lost.
+func Dial(path string) *Client {
+	c := &Client{path: path}
+	c.http.Transport = &http.Transport{DisableCompression: true, MaxConnsPerHost: 4, IdleConnTimeout: 20 * time.Second,
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "unix", path)
+		}}
+	return c
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Path is the socket's.
+func (c *Client) Path() string { return c.path }
+
+// call makes one request. A relay that is busy is asked again, until the context ends.
+func call[A any](ctx context.Context, c *Client, method, path string, query url.Values, body any) (A, error) {
+	var a A
+	for {
+		err := c.once(ctx, method, path, query, body, &a)
+		if !IsCode(err, Busy) {
+			return a, err
+		}
+		select {
+		case <-ctx.Done():
+			return a, err
+		case <-time.After(250 * time.Millisecond):
+		}
+	}
+}
+
+func (c *Client) once(ctx context.Context, method, path string, query url.Values, body, into any) error {
+	u := url.URL{Scheme: "http", Host: "relay", Path: fmt.Sprintf("/v%d%s", Version, path), RawQuery: query.Encode()}
+	var data io.Reader
+	if body != nil {
+		data = bytes.NewReader(mustMarshal(body))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, u.String(), data)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, fs.ErrNotExist) {
+			return fmt.Errorf("%s: %w", c.path, ErrNoRelay)
+		}
+		var u *url.Error
+		if errors.As(err, &u) {
+			err = u.Err
+		}
+		return fmt.Errorf("%s: %w", c.path, err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.path, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		var e struct{ Error *Error }
+		if json.Unmarshal(answer, &e) != nil || e.Error == nil {
+			return fmt.Errorf("%s: status %d with no reason that can be read", c.path, resp.StatusCode)
+		}
+		e.Error.Status = resp.StatusCode
+		return e.Error
+	}
+	if err := json.Unmarshal(answer, into); err != nil {
+		return fmt.Errorf("%s: the answer cannot be read: %w", c.path, err)
+	}
+	return nil
+}
+
+// Status asks for the relay as a whole.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return call[Status](ctx, c, http.MethodGet, "/status", nil, nil)
+}
+
+// Partners asks for all partners.
+func (c *Client) Partners(ctx context.Context) ([]Partner, error) {
+	return call[[]Partner](ctx, c, http.MethodGet, "/partners", nil, nil)
+}
+
+// Messages asks for one page of messages.
+func (c *Client) Messages(ctx context.Context, q Query) (Page, error) {
+	return call[Page](ctx, c, http.MethodGet, "/messages", q.encode(), nil)
+}
+
+// Message asks for one message with its attempts.
+func (c *Client) Message(ctx context.Context, id string) (Message, error) {
+	if id == "" {
+		return Message{}, Errorf(Invalid, "the id is empty")
+	}
+	return call[Message](ctx, c, http.MethodGet, "/messages/"+id, nil, nil)
+}
+
+// Log asks for the log's lines after a number; 0 for all that are remembered.
+func (c *Client) Log(ctx context.Context, after uint64) ([]LogLine, error) {
+	return call[[]LogLine](ctx, c, http.MethodGet, "/log", url.Values{"after": {strconv.FormatUint(after, 10)}}, nil)
+}
+
+// Drain drains something, or tells with DryRun what that would mean.
+func (c *Client) Drain(ctx context.Context, q DrainRequest) (DrainAnswer, error) {
+	return call[DrainAnswer](ctx, c, http.MethodPost, "/drain", nil, q)
+}
+
+// Undrain opens something again.
+func (c *Client) Undrain(ctx context.Context, q DrainRequest) (DrainAnswer, error) {
+	return call[DrainAnswer](ctx, c, http.MethodPost, "/undrain", nil, q)
+}
+
+// Stop begins an orderly stop.
+func (c *Client) Stop(ctx context.Context, q StopRequest) (StopAnswer, error) {
+	return call[StopAnswer](ctx, c, http.MethodPost, "/stop", nil, q)
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -351,3 +351,6 @@
 
 // Close closes the file. What was appended stays.
 func (j *Journal) Close() error { return j.f.Close() }
+
+// Size is what the file takes, in bytes.
+func (j *Journal) Size() int64 { return j.size }
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -66,6 +66,9 @@
 	ctx, cancel := context.WithCancelCause(r.calls)
 	c.cancel = cancel
 	r.out++
+	if r.alone != nil {
+		r.alone.count.totals.calls++
+	}
 	ids := make([]string, len(c.members))
 	for i, m := range c.members {
 		ids[i] = m.ID
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -21,6 +21,7 @@
 	DiskMB    float64
 	Known     list
 	Settings  settings.Settings
+	Alone     *Alone // nil under a platform
 }
 
 // ReadConfig reads the file that BALANCER_CONFIG names. The other variables win over it;
--- a/internal/relay/conns.go
+++ b/internal/relay/conns.go
@@ -242,6 +242,24 @@
 	}
 }
 
+// closeIdle closes all idle connections.
+func (s *hostConns) closeIdle() {
+	for {
+		s.mu.Lock()
+		var one *hostConn
+		for _, all := range s.idle {
+			one = all[0]
+			s.remove(one)
+			break
+		}
+		s.mu.Unlock()
+		if one == nil {
+			return
+		}
+		one.Close()
+	}
+}
+
 func (c *hostConn) close() { c.Close() }
 
 func (c *hostConn) Close() (err error) {
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -44,6 +44,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /up", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("POST /api", r.serveAPI)
+	if r.alone != nil {
+		mux.HandleFunc("GET /api/{id...}", r.serveEnd)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if status, text := unframed(req); status != 0 {
 			w.Header().Set("Connection", "close") // what follows on it may be part of this body
@@ -126,6 +129,9 @@
 	if e.Key != "" && !isName(e.Key) || e.Key == "" && r.set.Classes[class].Effect == choice.Keyed {
 		return bad("Idempotency-Key is missing or malformed")
 	}
+	if r.alone != nil {
+		return r.readAlone(req, e, class, came)
+	}
 	ms, err := strconv.ParseInt(req.Header.Get("X-Deadline-Ms"), 10, 64)
 	if err != nil || ms <= 0 || ms > maxLeft.Milliseconds() {
 		return bad("X-Deadline-Ms is missing or malformed")
@@ -135,6 +141,11 @@
 		return bad("X-Addressing is missing or malformed")
 	}
 	e.Dest = dest
+	return r.readRest(req, e, class, came, ms)
+}
+
+// readRest reads the body, and makes the intake.
+func (r *Relay) readRest(req *http.Request, e *journal.Entry, class int, came time.Duration, ms int64) (_ *intake, _ int, err error) {
 	if e.Body, err = r.readBody(req.Body, int(req.ContentLength)); err == errNoRoom {
 		return nil, http.StatusServiceUnavailable, err
 	} else if err != nil {
@@ -209,8 +220,15 @@
 		in.reply <- answer{status: http.StatusAccepted}
 	case !r.knows(in.entry.Dest):
 		in.reply <- answer{status: http.StatusNotFound, text: "unknown destination"}
+	case r.alone != nil && !r.alone.book.TakesOn():
+		r.alone.count.turned()
+		refuse.text = "the relay is being drained"
+		in.reply <- refuse
 	case r.stopped || r.set.MaxHeld > 0 && len(r.held) >= r.set.MaxHeld || r.owed >= maxOwed ||
 		r.bytes+int64(len(in.entry.Body)) > r.bodies:
+		if r.alone != nil {
+			r.alone.count.turned()
+		}
 		in.reply <- refuse
 	default:
 		m := &message{Entry: in.entry, class: in.class, due: in.due, fresh: []*intake{in}}
@@ -257,3 +275,6 @@
 	s.ring[s.next] = id
 	s.next = (s.next + 1) % len(s.ring)
 }
+
+// remove forgets one.
+func (s *recent) remove(id string) { delete(s.sums, id) }
--- /dev/null
+++ b/internal/relay/query.go
@@ -0,0 +1,574 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/http"
+	"os"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"larchrouter/choice"
+	"larchrouter/internal/control"
+	"larchrouter/internal/drain"
+	"larchrouter/internal/journal"
+)
+
+// What operators ask of a relay alone. The loop answers each question in bounded pieces: a view of all
+// endpoints at most once in viewAge however many ask, a list in scans of scanMost messages. It never waits
+// for who asked, as every answer goes into a channel with room for it.
+
+const (
+	viewAge   = 100 * time.Millisecond
+	scanMost  = 256 // messages looked at in one go: some 10 us
+	shownMost = 32  // messages made into answers in one go
+)
+
+// inLoop has the loop run f, and returns what it gave. Where the context or the relay ends first, f may
+// still run: what it gave is dropped.
+func inLoop[T any](ctx context.Context, r *Relay, f func() T) (T, error) {
+	var none T
+	got := make(chan T, 1)
+	select {
+	case r.inbox <- func() { got <- f() }:
+	case <-r.quit:
+		return none, control.Errorf(control.Stopped, "the relay has ended")
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+	select {
+	case v := <-got:
+		return v, nil
+	case <-r.quit:
+		return none, control.Errorf(control.Stopped, "the relay has ended")
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+// cachedView is what the loop last showed of itself.
+type cachedView struct {
+	at       time.Time
+	status   control.Status
+	partners []control.Partner
+}
+
+// look returns a view that is not older than viewAge.
+func (r *Relay) look(ctx context.Context) (*cachedView, error) {
+	fresh := func() *cachedView {
+		if v := r.alone.view.Load(); v != nil && time.Since(v.at) < viewAge {
+			return v
+		}
+		return nil
+	}
+	if v := fresh(); v != nil {
+		return v, nil
+	}
+	select { // one asks the loop, the others wait for what it got
+	case r.alone.looking <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-r.alone.looking }()
+	if v := fresh(); v != nil {
+		return v, nil
+	}
+	return inLoop(ctx, r, func() *cachedView {
+		v := r.show()
+		r.alone.view.Store(v)
+		return v
+	})
+}
+
+// show makes a view, in the loop.
+func (r *Relay) show() *cachedView {
+	a, now := r.alone, time.Now()
+	t := a.count.totals
+	phase, until := a.book.Phase()
+	s := control.Status{API: control.Version, Version: a.Version, PID: os.Getpid(), NowMs: now.UnixMilli(),
+		UpMs: r.now().Milliseconds(), Listen: r.Addr(), State: r.conf.State, Phase: string(phase), Held: len(r.held),
+		HeldMost: r.set.MaxHeld, Out: r.out, Slots: r.set.Workers, Ends: a.ends.Len(), EndsMost: a.EndsKeep,
+		DiskBytes: r.journal.Size(), Totals: control.Totals{Taken: t.taken, Turned: t.turned, Delivered: t.delivered,
+			Refused: t.refused, Failed: t.failed, Calls: t.calls}, Series: a.count.series(now), Drains: []control.Drained{}}
+	if !until.IsZero() {
+		s.UntilMs = until.UnixMilli()
+	}
+	if a.left != nil {
+		s.Left = a.left.api()
+	}
+	for _, m := range a.book.Marks() {
+		s.Drains = append(s.Drains, control.Drained{Target: m.Target.String(), SinceMs: m.Since.UnixMilli(), By: m.By})
+	}
+	for _, m := range a.order {
+		if !m.over {
+			s.OldestMs = max(0, now.UnixMilli()-m.TakenAt)
+			break
+		}
+	}
+	v := &cachedView{at: now}
+	views := r.chooser.Views()
+	for _, p := range a.dir.Load().all {
+		dest := views[p.Number]
+		cp := control.Partner{Name: p.Name, Kind: p.Kind, Classes: p.Classes, Waiting: dest.Waiting, Out: dest.Out,
+			PauseMs: dest.Pause.Milliseconds(), Drained: len(a.book.Closes(drain.Target{Scope: drain.Partner, Name: p.Name})) == 0}
+		for _, e := range p.Endpoints {
+			ce := control.Endpoint{ID: e.ID, Address: e.Address, Zone: e.Zone, State: "open", Health: "healthy"}
+			var by []string
+			for _, m := range a.book.Why(e.ID) {
+				by = append(by, string(m.Target.Scope)+" by "+m.By)
+			}
+			if len(by) > 0 {
+				ce.State, ce.By = "drained", strings.Join(by, ", ")
+			}
+			for _, h := range dest.Hosts {
+				if h.Addr == e.ID {
+					ce.Health, ce.Why, ce.ForMs, ce.WaitMs = h.Health, h.Why, h.For.Milliseconds(), h.Wait.Milliseconds()
+					ce.PauseMs, ce.TrialMs, ce.Out = h.Pause.Milliseconds(), h.Trial.Milliseconds(), h.Out
+					ce.LatencyMs, ce.Rate, ce.Limit = float64(h.Latency.Microseconds())/1000, h.Rate, h.Limit
+				}
+			}
+			if s.Endpoints++; ce.Health != "healthy" {
+				s.Unhealthy++
+			}
+			cp.Endpoints = append(cp.Endpoints, ce)
+		}
+		v.partners = append(v.partners, cp)
+	}
+	v.status = s
+	return v
+}
+
+func (l *left) api() *control.Left {
+	return &control.Left{Messages: l.messages, Calls: l.calls, Partners: l.partners, IDs: l.ids}
+}
+
+// series are the last whole seconds of a minute, oldest first.
+func (c *counters) series(now time.Time) []control.Second {
+	all := make([]control.Second, 0, len(c.ring)-1)
+	for s := now.Unix() - int64(len(c.ring)) + 1; s < now.Unix(); s++ {
+		one := control.Second{}
+		if e := c.ring[s%int64(len(c.ring))]; e.at == s {
+			one = control.Second{Taken: e.taken, Delivered: e.delivered, Ended: e.ended}
+		}
+		all = append(all, one)
+	}
+	return all
+}
+
+// Status implements control.Backend.
+func (r *Relay) Status(ctx context.Context) (control.Status, error) {
+	v, err := r.look(ctx)
+	if err != nil {
+		return control.Status{}, err
+	}
+	return v.status, nil
+}
+
+// Partners implements control.Backend.
+func (r *Relay) Partners(ctx context.Context) ([]control.Partner, error) {
+	v, err := r.look(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return v.partners, nil
+}
+
+var stateNames = map[string]string{delivered: control.Delivered, deferred: control.Refused, undeliverable: control.Fails}
+
+// message describes one, in the loop.
+func (r *Relay) message(e *journal.Entry, m *message, whole bool) control.Message {
+	c := control.Message{ID: e.ID, Class: e.Class, Partner: e.Partner, Key: e.Key, Bytes: e.Bytes, TakenMs: e.TakenAt, DueMs: e.Due,
+		Ran: e.Ran, Tries: e.Tries, State: stateNames[e.Status], EndedMs: e.EndAt, AgainMs: e.Again, Why: e.Why}
+	if m != nil {
+		c.State = control.Waiting
+		if m.call != nil {
+			c.State = control.Out
+		}
+	}
+	if !whole {
+		return c
+	}
+	if c.State == control.Waiting {
+		c.Why = r.whyWaits(m)
+	}
+	for i, a := range e.Log {
+		ca := control.Attempt{Endpoint: a.Host, AtMs: a.At, TookMs: a.Took, Outcome: a.Outcome, Ran: a.Ran}
+		if ca.Outcome == "" && m != nil && m.call != nil && i == len(e.Log)-1 {
+			ca.Outcome, ca.TookMs = "out", time.Now().UnixMilli()-a.At
+		} else if ca.Outcome == "" {
+			ca.Outcome, ca.Ran = "not recorded: the relay ended under it", true
+		}
+		c.Attempts = append(c.Attempts, ca)
+	}
+	return c
+}
+
+// whyWaits tells why a message is not out, from what the decisions show.
+func (r *Relay) whyWaits(m *message) string {
+	p := r.alone.dir.Load().byNumber[m.Dest]
+	if p == nil {
+		return ""
+	}
+	dest := r.chooser.Views()[m.Dest]
+	why, open := []string{}, 0
+	for _, h := range dest.Hosts {
+		switch {
+		case !r.alone.book.Open(h.Addr):
+			why = append(why, h.Addr+" is drained")
+		case h.State != choice.Ready:
+		case h.Wait > 0:
+			why = append(why, h.Addr+" told to wait, "+h.Wait.Round(time.Millisecond).String()+" more")
+		case h.Pause > 0:
+			why = append(why, h.Addr+" refused, pause for "+h.Pause.Round(time.Millisecond).String()+" more")
+		case h.Health != "healthy":
+			why = append(why, h.Addr+" is "+h.Health+": "+h.Why)
+		default:
+			open++
+		}
+	}
+	if open > 0 {
+		return strconv.Itoa(dest.Waiting) + " messages wait for " + p.Name + ", " + strconv.Itoa(r.out) + " of " +
+			strconv.Itoa(r.set.Workers) + " slots are taken"
+	}
+	return strings.Join(why, "; ")
+}
+
+// find describes a message by its id, in the loop; nil if nothing is known of it.
+func (r *Relay) find(id string) *control.Message {
+	m, e := r.held[id], r.alone.ends.Get(id)
+	if m != nil {
+		e = m.Entry
+	}
+	for _, o := range r.concluded { // not recorded yet
+		if e == nil && o.ID == id {
+			e = o
+		}
+	}
+	if e == nil {
+		return nil
+	}
+	c := r.message(e, m, true)
+	return &c
+}
+
+// Message implements control.Backend.
+func (r *Relay) Message(ctx context.Context, id string) (control.Message, error) {
+	m, err := inLoop(ctx, r, func() *control.Message { return r.find(id) })
+	if err != nil {
+		return control.Message{}, err
+	}
+	if m == nil {
+		return control.Message{}, control.Errorf(control.NotFound, "message %q: never taken on, or its end is no longer remembered", id)
+	}
+	return *m, nil
+}
+
+// Messages implements control.Backend. The cursor is the number of the last message seen, after a letter
+// for the list that it belongs to.
+func (r *Relay) Messages(ctx context.Context, q control.Query) (control.Page, error) {
+	page := control.Page{Messages: []control.Message{}}
+	if q.Limit == 0 {
+		q.Limit = control.PageDefault
+	}
+	if q.Limit < 0 || q.Limit > control.PageMost {
+		return page, control.Errorf(control.Invalid, "limit is %d, must be from 1 to %d", q.Limit, control.PageMost)
+	}
+	if q.State != "" && !slices.Contains(control.States, q.State) {
+		return page, control.Errorf(control.Invalid, "state is %q, must be one of %s", q.State, strings.Join(control.States, ", "))
+	}
+	ended := q.Ended || q.State != "" && q.State != control.Waiting && q.State != control.Out
+	letter := map[bool]string{true: "e", false: "h"}[ended]
+	if !ended && q.Newest {
+		letter = "n"
+	}
+	var from uint64
+	if q.Cursor != "" {
+		n, err := strconv.ParseUint(strings.TrimPrefix(q.Cursor, letter), 10, 64)
+		if err != nil || !strings.HasPrefix(q.Cursor, letter) || n == 0 {
+			return page, control.Errorf(control.Invalid, "cursor %q is not of this list", q.Cursor)
+		}
+		from = n
+	}
+	scan := r.scanHeld
+	if ended {
+		scan = r.scanEnds
+	}
+	type part struct {
+		found []control.Message
+		from  uint64
+	}
+	for {
+		// Each part is the loop's own until it is handed over: a request that ends early shares nothing with it.
+		most, at := min(shownMost, q.Limit-len(page.Messages)), from
+		p, err := inLoop(ctx, r, func() (p part) { p.found, p.from = scan(q, at, most); return p })
+		if err != nil {
+			return page, err
+		}
+		page.Messages, from = append(page.Messages, p.found...), p.from
+		if from == 0 || len(page.Messages) >= q.Limit {
+			break
+		}
+	}
+	if from > 0 {
+		page.Next = letter + strconv.FormatUint(from, 10)
+	}
+	return page, nil
+}
+
+// wanted tells whether a message is asked for; since is when it was taken on or ended.
+func wanted(q control.Query, e *journal.Entry, state string, since int64) bool {
+	return (q.Partner == "" || e.Partner == q.Partner) && (q.Class == "" || e.Class == q.Class) &&
+		(q.State == "" || state == q.State) && strings.HasPrefix(e.ID, q.IDPrefix) &&
+		(q.Older <= 0 || time.Now().UnixMilli()-since > q.Older.Milliseconds())
+}
+
+// scanHeld looks at some messages held after the one with a number, or before it, and returns those that are
+// wanted, and the number to go on from; 0 at the end.
+func (r *Relay) scanHeld(q control.Query, from uint64, most int) (found []control.Message, next uint64) {
+	all := r.alone.order
+	step, i := 1, sort.Search(len(all), func(i int) bool { return all[i].number > from })
+	if q.Newest {
+		step, i = -1, len(all)-1
+		if from > 0 {
+			i = sort.Search(len(all), func(i int) bool { return all[i].number >= from }) - 1
+		}
+	}
+	for n := 0; i >= 0 && i < len(all); i += step {
+		if n++; n > scanMost || len(found) >= most {
+			return found, from
+		}
+		m := all[i]
+		from = m.number
+		if m.over {
+			continue
+		}
+		state := control.Waiting
+		if m.call != nil {
+			state = control.Out
+		}
+		if wanted(q, m.Entry, state, m.TakenAt) {
+			found = append(found, r.message(m.Entry, m, false))
+		}
+	}
+	return found, 0
+}
+
+// scanEnds does the same with the ends that are remembered, newest first.
+func (r *Relay) scanEnds(q control.Query, from uint64, most int) (found []control.Message, next uint64) {
+	next = r.alone.ends.Scan(from, scanMost, func(e *journal.Entry) bool {
+		if wanted(q, e, stateNames[e.Status], e.EndAt) {
+			found = append(found, r.message(e, nil, false))
+		}
+		return len(found) < most
+	})
+	return found, next
+}
+
+// command makes a change in the loop; errors of the book become answers.
+func command[T any](ctx context.Context, r *Relay, f func() (T, error)) (T, error) {
+	type outcome struct {
+		got T
+		err error
+	}
+	o, asked := inLoop(ctx, r, func() (o outcome) {
+		o.got, o.err = f()
+		r.alone.view.Store(nil)
+		return o
+	})
+	err := o.err
+	switch {
+	case asked != nil:
+		return o.got, asked
+	case err == nil:
+		return o.got, nil
+	case errors.Is(err, drain.ErrUnknown):
+		return o.got, control.Errorf(control.NotFound, "%v", err)
+	case errors.Is(err, drain.ErrLast), errors.Is(err, drain.ErrStopping), errors.Is(err, drain.ErrMany):
+		return o.got, control.Errorf(control.Conflict, "%v", err)
+	case errors.Is(err, drain.ErrWithin):
+		return o.got, control.Errorf(control.Invalid, "%v", err)
+	}
+	return o.got, control.Errorf(control.Failed, "not recorded, so nothing was changed: %v", err)
+}
+
+// consequences are what a change of a target means now, in the loop.
+func (r *Relay) consequences(t drain.Target) control.DrainAnswer {
+	b := r.alone.book
+	a := control.DrainAnswer{Target: t.String(), Closes: b.Closes(t), GraceMs: drain.Grace.Milliseconds()}
+	if t.Scope == drain.Relay {
+		a.Waiting, a.Out = len(r.held)-r.out, r.out
+		a.Waiting = max(0, a.Waiting)
+		if phase, until := b.Phase(); phase != drain.Serving {
+			a.UntilMs = until.UnixMilli()
+		}
+		return a
+	}
+	a.Last = t.Scope == drain.Endpoint && b.Last(t.Name)
+	views := r.chooser.Views()
+	for _, p := range r.alone.dir.Load().all {
+		for _, e := range p.Endpoints {
+			if t.Scope == drain.Partner && p.Name != t.Name || t.Scope == drain.Endpoint && e.ID != t.Name {
+				continue
+			}
+			a.Waiting = views[p.Number].Waiting
+			for _, h := range views[p.Number].Hosts {
+				if h.Addr == e.ID {
+					a.Out += h.Out
+					a.Unhealthy = a.Unhealthy || h.Health != "healthy"
+				}
+			}
+		}
+	}
+	return a
+}
+
+const mostBy = 100 // bytes of who asked
+
+// target reads a request for a change.
+func target(q control.DrainRequest) (drain.Target, error) {
+	t, err := drain.ParseTarget(q.Target)
+	if err != nil {
+		return t, control.Errorf(control.Invalid, "%v", err)
+	}
+	if len(q.By) > mostBy {
+		return t, control.Errorf(control.Invalid, "by has %d bytes, %d at most", len(q.By), mostBy)
+	}
+	return t, nil
+}
+
+// Drain implements control.Backend. When it returns, the drain is recorded and the gates are closed.
+func (r *Relay) Drain(ctx context.Context, q control.DrainRequest) (control.DrainAnswer, error) {
+	t, err := target(q)
+	if err != nil {
+		return control.DrainAnswer{}, err
+	}
+	within := time.Duration(q.WithinMs) * time.Millisecond
+	return command(ctx, r, func() (control.DrainAnswer, error) {
+		a, b := r.consequences(t), r.alone.book
+		before := b.Snapshot()
+		var c drain.Change
+		var err error
+		if q.DryRun {
+			_, err = b.Drain(t, q.By, within, true, time.Now())
+		} else {
+			c, err = r.change(func() (drain.Change, error) { return b.Drain(t, q.By, within, q.AllowLast, time.Now()) })
+		}
+		a.Result = string(c.Result)
+		if _, until := b.Phase(); t.Scope == drain.Relay && !until.IsZero() {
+			a.UntilMs = until.UnixMilli()
+		}
+		if q.DryRun {
+			b.Revert(before)
+		}
+		return a, err
+	})
+}
+
+// Undrain implements control.Backend.
+func (r *Relay) Undrain(ctx context.Context, q control.DrainRequest) (control.DrainAnswer, error) {
+	t, err := target(q)
+	if err != nil {
+		return control.DrainAnswer{}, err
+	}
+	return command(ctx, r, func() (control.DrainAnswer, error) {
+		a, b := r.consequences(t), r.alone.book
+		a.UntilMs = 0
+		if q.DryRun {
+			before := b.Snapshot()
+			_, err := b.Undrain(t, time.Now())
+			b.Revert(before)
+			return a, err
+		}
+		c, err := r.change(func() (drain.Change, error) { return b.Undrain(t, time.Now()) })
+		a.Result = string(c.Result)
+		return a, err
+	})
+}
+
+// Stop implements control.Backend. It returns once the stop has begun; the relay ends by itself.
+func (r *Relay) Stop(ctx context.Context, q control.StopRequest) (control.StopAnswer, error) {
+	within := time.Duration(q.WithinMs) * time.Millisecond
+	if within == 0 {
+		within = r.alone.StopWithin
+	}
+	return command(ctx, r, func() (a control.StopAnswer, err error) {
+		b := r.alone.book
+		before := b.Snapshot()
+		c, err := b.Stop(within, time.Now())
+		_, at := b.Phase()
+		a.UntilMs, a.Left = at.UnixMilli(), *r.whatIsLeft().api()
+		if q.DryRun {
+			b.Revert(before)
+			return a, err
+		}
+		if a.Result = string(c.Result); c.Result == drain.StopBegun {
+			slog.Info("stopping", "by", q.By, "until", at, "held", a.Left.Messages)
+			go r.settle(at)
+		}
+		return a, err
+	})
+}
+
+// serveEnd tells a client how its message is, or how it ended.
+func (r *Relay) serveEnd(w http.ResponseWriter, req *http.Request) {
+	m, err := r.Message(req.Context(), req.PathValue("id"))
+	w.Header().Set("Content-Type", "application/json")
+	if err != nil {
+		status := http.StatusServiceUnavailable
+		if control.IsCode(err, control.NotFound) {
+			status = http.StatusNotFound
+		}
+		w.WriteHeader(status)
+		json.NewEncoder(w).Encode(map[string]string{"error": err.Error()})
+		return
+	}
+	json.NewEncoder(w).Encode(m)
+}
+
+// everySecond has the loop forget ends that are too old.
+func (r *Relay) everySecond(tick <-chan time.Time) {
+	for {
+		select {
+		case <-tick:
+			r.post(func() { r.letGo(r.alone.ends.Expire(time.Now())) })
+		case <-r.quit:
+			return
+		}
+	}
+}
+
+var outcomeNames = map[choice.Outcome]string{choice.Served: "delivered", choice.Error: "error", choice.Refused: "refused",
+	choice.Timeout: "timed out", choice.NoConnection: "no connection", choice.Reset: "reset", choice.Cancelled: "called off",
+	choice.NotSent: "not sent", choice.Spoilt: "spoilt answer"}
+
+// readAlone reads what a client of a relay alone says further: the partner's name, and perhaps a deadline.
+func (r *Relay) readAlone(req *http.Request, e *journal.Entry, class int, came time.Duration) (*intake, int, error) {
+	k, dir := r.set.Classes[class], r.alone.dir.Load()
+	bad := func(status int, text string) (*intake, int, error) { return nil, status, errors.New(text) }
+	p := dir.byName[req.Header.Get("X-Partner")]
+	if n, ok := destOf(req.Header.Get("X-Addressing")); p == nil && ok && req.Header.Get("X-Partner") == "" {
+		p = dir.byNumber[n]
+	}
+	switch {
+	case p == nil:
+		return bad(http.StatusNotFound, "X-Partner is missing, or no partner of the operator's file")
+	case !slices.Contains(p.Classes, k.Name):
+		return bad(http.StatusBadRequest, "partner "+p.Name+" takes no messages of class "+k.Name)
+	}
+	ms := k.Deadline.Milliseconds()
+	if text := req.Header.Get("X-Deadline-Ms"); text != "" {
+		var err error
+		if ms, err = strconv.ParseInt(text, 10, 64); err != nil || ms <= 0 || ms > maxLeft.Milliseconds() {
+			return bad(http.StatusBadRequest, "X-Deadline-Ms is malformed")
+		}
+	}
+	// They are kept for long: not with all of the head that they came in.
+	e.ID, e.Key, e.Class = strings.Clone(e.ID), strings.Clone(e.Key), k.Name
+	e.Dest, e.Partner, e.TakenAt, e.Bytes = p.Number, p.Name, time.Now().UnixMilli(), int(req.ContentLength)
+	return r.readRest(req, e, class, came, ms)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,6 +39,8 @@
 	twice bool      // its client sent it on a second connection
 	over  bool
 	bytes int64 // of its body, while it is held
+	// Where attempts are kept: number in the order of those held.
+	number uint64
 }
 
 func (m *message) answer(a answer) {
@@ -68,23 +70,25 @@
 	quit     chan struct{}
 	once     sync.Once
 
-	chooser *choice.Chooser
-	journal *journal.Journal
-	held    map[string]*message
-	past    recent
-	hosts   map[string]*host
-	bytes   int64                 // of the bodies held
-	dests   map[int]time.Duration // when a host was last listed there
-	events  []choice.Event
-	fresh   []*message
-	records []journal.Record
-	untold  []notice // go out once they are recorded
-	wake    *time.Timer
-	wakeAt  time.Duration
-	woken   bool
-	out     int  // calls
-	owed    int  // notices
-	stopped bool // no more decisions; outcomes are still recorded
+	chooser   *choice.Chooser
+	journal   *journal.Journal
+	held      map[string]*message
+	past      recent
+	hosts     map[string]*host
+	bytes     int64                 // of the bodies held
+	dests     map[int]time.Duration // when a host was last listed there
+	events    []choice.Event
+	fresh     []*message
+	records   []journal.Record
+	untold    []notice         // go out once they are recorded
+	alone     *alone           // nil under a platform
+	concluded []*journal.Entry // ends to be kept once they are recorded
+	wake      *time.Timer
+	wakeAt    time.Duration
+	woken     bool
+	out       int  // calls
+	owed      int  // notices
+	stopped   bool // no more decisions; outcomes are still recorded
 }
 
 // New replays the journal and listens; Serve does the rest.
@@ -94,11 +98,17 @@
 		dests: map[int]time.Duration{}, inbox: make(chan func(), 256), notices: newOutbox(),
 		quit: make(chan struct{}), wake: time.NewTimer(time.Hour), bodies: bodyBytes(conf.MemoryMB)}
 	r.past.most = 4096
+	if conf.Alone != nil {
+		r.alone = newAlone(*conf.Alone)
+		r.past.most = max(r.past.most, conf.Alone.EndsKeep)
+	}
 	rest := set.IdleConn - min(500*time.Millisecond, set.IdleConn/4) // hosts end idle ones; what crosses that is lost
 	// Descriptors: half for clients, a few for journal, discovery and the runtime, the rest for hosts.
 	r.conns = newHostConns(set.DialTimeout, rest, conf.Sockets/2-keptBack)
 	r.life, r.end = context.WithCancel(context.Background())
-	r.Rediscover(conf.Discovery)
+	if r.alone == nil {
+		r.Rediscover(conf.Discovery)
+	}
 	r.calls, r.endCalls = context.WithCancelCause(context.Background())
 	var err error
 	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
@@ -110,9 +120,13 @@
 	if conf.Known.Full || len(conf.Known.Servers) > 0 {
 		r.listed(conf.Known)
 	}
+	if r.alone != nil {
+		r.begin()
+	}
 	r.restore()
 	l, err := net.Listen("tcp", conf.Listen)
 	if err != nil {
+		r.journal.Close()
 		return nil, err
 	}
 	r.listener = &clients{TCPListener: l.(*net.TCPListener), most: conf.Sockets / 2, all: map[*client]bool{}}
@@ -132,15 +146,19 @@
 // Addr is where clients connect.
 func (r *Relay) Addr() string { return r.listener.Addr().String() }
 
-// Serve runs the relay until Drain has ended it.
+// Serve runs the relay until it is ended.
 func (r *Relay) Serve() {
-	go r.follow(r.life)
-	go r.tell(r.life)
+	if r.alone == nil {
+		go r.follow(r.life)
+		go r.tell(r.life)
+	}
 	go r.server.Serve(r.listener)
 	r.loop()
 	r.end()
 	r.server.Close()
 	r.endCalls(errStopping)
+	r.conns.closeIdle()
+	r.journal.Close()
 }
 
 // The times of an orderly stop, from SIGTERM. New connections come for 0.4 s
@@ -152,9 +170,9 @@
 	stopAll     = 3300 * time.Millisecond // then calls still out are left to the journal
 )
 
-// Drain stops the relay in order: it takes on and delivers while clients still
+// Terminate stops the platform's relay in order: it takes on and delivers while clients still
 // come, lets calls out finish, and leaves the rest to the journal.
-func (r *Relay) Drain() {
+func (r *Relay) Terminate() {
 	begin := time.Now()
 	rest := func(d time.Duration) time.Duration { return max(0, d-time.Since(begin)) }
 	time.Sleep(rest(stopKeeping))
@@ -204,8 +222,14 @@
 var atOnce = func() <-chan struct{} { c := make(chan struct{}); close(c); return c }()
 
 func (r *Relay) loop() {
+	if r.alone != nil {
+		tick := time.NewTicker(time.Second)
+		defer tick.Stop()
+		go r.everySecond(tick.C)
+	}
 	for {
 		r.step()
+		r.trackDrain()
 		var again <-chan struct{}
 		if len(r.events) > 0 { // the step left some; nothing else may come in for long
 			again = atOnce
@@ -241,6 +265,14 @@
 		if e == nil {
 			continue
 		}
+		if e.Status != "" && r.alone != nil {
+			r.restoreEnd(e)
+			continue
+		}
+		if e.Status == delivered { // kept by a relay without a platform: nothing is owed
+			r.record(journal.Record{Op: journal.OpEnd, ID: id})
+			continue
+		}
 		if e.Status != "" {
 			r.owe(notice{e.ID, e.Status, e.Again})
 			continue
@@ -256,10 +288,15 @@
 			}
 		}
 		if class < 0 {
-			r.give(&message{Entry: e}, notice{e.ID, undeliverable, 0})
+			r.give(&message{Entry: e}, notice{e.ID, undeliverable, 0}, "its class was taken out of the configuration")
 			continue
 		}
 		m := &message{Entry: e, class: class, due: r.now() + ms(e.Due-wall)}
+		if r.alone != nil && r.unwanted(m) != "" {
+			m.Entry.Ran = e.Ran || e.Out
+			r.conclude(m, r.lawful(m), 0, r.unwanted(m))
+			continue
+		}
 		r.hold(m)
 		ev := choice.Restored{Arrival: choice.Arrival{ID: id, Class: class, Dest: e.Dest, Left: ms(e.Due - wall)},
 			Attempts: e.Tries, Timeout: ms(e.Wait), Ran: e.Ran, RanAgo: ms(wall - e.RanAt), RanZone: e.Zone}
@@ -286,8 +323,12 @@
 	r.untold = append(r.untold, n)
 }
 
-// give ends a message undelivered.
-func (r *Relay) give(m *message, n notice) {
+// give ends a message undelivered. Why is for people.
+func (r *Relay) give(m *message, n notice, why string) {
+	if r.alone != nil {
+		r.conclude(m, n.Status, n.Again, why)
+		return
+	}
 	r.record(journal.Record{Op: journal.OpNotice, ID: m.ID, Status: n.Status, Again: n.Again})
 	r.owe(n)
 	r.drop(m)
@@ -297,6 +338,7 @@
 	m.bytes = int64(len(m.Body))
 	r.bytes += m.bytes
 	r.held[m.ID] = m
+	r.enlist(m)
 }
 
 func (r *Relay) free(m *message) {
@@ -324,6 +366,7 @@
 		}
 		r.records = r.records[:0]
 	}
+	r.keepEnds()
 	r.notices.put(r.untold...)
 	r.untold = r.untold[:0]
 }
@@ -385,6 +428,9 @@
 			continue
 		}
 		m.answer(answer{status: http.StatusAccepted})
+		if r.alone != nil {
+			r.alone.count.taken(time.Now())
+		}
 	}
 	r.fresh = r.fresh[:0]
 	r.dispatch(sends)
@@ -402,6 +448,9 @@
 
 // refuse ends a message that was never taken on.
 func (r *Relay) refuse(m *message, after time.Duration) {
+	if r.alone != nil {
+		r.alone.count.turned()
+	}
 	r.free(m)
 	m.answer(answer{status: http.StatusServiceUnavailable, after: after, text: "refused"})
 }
@@ -413,7 +462,7 @@
 	case m.fresh != nil:
 		r.refuse(m, after)
 	default:
-		r.give(m, notice{id, status, after.Milliseconds()})
+		r.give(m, notice{id, status, after.Milliseconds()}, r.reason(m))
 	}
 }
 
@@ -440,7 +489,11 @@
 	for _, c := range calls {
 		var recs []journal.Record
 		for i, m := range c.members {
-			recs = append(recs, journal.Record{Op: journal.OpTry, ID: m.ID, At: wall, Wait: c.sends[i].Timeout.Milliseconds(), Zone: c.host.zone})
+			rec := journal.Record{Op: journal.OpTry, ID: m.ID, At: wall, Wait: c.sends[i].Timeout.Milliseconds(), Zone: c.host.zone}
+			if r.alone != nil {
+				rec.Host = c.host.id
+			}
+			recs = append(recs, rec)
 		}
 		// An attempt that a restart would not know of must not go out, nor one whose record
 		// would come before an outcome that could not be written yet.
@@ -465,16 +518,33 @@
 		return // its own time was up before the call's
 	}
 	m.call = nil
+	expelled := r.alone != nil && r.unwanted(m) != ""
 	r.events = append(r.events, choice.Result{ID: m.ID, Host: c.host.id, Outcome: e.outcome, Took: took, Wait: wait,
-		Done: e.done || e.outcome == choice.Served})
+		Done: e.done || e.outcome == choice.Served || expelled})
 	if m.over {
 		return
 	}
-	if e.done || e.outcome == choice.Served {
+	never := e.outcome == choice.Refused || e.outcome == choice.NoConnection || e.outcome == choice.NotSent
+	out := journal.Record{Op: journal.OpOutcome, ID: m.ID, Ran: !never}
+	if r.alone != nil {
+		out.Why, out.Wait = outcomeNames[e.outcome], took.Milliseconds()
+	}
+	switch over := e.done || e.outcome == choice.Served; {
+	case r.alone == nil && over:
 		r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
 		r.drop(m)
-		return
+	case !over && !expelled:
+		r.record(out)
+	default:
+		r.record(out)
+		m.Ran = m.Ran || !never // the record is not applied yet
+		switch {
+		case e.outcome == choice.Served:
+			r.conclude(m, delivered, 0, "")
+		case e.done:
+			r.conclude(m, r.lawful(m), 0, "its partner holds it to be over")
+		default:
+			r.conclude(m, r.lawful(m), 0, r.unwanted(m))
+		}
 	}
-	never := e.outcome == choice.Refused || e.outcome == choice.NoConnection || e.outcome == choice.NotSent
-	r.record(journal.Record{Op: journal.OpOutcome, ID: m.ID, Ran: !never})
 }
