Test the appliance over loopback: 200 mistaken drains, hung stops, hostile control clients

Need: the hard cases of draining and of the control socket were only designed.

Found by -race and mended: exchange() put a connection back into the pool before conn.note read how long it had stood idle (calls.go), so that the next call's idle time could be learnt in its place.

--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -119,12 +119,20 @@
 	for i := range was.NumField() {
 		name := was.Type().Field(i).Name
 		if !slices.Contains([]string{"Path", "Partners"}, name) && !reflect.DeepEqual(was.Field(i).Interface(), is.Field(i).Interface()) {
-			restart = append(restart, strings.ToLower(name))
+			restart = append(restart, inFile(name))
 		}
 	}
 	return restart
 }
 
+// inFile is the name of a setting as the file has it.
+func inFile(field string) string {
+	if name, ok := map[string]string{"StopWithin": "stop_within", "Classes": "class", "Zones": "zone", "Kinds": "kind"}[field]; ok {
+		return name
+	}
+	return strings.ToLower(field)
+}
+
 // Stop stops the relay in order, within what its file says, and waits for its end.
 func (a *Appliance) Stop(by string) {
 	a.relay.Shutdown(by)
--- /dev/null
+++ b/internal/appliance/appliance_test.go
@@ -0,0 +1,360 @@
+package appliance_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"larchrouter/internal/appliance"
+	"larchrouter/internal/config"
+	"larchrouter/internal/control"
+	"larchrouter/internal/rig"
+	"larchrouter/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// dir is a folder with a short path: that of a Unix socket is bounded.
+func dir(t *testing.T) string {
+	t.Helper()
+	d, err := os.MkdirTemp("", "larch")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(d) })
+	return d
+}
+
+func site(t *testing.T, o rig.Options) (*rig.Site, *rig.Load) {
+	t.Helper()
+	if o.Dir == "" {
+		o.Dir = dir(t)
+	}
+	if o.Partners == nil {
+		o.Partners = rig.Bureau()
+	}
+	s, err := rig.New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	l := rig.NewLoad(s.App.Addr(), o.Partners, seed)
+	t.Cleanup(l.Close)
+	return s, l
+}
+
+// until waits for something to come true.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !is(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 30 s: %s", what)
+		}
+	}
+}
+
+func hand(t *testing.T, l *rig.Load, id, class, partner string) int {
+	t.Helper()
+	status, err := l.Hand(t.Context(), rig.Message{ID: id, Class: class, Partner: partner})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status
+}
+
+func state(t *testing.T, l *rig.Load, id string) control.Message {
+	t.Helper()
+	m, err := l.Ask(t.Context(), id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func ended(t *testing.T, l *rig.Load, id, want string) control.Message {
+	t.Helper()
+	var m control.Message
+	until(t, id+" is "+want, func() bool { m = state(t, l, id); return m.State == want })
+	return m
+}
+
+// How a message ended can be asked for, with its attempts, also after a restart; its id is then not taken on anew.
+func TestEndsAreKept(t *testing.T) {
+	s, l := site(t, rig.Options{Keep: true})
+	if got := hand(t, l, "a", "payment", "pay"); got != 202 {
+		t.Fatalf("status %d", got)
+	}
+	m := ended(t, l, "a", control.Delivered)
+	if len(m.Attempts) != 1 || m.Attempts[0].Outcome != "delivered" || !strings.HasPrefix(m.Attempts[0].Endpoint, "pay-") || m.Bytes != 200 || m.Partner != "pay" {
+		t.Fatalf("%+v", m)
+	}
+	if got := state(t, l, "nobody"); got.State != "" {
+		t.Fatalf("a message never handed in: %+v", got)
+	}
+	s.App.Stop("test")
+	if err := s.Start(nil); err != nil {
+		t.Fatal(err)
+	}
+	l.Addr = s.App.Addr()
+	if again := state(t, l, "a"); fmt.Sprint(again) != fmt.Sprint(m) {
+		t.Errorf("after a restart %+v, before %+v", again, m)
+	}
+	if got := hand(t, l, "a", "payment", "pay"); got != 202 {
+		t.Errorf("the same message again: status %d, want 202", got)
+	}
+	hand(t, l, "b", "payment", "pay")
+	ended(t, l, "b", control.Delivered)
+	if n := s.Ledger.Effects("a"); n != 1 {
+		t.Errorf("%d effects, want 1", n)
+	}
+	if got := hand(t, l, "a", "payment", "campus"); got != 409 {
+		t.Errorf("another message under its id: status %d, want 409", got)
+	}
+}
+
+func TestEndsAreBounded(t *testing.T) {
+	_, l := site(t, rig.Options{Change: func(f *config.File) { f.Ends.Keep = 2 }})
+	for i := range 4 {
+		id := fmt.Sprint("m", i)
+		hand(t, l, id, "payment", "pay")
+		ended(t, l, id, control.Delivered)
+	}
+	for i, want := range []string{"", "", control.Delivered, control.Delivered} {
+		if got := state(t, l, fmt.Sprint("m", i)).State; got != want {
+			t.Errorf("m%d is %q, want %q", i, got, want)
+		}
+	}
+}
+
+func TestEndsAgeOut(t *testing.T) {
+	_, l := site(t, rig.Options{Change: func(f *config.File) { f.Ends.For = 500 * time.Millisecond }})
+	hand(t, l, "a", "payment", "pay")
+	until(t, "a is forgotten", func() bool { return state(t, l, "a").State == "" })
+}
+
+// What the front refuses, with a reason.
+func TestFront(t *testing.T) {
+	_, l := site(t, rig.Options{})
+	for name, c := range map[string]struct {
+		m    rig.Message
+		want int
+	}{
+		"unknown partner":         {rig.Message{ID: "x", Class: "payment", Partner: "nobody"}, 404},
+		"no partner":              {rig.Message{ID: "x", Class: "payment"}, 404},
+		"unknown class":           {rig.Message{ID: "x", Class: "letter", Partner: "pay"}, 400},
+		"class it does not take":  {rig.Message{ID: "x", Class: "job-order", Partner: "pay"}, 400},
+		"no id":                   {rig.Message{Class: "payment", Partner: "pay"}, 400},
+		"no deadline is as usual": {rig.Message{ID: "y", Class: "payment", Partner: "pay"}, 202},
+	} {
+		if got, err := l.Hand(t.Context(), c.m); err != nil || got != c.want {
+			t.Errorf("%s: status %d, %v, want %d", name, got, err, c.want)
+		}
+	}
+}
+
+// A message whose partner is taken out of the file while it is held ends at once: as refused if it never
+// ran, as failed if it may have; a call that is out is not broken off.
+func TestPartnerTakenOut(t *testing.T) {
+	s, l := site(t, rig.Options{})
+	for _, h := range []string{"pay-1", "pay-2"} {
+		s.Hosts[h].Set(standin.Behaviour{Refuse: true, Wait: time.Hour})
+	}
+	for _, h := range []string{"campus-1", "campus-2"} {
+		s.Hosts[h].Set(standin.Behaviour{Latency: 700 * time.Millisecond})
+	}
+	hand(t, l, "never-ran", "payment", "pay")
+	hand(t, l, "out", "payment", "campus")
+	until(t, "both were sent", func() bool { return state(t, l, "never-ran").Tries > 0 && state(t, l, "out").State == control.Out })
+	file := *s.File
+	file.Partners = file.Partners[1:3] // courier and market stay
+	if restart := s.App.Reload(&file); len(restart) > 0 {
+		t.Errorf("a change of partners asks for a restart of %v", restart)
+	}
+	if m := ended(t, l, "never-ran", control.Refused); !strings.Contains(m.Why, "taken out") {
+		t.Errorf("why: %q", m.Why)
+	}
+	ended(t, l, "out", control.Delivered)
+	if got := hand(t, l, "new", "payment", "pay"); got != 404 {
+		t.Errorf("a new message for it: status %d, want 404", got)
+	}
+	file.Limits.Held, file.StopWithin = 7, time.Minute
+	if restart := s.App.Reload(&file); fmt.Sprint(restart) != "[limits stop_within]" {
+		t.Errorf("changes that need a restart: %v", restart)
+	}
+}
+
+// A possibly applied payment whose partner is taken out is failed, never refused.
+func TestPartnerTakenOutAfterAnError(t *testing.T) {
+	s, l := site(t, rig.Options{})
+	for _, h := range []string{"courier-1"} {
+		s.Hosts[h].Set(standin.Behaviour{Hang: true})
+	}
+	hand(t, l, "hangs", "job-order", "courier")
+	until(t, "it is out", func() bool { return s.Ledger.Effects("hangs") == 1 })
+	file := *s.File
+	file.Partners = append(file.Partners[:1:1], file.Partners[2:]...)
+	s.App.Reload(&file)
+	s.Hosts["courier-1"].Set(standin.Behaviour{}) // its connection ends
+	m := ended(t, l, "hangs", control.Fails)
+	if !m.Ran || len(m.Attempts) != 1 {
+		t.Errorf("%+v", m)
+	}
+}
+
+func TestRestartAfterThePartnerWasTakenOut(t *testing.T) {
+	s, l := site(t, rig.Options{})
+	for _, h := range []string{"pay-1", "pay-2"} {
+		s.Hosts[h].Set(standin.Behaviour{Refuse: true, Wait: time.Hour})
+	}
+	hand(t, l, "m", "payment", "pay")
+	until(t, "it was refused", func() bool { m := state(t, l, "m"); return m.Tries > 0 && m.State == control.Waiting })
+	s.App.Stop("test")
+	s.File.Partners = s.File.Partners[1:]
+	if err := s.Start(nil); err != nil {
+		t.Fatal(err)
+	}
+	l.Addr = s.App.Addr()
+	if m := ended(t, l, "m", control.Refused); m.Partner != "pay" || !strings.Contains(m.Why, "taken out") {
+		t.Errorf("%+v", m)
+	}
+}
+
+func TestTwoRelaysOnOneFolder(t *testing.T) {
+	s, _ := site(t, rig.Options{})
+	_, err := appliance.Start(s.File, "second", nil)
+	if err == nil || !strings.Contains(err.Error(), "in use by another relay, process "+fmt.Sprint(os.Getpid())) || strings.Contains(err.Error(), "\n") {
+		t.Errorf("the second relay: %v", err)
+	}
+}
+
+func TestStateThatCannotBeWritten(t *testing.T) {
+	d := dir(t)
+	if err := os.WriteFile(filepath.Join(d, "file"), nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f, err := config.Parse([]byte(fmt.Sprintf("listen = \"127.0.0.1:0\"\nstate = %q\npartner \"p\" {\n endpoint \"e\" { address = \"127.0.0.1:1\" }\n}\n",
+		filepath.Join(d, "file", "state"))), "f", d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := appliance.Start(f, "x", nil); err == nil || !strings.Contains(err.Error(), "state folder") {
+		t.Errorf("%v, want an error about the state folder", err)
+	}
+}
+
+// The socket of a dead process is replaced; anything else that stands there is left alone.
+func TestSocketLeftBehind(t *testing.T) {
+	s, _ := site(t, rig.Options{})
+	s.App.Stop("test")
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: s.File.Control.Socket, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.SetUnlinkOnClose(false)
+	l.Close()
+	if err := s.Start(nil); err != nil {
+		t.Fatalf("over the socket of a dead process: %v", err)
+	}
+	info, err := os.Stat(s.File.Control.Socket)
+	if err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("mode %v, %v, want 0600", info.Mode(), err)
+	}
+	if _, err := s.Control.Status(t.Context()); err != nil {
+		t.Error(err)
+	}
+	s.App.Stop("test")
+	if _, err := s.Control.Status(t.Context()); !errors.Is(err, control.ErrNoRelay) {
+		t.Errorf("after the end: %v, want %v", err, control.ErrNoRelay)
+	}
+	if err := os.WriteFile(s.File.Control.Socket, []byte("precious"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	err = s.Start(nil)
+	if err == nil || !strings.Contains(err.Error(), "is no socket") {
+		t.Errorf("over a file: %v", err)
+	}
+	if data, _ := os.ReadFile(s.File.Control.Socket); string(data) != "precious" {
+		t.Error("the file is gone")
+	}
+	os.Remove(s.File.Control.Socket)
+	if err := s.Start(nil); err != nil { // the folder was let go
+		t.Error(err)
+	}
+}
+
+func TestLists(t *testing.T) {
+	s, l := site(t, rig.Options{})
+	for _, h := range s.Hosts {
+		h.Set(standin.Behaviour{Refuse: true, Wait: time.Hour})
+	}
+	for i := range 40 {
+		class, partner := "status-update", "courier"
+		if i%4 == 0 {
+			class, partner = "payment", "pay"
+		}
+		hand(t, l, fmt.Sprint("m", i), class, partner)
+	}
+	ctx := t.Context()
+	for name, c := range map[string]struct {
+		q    control.Query
+		want int
+	}{
+		"all":     {control.Query{}, 40},
+		"class":   {control.Query{Class: "payment"}, 10},
+		"partner": {control.Query{Partner: "courier", Newest: true}, 30},
+		"prefix":  {control.Query{IDPrefix: "m1"}, 11},
+		"older":   {control.Query{Older: time.Hour}, 0},
+		"ended":   {control.Query{Ended: true}, 0},
+		"nothing": {control.Query{Partner: "nobody"}, 0},
+	} {
+		for _, limit := range []int{0, 1, 7, 40, 500} {
+			q, seen, pages := c.q, map[string]bool{}, 0
+			q.Limit = limit
+			for {
+				p, err := s.Control.Messages(ctx, q)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, m := range p.Messages {
+					if seen[m.ID] {
+						t.Fatalf("%s, limit %d: %s is there twice", name, limit, m.ID)
+					}
+					seen[m.ID] = true
+				}
+				if pages++; p.Next == "" {
+					break
+				}
+				q.Cursor = p.Next
+			}
+			if len(seen) != c.want {
+				t.Errorf("%s, limit %d: %d messages on %d pages, want %d", name, limit, len(seen), pages, c.want)
+			}
+		}
+	}
+	for _, q := range []control.Query{{Limit: 501}, {State: "lost"}, {Cursor: "h"}, {Cursor: "e5"}, {Cursor: "h0"}, {Limit: -1}} {
+		if _, err := s.Control.Messages(ctx, q); !control.IsCode(err, control.Invalid) {
+			t.Errorf("%+v: %v, want an error", q, err)
+		}
+	}
+	m, err := s.Control.Message(ctx, "m1")
+	if err != nil || m.State != control.Waiting || !strings.Contains(m.Why, "courier-1 told to wait") {
+		t.Errorf("%+v, %v", m, err)
+	}
+	if _, err := s.Control.Message(ctx, "none"); !control.IsCode(err, control.NotFound) {
+		t.Errorf("%v, want not found", err)
+	}
+	st, err := s.Control.Status(ctx)
+	if err != nil || st.Held != 40 || st.Totals.Taken != 40 || st.Phase != "serving" || st.Endpoints != 7 {
+		t.Errorf("%+v, %v", st, err)
+	}
+}
--- /dev/null
+++ b/internal/appliance/drain_test.go
@@ -0,0 +1,433 @@
+package appliance_test
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"larchrouter/internal/control"
+	"larchrouter/internal/rig"
+	"larchrouter/internal/standin"
+)
+
+// drains of the campaign: `go test ./internal/appliance -run Mistaken -drains 2000` is the long one.
+var drains = flag.Int("drains", 200, "random drains under load")
+
+// underLoad runs a load until the test says so, and returns what ends it.
+func underLoad(t *testing.T, l *rig.Load, rate float64) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { l.Run(ctx, rate); close(done) }()
+	stop = func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return stop
+}
+
+// settled waits until everything handed in has ended, and checks it against what the stand-ins saw.
+func settled(t *testing.T, s *rig.Site, l *rig.Load) rig.Tally {
+	t.Helper()
+	var tally rig.Tally
+	until(t, "every message has ended", func() bool {
+		st, err := s.Control.Status(t.Context())
+		return err == nil && st.Held == 0
+	})
+	tally, err := l.Count(t.Context(), l.Taken(), s.Ledger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if tally.Open+tally.Unknown > 0 || len(tally.Wrong) > 0 || len(l.Errors()) > 0 {
+		t.Errorf("%v; wrong %v; errors %v", tally, tally.Wrong, l.Errors())
+	}
+	return tally
+}
+
+// Mistaken drains under load: nothing whose first byte is later than 250 ms after the acknowledgement comes
+// to the endpoint, as the stand-in has it; undrained it is back within a second, healthy as it was.
+func TestMistakenDrains(t *testing.T) {
+	const workers = 20
+	var partners []rig.Partner
+	for i := range workers { // half of them with one endpoint, to which messages must come back
+		p := rig.Partner{Name: fmt.Sprint("p", i), Kind: "separate", Classes: []string{"job-order", "status-update", "payment"},
+			Zones: []string{"taller"}, How: standin.Behaviour{Latency: 10 * time.Millisecond}}
+		if i%2 == 1 {
+			p.Zones = append(p.Zones, "oficinas")
+		}
+		partners = append(partners, p)
+	}
+	s, l := site(t, rig.Options{Partners: partners, Keep: true})
+	stop := underLoad(t, l, 20*workers)
+	type span struct{ ack, undrain, back time.Time }
+	var mu sync.Mutex
+	spans := map[string][]span{}
+	var wg sync.WaitGroup
+	for w := range workers {
+		seed := rand.Uint64()
+		t.Logf("worker %d: seed %d", w, seed)
+		rnd := rand.New(rand.NewPCG(seed, 0))
+		wg.Go(func() {
+			c := control.Dial(s.App.Socket())
+			defer c.Close()
+			for range (*drains + workers - 1) / workers {
+				time.Sleep(time.Duration(rnd.IntN(100)) * time.Millisecond)
+				ep := fmt.Sprintf("p%d-%d", w, 1+rnd.IntN(1+w%2))
+				q := control.DrainRequest{Target: "endpoint:" + ep, By: "test", AllowLast: true}
+				if _, err := c.Drain(t.Context(), q); err != nil {
+					t.Error(err)
+					return
+				}
+				one := span{ack: time.Now()}
+				time.Sleep(300*time.Millisecond + time.Duration(rnd.IntN(100))*time.Millisecond)
+				one.undrain = time.Now() // nothing may come before this
+				if _, err := c.Undrain(t.Context(), q); err != nil {
+					t.Error(err)
+					return
+				}
+				one.back = time.Now()
+				mu.Lock()
+				spans[ep] = append(spans[ep], one)
+				mu.Unlock()
+				for end := time.Now().Add(2 * time.Second); isSingle(ep) && time.Now().Before(end) && s.Hosts[ep].Latest().Before(one.undrain); {
+					time.Sleep(2 * time.Millisecond) // let it come back before the next one
+				}
+			}
+		})
+	}
+	wg.Wait()
+	stop()
+	n, worst, slowest := 0, time.Duration(0), time.Duration(0)
+	for ep, all := range spans {
+		calls := s.Hosts[ep].Calls()
+		for _, one := range all {
+			n++
+			var first time.Time
+			for _, c := range calls {
+				if late := c.First.Sub(one.ack); late > 0 && c.First.Before(one.undrain) {
+					if worst = max(worst, late); late > 250*time.Millisecond {
+						t.Errorf("%s got %s %v after the drain was acknowledged", ep, c.ID, late)
+					}
+				}
+				if c.First.After(one.undrain) && (first.IsZero() || c.First.Before(first)) {
+					first = c.First
+				}
+			}
+			if isSingle(ep) {
+				took := first.Sub(one.back)
+				if slowest = max(slowest, took); first.IsZero() || took > time.Second {
+					t.Errorf("%s was back after %v, 1 s is allowed", ep, took)
+				}
+			}
+		}
+	}
+	all, err := s.Control.Partners(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range all {
+		for _, e := range p.Endpoints {
+			if e.Health != "healthy" || e.State != "open" {
+				t.Errorf("%s is %s, %s (%s): it was never out", e.ID, e.State, e.Health, e.Why)
+			}
+		}
+	}
+	t.Logf("%d drains; the latest first byte came %v after an acknowledgement, the slowest return took %v; %v", n, worst, slowest, settled(t, s, l))
+	if n < *drains {
+		t.Errorf("%d drains, want %d", n, *drains)
+	}
+}
+
+// isSingle tells whether an endpoint of TestMistakenDrains is its partner's only one.
+func isSingle(ep string) bool {
+	var p, e int
+	fmt.Sscanf(ep, "p%d-%d", &p, &e)
+	return p%2 == 0
+}
+
+// An endpoint that was out when it was drained comes back as one that was out; one that was well does not.
+func TestUndrainedAsItWas(t *testing.T) {
+	s, l := site(t, rig.Options{})
+	s.Hosts["courier-1"].Down()
+	hand(t, l, "a", "status-update", "courier")
+	health := func() string {
+		all, err := s.Control.Partners(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return all[1].Endpoints[0].Health
+	}
+	until(t, "the module sees the outage", func() bool { return health() == "suspect" })
+	q := control.DrainRequest{Target: "partner:courier", By: "test"}
+	if _, err := s.Control.Drain(t.Context(), q); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Hosts["courier-1"].Up(); err != nil {
+		t.Fatal(err)
+	}
+	a, err := s.Control.Undrain(t.Context(), q)
+	if err != nil || !a.Unhealthy {
+		t.Fatalf("%+v, %v: want it told that the endpoint was out", a, err)
+	}
+	if h := health(); h == "healthy" {
+		t.Error("an endpoint that was out is healthy by a drain and an undrain")
+	}
+	ended(t, l, "a", control.Delivered)
+}
+
+// Calls that are out when the drain comes are finished, and their messages end once.
+func TestDrainFinishesCalls(t *testing.T) {
+	s, l := site(t, rig.Options{Keep: true})
+	for _, h := range []string{"pay-1", "pay-2"} {
+		s.Hosts[h].Set(standin.Behaviour{Latency: 400 * time.Millisecond})
+	}
+	for i := range 5 {
+		hand(t, l, fmt.Sprint("m", i), "payment", "pay")
+	}
+	until(t, "calls are out", func() bool { n, _ := s.Ledger.Total(); return n > 0 })
+	before, _ := s.Ledger.Total()
+	a, err := s.Control.Drain(t.Context(), control.DrainRequest{Target: "partner:pay", By: "test"})
+	if err != nil || a.Out == 0 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	until(t, "the calls have ended", func() bool {
+		all, err := s.Control.Partners(t.Context())
+		return err == nil && all[0].Out == 0
+	})
+	delivered := 0
+	for i := range 5 {
+		m := state(t, l, fmt.Sprint("m", i))
+		if m.State == control.Delivered {
+			delivered++
+		}
+		for _, at := range m.Attempts {
+			if at.Outcome != "delivered" && at.Outcome != "not sent" {
+				t.Errorf("%s: an attempt ended as %q", m.ID, at.Outcome)
+			}
+		}
+	}
+	if after, _ := s.Ledger.Total(); delivered != after || after < before {
+		t.Errorf("%d delivered, %d took effect", delivered, after)
+	}
+	if _, err := s.Control.Undrain(t.Context(), control.DrainRequest{Target: "partner:pay"}); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 5 {
+		ended(t, l, fmt.Sprint("m", i), control.Delivered)
+		if n := s.Ledger.Effects(fmt.Sprint("m", i)); n != 1 {
+			t.Errorf("m%d took effect %d times", i, n)
+		}
+	}
+}
+
+// The results that the operator meets at the socket.
+func TestDrainAnswers(t *testing.T) {
+	s, _ := site(t, rig.Options{})
+	for _, c := range []struct {
+		undrain bool
+		q       control.DrainRequest
+		result  string
+		code    string
+	}{
+		{false, control.DrainRequest{Target: "endpoint:courier-1"}, "", control.Conflict},
+		{false, control.DrainRequest{Target: "endpoint:courier-1", DryRun: true}, "", ""},
+		{false, control.DrainRequest{Target: "endpoint:pay-1"}, "drained", ""},
+		{false, control.DrainRequest{Target: "endpoint:pay-1"}, "already drained", ""},
+		{false, control.DrainRequest{Target: "endpoint:pay-2"}, "", control.Conflict},
+		{false, control.DrainRequest{Target: "partner:pay"}, "drained", ""},
+		{true, control.DrainRequest{Target: "endpoint:pay-1"}, "still drained", ""},
+		{true, control.DrainRequest{Target: "partner:pay", DryRun: true}, "", ""},
+		{true, control.DrainRequest{Target: "partner:pay"}, "undrained", ""},
+		{true, control.DrainRequest{Target: "partner:pay"}, "not drained", ""},
+		{false, control.DrainRequest{Target: "partner:nobody"}, "", control.NotFound},
+		{false, control.DrainRequest{Target: "nonsense"}, "", control.Invalid},
+		{false, control.DrainRequest{Target: "relay", WithinMs: 5}, "", control.Invalid},
+		{false, control.DrainRequest{Target: "relay", By: strings.Repeat("x", 101)}, "", control.Invalid},
+		{false, control.DrainRequest{Target: "relay"}, "drained", ""},
+		{true, control.DrainRequest{Target: "relay"}, "undrained", ""},
+	} {
+		do, name := s.Control.Drain, "drain"
+		if c.undrain {
+			do, name = s.Control.Undrain, "undrain"
+		}
+		a, err := do(t.Context(), c.q)
+		if a.Result != c.result || (c.code == "") != (err == nil) || c.code != "" && !control.IsCode(err, c.code) {
+			t.Errorf("%s %+v: %q, %v; want %q, %q", name, c.q, a.Result, err, c.result, c.code)
+		}
+	}
+}
+
+// A drain of the relay with a partner that hangs is over in bounded time and names what is left; the next
+// start, still drained, takes that up.
+func TestDrainOfTheRelay(t *testing.T) {
+	s, l := site(t, rig.Options{})
+	s.Hosts["courier-1"].Set(standin.Behaviour{Refuse: true, Wait: 4 * time.Second})
+	hand(t, l, "left", "status-update", "courier")
+	hand(t, l, "done", "payment", "pay")
+	until(t, "the courier told to wait", func() bool { return state(t, l, "left").Tries > 0 })
+	begin := time.Now()
+	if _, err := s.Control.Drain(t.Context(), control.DrainRequest{Target: "relay", WithinMs: 1000, By: "test"}); err != nil {
+		t.Fatal(err)
+	}
+	if got := hand(t, l, "new", "payment", "pay"); got != 503 {
+		t.Errorf("a new message: status %d, want 503", got)
+	}
+	var st control.Status
+	until(t, "the drain is over", func() (over bool) {
+		var err error
+		st, err = s.Control.Status(t.Context())
+		return err == nil && st.Phase == "drained"
+	})
+	if took := time.Since(begin); took > 2*time.Second {
+		t.Errorf("over after %v, 1 s was allowed", took)
+	}
+	if st.Left == nil || st.Left.Messages != 1 || fmt.Sprint(st.Left.IDs) != "[left]" || st.Left.Partners["courier"] != 1 {
+		t.Errorf("left: %+v", st.Left)
+	}
+	ended(t, l, "done", control.Delivered)
+	begin = time.Now()
+	s.App.Stop("test")
+	if took := time.Since(begin); took > 2*time.Second {
+		t.Errorf("the stop of a drained relay took %v", took)
+	}
+	s.Hosts["courier-1"].Set(standin.Behaviour{})
+	if err := s.Start(nil); err != nil {
+		t.Fatal(err)
+	}
+	l.Addr = s.App.Addr()
+	ended(t, l, "left", control.Delivered)
+	if got := hand(t, l, "new", "payment", "pay"); got != 503 {
+		t.Errorf("after the restart: status %d, want 503, as it is still drained", got)
+	}
+	if _, err := s.Control.Undrain(t.Context(), control.DrainRequest{Target: "relay"}); err != nil {
+		t.Fatal(err)
+	}
+	if got := hand(t, l, "new", "payment", "pay"); got != 202 {
+		t.Errorf("after the undrain: status %d, want 202", got)
+	}
+}
+
+// A stop while an endpoint hangs ends in its time; what is left is taken up.
+func TestStopWithAHungPartner(t *testing.T) {
+	s, l := site(t, rig.Options{})
+	s.Hosts["courier-1"].Set(standin.Behaviour{Hang: true})
+	hand(t, l, "hung", "status-update", "courier")
+	until(t, "it is out", func() bool { return s.Ledger.Effects("hung") == 1 })
+	begin := time.Now()
+	a, err := s.Control.Stop(t.Context(), control.StopRequest{By: "test", WithinMs: 1000})
+	if err != nil || a.Left.Messages != 1 || a.Left.Calls != 1 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	<-s.App.Done()
+	if took := time.Since(begin); took > 2*time.Second {
+		t.Errorf("stopped after %v, 1 s was allowed", took)
+	}
+	s.Hosts["courier-1"].Set(standin.Behaviour{})
+	if err := s.Start(nil); err != nil {
+		t.Fatal(err)
+	}
+	l.Addr = s.App.Addr()
+	if m := ended(t, l, "hung", control.Delivered); len(m.Attempts) < 2 || !strings.HasPrefix(m.Attempts[0].Outcome, "not recorded") {
+		t.Errorf("%+v", m)
+	}
+}
+
+// Clients of the control socket that hang, flood and send garbage while messages pass: none is later or lost,
+// and the operator is still answered.
+func TestHostileControlClients(t *testing.T) {
+	s, l := site(t, rig.Options{})
+	stop := underLoad(t, l, 50)
+	until(t, "messages pass", func() bool { return len(l.Taken()) > 50 })
+	calm, _ := l.Latency(0, 0.5, 0.99)
+	from := len(l.Taken())
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	raw := func() net.Conn {
+		c, err := net.Dial("unix", s.App.Socket())
+		if err != nil {
+			t.Error(err)
+			return nil
+		}
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		return c
+	}
+	for i := range 20 { // ask for all and read nothing, say nothing, or go away in mid-answer
+		wg.Go(func() {
+			c := raw()
+			if c == nil {
+				return
+			}
+			defer c.Close()
+			if i%3 > 0 {
+				fmt.Fprint(c, strings.Repeat("GET /v1/messages?ended=true&limit=500 HTTP/1.1\r\nHost: x\r\n\r\n", 20))
+			}
+			if i%3 == 2 {
+				c.Read(make([]byte, 10))
+				return
+			}
+			<-ctx.Done()
+		})
+	}
+	var busy, served int
+	var mu sync.Mutex
+	for range 1000 { // all at once
+		wg.Go(func() {
+			c := raw()
+			if c == nil {
+				return
+			}
+			defer c.Close()
+			fmt.Fprint(c, "GET /v1/partners HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case strings.Contains(line, "200"):
+				served++
+			case strings.Contains(line, "429"):
+				busy++
+			}
+		})
+	}
+	for _, text := range []string{"\x00\xff\xfe garbage\r\n\r\n", "POST /v1/drain HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n{{{{{",
+		"POST /v1/stop HTTP/1.1\r\nHost: x\r\nContent-Length: 14\r\n\r\n{\"unknown\":1}\n", "GET /v1/messages?limit=-1 HTTP/1.1\r\nHost: x\r\n\r\n",
+		"GET /v2/status HTTP/1.1\r\nHost: x\r\n\r\n", "DELETE /v1/messages/m1 HTTP/1.1\r\nHost: x\r\n\r\n",
+		"GET /v1/messages?partnr=pay HTTP/1.1\r\nHost: x\r\n\r\n", "POST /v1/drain HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n{"} {
+		wg.Go(func() {
+			c := raw()
+			if c == nil {
+				return
+			}
+			defer c.Close()
+			io.WriteString(c, text)
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			if strings.Contains(line, " 200 ") || strings.Contains(line, " 202 ") {
+				t.Errorf("%q was answered %q", text, line)
+			}
+		})
+	}
+	wg.Wait()
+	if _, err := s.Control.Status(t.Context()); err != nil {
+		t.Errorf("the operator: %v", err)
+	}
+	stop()
+	worst, n := l.Latency(from, 0.5, 0.99, 1)
+	t.Logf("202 before: median %v, p99 %v; under it: median %v, p99 %v, worst %v of %d; of 1000 at once %d were served, %d told to come again",
+		calm[0], calm[1], worst[0], worst[1], worst[2], n, served, busy)
+	if n < 100 || worst[2] > 400*time.Millisecond { // a client waits so long for the 202
+		t.Errorf("of %d messages one was answered after %v", n, worst[2])
+	}
+	if served == 0 || served+busy < 900 {
+		t.Errorf("of 1000 requests %d were served and %d told to come again", served, busy)
+	}
+	if tally := settled(t, s, l); tally.Delivered != len(l.Taken()) {
+		t.Errorf("%v of %d", tally, len(l.Taken()))
+	}
+}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -115,6 +115,9 @@
 	}
 	a := conn.reply()
 	took = time.Since(begin)
+	if a.begun { // before another call can have the connection
+		conn.note(false)
+	}
 	if a.clean {
 		r.conns.put(conn)
 	} else {
@@ -122,7 +125,6 @@
 	}
 	switch {
 	case a.begun:
-		conn.note(false)
 		if a.status != 0 {
 			took = a.at.Sub(begin)
 		}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,382 @@
+// Package standin has stand-ins for the partners that a relay sends to, written from the protocol: hosts
+// that serve, refuse, fail, stall, hang and go down as they are told, and a ledger that counts the effects
+// of every message. They serve tests, the demo and benchmarks, never the relay.
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Behaviour is how a host treats calls.
+type Behaviour struct {
+	Latency time.Duration // from a call's last byte to its answer
+	Refuse  bool          // turn calls away: 429 with Wait if that is set, else 503
+	Wait    time.Duration
+	Fail    bool // apply, then answer 500
+	Hang    bool // apply, then answer nothing until the behaviour changes or the connection ends
+	Break   bool // apply, then break the connection
+	PerSec  int  // calls taken in each second; further ones are refused, with the rest of the second as wait; 0 for all
+}
+
+// Call is one message that a host was sent.
+type Call struct {
+	Host    string
+	ID, Key string
+	First   time.Time // its first byte came
+	Last    time.Time // its last byte came
+	Status  int       // answered; 0 for none
+	Applied bool
+}
+
+// Host is one endpoint of a partner. Its methods are safe for concurrent use.
+type Host struct {
+	Name, Zone string
+	ledger     *Ledger
+	addr       string
+
+	mu      sync.Mutex
+	how     Behaviour
+	changed chan struct{} // closed when how changes
+	l       net.Listener
+	conns   map[net.Conn]bool
+	second  int64
+	count   int // of calls in that second
+	keep    bool
+	calls   []Call
+	wg      sync.WaitGroup
+}
+
+// NewHost starts a host on a loopback port of its own. Its effects go to the ledger. With keep it remembers
+// all calls.
+func NewHost(name, zone string, ledger *Ledger, how Behaviour, keep bool) (*Host, error) {
+	h := &Host{Name: name, Zone: zone, ledger: ledger, how: how, changed: make(chan struct{}), conns: map[net.Conn]bool{}, keep: keep}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	h.addr = l.Addr().String()
+	h.serve(l)
+	return h, nil
+}
+
+// Addr is where it listens.
+func (h *Host) Addr() string { return h.addr }
+
+// Set changes how calls are treated, also those that hang.
+func (h *Host) Set(how Behaviour) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.how = how
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Down closes the host: connections break, new ones are refused.
+func (h *Host) Down() {
+	h.mu.Lock()
+	l := h.l
+	h.l = nil
+	for c := range h.conns {
+		c.Close()
+	}
+	h.mu.Unlock()
+	if l != nil {
+		l.Close()
+	}
+}
+
+// Up opens it again at its address.
+func (h *Host) Up() error {
+	h.mu.Lock()
+	up := h.l != nil
+	h.mu.Unlock()
+	if up {
+		return nil
+	}
+	l, err := net.Listen("tcp", h.addr)
+	if err == nil {
+		h.serve(l)
+	}
+	return err
+}
+
+// Close ends the host and waits for its goroutines.
+func (h *Host) Close() {
+	h.Set(Behaviour{})
+	h.Down()
+	h.wg.Wait()
+}
+
+// Calls are those it remembers, in the order of their last bytes.
+func (h *Host) Calls() []Call {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Call(nil), h.calls...)
+}
+
+// Latest is when the first byte of the last call came that it remembers; zero for none.
+func (h *Host) Latest() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.calls) == 0 {
+		return time.Time{}
+	}
+	return h.calls[len(h.calls)-1].First
+}
+
+func (h *Host) serve(l net.Listener) {
+	h.mu.Lock()
+	h.l = l
+	h.mu.Unlock()
+	h.wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			h.mu.Lock()
+			open := h.l == l
+			if open {
+				h.conns[c] = true
+			}
+			h.mu.Unlock()
+			if !open {
+				c.Close()
+				return
+			}
+			h.wg.Go(func() {
+				h.connection(c)
+				c.Close()
+				h.mu.Lock()
+				delete(h.conns, c)
+				h.mu.Unlock()
+			})
+		}
+	})
+}
+
+const maxBody = 64 << 10
+
+// connection serves calls one after the other.
+func (h *Host) connection(c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		first := time.Now()
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(io.LimitReader(req.Body, maxBody+1))
+		if err != nil || len(body) > maxBody {
+			return
+		}
+		if !h.call(c, req, body, first, time.Now()) {
+			return
+		}
+	}
+}
+
+// call treats one call, and tells whether the connection can be used further.
+func (h *Host) call(c net.Conn, req *http.Request, body []byte, first, last time.Time) bool {
+	many := req.URL.Path == "/receive-many"
+	batch := []part{{req.Header.Get("X-Request-Id"), req.Header.Get("Idempotency-Key"), body}}
+	if many {
+		var err error
+		if batch, err = parts(body); err != nil {
+			return answer(c, http.StatusBadRequest, "", err.Error())
+		}
+	} else if req.URL.Path != "/receive" || req.Method != http.MethodPost {
+		return answer(c, http.StatusNotFound, "", "")
+	}
+	h.mu.Lock()
+	how, changed := h.how, h.changed
+	wait := how.Wait
+	if s := last.Unix(); s != h.second {
+		h.second, h.count = s, 0
+	}
+	if how.PerSec > 0 && h.count >= how.PerSec {
+		how.Refuse, wait = true, time.Until(time.Unix(last.Unix()+1, 0))
+	}
+	if !how.Refuse {
+		h.count++
+	}
+	h.mu.Unlock()
+	status := http.StatusOK
+	switch {
+	case how.Refuse && wait > 0:
+		status = http.StatusTooManyRequests
+	case how.Refuse:
+		status = http.StatusServiceUnavailable
+	case how.Fail:
+		status = http.StatusInternalServerError
+	case how.Hang, how.Break:
+		status = 0
+	}
+	var told bytes.Buffer
+	for _, p := range batch {
+		if !how.Refuse {
+			h.ledger.apply(p, h)
+		}
+		h.remember(Call{h.Name, p.id, p.key, first, last, status, !how.Refuse})
+		fmt.Fprintf(&told, "%s ok\r\n", p.id)
+	}
+	if !many {
+		told.Reset()
+	}
+	if how.Latency > 0 {
+		time.Sleep(how.Latency)
+	}
+	switch {
+	case how.Break:
+		return false
+	case how.Hang:
+		gone := make(chan struct{})
+		go func() { c.Read(make([]byte, 1)); close(gone) }() // the relay gives up, or the host closes
+		select {
+		case <-changed:
+		case <-gone:
+		}
+		return false
+	}
+	retry := ""
+	if status == http.StatusTooManyRequests {
+		retry = strconv.FormatFloat(max(0.001, wait.Seconds()), 'f', 3, 64)
+	}
+	return answer(c, status, retry, told.String())
+}
+
+func (h *Host) remember(c Call) {
+	if !h.keep {
+		return
+	}
+	h.mu.Lock()
+	h.calls = append(h.calls, c)
+	h.mu.Unlock()
+}
+
+func answer(c net.Conn, status int, retry, body string) bool {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(body))
+	if retry != "" {
+		fmt.Fprintf(&b, "Retry-After: %s\r\n", retry)
+	}
+	b.WriteString("\r\n" + body)
+	_, err := c.Write(b.Bytes())
+	return err == nil
+}
+
+// part is one message of a call.
+type part struct {
+	id, key string
+	body    []byte
+}
+
+// parts reads the body of a call with several messages.
+func parts(body []byte) (all []part, err error) {
+	seen := map[string]bool{}
+	for len(body) > 0 {
+		head, rest, ok := bytes.Cut(body, []byte("\r\n"))
+		f := strings.Fields(string(head))
+		if !ok || len(f) != 3 {
+			return nil, errors.New("a line with id, key and length is missing")
+		}
+		n, err := strconv.Atoi(f[2])
+		if err != nil || n < 0 || len(rest) < n+2 || string(rest[n:n+2]) != "\r\n" || seen[f[0]] {
+			return nil, fmt.Errorf("message %q is too short, or there twice", f[0])
+		}
+		if f[1] == "-" {
+			f[1] = ""
+		}
+		seen[f[0]] = true
+		all, body = append(all, part{f[0], f[1], rest[:n]}), rest[n+2:]
+	}
+	if len(all) == 0 {
+		return nil, errors.New("no message")
+	}
+	return all, nil
+}
+
+// Ledger counts the effects of messages, over all hosts. An effect is counted where it happens. It forgets
+// what is older than twice its memory, so that it can run for days.
+type Ledger struct {
+	window, memory time.Duration // in which a zone drops repeats of a key; for which effects are told apart
+
+	mu       sync.Mutex
+	effects  [2]map[string]int // by id; the older ones second
+	keys     [2]map[string]time.Time
+	turned   time.Time
+	repeated map[string]int
+	dropped  int
+	total    int
+}
+
+// NewLedger returns one whose zones remember keys for a window.
+func NewLedger(window time.Duration) *Ledger {
+	l := &Ledger{window: window, memory: max(10*time.Minute, window), turned: time.Now(), repeated: map[string]int{}}
+	l.effects[0], l.keys[0] = map[string]int{}, map[string]time.Time{}
+	return l
+}
+
+func (l *Ledger) apply(p part, h *Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if now.Sub(l.turned) > l.memory {
+		l.effects[1], l.keys[1], l.turned = l.effects[0], l.keys[0], now
+		l.effects[0], l.keys[0] = map[string]int{}, map[string]time.Time{}
+	}
+	if p.key != "" {
+		k := h.Zone + " " + p.key
+		for _, keys := range l.keys {
+			if at, ok := keys[k]; ok && now.Sub(at) < l.window {
+				l.dropped++
+				return
+			}
+		}
+		l.keys[0][k] = now
+	}
+	l.effects[0][p.id]++
+	l.total++
+	if n := l.effects[0][p.id] + l.effects[1][p.id]; n > 1 {
+		l.repeated[p.id] = n
+	}
+}
+
+// Effects is how often a message took effect.
+func (l *Ledger) Effects(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.effects[0][id] + l.effects[1][id]
+}
+
+// Repeated are the messages that took effect more than once, among those that a test picks.
+func (l *Ledger) Repeated(pick func(id string) bool) (ids []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.repeated {
+		if pick(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Total is how many effects there were, and how many repeats of a key were dropped.
+func (l *Ledger) Total() (effects, dropped int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.total, l.dropped
+}
