--- a/cmd/larchrouter/main.go
+++ b/cmd/larchrouter/main.go
@@ -1,60 +1,57 @@
-// Command larchrouter is one relay on real sockets.
+// Command larchrouter is one relay. With BALANCER_CONFIG set and no arguments it is the platform's; else it
+// has subcommands, of which `larchrouter help` tells.
 package main
 
 import (
+	"errors"
+	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"syscall"
 
-	"larchrouter/internal/relay"
+	"larchrouter/internal/platform"
 )
 
+// The exit codes, also in docs/operate/appliance.md.
+const (
+	exitOK      = 0
+	exitFailed  = 1 // it was tried and did not go well
+	exitUsage   = 2 // the command line is wrong
+	exitFile    = 3 // the operator's file is wrong
+	exitNoRelay = 4 // no relay runs there
+	exitRefused = 5 // the relay says no: not as things stand, or no such thing
+)
+
+// coded is an error with an exit code.
+type coded struct {
+	error
+	code int
+}
+
+func (c coded) Unwrap() error { return c.error }
+
 func main() {
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	// From the start: either ends the process while it is not caught.
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
-	if err := run(stop, reload); err != nil {
-		slog.Error("cannot start", "err", err)
-		os.Exit(1)
-	}
-}
-
-func run(stop, reload <-chan os.Signal) error {
-	conf, err := relay.ReadConfig(os.Getenv)
-	if err != nil {
-		return err
+	if len(os.Args) == 1 && os.Getenv("BALANCER_CONFIG") != "" {
+		slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		if err := platform.Run(os.Getenv, stop, reload); err != nil {
+			slog.Error("cannot start", "err", err)
+			os.Exit(exitFailed)
+		}
+		return
 	}
-	runtime.GOMAXPROCS(max(1, int(conf.Cores)))
-	if conf.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(conf.MemoryMB*0.6) << 20) // files count as well, and the runtime is not exact
+	err := command(os.Stdout, os.Stderr, stop, reload).Execute()
+	if err == nil {
+		return
 	}
-	r, err := relay.New(conf)
-	if err != nil {
-		return err
+	fmt.Fprintln(os.Stderr, err)
+	var c coded
+	if errors.As(err, &c) {
+		os.Exit(c.code)
 	}
-	go func() {
-		s := <-stop
-		slog.Info("stopping", "signal", s.String())
-		r.Terminate()
-	}()
-	go func() {
-		for range reload {
-			addrs, err := relay.ReadDiscovery(os.Getenv)
-			if err != nil {
-				slog.Error("configuration not read again, the old one stays", "err", err)
-				continue
-			}
-			slog.Info("configuration read again", "discovery", addrs[0])
-			r.Rediscover(addrs)
-		}
-	}()
-	slog.Info("serving", "addr", r.Addr())
-	r.Serve()
-	slog.Info("stopped")
-	return nil
+	os.Exit(exitUsage)
 }
--- /dev/null
+++ b/internal/console/console.go
@@ -0,0 +1,592 @@
+// Package console is the relay's console on a terminal: a client of the control API and of nothing else.
+// Its model is plain: messages in, text out; calls to the relay are commands that come back as messages.
+package console
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	tea "charm.land/bubbletea/v2"
+
+	"larchrouter/internal/control"
+)
+
+// API is what the console needs of a control.Client.
+type API interface {
+	Status(context.Context) (control.Status, error)
+	Partners(context.Context) ([]control.Partner, error)
+	Messages(context.Context, control.Query) (control.Page, error)
+	Message(ctx context.Context, id string) (control.Message, error)
+	Log(ctx context.Context, after uint64) ([]control.LogLine, error)
+	Drain(context.Context, control.DrainRequest) (control.DrainAnswer, error)
+	Undrain(context.Context, control.DrainRequest) (control.DrainAnswer, error)
+	Stop(context.Context, control.StopRequest) (control.StopAnswer, error)
+}
+
+const (
+	pollEvery = 500 * time.Millisecond
+	callFor   = 2 * time.Second // for one round of questions
+	oldAfter  = 2 * time.Second // what is shown is called old
+	logKept   = 200
+	pageSize  = 100
+)
+
+// Options of Run.
+type Options struct {
+	By  string // names the operator in records
+	In  io.Reader
+	Out io.Writer
+}
+
+// Run shows the console until it is closed, the context ends or the terminal goes away.
+func Run(ctx context.Context, api API, o Options) error {
+	if o.By == "" {
+		o.By = "the console"
+	}
+	m := NewModel(ctx, api, o.By)
+	opts := []tea.ProgramOption{tea.WithContext(ctx), tea.WithoutSignalHandler()}
+	if o.In != nil {
+		opts = append(opts, tea.WithInput(o.In))
+	}
+	if o.Out != nil {
+		opts = append(opts, tea.WithOutput(o.Out))
+	}
+	_, err := tea.NewProgram(m, opts...).Run()
+	if ctx.Err() != nil || errors.Is(err, tea.ErrInterrupted) || errors.Is(err, os.ErrClosed) || errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+type screen int
+
+const (
+	overview screen = iota
+	partners
+	messages
+	detail // of one message
+)
+
+// sorts are the orders of messages; those beyond the first two are of the page that is shown.
+var sorts = []string{"oldest first", "newest first", "most tries first", "due soonest first"}
+
+// Model is the console's state. Time comes in with messages.
+type Model struct {
+	ctx context.Context
+	api API
+	by  string
+
+	width, height int
+	now           time.Time
+	screen        screen
+	help          bool
+	generation    int // of the chain of polls; answers of older ones count, but do not go on
+
+	status   control.Status
+	partners []control.Partner
+	page     control.Page
+	message  control.Message
+	log      []control.LogLine
+	heard    time.Time // last answer
+	problem  string    // why there is none since
+
+	row     int // chosen: of partners or messages
+	top     int // first row shown
+	query   control.Query
+	ended   bool
+	sort    int
+	filter  string
+	typing  bool // the filter is being typed
+	typed   string
+	cursors []string // of the pages before this one
+	id      string   // of the message in detail
+
+	ask    *question
+	notice string
+	watch  string // target whose drain is being followed
+}
+
+// question is an action that waits for a yes.
+type question struct {
+	title string
+	lines []string
+	ready bool // the consequences are there
+	do    func() tea.Msg
+}
+
+// NewModel returns a console that has shown nothing yet.
+func NewModel(ctx context.Context, api API, by string) *Model {
+	return &Model{ctx: ctx, api: api, by: by, width: 80, height: 24, now: time.Now()}
+}
+
+// The messages of the console's own.
+type (
+	pollMsg struct{ generation int }
+	dataMsg struct {
+		generation int
+		screen     screen
+		at         time.Time
+		err        error
+		status     control.Status
+		partners   []control.Partner
+		page       *control.Page
+		message    *control.Message
+		log        []control.LogLine
+		id         string
+		query      control.Query
+	}
+	askMsg struct { // the consequences of an action
+		title string
+		lines []string
+		err   error
+		do    func() tea.Msg
+	}
+	doneMsg struct { // what an action did
+		text  string
+		watch string
+		err   error
+	}
+)
+
+// Init implements tea.Model.
+func (m *Model) Init() tea.Cmd { return m.fetch() }
+
+// fetch asks for what the screen shows. It ends the chain of polls before it.
+func (m *Model) fetch() tea.Cmd {
+	m.generation++
+	return m.call(m.generation)
+}
+
+func (m *Model) call(generation int) tea.Cmd {
+	d := dataMsg{generation: generation, screen: m.screen, id: m.id, query: m.wanted()}
+	after := uint64(0)
+	if n := len(m.log); n > 0 {
+		after = m.log[n-1].N
+	}
+	ctx, api := m.ctx, m.api
+	return func() tea.Msg {
+		ctx, cancel := context.WithTimeout(ctx, callFor)
+		defer cancel()
+		d.status, d.err = api.Status(ctx)
+		if d.err == nil && d.screen != detail {
+			d.partners, d.err = api.Partners(ctx)
+		}
+		if d.err == nil && d.screen == overview {
+			d.log, d.err = api.Log(ctx, after)
+		}
+		if d.err == nil && d.screen == messages {
+			var p control.Page
+			if p, d.err = api.Messages(ctx, d.query); d.err == nil {
+				d.page = &p
+			}
+		}
+		if d.err == nil && d.screen == detail {
+			var one control.Message
+			one, err := api.Message(ctx, d.id)
+			if d.message = &one; err != nil {
+				d.message, d.err = nil, err
+			}
+		}
+		d.at = time.Now()
+		return d
+	}
+}
+
+// wanted is the query of the page that is shown.
+func (m *Model) wanted() control.Query {
+	q := m.query
+	q.Ended, q.Newest, q.Limit = m.ended, m.sort == 1, pageSize
+	if n := len(m.cursors); n > 0 {
+		q.Cursor = m.cursors[n-1]
+	}
+	return q
+}
+
+// Update implements tea.Model.
+func (m *Model) Update(msg tea.Msg) (tea.Model, tea.Cmd) {
+	switch msg := msg.(type) {
+	case tea.WindowSizeMsg:
+		m.width, m.height = msg.Width, msg.Height
+	case tea.KeyPressMsg:
+		return m, m.key(msg.String())
+	case tea.PasteMsg:
+		if m.typing {
+			m.typed += strings.Join(strings.Fields(msg.Content), " ")
+		}
+	case pollMsg:
+		if msg.generation == m.generation {
+			return m, m.call(msg.generation)
+		}
+	case dataMsg:
+		return m, m.take(msg)
+	case askMsg:
+		switch {
+		case m.ask == nil: // called off meanwhile
+		case msg.err != nil:
+			m.ask, m.notice = nil, msg.title+": "+msg.err.Error()
+		default:
+			m.ask.lines, m.ask.do, m.ask.ready = msg.lines, msg.do, true
+		}
+	case doneMsg:
+		if m.notice, m.watch = msg.text, msg.watch; msg.err != nil {
+			m.notice = msg.text + ": " + msg.err.Error()
+		}
+		return m, m.fetch()
+	}
+	return m, nil
+}
+
+// take takes in an answer, and goes on with the chain that it belongs to.
+func (m *Model) take(d dataMsg) tea.Cmd {
+	if m.now = time.Now(); d.at.After(m.now) {
+		m.now = d.at
+	}
+	var e *control.Error
+	switch {
+	case errors.As(d.err, &e) && d.screen == detail && d.status.API > 0: // the relay answers: of that message nothing is known
+		m.heard, m.problem, m.status = d.at, "", d.status
+		if m.screen == detail && d.id == m.id {
+			m.message = control.Message{ID: d.id, State: "unknown", Why: e.Text}
+		}
+	case errors.As(d.err, &e) && e.Code == control.Invalid:
+		m.notice = e.Text
+		m.cursors = nil
+	case d.err != nil:
+		m.problem = d.err.Error()
+		if errors.Is(d.err, control.ErrNoRelay) {
+			m.problem = "no relay runs there"
+		}
+	default:
+		m.heard, m.problem, m.status = d.at, "", d.status
+		if d.partners != nil {
+			m.partners = d.partners
+		}
+		if len(m.log) > 0 && len(d.log) > 0 && d.log[0].N <= m.log[len(m.log)-1].N { // two answers to the same question, or another relay
+			m.log = nil
+		}
+		m.log = append(m.log, d.log...)
+		m.log = m.log[max(0, len(m.log)-logKept):]
+		if d.page != nil && d.query == m.wanted() {
+			m.page = *d.page
+			m.sortPage()
+		}
+		if d.message != nil && d.id == m.id {
+			m.message = *d.message
+		}
+	}
+	m.clamp()
+	if d.generation != m.generation {
+		return nil
+	}
+	g := d.generation
+	return tea.Tick(pollEvery, func(time.Time) tea.Msg { return pollMsg{g} })
+}
+
+// sortPage puts the page in the order chosen, where the relay does not.
+func (m *Model) sortPage() {
+	switch m.sort {
+	case 2:
+		slices.SortStableFunc(m.page.Messages, func(a, b control.Message) int { return cmp.Compare(b.Tries, a.Tries) })
+	case 3:
+		slices.SortStableFunc(m.page.Messages, func(a, b control.Message) int { return cmp.Compare(a.DueMs, b.DueMs) })
+	}
+}
+
+// rows are how many lines can be chosen on a screen.
+func (m *Model) rows() int {
+	switch m.screen {
+	case partners:
+		return len(m.targets())
+	case messages:
+		return len(m.page.Messages)
+	}
+	return 0
+}
+
+// target is one line of the partners' screen.
+type target struct {
+	partner  *control.Partner
+	endpoint *control.Endpoint // nil for the partner's own line
+}
+
+func (t target) String() string {
+	if t.endpoint != nil {
+		return "endpoint:" + t.endpoint.ID
+	}
+	return "partner:" + t.partner.Name
+}
+
+func (m *Model) targets() (all []target) {
+	for i := range m.partners {
+		p := &m.partners[i]
+		all = append(all, target{p, nil})
+		for j := range p.Endpoints {
+			all = append(all, target{p, &p.Endpoints[j]})
+		}
+	}
+	return all
+}
+
+// clamp keeps the chosen row there, and in sight.
+func (m *Model) clamp() {
+	m.row = max(0, min(m.row, m.rows()-1))
+	room := m.room()
+	m.top = max(0, min(m.top, m.rows()-room))
+	if m.row < m.top {
+		m.top = m.row
+	}
+	if m.row >= m.top+room {
+		m.top = m.row - room + 1
+	}
+}
+
+// room is how many rows of a list are in sight.
+func (m *Model) room() int {
+	if m.screen == partners { // three lines for the remark of the chosen one
+		return max(1, m.height-8)
+	}
+	return max(1, m.height-6)
+}
+
+// show turns to a screen.
+func (m *Model) show(s screen) tea.Cmd {
+	if s != m.screen {
+		m.screen, m.row, m.top, m.help = s, 0, 0, false
+	}
+	return m.fetch()
+}
+
+// key takes in a key.
+func (m *Model) key(k string) tea.Cmd {
+	if k == "ctrl+c" {
+		return tea.Quit
+	}
+	switch {
+	case m.ask != nil:
+		return m.answer(k)
+	case m.typing:
+		return m.typeKey(k)
+	case m.help:
+		m.help = false
+		return nil
+	}
+	switch k {
+	case "q":
+		return tea.Quit
+	case "?", "h":
+		m.help = true
+	case "1":
+		return m.show(overview)
+	case "2":
+		return m.show(partners)
+	case "3":
+		return m.show(messages)
+	case "tab":
+		return m.show((m.screen%detail + 1) % detail)
+	case "esc", "backspace", "left":
+		if m.screen == detail {
+			return m.show(messages)
+		}
+		m.notice, m.watch = "", ""
+	case "r":
+		return m.fetch()
+	case "up", "k":
+		m.row--
+	case "down", "j":
+		m.row++
+	case "pgup":
+		m.row -= m.room()
+	case "pgdown", "space":
+		m.row += m.room()
+	case "home", "g":
+		m.row = 0
+	case "end", "G":
+		m.row = m.rows() - 1
+	case "D":
+		return m.drain("relay", false)
+	case "U":
+		return m.drain("relay", true)
+	case "S":
+		return m.stop()
+	default:
+		return m.listKey(k)
+	}
+	m.clamp()
+	return nil
+}
+
+// listKey takes in a key that means something on one screen.
+func (m *Model) listKey(k string) tea.Cmd {
+	switch {
+	case m.screen == partners && (k == "d" || k == "u"):
+		if all := m.targets(); m.row < len(all) {
+			return m.drain(all[m.row].String(), k == "u")
+		}
+	case m.screen == partners && (k == "enter" || k == "right"): // what waits for it
+		if all := m.targets(); m.row < len(all) {
+			m.query, m.filter, m.ended, m.cursors = control.Query{Partner: all[m.row].partner.Name}, "partner="+all[m.row].partner.Name, false, nil
+			return m.show(messages)
+		}
+	case m.screen != messages:
+	case k == "enter" || k == "right":
+		if m.row < len(m.page.Messages) {
+			m.id = m.page.Messages[m.row].ID
+			m.message = control.Message{ID: m.id}
+			return m.show(detail)
+		}
+	case k == "/":
+		m.typing, m.typed = true, m.filter
+	case k == "e":
+		m.ended, m.cursors, m.row = !m.ended, nil, 0
+		return m.fetch()
+	case k == "s":
+		m.sort, m.cursors, m.row = (m.sort+1)%len(sorts), nil, 0
+		return m.fetch()
+	case k == "n" && m.page.Next != "":
+		m.cursors, m.row = append(m.cursors, m.page.Next), 0
+		return m.fetch()
+	case k == "p" && len(m.cursors) > 0:
+		m.cursors, m.row = m.cursors[:len(m.cursors)-1], 0
+		return m.fetch()
+	}
+	return nil
+}
+
+// typeKey takes in a key while the filter is typed.
+func (m *Model) typeKey(k string) tea.Cmd {
+	switch k {
+	case "esc":
+		m.typing = false
+	case "enter":
+		q, err := parseFilter(m.typed, m.query)
+		if err != nil {
+			m.notice = err.Error()
+			return nil
+		}
+		m.typing, m.filter, m.query, m.cursors, m.row, m.notice = false, m.typed, q, nil, 0, ""
+		return m.fetch()
+	case "backspace":
+		if r := []rune(m.typed); len(r) > 0 {
+			m.typed = string(r[:len(r)-1])
+		}
+	case "ctrl+u":
+		m.typed = ""
+	case "space":
+		m.typed += " "
+	default:
+		if r := []rune(k); len(r) == 1 && r[0] >= ' ' && len(m.typed) < 200 {
+			m.typed += k
+		}
+	}
+	return nil
+}
+
+// answer takes in a key while a question is open.
+func (m *Model) answer(k string) tea.Cmd {
+	switch k {
+	case "y", "Y":
+		if !m.ask.ready {
+			return nil
+		}
+		do := m.ask.do
+		m.notice, m.ask = m.ask.title+" ...", nil
+		return do
+	case "n", "N", "esc", "q":
+		m.ask, m.notice = nil, "called off, nothing was done"
+	}
+	return nil
+}
+
+// drain asks what a drain, or an undrain, would mean.
+func (m *Model) drain(target string, undrain bool) tea.Cmd {
+	name, do := "drain ", m.api.Drain
+	if undrain {
+		name, do = "undrain ", m.api.Undrain
+	}
+	title := name + target
+	m.ask = &question{title: title}
+	ctx, by := m.ctx, m.by
+	call := func(q control.DrainRequest) (control.DrainAnswer, error) {
+		ctx, cancel := context.WithTimeout(ctx, callFor)
+		defer cancel()
+		return do(ctx, q)
+	}
+	q := control.DrainRequest{Target: target, By: by, AllowLast: true} // the question says so, if it is the last one
+	return func() tea.Msg {
+		dry := q
+		dry.DryRun = true
+		d, err := call(dry)
+		return askMsg{title, Consequences(d, undrain), err, func() tea.Msg {
+			d, err := call(q)
+			if err != nil {
+				return doneMsg{text: title, err: err}
+			}
+			done := doneMsg{text: fmt.Sprintf("%s: %s at %s", target, d.Result, time.Now().Format(time.TimeOnly))}
+			if !undrain {
+				done.watch = target
+			}
+			return done
+		}}
+	}
+}
+
+// stop asks what a stop would mean.
+func (m *Model) stop() tea.Cmd {
+	const title = "stop the relay"
+	m.ask = &question{title: title}
+	ctx, by, api := m.ctx, m.by, m.api
+	call := func(dry bool) (control.StopAnswer, error) {
+		ctx, cancel := context.WithTimeout(ctx, callFor)
+		defer cancel()
+		return api.Stop(ctx, control.StopRequest{By: by, DryRun: dry})
+	}
+	return func() tea.Msg {
+		s, err := call(true)
+		return askMsg{title, []string{Stopping(s), "a stop cannot be undone; start the relay again with larchrouter run"}, err, func() tea.Msg {
+			s, err := call(false)
+			if err != nil {
+				return doneMsg{text: title, err: err}
+			}
+			return doneMsg{text: "stopping: " + Stopping(s)}
+		}}
+	}
+}
+
+// following tells how the drain that was begun here goes on.
+func (m *Model) following() string {
+	if m.watch == "" {
+		return ""
+	}
+	if m.watch == "relay" {
+		switch m.status.Phase {
+		case "draining":
+			return fmt.Sprintf("%d still held, %s left", m.status.Held, Span(m.status.UntilMs-m.status.NowMs))
+		case "drained":
+			if m.status.Left != nil && m.status.Left.Messages > 0 {
+				return "over; left: " + Left(*m.status.Left)
+			}
+			return "over, nothing is left: it may be stopped"
+		}
+		return ""
+	}
+	out, found := 0, false
+	for _, t := range m.targets() {
+		if t.endpoint != nil && ("endpoint:"+t.endpoint.ID == m.watch || "partner:"+t.partner.Name == m.watch) {
+			out, found = out+t.endpoint.Out, true
+		}
+	}
+	switch {
+	case !found:
+		return ""
+	case out > 0:
+		return fmt.Sprintf("%d calls still out", out)
+	}
+	return "no call is out there"
+}
