--- a/cmd/larchrouter/client.go
+++ b/cmd/larchrouter/client.go
@@ -23,13 +23,7 @@
 			defer c.Close()
 			ctx, cancel := context.WithCancel(cmd.Context())
 			defer cancel()
-			go func() {
-				select {
-				case <-a.stop:
-					cancel()
-				case <-ctx.Done():
-				}
-			}()
+			go a.endOnSignal(ctx, cancel)
 			if err := console.Run(ctx, c, console.Options{By: who()}); err != nil {
 				return coded{err, exitFailed}
 			}
--- a/cmd/larchrouter/command.go
+++ b/cmd/larchrouter/command.go
@@ -197,13 +197,7 @@
 		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, cancel := context.WithCancel(cmd.Context())
 			defer cancel()
-			go func() {
-				select {
-				case <-a.stop:
-					cancel()
-				case <-ctx.Done():
-				}
-			}()
+			go a.endOnSignal(ctx, cancel)
 			o.Out, o.JSON = a.out, a.json
 			if !noConsole {
 				o.Console = func(ctx context.Context, c *control.Client) error { return console.Run(ctx, c, console.Options{}) }
@@ -220,6 +214,16 @@
 	return c
 }
 
+// endOnSignal ends what runs on a terminal: by a signal, or when the terminal goes away, which is SIGHUP.
+func (a *app) endOnSignal(ctx context.Context, cancel context.CancelFunc) {
+	select {
+	case <-a.stop:
+	case <-a.reload:
+	case <-ctx.Done():
+	}
+	cancel()
+}
+
 // dial finds the relay that a client command is about.
 func (a *app) dial() (*control.Client, error) {
 	if a.socket != "" {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -92,8 +92,10 @@
 	status   control.Status
 	partners []control.Partner
 	page     control.Page
+	asked    control.Query // that page answers
 	message  control.Message
 	log      []control.LogLine
+	began    int64     // the relay's start, Unix milliseconds
 	heard    time.Time // last answer
 	problem  string    // why there is none since
 
@@ -264,6 +266,10 @@
 			m.problem = "no relay runs there"
 		}
 	default:
+		if began := d.status.NowMs - d.status.UpMs; began > m.began+1000 { // another process: its log has numbers of its own
+			m.log, m.began = nil, began
+			d.log = nil
+		}
 		m.heard, m.problem, m.status = d.at, "", d.status
 		if d.partners != nil {
 			m.partners = d.partners
@@ -274,7 +280,7 @@
 		m.log = append(m.log, d.log...)
 		m.log = m.log[max(0, len(m.log)-logKept):]
 		if d.page != nil && d.query == m.wanted() {
-			m.page = *d.page
+			m.page, m.asked = *d.page, d.query
 			m.sortPage()
 		}
 		if d.message != nil && d.id == m.id {
@@ -299,13 +305,21 @@
 	}
 }
 
+// shown are the messages of the page; none while the answer to another question is all there is.
+func (m *Model) shown() []control.Message {
+	if m.asked != m.wanted() {
+		return nil
+	}
+	return m.page.Messages
+}
+
 // rows are how many lines can be chosen on a screen.
 func (m *Model) rows() int {
 	switch m.screen {
 	case partners:
 		return len(m.targets())
 	case messages:
-		return len(m.page.Messages)
+		return len(m.shown())
 	}
 	return 0
 }
@@ -436,8 +450,8 @@
 		}
 	case m.screen != messages:
 	case k == "enter" || k == "right":
-		if m.row < len(m.page.Messages) {
-			m.id = m.page.Messages[m.row].ID
+		if all := m.shown(); m.row < len(all) {
+			m.id = all[m.row].ID
 			m.message = control.Message{ID: m.id}
 			return m.show(detail)
 		}
@@ -449,7 +463,7 @@
 	case k == "s":
 		m.sort, m.cursors, m.row = (m.sort+1)%len(sorts), nil, 0
 		return m.fetch()
-	case k == "n" && m.page.Next != "":
+	case k == "n" && m.page.Next != "" && m.asked == m.wanted():
 		m.cursors, m.row = append(m.cursors, m.page.Next), 0
 		return m.fetch()
 	case k == "p" && len(m.cursors) > 0:
@@ -511,7 +525,7 @@
 		name, do = "undrain ", m.api.Undrain
 	}
 	title := name + target
-	m.ask = &question{title: title}
+	m.ask, m.notice, m.watch = &question{title: title}, "", ""
 	ctx, by := m.ctx, m.by
 	call := func(q control.DrainRequest) (control.DrainAnswer, error) {
 		ctx, cancel := context.WithTimeout(ctx, callFor)
@@ -540,7 +554,7 @@
 // stop asks what a stop would mean.
 func (m *Model) stop() tea.Cmd {
 	const title = "stop the relay"
-	m.ask = &question{title: title}
+	m.ask, m.notice, m.watch = &question{title: title}, "", ""
 	ctx, by, api := m.ctx, m.by, m.api
 	call := func(dry bool) (control.StopAnswer, error) {
 		ctx, cancel := context.WithTimeout(ctx, callFor)
--- a/internal/console/view.go
+++ b/internal/console/view.go
@@ -287,16 +287,20 @@
 	if m.filter != "" {
 		title += ", filter " + m.filter
 	}
-	if m.page.Next != "" {
+	if m.page.Next != "" && m.asked == m.wanted() {
 		title += ", more on the next"
 	}
 	all := []string{title, bold.Render(fmt.Sprintf("  %-20s %-14s %-12s %-9s %5s %7s  %s", "id", "class", "partner", "state", "tries", "age", "why"))}
-	for i := m.top; i < len(m.page.Messages) && i < m.top+m.room(); i++ {
-		one := m.page.Messages[i]
+	shown := m.shown()
+	for i := m.top; i < len(shown) && i < m.top+m.room(); i++ {
+		one := shown[i]
 		all = append(all, pick(i == m.row, fmt.Sprintf("%-20s %-14s %-12s %-9s %5d %7s  %s", ansi.Truncate(one.ID, 20, "~"), ansi.Truncate(one.Class, 14, "~"),
 			ansi.Truncate(one.Partner, 12, "~"), one.State, one.Tries, Span(m.status.NowMs-one.TakenMs), one.Why)))
 	}
-	if len(m.page.Messages) == 0 {
+	switch {
+	case m.asked != m.wanted():
+		all = append(all, "  asking ...")
+	case len(shown) == 0:
 		all = append(all, "  none")
 	}
 	return all
