--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -29,9 +29,9 @@
 }
 
 const (
-	pollEvery = 500 * time.Millisecond
+	pollEvery = time.Second
 	callFor   = 2 * time.Second // for one round of questions
-	oldAfter  = 2 * time.Second // what is shown is called old
+	oldAfter  = 3 * time.Second // what is shown is called old
 	logKept   = 200
 	pageSize  = 100
 )
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -132,7 +132,7 @@
 	if id == "" {
 		return Message{}, Errorf(Invalid, "the id is empty")
 	}
-	return call[Message](ctx, c, http.MethodGet, "/messages/"+id, nil, nil)
+	return call[Message](ctx, c, http.MethodGet, "/message", url.Values{"id": {id}}, nil)
 }
 
 // Log asks for the log's lines after a number; 0 for all that are remembered.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -125,8 +125,9 @@
 		}
 		return s.backend.Messages(ctx, q)
 	})
-	get("/messages/{id...}", func(ctx context.Context, req *http.Request) (any, error) {
-		return s.backend.Message(ctx, req.PathValue("id"))
+	// The id is a parameter: in a path, one such as ".." would lead elsewhere.
+	get("/message", func(ctx context.Context, req *http.Request) (any, error) {
+		return s.backend.Message(ctx, req.URL.Query().Get("id"))
 	})
 	get("/log", func(_ context.Context, req *http.Request) (any, error) { return s.tail.After(after(req)), nil })
 	mux.HandleFunc("POST "+v+"/drain", s.serve(post(s.backend.Drain)))
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -309,8 +309,8 @@
 		end = b.until
 	}
 	again := b.phase == Stopping
-	if b.phase == Drained { // its time was up already
-		end = now
+	if b.phase == Drained { // its time was up already: calls out may end, no more
+		end = now.Add(LeastWithin)
 	}
 	b.phase, b.until = Stopping, end
 	if again {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -288,7 +288,11 @@
 			}
 		}
 		if class < 0 {
-			r.give(&message{Entry: e}, notice{e.ID, undeliverable, 0}, "its class was taken out of the configuration")
+			status := undeliverable
+			if r.alone != nil && !e.Ran && !e.Out {
+				status = deferred
+			}
+			r.give(&message{Entry: e}, notice{e.ID, status, 0}, "its class was taken out of the operator's file")
 			continue
 		}
 		m := &message{Entry: e, class: class, due: r.now() + ms(e.Due-wall)}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -309,6 +309,7 @@
 type Tally struct {
 	Delivered, Refused, Failed, Open, Unknown int
 	Wrong                                     []string // ids that contradict what the stand-ins saw
+	Why                                       []string // messages failed, with their attempts
 }
 
 func (t Tally) String() string {
@@ -334,6 +335,7 @@
 			wrong = wrong || n > 0 && m.Class != "status-update"
 		case control.Fails:
 			t.Failed++
+			t.Why = append(t.Why, fmt.Sprintf("%s %s: %s %+v", m.Class, m.ID, state.Why, state.Attempts))
 		case "":
 			t.Unknown++
 		default:
