--- a/cmd/larchrouter/consoles_test.go
+++ b/cmd/larchrouter/consoles_test.go
@@ -52,7 +52,7 @@
 	loaded := make(chan struct{})
 	go func() { defer close(loaded); l.Run(ctx, *consolesRate) }()
 	defer func() { cancel(); <-loaded }()
-	time.Sleep(*consolesSpan / 2) // warm
+	time.Sleep(2 * *consolesSpan) // warm: the store of ends fills
 	cases := []struct {
 		name     string
 		consoles int
@@ -81,7 +81,7 @@
 				}
 			}
 			t.Cleanup(end)
-			time.Sleep(*consolesSpan / 4)
+			time.Sleep(min(*consolesSpan, 1200*time.Millisecond)) // ten programs that start are no consoles yet
 			from, before := len(l.Taken()), cpu(t, s.cmd.Process.Pid)
 			time.Sleep(*consolesSpan)
 			messages := len(l.Taken()) - from
--- a/internal/relay/alone.go
+++ b/internal/relay/alone.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -225,6 +227,20 @@
 	r.letGo(r.alone.ends.Add(e, time.Now()))
 }
 
+// named puts the partner's name into a line of the decisions, which know it by number.
+func (r *Relay) named(text string) string {
+	rest, ok := strings.CutPrefix(text, "destination ")
+	if r.alone == nil || !ok {
+		return text
+	}
+	number, rest, _ := strings.Cut(rest, " ")
+	n, _ := strconv.Atoi(number)
+	if p := r.alone.dir.Load().byNumber[n]; p != nil {
+		return "partner " + p.Name + " " + rest
+	}
+	return text
+}
+
 // reason tells why the decisions gave a message up.
 func (r *Relay) reason(m *message) string {
 	k := r.set.Classes[m.class]
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -416,7 +416,7 @@
 		case choice.Health:
 			r.record(journal.Record{Op: journal.OpHealth, ID: a.Host, Ran: a.Unwell, Base: a.Base, At: time.Now().UnixMilli()})
 		case choice.Log:
-			slog.Info(a.Text)
+			slog.Info(r.named(a.Text))
 		}
 	}
 	r.flush()
