--- a/cmd/larchrouter/main_test.go
+++ b/cmd/larchrouter/main_test.go
@@ -467,7 +467,8 @@
 			}
 		}
 	}()
-	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait(); f.Close(); <-x.done; x.screen.Close() })
+	// The emulator is not closed: it would race with the reader above, which ends with the tests.
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait(); <-x.done; f.Close() })
 	return x
 }
 
