--- a/cmd/larchrouter/client.go
+++ b/cmd/larchrouter/client.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
 
+	"github.com/charmbracelet/x/term"
 	"github.com/spf13/cobra"
 
 	"larchrouter/internal/console"
@@ -16,6 +18,9 @@
 func (a *app) consoleCommand() *cobra.Command {
 	return &cobra.Command{Use: "console", Short: "Watch and operate the relay on a full screen", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := onTerminal("status, partners and messages print what it shows"); err != nil {
+				return err
+			}
 			c, err := a.dial()
 			if err != nil {
 				return err
@@ -31,6 +36,14 @@
 		}}
 }
 
+// onTerminal tells that the console needs a terminal, where there is none.
+func onTerminal(instead string) error {
+	if term.IsTerminal(os.Stdin.Fd()) && term.IsTerminal(os.Stdout.Fd()) {
+		return nil
+	}
+	return coded{fmt.Errorf("the console needs a terminal; %s", instead), exitUsage}
+}
+
 func (a *app) statusCommand() *cobra.Command {
 	return &cobra.Command{Use: "status", Short: "Print how the relay is", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 		return a.with(cmd.Context(), func(ctx context.Context, c *control.Client) error {
--- a/cmd/larchrouter/command.go
+++ b/cmd/larchrouter/command.go
@@ -200,6 +200,9 @@
 			go a.endOnSignal(ctx, cancel)
 			o.Out, o.JSON = a.out, a.json
 			if !noConsole {
+				if err := onTerminal("add --no-console"); err != nil {
+					return err
+				}
 				o.Console = func(ctx context.Context, c *control.Client) error { return console.Run(ctx, c, console.Options{}) }
 			}
 			if err := demo.Run(ctx, o); err != nil {
--- a/cmd/larchrouter/main_test.go
+++ b/cmd/larchrouter/main_test.go
@@ -218,6 +218,8 @@
 		{"status", 2, "which relay?"},
 		{"status --config " + bad, 3, "bad.hcl:1:10"},
 		{"status --socket /nowhere/sock", 4, "no relay runs there"},
+		{"demo", 2, "the console needs a terminal; add --no-console"},
+		{"console --socket /nowhere/sock", 2, "the console needs a terminal"},
 		{"demo --rate 0 --no-console", 1, "must be from 1 to 5000"},
 	} {
 		out, errs, code := call(t, strings.Fields(c.args)...)
