--- a/internal/relay/listen.go
+++ b/internal/front/httpapi/listen.go
@@ -1,4 +1,6 @@
-package relay
+// Package httpapi is the front on which clients hand messages in by HTTP. So far it holds the listener that
+// bounds their connections.
+package httpapi
 
 import (
 	"context"
@@ -11,10 +13,10 @@
 // firstIn is how long a new connection may stay silent while others are closed in its place.
 const firstIn = 200 * time.Millisecond
 
-// clients bounds the connections of clients. It accepts always: where a limit on accepting
+// Listener bounds the connections of clients. It accepts always: where a limit on accepting
 // would leave a client with neither an answer nor a close, one connection on which no
 // request is open is closed for each that is too many.
-type clients struct {
+type Listener struct {
 	*net.TCPListener
 	most int
 	mu   sync.Mutex
@@ -23,13 +25,23 @@
 
 type client struct {
 	*net.TCPConn // net/http needs its CloseWrite
-	set          *clients
+	set          *Listener
 	at           time.Time // accepted, or last answered
 	asked        bool      // a request was answered here
 	open         bool      // one was read whole and is not yet answered
 }
 
-func (s *clients) Accept() (net.Conn, error) {
+// Listen listens on an address, for so many connections at most.
+func Listen(addr string, most int) (*Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{TCPListener: l.(*net.TCPListener), most: most, all: map[*client]bool{}}, nil
+}
+
+// Accept implements net.Listener.
+func (s *Listener) Accept() (net.Conn, error) {
 	conn, err := s.AcceptTCP()
 	if err != nil {
 		return nil, err
@@ -50,7 +62,7 @@
 
 // spare picks the connection to close: the oldest that has stayed silent, else the oldest
 // between two requests, else the oldest with no request open, else the newest.
-func (s *clients) spare(newest *client) *client {
+func (s *Listener) spare(newest *client) *client {
 	for _, may := range []func(*client) bool{
 		func(c *client) bool { return !c.asked && newest.at.Sub(c.at) > firstIn },
 		func(c *client) bool { return c.asked },
@@ -78,12 +90,13 @@
 
 type clientKey struct{}
 
-func withClient(ctx context.Context, c net.Conn) context.Context {
+// WithClient is the http.Server's ConnContext for a Listener's connections.
+func WithClient(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, clientKey{}, c)
 }
 
-// requestRead keeps the request's connection from being closed until its answer is written.
-func requestRead(ctx context.Context) {
+// RequestRead keeps the request's connection from being closed until its answer is written.
+func RequestRead(ctx context.Context) {
 	if c, ok := ctx.Value(clientKey{}).(*client); ok {
 		c.set.mu.Lock()
 		c.open = true
@@ -91,8 +104,8 @@
 	}
 }
 
-// clientState takes in that an answer was written.
-func clientState(conn net.Conn, state http.ConnState) {
+// ClientState is the http.Server's ConnState for them: it takes in that an answer was written.
+func ClientState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*client)
 	if !ok || state != http.StateIdle {
 		return
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/front/httpapi"
 	"larchrouter/internal/journal"
 )
 
@@ -86,7 +87,7 @@
 		return
 	}
 	defer r.reading.Add(-int64(cap(in.entry.Body)))
-	requestRead(req.Context())
+	httpapi.RequestRead(req.Context())
 	r.post(func() { r.take(in) })
 	var a answer
 	select {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/front/httpapi"
 	"larchrouter/internal/journal"
 	"larchrouter/internal/settings"
 )
@@ -124,14 +125,14 @@
 		r.begin()
 	}
 	r.restore()
-	l, err := net.Listen("tcp", conf.Listen)
+	l, err := httpapi.Listen(conf.Listen, conf.Sockets/2)
 	if err != nil {
 		r.journal.Close()
 		return nil, err
 	}
-	r.listener = &clients{TCPListener: l.(*net.TCPListener), most: conf.Sockets / 2, all: map[*client]bool{}}
+	r.listener = l
 	r.server = &http.Server{Handler: r.handler(), ReadTimeout: requestIn, WriteTimeout: answerIn,
-		IdleTimeout: idleIn, MaxHeaderBytes: 16 << 10, ConnContext: withClient, ConnState: clientState}
+		IdleTimeout: idleIn, MaxHeaderBytes: 16 << 10, ConnContext: httpapi.WithClient, ConnState: httpapi.ClientState}
 	return r, nil
 }
 
