Move the transport to a room of its own, internal/transport/httpcall

Need: other transports come beside it, and the core is to know none of them. Connections, calls and what an answer proves moved with their tests; Pool.Exchange takes an attempt and tells each message's end.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -10,11 +10,11 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"larchrouter/choice"
 	"larchrouter/internal/journal"
+	"larchrouter/internal/transport/httpcall"
 )
 
 // server is one entry of discovery's list.
@@ -37,10 +37,10 @@
 
 // host is what the relay needs to call an endpoint.
 type host struct {
-	id, addr   string
+	httpcall.Host
+	id         string
 	dest, zone int
 	perCall    int
-	closed     atomic.Bool // drains or is gone: nothing new may go there
 }
 
 // agent is the platform's agent: discovery, and the taker of notices.
@@ -59,6 +59,7 @@
 	forgetDest  = time.Minute // one without hosts for so long is unknown again
 	forgetGone  = time.Minute // an outage of a host that left is over by then
 	maxListSize = 4 << 20
+	maxHead     = 32 << 10 // of an answer
 )
 
 // Rediscover has the agent looked for at other addresses from now on. Watches and
@@ -180,8 +181,8 @@
 			delete(r.hosts, s.ID)
 			continue
 		}
-		n := &host{id: s.ID, addr: s.Addr, dest: s.Cell, zone: h.Zone, perCall: 1}
-		if was != nil && was.addr == n.addr && was.dest == n.dest {
+		n := &host{id: s.ID, Host: httpcall.Host{Addr: s.Addr}, dest: s.Cell, zone: h.Zone, perCall: 1}
+		if was != nil && was.Addr == n.Addr && was.dest == n.dest {
 			n = was // calls that are out hold on to it
 		} else if was != nil {
 			r.gate(was, true)
@@ -189,7 +190,7 @@
 		if h.Kind >= 0 {
 			n.perCall = r.set.Kinds[h.Kind].PerCall
 		}
-		n.closed.Store(h.State != choice.Ready)
+		n.SetClosed(h.State != choice.Ready)
 		r.hosts[s.ID] = n
 		r.dests[s.Cell] = r.now()
 	}
@@ -206,8 +207,8 @@
 
 // gate tells whether new calls may go to a host. One that gets none keeps no idle connections.
 func (r *Relay) gate(h *host, closed bool) {
-	if h.closed.Store(closed); closed {
-		r.conns.shut(h)
+	if h.SetClosed(closed); closed {
+		r.conns.Shut(&h.Host)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"larchrouter/internal/front/httpapi"
 	"larchrouter/internal/journal"
 	"larchrouter/internal/settings"
+	"larchrouter/internal/transport/httpcall"
 )
 
 const (
@@ -58,7 +59,7 @@
 	began    time.Time
 	server   *http.Server
 	listener net.Listener
-	conns    *hostConns
+	conns    *httpcall.Pool
 	life     context.Context // of discovery and notices
 	end      context.CancelFunc
 	agent    atomic.Pointer[agent]
@@ -105,7 +106,7 @@
 	}
 	rest := set.IdleConn - min(500*time.Millisecond, set.IdleConn/4) // hosts end idle ones; what crosses that is lost
 	// Descriptors: half for clients, a few for journal, discovery and the runtime, the rest for hosts.
-	r.conns = newHostConns(set.DialTimeout, rest, conf.Sockets/2-keptBack)
+	r.conns = httpcall.NewPool(set.DialTimeout, rest, conf.Sockets/2-keptBack)
 	r.life, r.end = context.WithCancel(context.Background())
 	if r.alone == nil {
 		r.Rediscover(conf.Discovery)
@@ -158,7 +159,7 @@
 	r.end()
 	r.server.Close()
 	r.endCalls(errStopping)
-	r.conns.closeIdle()
+	r.conns.CloseIdle()
 	r.journal.Close()
 }
 
@@ -410,7 +411,7 @@
 			r.final(a.ID, undeliverable, 0)
 		case choice.Cancel:
 			if m := r.held[a.ID]; m != nil && m.call != nil {
-				m.call.cancel(errCalled)
+				m.call.cancel(httpcall.ErrCalledOff)
 			}
 		case choice.Wake:
 			r.arm(now, a.After)
@@ -478,7 +479,7 @@
 	wall := time.Now().UnixMilli()
 	for _, s := range sends {
 		m, h := r.held[s.ID], r.hosts[s.Host]
-		if m == nil || h == nil || h.dest != m.Dest || h.closed.Load() {
+		if m == nil || h == nil || h.dest != m.Dest || h.Closed() {
 			r.events = append(r.events, choice.Result{ID: s.ID, Host: s.Host, Outcome: choice.NotSent})
 			continue
 		}
@@ -518,23 +519,23 @@
 }
 
 // ended takes in what became of one message's attempt.
-func (r *Relay) ended(c *call, m *message, e end, took, wait time.Duration) {
+func (r *Relay) ended(c *call, m *message, e httpcall.End, took, wait time.Duration) {
 	if m.call != c {
 		return // its own time was up before the call's
 	}
 	m.call = nil
 	expelled := r.alone != nil && r.unwanted(m) != ""
-	r.events = append(r.events, choice.Result{ID: m.ID, Host: c.host.id, Outcome: e.outcome, Took: took, Wait: wait,
-		Done: e.done || e.outcome == choice.Served || expelled})
+	r.events = append(r.events, choice.Result{ID: m.ID, Host: c.host.id, Outcome: e.Outcome, Took: took, Wait: wait,
+		Done: e.Done || e.Outcome == choice.Served || expelled})
 	if m.over {
 		return
 	}
-	never := e.outcome == choice.Refused || e.outcome == choice.NoConnection || e.outcome == choice.NotSent
+	never := e.Outcome == choice.Refused || e.Outcome == choice.NoConnection || e.Outcome == choice.NotSent
 	out := journal.Record{Op: journal.OpOutcome, ID: m.ID, Ran: !never}
 	if r.alone != nil {
-		out.Why, out.Wait = outcomeNames[e.outcome], took.Milliseconds()
+		out.Why, out.Wait = outcomeNames[e.Outcome], took.Milliseconds()
 	}
-	switch over := e.done || e.outcome == choice.Served; {
+	switch over := e.Done || e.Outcome == choice.Served; {
 	case r.alone == nil && over:
 		r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
 		r.drop(m)
@@ -544,9 +545,9 @@
 		r.record(out)
 		m.Ran = m.Ran || !never // the record is not applied yet
 		switch {
-		case e.outcome == choice.Served:
+		case e.Outcome == choice.Served:
 			r.conclude(m, delivered, 0, "")
-		case e.done:
+		case e.Done:
 			r.conclude(m, r.lawful(m), 0, "its partner holds it to be over")
 		default:
 			r.conclude(m, r.lawful(m), 0, r.unwanted(m))
--- a/internal/relay/conns.go
+++ b/internal/transport/httpcall/conns.go
@@ -1,4 +1,4 @@
-package relay
+package httpcall
 
 import (
 	"bufio"
@@ -16,23 +16,24 @@
 
 const (
 	maxHead    = 32 << 10               // of an answer
+	maxBody    = 64 << 10               // of a call, and of an answer
 	maxInterim = 8                      // 1xx answers ahead of one
 	restIn     = 200 * time.Millisecond // for the rest of an answer that has begun
 )
 
 var errNoDescriptor = errors.New("no descriptor is free for a connection")
 
-// hostConns keeps the connections to hosts. net/http's Transport is not used: it pools them by
+// Pool keeps the connections to hosts. net/http's Transport is not used: it pools them by
 // address, so that a new host gets those of a gone one; it hands what lies behind an answer to
 // the next call; and it does not tell whether the last byte of a request was written.
-type hostConns struct {
+type Pool struct {
 	dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	rest time.Duration // one that stood idle for so long is closed
 	most int           // open or coming up
 
 	mu    sync.Mutex
 	open  int
-	idle  map[*host][]*hostConn // the one used last at the end
+	idle  map[*Host][]*hostConn // the one used last at the end
 	stale staleness
 }
 
@@ -83,8 +84,8 @@
 
 type hostConn struct {
 	net.Conn
-	set    *hostConns
-	host   *host
+	set    *Pool
+	host   *Host
 	room   io.LimitedReader // bounds what in reads
 	in     *bufio.Reader
 	kept   bool          // from an earlier call
@@ -95,12 +96,14 @@
 	once   sync.Once
 }
 
-func newHostConns(dial, rest time.Duration, most int) *hostConns {
-	return &hostConns{dial: (&net.Dialer{Timeout: dial}).DialContext, rest: rest, most: most, idle: map[*host][]*hostConn{}}
+// NewPool returns a pool of so many connections at most, open or coming up. One that is not up after dial has
+// failed; one that stood idle for rest is closed.
+func NewPool(dial, rest time.Duration, most int) *Pool {
+	return &Pool{dial: (&net.Dialer{Timeout: dial}).DialContext, rest: rest, most: most, idle: map[*Host][]*hostConn{}}
 }
 
 // get returns a kept connection to a host, or a new one. It ends with the context.
-func (s *hostConns) get(ctx context.Context, h *host) (*hostConn, error) {
+func (s *Pool) get(ctx context.Context, h *Host) (*hostConn, error) {
 	for c := s.pop(h); c != nil; c = s.pop(h) {
 		if s.trusts(c) && c.quiet() {
 			c.kept, c.stood = true, time.Since(c.since)
@@ -112,7 +115,7 @@
 	if !s.reserve() {
 		return nil, errNoDescriptor
 	}
-	conn, err := s.dial(ctx, "tcp", h.addr)
+	conn, err := s.dial(ctx, "tcp", h.Addr)
 	if err != nil {
 		s.mu.Lock()
 		s.open--
@@ -131,7 +134,7 @@
 	return c, nil
 }
 
-func (s *hostConns) trusts(c *hostConn) bool {
+func (s *Pool) trusts(c *hostConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -150,7 +153,7 @@
 // bind closes the connection when the context ends: so a call is given up.
 func (c *hostConn) bind(ctx context.Context) { c.unbind = context.AfterFunc(ctx, c.close) }
 
-func (s *hostConns) pop(h *host) *hostConn {
+func (s *Pool) pop(h *Host) *hostConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := s.idle[h]
@@ -163,7 +166,7 @@
 }
 
 // remove takes an idle connection out. The lock is held.
-func (s *hostConns) remove(c *hostConn) {
+func (s *Pool) remove(c *hostConn) {
 	c.expiry.Stop()
 	all := s.idle[c.host]
 	for i := range all {
@@ -178,7 +181,7 @@
 }
 
 // reserve makes room for one more connection, in the place of the one idle for longest if need be.
-func (s *hostConns) reserve() bool {
+func (s *Pool) reserve() bool {
 	s.mu.Lock()
 	var oldest *hostConn
 	if s.open >= s.most {
@@ -202,7 +205,7 @@
 }
 
 // put keeps a connection whose answer was read whole, with nothing behind it.
-func (s *hostConns) put(c *hostConn) {
+func (s *Pool) put(c *hostConn) {
 	if !c.unbind() || c.SetReadDeadline(time.Time{}) != nil {
 		c.Close()
 		return
@@ -220,7 +223,7 @@
 	}
 }
 
-func (s *hostConns) expire(c *hostConn) {
+func (s *Pool) expire(c *hostConn) {
 	s.mu.Lock()
 	idle := false
 	for _, o := range s.idle[c.host] {
@@ -235,15 +238,15 @@
 	}
 }
 
-// shut closes the idle connections of a host that gets no further calls. Its closed is set before.
-func (s *hostConns) shut(h *host) {
+// Shut closes the idle connections of a host that gets no further calls. Its closed is set before.
+func (s *Pool) Shut(h *Host) {
 	for c := s.pop(h); c != nil; c = s.pop(h) {
 		c.Close()
 	}
 }
 
-// closeIdle closes all idle connections.
-func (s *hostConns) closeIdle() {
+// CloseIdle closes all idle connections.
+func (s *Pool) CloseIdle() {
 	for {
 		s.mu.Lock()
 		var one *hostConn
@@ -260,6 +263,13 @@
 	}
 }
 
+// Open is how many connections are open or coming up.
+func (s *Pool) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open
+}
+
 func (c *hostConn) close() { c.Close() }
 
 func (c *hostConn) Close() (err error) {
--- /dev/null
+++ b/internal/transport/httpcall/httpcall.go
@@ -0,0 +1,224 @@
+// Package httpcall is the transport that sends attempts to hosts by HTTP/1.1: an attempt goes in, and what
+// became of each of its messages comes out, with what proves that it never ran told apart from what proves
+// nothing. It decides nothing: which host, how long and whether again are told to it.
+package httpcall
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"larchrouter/choice"
+)
+
+var (
+	errTimeout = errors.New("time-out")
+	errGated   = errors.New("host drains or is gone")
+)
+
+// ErrCalledOff is the cause of a context that ends because the attempt is called off.
+var ErrCalledOff = errors.New("called off")
+
+// Host is where calls go. Its connections are its own: another at the same address gets none of them.
+type Host struct {
+	Addr   string // host:port
+	closed atomic.Bool
+}
+
+// Closed tells whether nothing new may go there.
+func (h *Host) Closed() bool { return h.closed.Load() }
+
+// SetClosed has nothing new go there from now on, or has it go again. It binds calls that wait for their
+// connection as well: it is looked at right before the first byte.
+func (h *Host) SetClosed(closed bool) { h.closed.Store(closed) }
+
+// Call is one attempt, with one message or several.
+type Call struct {
+	Host    *Host
+	IDs     []string // of its messages
+	Key     string   // of a single message; empty for none
+	Body    []byte   // of a single message, or the Frames of several; 64 KiB at most
+	Timeout time.Duration
+}
+
+// End is what a call tells of one message.
+type End struct {
+	Outcome choice.Outcome
+	Done    bool // the host holds the message to be over
+}
+
+// Frame is a message as it stands in the body of a call with several.
+func Frame(id, key string, body []byte) []byte {
+	if key == "" {
+		key = "-"
+	}
+	return fmt.Appendf(nil, "%s %s %d\r\n%s\r\n", id, key, len(body), body)
+}
+
+// Exchange makes one call and tells each message's end, the time that it took, and a wait that the host told.
+// It ends with the context; a cause of ErrCalledOff makes the ends Cancelled, or NotSent if nothing had gone. Took is taken here, so
+// that no delay of the loop is learnt as latency.
+func (p *Pool) Exchange(ctx context.Context, c Call) (ends []End, took, wait time.Duration) {
+	ids := c.IDs
+	ctx, stop := context.WithTimeoutCause(ctx, c.Timeout, errTimeout)
+	defer stop()
+	all := func(e End) []End { return slices.Repeat([]End{e}, len(ids)) }
+	begin := time.Now()
+	conn, err := p.send(ctx, c)
+	if err != nil {
+		o := choice.NoConnection
+		if err == errGated || err == errNoDescriptor || context.Cause(ctx) == ErrCalledOff {
+			o = choice.NotSent // nothing that the host did
+		}
+		return all(End{Outcome: o}), time.Since(begin), 0
+	}
+	a := conn.reply()
+	took = time.Since(begin)
+	if a.begun { // before another call can have the connection
+		conn.note(false)
+	}
+	if a.clean {
+		p.put(conn)
+	} else {
+		conn.Close()
+	}
+	switch {
+	case a.begun:
+		if a.status != 0 {
+			took = a.at.Sub(begin)
+		}
+		if ends = all(single(a, len(ids) > 1)); len(ids) > 1 && a.status == http.StatusOK {
+			ends = batchEnds(a, ids)
+		}
+		return ends, took, retryAfter(a.header)
+	case context.Cause(ctx) == ErrCalledOff:
+		return all(End{Outcome: choice.Cancelled}), took, 0
+	case context.Cause(ctx) == errTimeout:
+		return all(End{Outcome: choice.Timeout}), took, 0
+	}
+	conn.note(true)
+	if conn.kept { // it may have been dropped on the way, which is no sign of its host's health
+		return all(End{Outcome: choice.Spoilt}), took, 0
+	}
+	return all(End{Outcome: choice.Reset}), took, 0
+}
+
+// send writes one request. On an error its last byte was not written, so that it has not run.
+func (p *Pool) send(ctx context.Context, c Call) (*hostConn, error) {
+	ids := c.IDs
+	var b bytes.Buffer
+	if len(ids) > 1 {
+		fmt.Fprintf(&b, "POST /receive-many HTTP/1.1\r\nHost: %s\r\n", c.Host.Addr)
+	} else {
+		fmt.Fprintf(&b, "POST /receive HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n", c.Host.Addr, ids[0])
+		if c.Key != "" {
+			fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", c.Key)
+		}
+	}
+	fmt.Fprintf(&b, "X-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", max(1, c.Timeout.Milliseconds()), len(c.Body))
+	b.Write(c.Body)
+	for {
+		conn, err := p.get(ctx, c.Host)
+		if err != nil {
+			return nil, err
+		}
+		// It may have taken long to come up: nothing new goes to a host that drains by now.
+		if c.Host.closed.Load() {
+			conn.Close()
+			return nil, errGated
+		}
+		if _, err = conn.Write(b.Bytes()); err == nil {
+			return conn, nil
+		}
+		conn.Close()
+		// A kept connection that had ended before is no call yet: once more on another.
+		if !conn.kept || ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
+// single reads an answer that holds for the whole call. A spoilt one proves nothing but that
+// of 200 to a single message: the call may have run.
+func single(a reply, many bool) End {
+	if a.status == http.StatusOK {
+		return End{Outcome: choice.Served}
+	}
+	if a.status == 0 || !a.whole || a.noise {
+		return End{Outcome: choice.Spoilt}
+	}
+	switch a.status {
+	case http.StatusTooManyRequests:
+		return End{Outcome: choice.Refused}
+	case http.StatusServiceUnavailable:
+		if a.header.Get("X-Over-Slots") == "1" {
+			return End{Outcome: choice.NotSent}
+		}
+		return End{Outcome: choice.Refused}
+	case http.StatusGatewayTimeout:
+		return End{Outcome: choice.NotSent}
+	case http.StatusGone:
+		return End{Outcome: choice.NotSent, Done: true}
+	case http.StatusRequestEntityTooLarge, http.StatusBadRequest:
+		if many {
+			return End{Outcome: choice.NotSent}
+		}
+	}
+	return End{Outcome: choice.Error}
+}
+
+// batchEnds reads the answer of a call with several messages. It proves something only if it
+// tells of each of them once, and of nothing else; else all of them may have run.
+func batchEnds(a reply, ids []string) []End {
+	nothing := slices.Repeat([]End{{Outcome: choice.Spoilt}}, len(ids))
+	if !a.whole {
+		return nothing
+	}
+	ends, told := make([]End, len(ids)), make([]bool, len(ids))
+	for line := range strings.Lines(string(a.body)) {
+		id, what, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if id == "" {
+			continue
+		}
+		i := slices.Index(ids, id)
+		if i < 0 || told[i] {
+			return nothing
+		}
+		told[i] = true
+		switch strings.TrimSpace(what) {
+		case "ok":
+			ends[i] = End{Outcome: choice.Served}
+		case "error":
+			ends[i] = End{Outcome: choice.Error}
+		case "later":
+			ends[i] = End{Outcome: choice.Refused}
+		case "gone":
+			ends[i] = End{Outcome: choice.NotSent, Done: true}
+		case "exhausted":
+			ends[i] = End{Outcome: choice.NotSent}
+		default:
+			return nothing
+		}
+	}
+	if slices.Contains(told, false) {
+		return nothing
+	}
+	return ends
+}
+
+// retryAfter reads a wait in seconds, whole or decimal, rounded up to milliseconds.
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.ParseFloat(strings.TrimSpace(h.Get("Retry-After")), 64)
+	if err != nil || !(s > 0) {
+		return 0
+	}
+	return time.Duration(math.Ceil(min(s, 3600)*1000)) * time.Millisecond
+}
