Use the list's own path for drains, and drop what the change had twice

Read again as a stranger. change() built a second listing of its own where relist() tells gates and decisions the whole list with the drains in force; a private 'left' was control.Left with a converter; reason() was worked out under the platform, where nobody reads it; Options.In and Out of the console, Appliance.Relay and drain.Finished had no user in the program.

--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -102,9 +102,6 @@
 // Addr is where clients connect.
 func (a *Appliance) Addr() string { return a.relay.Addr() }
 
-// Relay is the relay itself.
-func (a *Appliance) Relay() *relay.Relay { return a.relay }
-
 // Socket is the control socket's path; empty where it is off.
 func (a *Appliance) Socket() string {
 	if a.control == nil {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -38,9 +38,7 @@
 
 // Options of Run.
 type Options struct {
-	By  string // names the operator in records
-	In  io.Reader
-	Out io.Writer
+	By string // names the operator in records
 }
 
 // Run shows the console until it is closed, the context ends or the terminal goes away.
@@ -49,14 +47,7 @@
 		o.By = "the console"
 	}
 	m := NewModel(ctx, api, o.By)
-	opts := []tea.ProgramOption{tea.WithContext(ctx), tea.WithoutSignalHandler()}
-	if o.In != nil {
-		opts = append(opts, tea.WithInput(o.In))
-	}
-	if o.Out != nil {
-		opts = append(opts, tea.WithOutput(o.Out))
-	}
-	_, err := tea.NewProgram(m, opts...).Run()
+	_, err := tea.NewProgram(m, tea.WithContext(ctx), tea.WithoutSignalHandler()).Run()
 	if ctx.Err() != nil || errors.Is(err, tea.ErrInterrupted) || errors.Is(err, os.ErrClosed) || errors.Is(err, io.EOF) {
 		return nil
 	}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -108,7 +108,6 @@
 	StillBy   Result = "still drained"    // its own mark is gone, its partner's closes it
 	StopBegun Result = "stopping"         // takes the place of a drain under way
 	StopAgain Result = "already stopping" // the sooner end stands
-	Finished  Result = "drain of the relay over"
 )
 
 // Change is what a command asks the relay to make durable and carry out. Set and Unset are to be
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -11,6 +11,9 @@
 
 var t0 = time.Date(2026, 12, 1, 9, 0, 0, 0, time.UTC)
 
+// finished stands for a Tick that says that the drain is over.
+const finished Result = "over"
+
 func book() *Book {
 	b := NewBook()
 	b.Members(map[string][]string{"pay": {"pay-1", "pay-2"}, "post": {"post-1"}})
@@ -64,7 +67,7 @@
 			{"drain", "relay", 20 * time.Second, time.Second, Already, nil, all, Draining},
 			{"drain", "relay", 2 * time.Second, time.Second, Shortened, nil, all, Draining},
 			{"tick", "", 0, time.Second, "", nil, all, Draining},
-			{"tick", "", 0, time.Second, Finished, nil, all, Drained},
+			{"tick", "", 0, time.Second, finished, nil, all, Drained},
 			{"tick", "", 0, time.Second, "", nil, all, Drained},
 			{"drain", "relay", time.Second, 0, Already, nil, all, Drained},
 			{"undrain", "relay", 0, 0, Undone, nil, all, Serving}},
@@ -100,7 +103,7 @@
 					change, err = b.Stop(s.within, now)
 				case "tick":
 					if b.Tick(1, now) {
-						change.Result = Finished
+						change.Result = finished
 					}
 				}
 				if change.Result != s.result || !errors.Is(err, s.err) {
--- a/internal/relay/alone.go
+++ b/internal/relay/alone.go
@@ -64,21 +64,14 @@
 	book    *drain.Book
 	ends    *ends.Store
 	count   counters
-	order   []*message // held, as taken on; those over are dropped now and then
-	number  uint64     // of the last message in order
-	left    *left      // of the relay's drain, once it is over
-	version int64      // of the list
+	order   []*message    // held, as taken on; those over are dropped now and then
+	number  uint64        // of the last message in order
+	left    *control.Left // of the relay's drain, once it is over
+	version int64         // of the list
 	view    atomic.Pointer[cachedView]
 	looking chan struct{} // who asks the loop for a view
 }
 
-// left is what a drain or a stop leaves.
-type left struct {
-	messages, calls int
-	partners        map[string]int
-	ids             []string
-}
-
 func newAlone(conf Alone) *alone {
 	a := &alone{Alone: conf, book: drain.NewBook(), ends: ends.New(conf.EndsKeep, conf.EndsAge),
 		looking: make(chan struct{}, 1)}
@@ -243,6 +236,9 @@
 
 // reason tells why the decisions gave a message up.
 func (r *Relay) reason(m *message) string {
+	if r.alone == nil {
+		return "" // nobody asks
+	}
 	k := r.set.Classes[m.class]
 	switch {
 	case (m.Ran || m.ran) && k.Effect == choice.Unsafe:
@@ -266,21 +262,21 @@
 		return
 	}
 	a.left = r.whatIsLeft()
-	slog.Info("the drain of the relay is over", "left", a.left.messages, "calls_out", a.left.calls, "partners", a.left.partners,
-		"ids", a.left.ids)
+	slog.Info("the drain of the relay is over", "left", a.left.Messages, "calls_out", a.left.Calls, "partners", a.left.Partners,
+		"ids", a.left.IDs)
 }
 
 // whatIsLeft counts what is held by partner, and names the oldest.
-func (r *Relay) whatIsLeft() *left {
-	l := &left{calls: r.out, partners: map[string]int{}}
+func (r *Relay) whatIsLeft() *control.Left {
+	l := &control.Left{Calls: r.out, Partners: map[string]int{}}
 	for _, m := range r.alone.order {
 		if m.over {
 			continue
 		}
-		l.messages++
-		l.partners[m.Partner]++
-		if len(l.ids) < 10 {
-			l.ids = append(l.ids, m.ID)
+		l.Messages++
+		l.Partners[m.Partner]++
+		if len(l.IDs) < 10 {
+			l.IDs = append(l.IDs, m.ID)
 		}
 	}
 	return l
@@ -303,10 +299,7 @@
 // change carries out what the book decides: it records it, closes the gates, and only then returns.
 func (r *Relay) change(do func() (drain.Change, error)) (drain.Change, error) {
 	b := r.alone.book
-	before, wasOpen := b.Snapshot(), map[string]bool{}
-	for id := range r.hosts {
-		wasOpen[id] = b.Open(id)
-	}
+	before := b.Snapshot()
 	c, err := do()
 	if err != nil {
 		return c, err
@@ -325,25 +318,7 @@
 			return drain.Change{}, err
 		}
 		slog.Info("drains changed", "result", string(c.Result), "set", len(c.Set), "unset", len(c.Unset), "target", recs[0].ID)
-	}
-	ev := choice.Listing{}
-	for _, p := range r.alone.dir.Load().all {
-		for _, e := range p.Endpoints {
-			h := r.hosts[e.ID]
-			if h == nil || b.Open(e.ID) == wasOpen[e.ID] {
-				continue
-			}
-			r.gate(h, !b.Open(e.ID))
-			state := choice.Ready
-			if !b.Open(e.ID) {
-				state = choice.Draining
-			}
-			ev.Hosts = append(ev.Hosts, choice.Host{Addr: e.ID, Dest: p.Number, Kind: slices.Index(r.set.KindNames, p.Kind),
-				Zone: h.zone, Rate: 1, State: state})
-		}
-	}
-	if len(ev.Hosts) > 0 {
-		r.events = append(r.events, ev)
+		r.relist()
 	}
 	if r.alone.book.TakesOn() {
 		r.alone.left = nil
@@ -375,8 +350,8 @@
 			over := r.out == 0 && (r.stopped || len(r.held) == 0) || !time.Now().Before(at)
 			if over {
 				l := r.whatIsLeft()
-				slog.Info("stopping; what is left is taken up by the next start", "left", l.messages, "calls_out", l.calls,
-					"partners", l.partners, "ids", l.ids)
+				slog.Info("stopping; what is left is taken up by the next start", "left", l.Messages, "calls_out", l.Calls,
+					"partners", l.Partners, "ids", l.IDs)
 			}
 			done <- over
 		})
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -94,13 +94,10 @@
 		UpMs: r.now().Milliseconds(), Listen: r.Addr(), State: r.conf.State, Phase: string(phase), Held: len(r.held),
 		HeldMost: r.set.MaxHeld, Out: r.out, Slots: r.set.Workers, Ends: a.ends.Len(), EndsMost: a.EndsKeep,
 		DiskBytes: r.journal.Size(), Totals: control.Totals{Taken: t.taken, Turned: t.turned, Delivered: t.delivered,
-			Refused: t.refused, Failed: t.failed, Calls: t.calls}, Series: a.count.series(now), Drains: []control.Drained{}}
+			Refused: t.refused, Failed: t.failed, Calls: t.calls}, Series: a.count.series(now), Drains: []control.Drained{}, Left: a.left}
 	if !until.IsZero() {
 		s.UntilMs = until.UnixMilli()
 	}
-	if a.left != nil {
-		s.Left = a.left.api()
-	}
 	for _, m := range a.book.Marks() {
 		s.Drains = append(s.Drains, control.Drained{Target: m.Target.String(), SinceMs: m.Since.UnixMilli(), By: m.By})
 	}
@@ -143,10 +140,6 @@
 	return v
 }
 
-func (l *left) api() *control.Left {
-	return &control.Left{Messages: l.messages, Calls: l.calls, Partners: l.partners, IDs: l.ids}
-}
-
 // series are the last whole seconds of a minute, oldest first.
 func (c *counters) series(now time.Time) []control.Second {
 	all := make([]control.Second, 0, len(c.ring)-1)
@@ -501,7 +494,7 @@
 		before := b.Snapshot()
 		c, err := b.Stop(within, time.Now())
 		_, at := b.Phase()
-		a.UntilMs, a.Left = at.UnixMilli(), *r.whatIsLeft().api()
+		a.UntilMs, a.Left = at.UnixMilli(), *r.whatIsLeft()
 		if q.DryRun {
 			b.Revert(before)
 			return a, err
