--- a/cmd/larchrouter/main_test.go
+++ b/cmd/larchrouter/main_test.go
@@ -561,7 +561,7 @@
 	}
 }
 
-// Under the platform there is no control socket; beside the journal there are what holds the folder for one process
+// Under the platform there is no control socket; beside the journal and its spare room there are what holds the folder for one process
 // and where a second one finds it, which take a block at most.
 func TestPlatformIsAsBefore(t *testing.T) {
 	p := newPlatform(t)
@@ -571,8 +571,8 @@
 	for _, e := range entries {
 		names = append(names, e.Name())
 	}
-	if err != nil || strings.Join(names, " ") != "handover journal lock" {
-		t.Errorf("the state folder holds %v, %v, want handover, journal and lock", names, err)
+	if err != nil || strings.Join(names, " ") != "handover journal-00000001 journal.spare lock" {
+		t.Errorf("the state folder holds %v, %v, want handover, journal, its spare room and lock", names, err)
 	}
 	resp, err := http.Get("http://" + p.addr + "/api/x")
 	if err != nil {
--- /dev/null
+++ b/internal/compaction/compaction.go
@@ -0,0 +1,71 @@
+// Package compaction decides when a journal of segments is compacted, and how much of that is done at a time. It does
+// no I/O.
+//
+// The journal is a log: records go to its end, and compaction carries what is still live in the oldest segment to the
+// end, whole, and then lets that segment go. Segments go in the order in which they were written (Rosenblum and
+// Ousterhout, "The design and implementation of a log-structured file system", 1992, without their choice of victims):
+// what says that a message is over is then never let go before what it is over for.
+//
+// Work is paced by what is written, as an incremental collector's is (Baker 1978): with live bytes at most two thirds
+// of what the log may take, four bytes carried for each one written are more than enough, and no single piece is long.
+package compaction
+
+// Bounds of what a segment takes, and of what is carried at a time.
+const (
+	leastSegment = 16 << 10
+	mostSegment  = 8 << 20
+	leastCarried = 16 << 10
+	MostCarried  = 512 << 10 // or as much as was written; and no more than a segment
+	pace         = 4         // bytes carried for each one written, at most
+	mostSegments = 64        // more small ones than that are compacted whatever they take
+)
+
+// Limits follow from a budget in bytes for all files of a journal.
+type Limits struct {
+	Budget  int64
+	Segment int64 // one is closed at this size, and may be over it by one write
+	Spare   int64 // on the disk itself, held in a file for when the disk is full
+	reserve int64 // of the budget: for records of what is held already, and for what is carried
+}
+
+// For are the limits for a budget.
+func For(budget int64) Limits {
+	l := Limits{Budget: budget, Segment: min(max(budget/32, leastSegment), mostSegment)}
+	l.Spare = min(l.Segment, 1<<20)
+	l.reserve = max(budget/8, 3*l.Segment) + l.Spare
+	return l
+}
+
+// Log is what a journal has on the disk, in bytes.
+type Log struct {
+	Total    int64 // of all segments
+	Live     int64 // what carrying all that is live takes at most
+	Segments int
+}
+
+// ceiling is what the log may take with new messages.
+func (l Limits) ceiling() int64 { return l.Budget - l.reserve }
+
+// MostLive is how many bytes may be live with new messages.
+func (l Limits) MostLive() int64 { return max(0, l.ceiling()/3*2) }
+
+// Admits tells whether there is room for new messages: n bytes to be written, by which the live ones grow by grows.
+func (l Limits) Admits(g Log, n, grows int64) bool {
+	return g.Live+grows <= l.MostLive() && g.Total+n <= l.ceiling()
+}
+
+// Fits tells whether n bytes of records of what is held already can be written before anything is carried.
+func (l Limits) Fits(g Log, n int64) bool { return g.Total+n+l.Spare+l.Segment <= l.Budget }
+
+// Carry is how many bytes are to be carried now, after so many were written; 0 for none.
+func (l Limits) Carry(g Log, written int64) int64 {
+	goal := min(2*g.Live+4*l.Segment, l.ceiling()-3*l.Segment)
+	most := min(max(MostCarried, written), l.Segment) // what was written took its time as well
+	switch {
+	case g.Segments < 2 || g.Total <= goal && g.Segments <= mostSegments:
+		return 0
+	case g.Total > l.ceiling()-l.Segment: // new messages are about to be refused
+		return most
+	}
+	return min(max(pace*written, leastCarried), most)
+}
--- /dev/null
+++ b/internal/journal/bench_test.go
@@ -0,0 +1,178 @@
+package journal
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// filled is a journal that holds so many messages of 1 kB.
+func filled(b testing.TB, dir string, held int, o Options) *Journal {
+	b.Helper()
+	j, err := Open(dir, o)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := 0; i < held; i += 50 {
+		var recs []Record
+		for k := i; k < min(i+50, held); k++ {
+			recs = append(recs, taken(fmt.Sprint("held-", k), 1000))
+		}
+		put(b, j, recs...)
+	}
+	return j
+}
+
+// BenchmarkAppend is the life of a message that is delivered at once, a record at a time, with 1,000 others held, so
+// that compaction is always under way; and the same bytes by write(2) alone.
+func BenchmarkAppend(b *testing.B) {
+	b.Run("journal", func(b *testing.B) {
+		j := filled(b, b.TempDir(), 1000, Options{Budget: 64 << 20, Memory: Memory{Most: 4096, Bytes: 1 << 20, AgeMS: 1e6}})
+		defer j.Close()
+		b.ResetTimer()
+		for i := range b.N {
+			id := fmt.Sprint("m", i)
+			put(b, j, taken(id, 300))
+			put(b, j, Record{Op: OpTry, ID: id, At: int64(i), Wait: 300})
+			put(b, j, Record{Op: OpEnd, ID: id, At: int64(i)})
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(3*b.N), "ns/record")
+	})
+	b.Run("write", func(b *testing.B) {
+		f, err := os.Create(filepath.Join(b.TempDir(), "plain"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer f.Close()
+		buf, at := make([]byte, 400), int64(0)
+		for range b.N {
+			for _, n := range []int{386, 45, 42} { // as the journal's records are
+				f.WriteAt(buf[:n], at)
+				if at += int64(n); at > 2<<20 {
+					at = 0
+				}
+			}
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(3*b.N), "ns/record")
+	})
+}
+
+// BenchmarkPause is the longest Append, each with the records of 20 messages, while compaction goes several times
+// round the log; and how many bytes were written for each one appended.
+func BenchmarkPause(b *testing.B) {
+	for _, held := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint("held-", held), func(b *testing.B) {
+			for range b.N {
+				j := filled(b, b.TempDir(), held, Options{Budget: 1 << 30})
+				before := j.seq
+				var all []time.Duration
+				rounds := max(2000, held/10)
+				for n := range rounds {
+					var recs []Record
+					for i := range 20 {
+						id := fmt.Sprint("m", n, "-", i)
+						recs = append(recs, taken(id, 1000), Record{Op: OpTry, ID: id}, Record{Op: OpForget, ID: id})
+					}
+					begin := time.Now()
+					put(b, j, recs...)
+					all = append(all, time.Since(begin))
+				}
+				slices.Sort(all)
+				b.ReportMetric(float64(all[len(all)-1].Microseconds())/1000, "ms-longest")
+				b.ReportMetric(float64(all[len(all)*99/100].Microseconds())/1000, "ms-p99")
+				b.ReportMetric(float64(all[len(all)/2].Microseconds())/1000, "ms-median")
+				b.ReportMetric(float64(j.seq-before)/float64(60*rounds), "records-written/appended")
+				j.Close()
+			}
+		})
+	}
+}
+
+// BenchmarkOpen reads a journal with so many live messages of 1 kB, after as many ended ones times ten.
+func BenchmarkOpen(b *testing.B) {
+	for _, held := range []int{1000, 100_000} {
+		b.Run(fmt.Sprint("held-", held), func(b *testing.B) {
+			dir, o := b.TempDir(), Options{Budget: 1 << 30, Memory: Memory{Most: 4096, Bytes: 1 << 20, AgeMS: 1e6}}
+			j := filled(b, dir, held, o)
+			for n := range held / 2 {
+				var recs []Record
+				for i := range 20 {
+					id := fmt.Sprint("m", n, "-", i)
+					recs = append(recs, taken(id, 100), Record{Op: OpEnd, ID: id, At: int64(n)})
+				}
+				put(b, j, recs...)
+			}
+			j.Close()
+			b.ResetTimer()
+			for range b.N {
+				j, err := Open(dir, o)
+				if err != nil {
+					b.Fatal(err)
+				}
+				want(b, "entries", len(j.Entries), held)
+				j.Close()
+			}
+		})
+	}
+}
+
+// BenchmarkPower is what clients together get recorded with each of them waiting for the disk: one Append for all that
+// wait, as the relay does, and one sync for each message.
+func BenchmarkPower(b *testing.B) {
+	for _, clients := range []int{1, 8, 64} {
+		b.Run(fmt.Sprint("clients-", clients), func(b *testing.B) {
+			j, err := Open(b.TempDir(), Options{Budget: 64 << 20, Power: true})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer j.Close()
+			asks := make(chan chan error, clients)
+			go func() {
+				n := 0
+				for first := range asks {
+					waiting := []chan error{first}
+					for more := true; more; {
+						select {
+						case next, ok := <-asks:
+							if more = ok; ok {
+								waiting = append(waiting, next)
+							}
+						default:
+							more = false
+						}
+					}
+					var recs []Record
+					for range waiting {
+						id := fmt.Sprint("m", n)
+						n++
+						recs = append(recs, taken(id, 300), Record{Op: OpForget, ID: id})
+					}
+					err := j.Append(recs...)
+					for _, w := range waiting {
+						w <- err
+					}
+				}
+			}()
+			var all sync.WaitGroup
+			b.ResetTimer()
+			for range clients {
+				all.Go(func() {
+					done := make(chan error)
+					for range b.N {
+						asks <- done
+						if err := <-done; err != nil {
+							b.Error(err)
+						}
+					}
+				})
+			}
+			all.Wait()
+			close(asks)
+			b.ReportMetric(float64(clients*b.N)/b.Elapsed().Seconds(), "messages/s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/journal/codec.go
@@ -0,0 +1,266 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// The numbers of the fields of a record.
+const (
+	recOp protowire.Number = iota + 1
+	recID
+	recEntry
+	recAt
+	recWait
+	recZone
+	recRan
+	recStatus
+	recAgain
+	recBase
+	recHost
+	recWhy
+	recSum
+)
+
+// encode appends a record.
+func (r *Record) encode(buf []byte) []byte {
+	buf = putNumber(buf, recOp, codes[r.Op])
+	buf = putText(buf, recID, r.ID)
+	buf = putSigned(buf, recAt, r.At)
+	buf = putSigned(buf, recWait, r.Wait)
+	buf = putSigned(buf, recZone, int64(r.Zone))
+	buf = putNumber(buf, recRan, bit(r.Ran))
+	buf = putText(buf, recStatus, r.Status)
+	buf = putSigned(buf, recAgain, r.Again)
+	if r.Base != 0 {
+		buf = protowire.AppendFixed64(protowire.AppendTag(buf, recBase, protowire.Fixed64Type), math.Float64bits(r.Base))
+	}
+	buf = putText(buf, recHost, r.Host)
+	buf = putText(buf, recWhy, r.Why)
+	buf = putNumber(buf, recSum, uint64(r.Sum))
+	if r.Entry != nil {
+		buf = nested(buf, recEntry, r.Entry.encode)
+	}
+	return buf
+}
+
+// nested appends a message within one. Its length takes three bytes always, so that it can be set afterwards.
+func nested(buf []byte, n protowire.Number, put func([]byte) []byte) []byte {
+	buf = protowire.AppendTag(buf, n, protowire.BytesType)
+	at := len(buf)
+	buf = put(append(buf, 0, 0, 0))
+	size := len(buf) - at - 3
+	if size >= 1<<21 {
+		panic("journal: a record over 2 MB") // bodies, names and attempts are bounded far below
+	}
+	buf[at], buf[at+1], buf[at+2] = byte(size)|0x80, byte(size>>7)|0x80, byte(size>>14)
+	return buf
+}
+
+var errOp = errors.New("an operation that is not known")
+
+// decode reads a record. What it returns shares nothing with data.
+func decode(data []byte) (r Record, err error) {
+	err = each(data, func(n protowire.Number, f wire) error {
+		switch n {
+		case recOp:
+			if f.number == 0 || f.number >= uint64(len(ops)) {
+				return errOp
+			}
+			r.Op = ops[f.number]
+		case recID:
+			r.ID = string(f.bytes)
+		case recEntry:
+			r.Entry = new(Entry)
+			return r.Entry.decode(f.bytes)
+		case recAt:
+			r.At = f.signed()
+		case recWait:
+			r.Wait = f.signed()
+		case recZone:
+			r.Zone = int(f.signed())
+		case recRan:
+			r.Ran = f.number != 0
+		case recStatus:
+			r.Status = string(f.bytes)
+		case recAgain:
+			r.Again = f.signed()
+		case recBase:
+			r.Base = math.Float64frombits(f.number)
+		case recHost:
+			r.Host = string(f.bytes)
+		case recWhy:
+			r.Why = string(f.bytes)
+		case recSum:
+			r.Sum = uint32(f.number)
+		}
+		return nil
+	})
+	switch {
+	case err != nil:
+	case r.Op == "":
+		err = errOp
+	case (r.Op == OpTaken || r.Op == opCarried) && r.Entry == nil:
+		err = fmt.Errorf("a record %q without a message", r.Op)
+	}
+	return r, err
+}
+
+// The numbers of the fields of an entry.
+const (
+	entID protowire.Number = iota + 1
+	entClass
+	entDest
+	entKey
+	entEffect
+	entDue
+	entBody
+	entTries
+	entWait
+	entRan
+	entRanAt
+	entZone
+	entOut
+	entOutAt
+	entOutTo
+	entStatus
+	entAgain
+	entPartner
+	entTakenAt
+	entEndAt
+	entWhy
+	entSum
+	entBytes
+	entAttempt
+	entNumber
+)
+
+func (e *Entry) encode(buf []byte) []byte {
+	buf = putText(buf, entID, e.ID)
+	buf = putText(buf, entClass, e.Class)
+	buf = putSigned(buf, entDest, int64(e.Dest))
+	buf = putText(buf, entKey, e.Key)
+	buf = putSigned(buf, entEffect, int64(e.Effect))
+	buf = putSigned(buf, entDue, e.Due)
+	buf = putSigned(buf, entTries, int64(e.Tries))
+	buf = putSigned(buf, entWait, e.Wait)
+	buf = putNumber(buf, entRan, bit(e.Ran))
+	buf = putSigned(buf, entRanAt, e.RanAt)
+	buf = putSigned(buf, entZone, int64(e.Zone))
+	buf = putNumber(buf, entOut, bit(e.Out))
+	buf = putSigned(buf, entOutAt, e.OutAt)
+	buf = putSigned(buf, entOutTo, int64(e.OutTo))
+	buf = putText(buf, entStatus, e.Status)
+	buf = putSigned(buf, entAgain, e.Again)
+	buf = putText(buf, entPartner, e.Partner)
+	buf = putSigned(buf, entTakenAt, e.TakenAt)
+	buf = putSigned(buf, entEndAt, e.EndAt)
+	buf = putText(buf, entWhy, e.Why)
+	buf = putNumber(buf, entSum, uint64(e.Sum))
+	buf = putSigned(buf, entBytes, int64(e.Bytes))
+	buf = putNumber(buf, entNumber, e.number)
+	for i := range e.Log {
+		buf = nested(buf, entAttempt, e.Log[i].encode)
+	}
+	return putBytes(buf, entBody, e.Body)
+}
+
+func (e *Entry) decode(data []byte) error {
+	return each(data, func(n protowire.Number, f wire) error {
+		switch n {
+		case entID:
+			e.ID = string(f.bytes)
+		case entClass:
+			e.Class = string(f.bytes)
+		case entDest:
+			e.Dest = int(f.signed())
+		case entKey:
+			e.Key = string(f.bytes)
+		case entEffect:
+			e.Effect = int(f.signed())
+		case entDue:
+			e.Due = f.signed()
+		case entBody:
+			e.Body = append([]byte(nil), f.bytes...)
+		case entTries:
+			e.Tries = int(f.signed())
+		case entWait:
+			e.Wait = f.signed()
+		case entRan:
+			e.Ran = f.number != 0
+		case entRanAt:
+			e.RanAt = f.signed()
+		case entZone:
+			e.Zone = int(f.signed())
+		case entOut:
+			e.Out = f.number != 0
+		case entOutAt:
+			e.OutAt = f.signed()
+		case entOutTo:
+			e.OutTo = int(f.signed())
+		case entStatus:
+			e.Status = string(f.bytes)
+		case entAgain:
+			e.Again = f.signed()
+		case entPartner:
+			e.Partner = string(f.bytes)
+		case entTakenAt:
+			e.TakenAt = f.signed()
+		case entEndAt:
+			e.EndAt = f.signed()
+		case entWhy:
+			e.Why = string(f.bytes)
+		case entSum:
+			e.Sum = uint32(f.number)
+		case entBytes:
+			e.Bytes = int(f.signed())
+		case entNumber:
+			e.number = f.number
+		case entAttempt:
+			var a Attempt
+			if err := a.decode(f.bytes); err != nil {
+				return err
+			}
+			e.Log = append(e.Log, a)
+		}
+		return nil
+	})
+}
+
+// The numbers of the fields of an attempt.
+const (
+	attHost protowire.Number = iota + 1
+	attAt
+	attTook
+	attOutcome
+	attRan
+)
+
+func (a *Attempt) encode(buf []byte) []byte {
+	buf = putText(buf, attHost, a.Host)
+	buf = putSigned(buf, attAt, a.At)
+	buf = putSigned(buf, attTook, a.Took)
+	buf = putText(buf, attOutcome, a.Outcome)
+	return putNumber(buf, attRan, bit(a.Ran))
+}
+
+func (a *Attempt) decode(data []byte) error {
+	return each(data, func(n protowire.Number, f wire) error {
+		switch n {
+		case attHost:
+			a.Host = string(f.bytes)
+		case attAt:
+			a.At = f.signed()
+		case attTook:
+			a.Took = f.signed()
+		case attOutcome:
+			a.Outcome = string(f.bytes)
+		case attRan:
+			a.Ran = f.number != 0
+		}
+		return nil
+	})
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -1,362 +1,459 @@
-// Package journal is the durable record of what a relay owes: what it has taken on, the attempts made,
-// and how messages ended. It knows records, not decisions.
+// Package journal is the durable record of what a relay owes: what it has taken on, the attempts made, and how messages
+// ended. It knows records, not decisions.
+//
+// It is a log in segments, with what its records amount to in memory. Compaction is a part of each Append: it carries
+// what is live in the oldest segment to the end of the log, in pieces that package compaction decides on, and lets the
+// segment go. The log is read at Open only.
 package journal
 
 import (
-	"bytes"
-	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/crc32"
-	"io"
-	"os"
-	"path/filepath"
-	"strconv"
-)
-
-// The journal is one append-only file of records: length, CRC32, JSON. What
-// write(2) has taken outlasts the process, so nothing is synced. Times in it
-// are Unix milliseconds.
+	"io/fs"
+	"slices"
 
-const (
-	headerSize = 8
-	maxRecord  = 256 << 10
-	blockSize  = 512     // each file counts in whole blocks
-	slack      = 384     // room for an entry's history beyond what it was taken on with
-	reserve    = 1 << 17 // of the budget, kept for records of messages already held
+	"larchrouter/internal/compaction"
+	"larchrouter/internal/files"
 )
 
 // ErrFull says that the journal has no room for one more message.
-var ErrFull = errors.New("journal: disk budget used up")
+var ErrFull = errors.New("journal: no room on the disk, or within its budget")
 
 // ErrUnwritten says that earlier records still wait to be written.
 var ErrUnwritten = errors.New("journal: earlier records are not written yet")
 
-// Entry is all that is needed to send a message again, or to end it.
-type Entry struct {
-	ID     string `json:"id"`
-	Class  string `json:"class"`
-	Dest   int    `json:"dest"`
-	Key    string `json:"key,omitempty"`
-	Effect int    `json:"eff,omitempty"` // of its class as it was taken on: 1 + a choice.Effect; 0 if not known
-	Due    int64  `json:"due"`
-	Body   []byte `json:"body,omitempty"`
-	Tries  int    `json:"tries,omitempty"`
-	Wait   int64  `json:"wait,omitempty"` // time-out of the last try, ms
-	Ran    bool   `json:"ran,omitempty"`  // an attempt may have run
-	RanAt  int64  `json:"ran_at,omitempty"`
-	Zone   int    `json:"zone,omitempty"` // of the host that may have run it
-	Out    bool   `json:"out,omitempty"`  // the last try has no outcome
-	OutAt  int64  `json:"out_at,omitempty"`
-	OutTo  int    `json:"out_to,omitempty"` // zone of its host
-	Status string `json:"status,omitempty"` // of the notice that is owed, or how it ended where ends are kept
-	Again  int64  `json:"again,omitempty"`
-
-	// Where no platform is told of ends, a relay keeps them, and what became of each attempt.
-	Partner string    `json:"partner,omitempty"`
-	TakenAt int64     `json:"taken,omitempty"`
-	EndAt   int64     `json:"end,omitempty"`
-	Why     string    `json:"why,omitempty"` // it ended undelivered
-	Sum     uint32    `json:"sum,omitempty"` // of what was handed in, once the body is gone
-	Bytes   int       `json:"bytes,omitempty"`
-	Log     []Attempt `json:"log,omitempty"`
-
-	size int64 // bytes that it takes in a compacted journal at most
+// ErrSync says that the disk failed to make records durable. What it holds of them is not known, and a second try
+// would pretend: Linux may drop what it could not write and call it written. The journal takes nothing more.
+var ErrSync = errors.New("journal: the disk could not make records durable; nothing more is taken on here")
+
+const (
+	spareName = "journal.spare" // room on the disk for when it is full
+	blockSize = 4096
+	trimMost  = 4               // segments let go in one Append
+	passMost  = 1 << 14         // places passed over in one Append that are no longer live
+)
+
+// Options of a journal.
+type Options struct {
+	// Budget is what all its files may take together, in bytes.
+	Budget int64
+	// Power has Append return only when its records outlast a loss of power, not just the end of the process.
+	Power bool
+	// Memory bounds what is remembered of ended ids; its Bytes are a sixteenth of the budget at most.
+	Memory Memory
+	// Files is the folder; nil for that of the operating system.
+	Files files.System
 }
 
-// Attempt is one try of a message, where they are kept.
-type Attempt struct {
-	Host    string `json:"h"`
-	At      int64  `json:"at"`          // Unix milliseconds
-	Took    int64  `json:"t,omitempty"` // milliseconds
-	Outcome string `json:"o,omitempty"` // empty while it is out, or if the process died under it
-	Ran     bool   `json:"r,omitempty"` // it may have run
+// Journal is an open journal. It is not safe for concurrent use.
+type Journal struct {
+	state
+	// Broken fails every further Append; it is set when a sync failed, and by tests.
+	Broken error
+
+	dir      files.System
+	power    bool
+	limits   compaction.Limits
+	segments []segment // as written; the last is written to
+	total    int64     // bytes of them
+	f        files.File
+	synced   uint64     // the last record known to outlast a loss of power
+	spare    files.File // nil while it is used up
+	torn     bool       // the active segment has bytes behind its end that could not be cut off
+	writes   int
+	report   Report
+	buf      []byte
+	sizes    []int64
 }
 
-// attemptRoom is what an attempt takes in a compacted journal at most, beside its host's name.
-const attemptRoom = 96
+type segment struct {
+	number uint64
+	size   int64
+}
 
-// Same tells whether a message is the one that was handed in before under its id.
-func (e *Entry) Same(o *Entry) bool {
-	return e.Class == o.Class && e.Dest == o.Dest && e.Key == o.Key && bytes.Equal(e.Body, o.Body)
+// Open reads what an earlier process left in a folder, and begins a new segment there. What is damaged is told by
+// Report; a journal of a newer format is ErrNewer, and nothing is changed then.
+func Open(dir string, o Options) (*Journal, error) {
+	if o.Files == nil {
+		o.Files = files.Dir(dir)
+	}
+	o.Memory.Bytes = min(o.Memory.Bytes, o.Budget/16)
+	j := &Journal{state: newState(o.Memory), dir: o.Files, power: o.Power, limits: limitsFor(o.Budget)}
+	if err := j.open(); err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	return j, nil
 }
 
-// Checksum stands for what Same compares, also once the body is gone.
-func (e *Entry) Checksum() uint32 {
-	if e.Sum != 0 {
-		return e.Sum
+func (j *Journal) open() error {
+	l, err := read(j.dir, &j.state)
+	if err != nil {
+		return err
+	}
+	j.report = l.report
+	if err := l.mend(j.dir); err != nil {
+		return err
 	}
-	h := crc32.NewIEEE()
-	io.WriteString(h, e.Class+" "+strconv.Itoa(e.Dest)+" "+e.Key+" ")
-	h.Write(e.Body)
-	return h.Sum32()
+	j.segments = l.segments
+	for _, s := range j.segments {
+		j.total += s.size
+	}
+	if j.power { // they may be of a process that did not get to it
+		for _, s := range j.segments {
+			if err := j.dir.SyncFile(segName(s.number)); err != nil {
+				return err
+			}
+		}
+	}
+	if l.legacy != nil {
+		j.report.LegacyUnread = j.legacy(l.legacy)
+	}
+	j.synced = j.seq
+	if err := j.roll(l.last + 1); err != nil {
+		return err
+	}
+	if l.legacy != nil {
+		if err := j.convert(); err != nil {
+			return err
+		}
+	}
+	j.trim()
+	j.regain()
+	return nil
 }
 
-// What a record tells of a message.
-const (
-	OpTaken   = "taken"   // Entry: taken on, or carried over by compaction
-	OpTry     = "try"     // an attempt is about to go
-	OpOutcome = "outcome" // it ended
-	OpNotice  = "notice"  // the message ended undelivered; its notice is owed
-	OpEnd     = "end"     // nothing more is owed
-	OpHealth  = "health"  // ID is a host: an outage was seen there (Ran), or has passed
-	OpDrain   = "drain"   // ID is a target of a drain: it is in force (Ran), or was undone
-)
+// convert writes what was read from a file of format 1, and removes that.
+func (j *Journal) convert() error {
+	for {
+		if _, ok := j.oldest(len(j.items)); !ok || j.items[j.first].segment > 0 {
+			break
+		}
+		if err := j.carryTo(compaction.MostCarried); err != nil {
+			return err
+		}
+	}
+	if err := j.f.Sync(); err != nil {
+		return err
+	}
+	if err := j.dir.Remove(legacyName); err != nil {
+		return err
+	}
+	return j.dir.SyncDir()
+}
+
+func (j *Journal) active() *segment { return &j.segments[len(j.segments)-1] }
 
-// Record is one line of a message's life; its Op says which, and which fields count.
-type Record struct {
-	Op     string  `json:"op"`
-	ID     string  `json:"i,omitempty"`
-	Entry  *Entry  `json:"e,omitempty"`
-	At     int64   `json:"at,omitempty"`
-	Wait   int64   `json:"w,omitempty"`
-	Zone   int     `json:"z,omitempty"`
-	Ran    bool    `json:"r,omitempty"`
-	Status string  `json:"s,omitempty"`
-	Again  int64   `json:"a,omitempty"`
-	Base   float64 `json:"b,omitempty"`
-	Host   string  `json:"h,omitempty"` // of a try, where attempts are kept
-	Why    string  `json:"y,omitempty"` // of an outcome, its name; of a notice, the reason
-	Sum    uint32  `json:"m,omitempty"`
+// log is how much there is, for package compaction.
+func (j *Journal) log() compaction.Log {
+	return compaction.Log{Total: j.total, Live: j.live, Segments: len(j.segments)}
 }
 
-func frame(buf []byte, r Record) []byte {
-	payload, err := json.Marshal(r)
-	if err != nil {
-		panic(err) // no field of a record can fail
-	}
-	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(payload)))
-	buf = binary.LittleEndian.AppendUint32(buf, crc32.ChecksumIEEE(payload))
-	return append(buf, payload...)
+// SetBudget changes what all files may take together, in bytes.
+func (j *Journal) SetBudget(bytes int64) { j.limits = limitsFor(bytes) }
+
+// limitsFor are the limits for a budget, less what files take beyond their size: whole blocks.
+func limitsFor(budget int64) compaction.Limits {
+	l := compaction.For(budget)
+	return compaction.For(budget - (budget/l.Segment+4)*blockSize)
 }
 
-// unframe reads the record at the start of data and tells how long it is. A
-// torn or corrupt one is an error: what follows it cannot be trusted.
-func unframe(data []byte) (r Record, n int, err error) {
-	if len(data) < headerSize {
-		return r, 0, errors.New("torn header")
+// Budget is what the files may take now, in bytes.
+func (j *Journal) Budget() int64 { return j.limits.Budget }
+
+// Append writes records and applies them. When it fails nothing was recorded. Records that take messages on fail with
+// ErrFull well before others do, which then still find room.
+func (j *Journal) Append(recs ...Record) error {
+	if j.Broken != nil {
+		return j.Broken
+	}
+	if len(recs) == 0 {
+		return nil
+	}
+	buf, sizes, grows, takes := j.encode(recs)
+	n := int64(len(buf))
+	seq := j.seq
+	if err := j.room(n, grows, takes); err != nil {
+		return err
+	}
+	if j.seq != seq { // others have come before them
+		buf, sizes, _, _ = j.encode(recs)
+	}
+	j.writes++
+	if err := j.write(buf, len(recs), takes); err != nil {
+		return err
 	}
-	size := binary.LittleEndian.Uint32(data)
-	if size > maxRecord || int(size) > len(data)-headerSize {
-		return r, 0, errors.New("torn record")
+	number := j.active().number
+	for i := range recs {
+		j.apply(j.seq+1, &recs[i], number, sizes[i])
 	}
-	payload := data[headerSize : headerSize+int(size)]
-	if crc32.ChecksumIEEE(payload) != binary.LittleEndian.Uint32(data[4:]) {
-		return r, 0, errors.New("checksum differs")
+	if cap(j.buf) > 1<<20 {
+		j.buf = nil // a burst's memory is not kept
 	}
-	if err := json.Unmarshal(payload, &r); err != nil {
-		return r, 0, err
+	if carry := j.limits.Carry(j.log(), n); carry > 0 {
+		j.carry(carry) // if it fails, the next Append tries again
 	}
-	return r, headerSize + int(size), nil
+	return nil
 }
 
-// Journal is an open journal. It is not safe for concurrent use. The exported fields are for
-// reading, save Budget and Broken.
-type Journal struct {
-	path    string
-	Budget  int64 // bytes, for all files together
-	f       *os.File
-	size    int64
-	writes  int
-	live    int64 // what a compacted journal takes at most
-	Entries map[string]*Entry
-	Unwell  map[string]Record // hosts in an outage, or cold after it
-	Drains  map[string]Record // in force
-	Order   []string          // ids as taken on; ended ones are dropped by compaction
-	// Broken fails every further Append; it is set when a failed write could not be undone, and by tests.
-	Broken error
+// encode makes the bytes of records that come next, and tells the size of each, by how much they let what is live grow,
+// and whether any takes a message on.
+func (j *Journal) encode(recs []Record) (buf []byte, sizes []int64, grows int64, takes bool) {
+	buf, sizes = j.buf[:0], j.sizes[:0]
+	for i := range recs {
+		before, seq := len(buf), j.seq+1+uint64(i)
+		switch e := j.Entries[recs[i].ID]; {
+		case recs[i].Op == OpTaken:
+			takes, recs[i].Entry.number = true, seq
+		case recs[i].Op == OpEnd && e != nil: // it outlasts what is before it
+			recs[i].Sum = e.Checksum()
+		}
+		buf = appendFrame(buf, seq, j.unsynced(seq), &recs[i])
+		sizes = append(sizes, int64(len(buf)-before))
+		grows += recs[i].growth(sizes[i])
+	}
+	j.buf, j.sizes = buf, sizes
+	return buf, sizes, grows, takes
 }
 
-// Open replays what an earlier process left in a folder and starts a compacted file there. Budget is
-// what its files may take together, in bytes.
-func Open(dir string, budget int64) (*Journal, error) {
-	j := &Journal{path: filepath.Join(dir, "journal"), Budget: budget - 4*blockSize, Entries: map[string]*Entry{},
-		Unwell: map[string]Record{}, Drains: map[string]Record{}}
-	// A leftover copy is of a compaction that a kill cut short: the old file still holds all.
-	if err := os.Remove(j.path + ".tmp"); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, err
-	}
-	data, err := os.ReadFile(j.path)
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, err
-	}
-	for at := 0; at < len(data); {
-		r, n, err := unframe(data[at:])
-		if err != nil {
-			break // the tail was being written when the process died
+// unsynced is how many records before one with this sequence may not outlast a loss of power.
+func (j *Journal) unsynced(seq uint64) uint32 {
+	if !j.power {
+		return 0
+	}
+	return uint32(seq - 1 - j.synced)
+}
+
+// room makes room for n bytes of records.
+func (j *Journal) room(n, grows int64, takes bool) error {
+	if takes {
+		admits := func() bool { return j.limits.Admits(j.log(), n, grows) && j.regain() }
+		if !admits() {
+			j.carry(min(compaction.MostCarried, j.limits.Segment))
+			if !admits() {
+				return ErrFull
+			}
 		}
-		j.apply(r, int64(n))
-		at += n
+		return nil
 	}
-	j.size = int64(len(data))
-	if err := j.compact(); err != nil {
-		return nil, err
+	for rounds := 2 * len(j.segments); !j.limits.Fits(j.log(), n); rounds-- {
+		if rounds <= 0 || j.carry(j.limits.Segment) != nil {
+			return ErrFull
+		}
 	}
-	return j, nil
+	return nil
 }
 
-// apply brings the entries up to date with one record.
-func (j *Journal) apply(r Record, n int64) {
-	e := j.Entries[r.ID]
-	switch {
-	case r.Op == OpHealth && r.Ran:
-		if _, ok := j.Unwell[r.ID]; !ok {
-			j.live += slack
-		}
-		j.Unwell[r.ID] = r
-	case r.Op == OpHealth:
-		if _, ok := j.Unwell[r.ID]; ok {
-			j.live -= slack
+// write puts bytes at the end of the log, durable as the journal is. Takes says that they need not go if the disk is
+// full.
+func (j *Journal) write(buf []byte, records int, takes bool) error {
+	err := j.writeOnce(buf)
+	if files.Full(err) && !takes && j.release() {
+		err = j.writeOnce(buf)
+	}
+	if err != nil {
+		return err
+	}
+	if !j.power {
+		return nil
+	}
+	if err := j.f.Sync(); err != nil {
+		j.Broken = fmt.Errorf("%w: %w", ErrSync, err)
+		s := j.active()
+		s.size -= int64(len(buf))
+		j.total -= int64(len(buf))
+		j.f.Truncate(s.size) // whether it helps is not known, and nothing hangs on it
+		return j.Broken
+	}
+	j.synced = j.seq + uint64(records)
+	return nil
+}
+
+func (j *Journal) writeOnce(buf []byte) error {
+	if s := j.active(); s.size >= j.limits.Segment || j.torn {
+		if err := j.roll(s.number + 1); err != nil {
+			return err
 		}
-		delete(j.Unwell, r.ID)
-	case r.Op == OpDrain:
-		if _, ok := j.Drains[r.ID]; ok {
-			j.live -= slack
+	}
+	s := j.active()
+	if _, err := j.f.WriteAt(buf, s.size); err != nil {
+		// What was written of it must not be taken for records. Where it cannot be cut off, the next segment says
+		// where this one ends.
+		j.torn = j.f.Truncate(s.size) != nil
+		return fmt.Errorf("journal: %w", err)
+	}
+	s.size += int64(len(buf))
+	j.total += int64(len(buf))
+	return nil
+}
+
+// roll begins a new segment.
+func (j *Journal) roll(number uint64) error {
+	if j.power && j.f != nil {
+		if err := j.sync(); err != nil {
+			return err
 		}
-		if delete(j.Drains, r.ID); r.Ran {
-			j.live += slack
-			j.Drains[r.ID] = r
+	}
+	name := segName(number)
+	f, err := j.dir.Create(name)
+	if errors.Is(err, fs.ErrExist) { // left by a try that failed and could not remove it
+		if err = j.dir.Remove(name); err == nil {
+			f, err = j.dir.Create(name)
 		}
-	case r.Op == OpTaken && r.Entry != nil && j.Entries[r.Entry.ID] == nil:
-		e = r.Entry
-		e.size = n + slack
-		j.live += e.size
-		j.Entries[e.ID] = e
-		j.Order = append(j.Order, e.ID)
-	case e == nil:
-	case r.Op == OpTry:
-		e.Tries++
-		e.Out, e.OutAt, e.OutTo, e.Wait = true, r.At, r.Zone, r.Wait
-		if r.Host != "" {
-			e.Log = append(e.Log, Attempt{Host: r.Host, At: r.At})
-			room := int64(attemptRoom + len(r.Host))
-			e.size += room
-			j.live += room
+	}
+	if err == nil {
+		head := segHeader(number, j.seq+1)
+		if _, err = f.WriteAt(head, 0); err == nil && j.power {
+			err = j.dir.SyncDir()
 		}
-	case r.Op == OpOutcome && e.Out:
-		e.Out = false
-		if r.Ran && !e.Ran {
-			e.Ran, e.RanAt, e.Zone = true, e.OutAt, e.OutTo
+		if err == nil {
+			if j.f != nil {
+				j.f.Close()
+			}
+			j.f, j.segments, j.total = f, append(j.segments, segment{number, segHead}), j.total+segHead
+			j.torn = false
+			return nil
 		}
-		e.closeAttempt(r)
-	case r.Op == OpNotice:
-		less := int64(len(e.Body)+2)/3*4 - int64(len(r.Why)) // of the body as it stands in the journal
-		e.size -= less
-		j.live -= less
-		e.Status, e.Again, e.Body, e.Out = r.Status, r.Again, nil, false
-		e.EndAt, e.Why, e.Sum = r.At, r.Why, r.Sum
-	case r.Op == OpEnd:
-		j.live -= e.size
-		delete(j.Entries, r.ID)
+		f.Close()
+		j.dir.Remove(name)
 	}
+	return fmt.Errorf("journal: new segment: %w", err)
 }
 
-// closeAttempt takes in how the last attempt ended, where they are kept.
-func (e *Entry) closeAttempt(r Record) {
-	if n := len(e.Log); n > 0 && e.Log[n-1].Outcome == "" {
-		e.Log[n-1].Outcome, e.Log[n-1].Took, e.Log[n-1].Ran = r.Why, r.Wait, r.Ran
+// sync has all of the log outlast a loss of power.
+func (j *Journal) sync() error {
+	if j.synced == j.seq {
+		return nil
+	}
+	if err := j.f.Sync(); err != nil {
+		j.Broken = fmt.Errorf("%w: %w", ErrSync, err)
+		return j.Broken
 	}
+	j.synced = j.seq
+	return nil
 }
 
-// Append writes records and applies them. When it fails nothing was recorded.
-func (j *Journal) Append(recs ...Record) error {
-	if j.Broken != nil {
-		return j.Broken
+// carry carries items from the oldest segments to the end of the log, up to a number of bytes or a little over it, and
+// lets go of segments with nothing live.
+func (j *Journal) carry(most int64) error {
+	if err := j.carryTo(most); err != nil {
+		return err
 	}
+	j.trim()
+	return nil
+}
+
+func (j *Journal) carryTo(most int64) error {
 	var buf []byte
-	var grows, spare int64
-	ends := make([]int64, len(recs))
-	for i, r := range recs {
-		before := len(buf)
-		buf = frame(buf, r)
-		ends[i] = int64(len(buf) - before)
-		switch r.Op {
-		case OpTaken:
-			grows += ends[i] + slack
-			spare = reserve
-		case OpHealth, OpDrain:
-			grows += slack
-		case OpTry:
-			if r.Host != "" {
-				grows += int64(attemptRoom + len(r.Host))
-			}
-		case OpNotice:
-			grows += int64(len(r.Why))
+	var moved []Record
+	var sizes []int64
+	seq, active, at := j.seq, j.active().number, j.first
+	for ; at < len(j.items) && at < j.first+passMost && int64(len(buf)) < most && j.items[at].segment < active; at++ {
+		if !j.isLive(j.items[at]) {
+			continue
 		}
+		r, before := j.carried(j.items[at]), len(buf)
+		seq++
+		buf = appendFrame(buf, seq, j.unsynced(seq), &r)
+		sizes, moved = append(sizes, int64(len(buf)-before)), append(moved, r)
 	}
-	n := int64(len(buf))
-	// The file and its compacted copy must fit together at any time.
-	fits := func() bool { return j.size+n+j.live+grows+spare <= j.Budget }
-	if !fits() {
-		if err := j.compact(); err != nil {
-			return err
+	if len(moved) > 0 {
+		err := j.writeOnce(buf)
+		if files.Full(err) && j.release() {
+			err = j.writeOnce(buf)
 		}
-		if !fits() {
-			return ErrFull
+		if err != nil {
+			return err
 		}
 	}
-	j.writes++
-	if _, err := j.f.WriteAt(buf, j.size); err != nil {
-		// Half a record would hide all that follows it from a replay.
-		if terr := j.f.Truncate(j.size); terr != nil {
-			j.Broken = fmt.Errorf("journal: %w, and could not be cut back: %w", err, terr)
-		}
-		return fmt.Errorf("journal: %w", err)
+	number := j.active().number
+	for i := range moved {
+		j.apply(j.seq+1, &moved[i], number, sizes[i])
 	}
-	j.size += n
-	for i, r := range recs {
-		j.apply(r, ends[i])
+	for at -= j.first; at > 0; at-- {
+		j.pop()
 	}
 	return nil
 }
 
-// compact writes what is still owed to a new file and puts it in the old one's place.
-func (j *Journal) compact() error {
-	var buf []byte
-	order := j.Order[:0:0]
-	for _, id := range j.Order {
-		if e := j.Entries[id]; e != nil {
-			buf = frame(buf, Record{Op: OpTaken, Entry: e})
-			order = append(order, id)
+// trim lets go of the oldest segments as long as nothing in them is live.
+func (j *Journal) trim() {
+	for range trimMost {
+		first := j.segments[0]
+		if len(j.segments) == 1 {
+			return
 		}
-	}
-	for _, hosts := range []map[string]Record{j.Unwell, j.Drains} {
-		for _, h := range hosts {
-			buf = frame(buf, h)
+		if i, ok := j.oldest(passMost); !ok && j.first < len(j.items) || ok && i.segment <= first.number {
+			return
 		}
-	}
-	if j.size+int64(len(buf)) > j.Budget {
-		// Not a file that this journal wrote, which keeps room for its copy: make room first.
-		if err := os.Remove(j.path); err != nil {
-			return fmt.Errorf("journal: %w", err)
+		if j.power && j.sync() != nil { // what was carried from it has to be as durable as it was
+			return
+		}
+		if err := j.dir.Remove(segName(first.number)); err != nil {
+			return // the next Append tries again
+		}
+		j.segments = slices.Delete(j.segments, 0, 1)
+		j.total -= first.size
+		if j.power && j.dir.SyncDir() != nil { // were one to come back without those after it, they would seem lost
+			return
 		}
 	}
-	f, err := os.OpenFile(j.path+".tmp", os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
-	if err != nil {
-		return fmt.Errorf("journal: %w", err)
+}
+
+// release gives the spare room on the disk back, and tells whether there was some.
+func (j *Journal) release() bool {
+	if j.spare == nil {
+		return false
 	}
-	_, err = f.Write(buf)
-	if err == nil {
-		err = os.Rename(j.path+".tmp", j.path)
+	j.spare.Close()
+	j.spare = nil
+	return j.dir.Remove(spareName) == nil
+}
+
+// regain takes spare room on the disk again, and tells whether there is some.
+func (j *Journal) regain() bool {
+	if j.spare != nil {
+		return true
 	}
+	if j.dir.Remove(spareName) != nil { // what an earlier try may have left
+		return false
+	}
+	f, err := j.dir.Create(spareName)
 	if err != nil {
-		f.Close()
-		os.Remove(j.path + ".tmp")
-		return fmt.Errorf("journal: %w", err)
+		return false
 	}
-	if j.f != nil {
-		j.f.Close()
+	if err = f.Allocate(j.limits.Spare); err != nil {
+		f.Close()
+		j.dir.Remove(spareName)
+		return false
 	}
-	j.f, j.size, j.Order, j.Broken = f, int64(len(buf)), order, nil
-	return nil
+	j.spare = f
+	return true
 }
 
-// Close closes the file. What was appended stays.
-func (j *Journal) Close() error { return j.f.Close() }
+// Report tells what was found at Open.
+func (j *Journal) Report() Report { return j.report }
 
-// Writes is how many times records were written, as many as there were at a time.
+// Close closes the files. What was appended stays.
+func (j *Journal) Close() error {
+	if j.spare != nil {
+		j.spare.Close()
+		j.dir.Remove(spareName)
+		j.spare = nil
+	}
+	if j.f == nil {
+		return nil
+	}
+	return j.f.Close()
+}
+
+// Writes is how many times records were written, as many as there were at a time; what was carried does not count.
 func (j *Journal) Writes() int { return j.writes }
 
-// Size is what the file takes, in bytes.
-func (j *Journal) Size() int64 { return j.size }
+// Size is what the segments take, in bytes.
+func (j *Journal) Size() int64 { return j.total }
+
+// Segments is how many there are.
+func (j *Journal) Segments() int { return len(j.segments) }
+
+// Full tells whether the disk has no room beyond what is kept for messages that were taken on.
+func (j *Journal) Full() bool { return j.spare == nil }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -2,31 +2,40 @@
 
 import (
 	"bytes"
+	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/crc32"
+	"io/fs"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+
+	"larchrouter/internal/files"
 )
 
-func open(t *testing.T, dir string, budget int64) *Journal {
+var memory = Memory{Most: 50, Bytes: 1 << 20, AgeMS: 1 << 40}
+
+func open(t testing.TB, dir string, budget int64) *Journal {
 	t.Helper()
-	j, err := Open(dir, budget)
+	j, err := Open(dir, Options{Budget: budget, Memory: memory})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { j.f.Close() })
+	t.Cleanup(func() { j.Close() })
 	return j
 }
 
-func want[T comparable](t *testing.T, what string, got, want T) {
+func want[T comparable](t testing.TB, what string, got, want T) {
 	t.Helper()
 	if got != want {
 		t.Fatalf("%s is %v, want %v", what, got, want)
 	}
 }
 
-func put(t *testing.T, j *Journal, recs ...Record) {
+func put(t testing.TB, j *Journal, recs ...Record) {
 	t.Helper()
 	if err := j.Append(recs...); err != nil {
 		t.Fatal(err)
@@ -37,110 +46,365 @@
 	return Record{Op: OpTaken, Entry: &Entry{ID: id, Class: "payment", Dest: 7, Due: 99, Body: bytes.Repeat([]byte{7}, size)}}
 }
 
-func TestJournalReplay(t *testing.T) {
+// everything is all that a state knows, as text.
+func (s *state) everything() string {
+	var b strings.Builder
+	for _, e := range s.InOrder() {
+		c := *e
+		c.number, c.size, c.place = 0, 0, 0
+		if len(c.Body) > 0 {
+			c.Sum, c.Bytes, c.Body = c.Checksum(), len(c.Body), nil
+		}
+		data, _ := json.Marshal(&c)
+		b.Write(append(data, '\n'))
+	}
+	for _, all := range []any{s.Unwell, s.Drains, s.Ended()} {
+		data, _ := json.Marshal(all)
+		b.Write(append(data, '\n'))
+	}
+	return b.String()
+}
+
+// life is a record of each kind, and a message in each state.
+func life() []Record {
+	return []Record{taken("a", 10), taken("b", 10), taken("c", 10), taken("d", 10), taken("gone", 10),
+		{Op: OpTry, ID: "a", At: 5, Wait: 300, Zone: 2}, {Op: OpOutcome, ID: "a", Ran: true},
+		{Op: OpTry, ID: "a", At: 9, Zone: 1, Host: "s-1"}, {Op: OpOutcome, ID: "a", Ran: true, Why: "reset", Wait: 12},
+		{Op: OpTry, ID: "b", At: 6, Zone: 1}, {Op: OpEnd, ID: "c", At: 77},
+		{Op: OpNotice, ID: "d", Status: "deferred", Again: 700, At: 78, Why: "its time was up"}, {Op: OpHealth, ID: "s-1", Ran: true, Base: 2.5},
+		{Op: OpDrain, ID: "pay/s-1", Ran: true, At: 4, Status: "op"}, {Op: OpDrain, ID: "x", Ran: true}, {Op: OpDrain, ID: "x"},
+		{Op: OpForget, ID: "gone"}}
+}
+
+func TestReplay(t *testing.T) {
 	dir := t.TempDir()
 	j := open(t, dir, 3e6)
-	put(t, j, taken("a", 10), taken("b", 10), taken("c", 10), taken("d", 10))
-	put(t, j, Record{Op: OpTry, ID: "a", At: 5, Wait: 300, Zone: 2}, Record{Op: OpOutcome, ID: "a", Ran: true},
-		Record{Op: OpTry, ID: "a", At: 9, Zone: 1}, Record{Op: OpOutcome, ID: "a", Ran: true})
-	put(t, j, Record{Op: OpTry, ID: "b", At: 6, Zone: 1}, Record{Op: OpEnd, ID: "c"},
-		Record{Op: OpNotice, ID: "d", Status: "deferred", Again: 700}, Record{Op: OpHealth, ID: "s-1", Ran: true, Base: 2})
-	for range 2 { // the second time from the compacted file
+	for _, r := range life() {
+		put(t, j, r)
+	}
+	for range 3 { // in the end all has been carried
 		j = open(t, dir, 3e6)
 		want(t, "entries", len(j.Entries), 3)
 		a, b, d := j.Entries["a"], j.Entries["b"], j.Entries["d"]
-		want(t, "a", fmt.Sprint(a.Tries, a.Ran, a.RanAt, a.Zone, a.Out, len(a.Body)), "2 true 5 2 false 10")
+		want(t, "a", fmt.Sprint(a.Tries, a.Ran, a.RanAt, a.Zone, a.Out, len(a.Body), a.Log), "2 true 5 2 false 10 [{s-1 9 12 reset true}]")
 		want(t, "b", fmt.Sprint(b.Tries, b.Ran, b.Out, b.OutAt, b.OutTo), "1 false true 6 1")
-		want(t, "d", fmt.Sprint(d.Status, " ", d.Again), "deferred 700")
-		want(t, "host in an outage", j.Unwell["s-1"].Base, 2)
+		want(t, "d", fmt.Sprint(d.Status, " ", d.Again, d.EndAt, d.Why, " ", d.Sum == taken("d", 10).Entry.Checksum()), "deferred 700 78its time was up true")
+		want(t, "host in an outage", j.Unwell["s-1"].Base, 2.5)
+		want(t, "drains", fmt.Sprint(len(j.Drains), " ", j.Drains["pay/s-1"].Status), "1 op")
+		ended := j.Ended()
+		want(t, "ended ids", fmt.Sprint(len(ended), " ", ended[0].ID, " ", ended[0].At, ended[0].Sum == taken("c", 10).Entry.Checksum()), "1 c 77 true")
+		want(t, "damage", fmt.Sprint(len(j.Report().Damage), j.Report().Torn), "0 0")
+		if err := j.carry(1 << 20); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against an order by places in the log, which change: messages come back in the order in which they came.
+func TestOrderOutlastsCarrying(t *testing.T) {
+	dir := t.TempDir()
+	j := open(t, dir, 256<<10)
+	put(t, j, taken("first", 100), taken("second", 100))
+	for i := range 3000 {
+		put(t, j, taken(fmt.Sprint("m", i), 300), Record{Op: OpEnd, ID: fmt.Sprint("m", i)})
+	}
+	put(t, j, taken("last", 100))
+	j = open(t, dir, 256<<10)
+	var ids []string
+	for _, e := range j.InOrder() {
+		ids = append(ids, e.ID)
+	}
+	want(t, "order", fmt.Sprint(ids), "[first second last]")
+}
+
+func TestMemoryOfEndedIDs(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		memory Memory
+		want   string
+	}{
+		{"by number", Memory{Most: 2, Bytes: 1 << 20, AgeMS: 1 << 40}, "[m3 m4]"},
+		{"by bytes", Memory{Most: 99, Bytes: 3 * (endedRoom + 2), AgeMS: 1 << 40}, "[m2 m3 m4]"},
+		{"by age", Memory{Most: 99, Bytes: 1 << 20, AgeMS: 1000}, "[m3 m4]"},
+		{"none", Memory{}, "[]"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			dir := t.TempDir()
+			for range 2 {
+				j, err := Open(dir, Options{Budget: 3e6, Memory: tc.memory})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(j.Ended()) == 0 {
+					for i := range 5 {
+						id := fmt.Sprint("m", i)
+						put(t, j, taken(id, 1), Record{Op: OpEnd, ID: id, At: int64(1 + i*600)})
+					}
+				}
+				ids := []string{}
+				for _, e := range j.Ended() {
+					ids = append(ids, e.ID)
+				}
+				want(t, "remembered", fmt.Sprint(ids), tc.want)
+				put(t, j, taken("m4", 5)) // the id is in use anew
+				for _, e := range j.Ended() {
+					want(t, "remembered while it is in use", e.ID == "m4", false)
+				}
+				put(t, j, Record{Op: OpEnd, ID: "m4", At: 2401})
+				j.Close()
+			}
+		})
 	}
 }
 
 // Guards against a crash, or the loss of what came before, after a write that a kill cut short.
-func TestTornJournal(t *testing.T) {
-	whole := frame(frame(nil, taken("a", 10)), taken("b", 10))
-	one := len(frame(nil, taken("a", 10)))
-	for cut := one; cut <= len(whole); cut++ {
+func TestTornTail(t *testing.T) {
+	src := t.TempDir()
+	j := open(t, src, 3e6)
+	put(t, j, taken("a", 10))
+	one := j.Size()
+	put(t, j, taken("b", 10))
+	whole, err := os.ReadFile(filepath.Join(src, segName(1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := int(one); cut <= len(whole); cut++ {
 		data := bytes.Clone(whole[:cut])
 		if cut == len(whole) {
 			data[cut-1] ^= 1 // complete, but damaged
 		}
 		dir := t.TempDir()
-		if err := os.WriteFile(filepath.Join(dir, "journal"), data, 0o600); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(filepath.Join(dir, "journal.tmp"), whole, 0o600); err != nil {
-			t.Fatal(err)
-		}
+		write(t, dir, segName(1), data)
 		j := open(t, dir, 3e6)
 		want(t, "entries", len(j.Entries), 1)
+		want(t, "damage", len(j.Report().Damage), 0)
+		want(t, "bytes dropped", j.Report().Torn, cut-int(one))
 		put(t, j, taken("c", 10))
-		want(t, "entries after the next start", len(open(t, dir, 3e6).Entries), 2)
+		j = open(t, dir, 3e6)
+		want(t, "entries after the next start", len(j.Entries), 2)
+		want(t, "damage after the next start", len(j.Report().Damage), 0)
 	}
 }
 
-// Guards against going over disk_mb, with which a relay has crashed, and against a full
-// journal that cannot record how the messages in it end.
+func write(t testing.TB, dir, name string, data []byte) {
+	t.Helper()
+	if err := os.WriteFile(filepath.Join(dir, name), data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A record in the middle that cannot be read hides nothing behind it: what is missing is named, with what it may
+// concern, and the bytes are kept.
+func TestDamageInTheMiddle(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		segment uint64
+		harm    func([]byte) []byte
+		lost    string // records
+		entries string
+		suspect string
+		ids     string // of messages that are missing
+		saved   bool
+	}{
+		{"a bit of one record", 1, func(d []byte) []byte { d[segHead+frameHead+4] ^= 4; return d }, "1 to 1", "[b c]", "[]", "[a]", true},
+		{"the length of one", 1, func(d []byte) []byte { d[segHead+5] = 0xff; return d }, "1 to 1", "[b c]", "[]", "[a]", true},
+		{"the last one of a segment", 1, func(d []byte) []byte { d[len(d)-1] ^= 1; return d }, "3 to 3", "[a b c]", "[a b]", "[]", true},
+		{"a segment's end", 1, func(d []byte) []byte { return d[:len(d)-9] }, "3 to 3", "[a b c]", "[a b]", "[]", true},
+		{"a head", 2, func(d []byte) []byte { d[9] ^= 1; return d }, "", "[a b c]", "[]", "[]", false},
+		{"all of a segment", 2, func(d []byte) []byte { return nil }, "4 to 5", "[a b]", "[a b]", "[]", false},
+		{"zeros over a segment", 2, func(d []byte) []byte { return make([]byte, len(d)) }, "4 to 5", "[a b]", "[a b]", "[]", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			dir := t.TempDir()
+			put(t, open(t, dir, 3e6), taken("a", 100), taken("b", 100), Record{Op: OpTry, ID: "b", At: 1})
+			put(t, open(t, dir, 3e6), taken("c", 100), Record{Op: OpOutcome, ID: "b"})
+			put(t, open(t, dir, 3e6), Record{Op: OpTry, ID: "a", At: 2}, Record{Op: OpHealth, ID: "h", Ran: true})
+			data, err := os.ReadFile(filepath.Join(dir, segName(tc.segment)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if data = tc.harm(data); data == nil {
+				os.Remove(filepath.Join(dir, segName(tc.segment)))
+			} else {
+				write(t, dir, segName(tc.segment), data)
+			}
+			seen, err := Inspect(dir)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, j := range []*Journal{seen, open(t, dir, 3e6)} {
+				rep, lost := j.Report(), ""
+				for _, d := range rep.Damage {
+					lost += fmt.Sprintf("%d to %d", d.First, d.Last)
+				}
+				ids := []string{}
+				for _, e := range j.InOrder() {
+					ids = append(ids, e.ID)
+				}
+				want(t, "records missing", lost, tc.lost)
+				want(t, "entries", fmt.Sprint(ids), tc.entries)
+				want(t, "suspects", fmt.Sprint(rep.Suspects), tc.suspect)
+				for _, id := range rep.Suspects {
+					want(t, "a suspect may have an attempt out", j.Entries[id].Out, true)
+				}
+				want(t, "messages missing", fmt.Sprint(rep.Lost), tc.ids)
+				want(t, "what came after", j.Unwell["h"].Ran, true)
+			}
+			saved, _ := filepath.Glob(filepath.Join(dir, savedPrefix+"*"))
+			want(t, "damaged bytes kept", len(saved) > 0, tc.saved)
+		})
+	}
+}
+
+// Guards against going over the budget, with which a relay has crashed, and against a full journal that cannot
+// record how the messages in it end.
 func TestDiskBudget(t *testing.T) {
 	const budget = 1 << 20
-	j := open(t, t.TempDir(), budget)
-	var err error
-	n := 0
-	for ; err == nil; n++ {
-		err = j.Append(taken(fmt.Sprint("m", n), 5000))
-		if sum := j.size + j.live + 2*blockSize; sum > budget {
-			t.Fatalf("file and copy may take %d of %d", sum, budget)
+	dir := t.TempDir()
+	j := open(t, dir, budget)
+	check := func() {
+		t.Helper()
+		sum := int64(0)
+		names, _ := files.Dir(dir).Names()
+		for _, name := range names {
+			if info, err := os.Stat(filepath.Join(dir, name)); err == nil {
+				sum += info.Size()
+			}
+		}
+		if sum > budget {
+			t.Fatalf("the files take %d of %d", sum, budget)
+		}
+	}
+	for round := range 4 {
+		var err error
+		n := 0
+		for ; err == nil; n++ {
+			err = j.Append(taken(fmt.Sprint("m", round, "-", n), 5000))
+			check()
+		}
+		if !errors.Is(err, ErrFull) {
+			t.Fatal(err)
+		}
+		if n < 80 {
+			t.Fatalf("only %d messages of 5,000 bytes fit into %d", n, budget)
+		}
+		for i := range n - 1 {
+			id := fmt.Sprint("m", round, "-", i)
+			put(t, j, Record{Op: OpTry, ID: id}, Record{Op: OpOutcome, ID: id}, Record{Op: OpNotice, ID: id, Status: "deferred"})
+			check()
 		}
+		for i := range n - 1 {
+			put(t, j, Record{Op: OpForget, ID: fmt.Sprint("m", round, "-", i)})
+		}
+		check()
+		want(t, "live bytes", j.live, 0)
 	}
-	if !errors.Is(err, ErrFull) {
+}
+
+// A folder that is a symbolic link, or has files of others, serves; one that cannot be written is refused.
+func TestFolders(t *testing.T) {
+	real := t.TempDir()
+	link := filepath.Join(t.TempDir(), "state")
+	if err := os.Symlink(real, link); err != nil {
 		t.Fatal(err)
 	}
-	for i := range n - 1 {
-		id := fmt.Sprint("m", i)
-		put(t, j, Record{Op: OpTry, ID: id}, Record{Op: OpOutcome, ID: id}, Record{Op: OpNotice, ID: id, Status: "deferred"})
+	for _, name := range []string{"notes.txt", "journal-", "journal-1", "journal-00000001.bak", "journal-x"} {
+		write(t, real, name, []byte("somebody's"))
 	}
-	for i := range n - 1 {
-		put(t, j, Record{Op: OpEnd, ID: fmt.Sprint("m", i)})
+	put(t, open(t, link, 3e6), taken("a", 10))
+	j := open(t, real, 3e6)
+	want(t, "entries", len(j.Entries), 1)
+	want(t, "files of others", len(j.Report().Foreign), 5)
+	for _, name := range j.Report().Foreign {
+		data, err := os.ReadFile(filepath.Join(real, name))
+		if err != nil || string(data) != "somebody's" {
+			t.Errorf("%s was touched: %q, %v", name, data, err)
+		}
+	}
+	if _, err := Open(filepath.Join(real, "missing"), Options{Budget: 3e6}); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("a folder that is not there: %v", err)
+	}
+	write(t, real, "plain", nil)
+	if _, err := Open(filepath.Join(real, "plain"), Options{Budget: 3e6}); err == nil {
+		t.Error("a file was taken for a folder")
 	}
-	want(t, "live bytes", j.live, 0)
-	put(t, j, taken("again", 5000))
 }
 
-// Guards against holding for recorded what could not be written.
-func TestFailedWrite(t *testing.T) {
+func TestNewerFormatIsRefused(t *testing.T) {
 	dir := t.TempDir()
-	j := open(t, dir, 3e6)
-	put(t, j, taken("a", 10))
-	good := j.f
-	ro, err := os.Open(j.path)
-	if err != nil {
-		t.Fatal(err)
+	open(t, dir, 3e6)
+	head := segHeader(1, 1)
+	binary.LittleEndian.PutUint32(head[8:], version+1)
+	binary.LittleEndian.PutUint32(head[segHead-4:], crc32.Checksum(head[:segHead-4], castagnoli))
+	write(t, dir, segName(1), head)
+	_, err := Open(dir, Options{Budget: 3e6})
+	if !errors.Is(err, ErrNewer) || strings.Contains(err.Error(), "\n") {
+		t.Fatalf("a newer journal: %v", err)
 	}
-	defer ro.Close()
-	j.f = ro
-	if err := j.Append(taken("b", 10)); err == nil {
-		t.Fatal("a write to a read-only file went well")
+	left, _ := os.ReadFile(filepath.Join(dir, segName(1)))
+	want(t, "untouched", bytes.Equal(left, head), true)
+}
+
+// legacyFile is a journal of format 1.
+func legacyFile(recs ...Record) (buf []byte) {
+	for _, r := range recs {
+		payload, _ := json.Marshal(r)
+		buf = binary.LittleEndian.AppendUint32(buf, uint32(len(payload)))
+		buf = binary.LittleEndian.AppendUint32(buf, crc32.ChecksumIEEE(payload))
+		buf = append(buf, payload...)
 	}
-	want(t, "entries", len(j.Entries), 1)
-	j.f, j.Broken = good, nil
-	put(t, j, taken("c", 10))
-	want(t, "entries after the next start", len(open(t, dir, 3e6).Entries), 2)
+	return buf
 }
 
-func FuzzJournal(f *testing.F) {
-	good := frame(frame(nil, taken("a", 3)), Record{Op: OpTry, ID: "a"})
-	f.Add(good)
-	f.Add(good[:len(good)-1])
-	f.Add(frame(nil, Record{Op: OpTaken}))
-	f.Fuzz(func(t *testing.T, data []byte) {
+func TestReadsFormat1(t *testing.T) {
+	dir := t.TempDir()
+	old := life()[:len(life())-1] // what did not exist then
+	write(t, dir, legacyName, append(legacyFile(old...), 1, 2, 3))
+	write(t, dir, legacyCopy, []byte("half a compaction"))
+	plain := newState(memory)
+	for i, r := range old {
+		plain.apply(uint64(i+1), &r, 0, 100)
+	}
+	for range 2 {
+		j := open(t, dir, 3e6)
+		want(t, "all that it knows", j.everything(), plain.everything())
+		names, _ := files.Dir(dir).Names()
+		want(t, "old files left", strings.Contains(fmt.Sprint(names), "journal "), false)
+		want(t, "old copy left", strings.Contains(fmt.Sprint(names), legacyCopy), false)
+	}
+}
+
+// Any bytes in a segment: no panic, no message made up, and the journal serves.
+func FuzzSegment(f *testing.F) {
+	good := segHeader(1, 1)
+	for i, r := range life() {
+		good = appendFrame(good, uint64(i+1), 0, &r)
+	}
+	f.Add(good, uint16(40), byte(1))
+	f.Add(good[:len(good)-3], uint16(0), byte(0))
+	f.Add([]byte{}, uint16(0), byte(0))
+	f.Fuzz(func(t *testing.T, data []byte, at uint16, flip byte) {
+		data = bytes.Clone(data)
+		if int(at) < len(data) {
+			data[at] ^= flip
+		}
 		dir := t.TempDir()
-		if err := os.WriteFile(filepath.Join(dir, "journal"), data, 0o600); err != nil {
+		write(t, dir, segName(1), data)
+		j, err := Open(dir, Options{Budget: 3e6, Memory: memory})
+		if errors.Is(err, ErrNewer) {
+			return
+		}
+		if err != nil {
 			t.Fatal(err)
 		}
-		j := open(t, dir, 3e6)
 		before := len(j.Entries)
+		if before > len(data)/frameHead {
+			t.Fatalf("%d entries from %d bytes", before, len(data))
+		}
 		put(t, j, taken("a new id", 3))
-		if after := len(open(t, dir, 3e6).Entries); after != before+1 {
+		j.Close()
+		j = open(t, dir, 3e6)
+		if after := len(j.Entries); after != before+1 {
 			t.Fatalf("%d entries, then %d", before, after)
 		}
 	})
--- a/internal/relay/alone.go
+++ b/internal/relay/alone.go
@@ -206,7 +206,7 @@
 
 func (r *Relay) letGo(ids []string) {
 	for _, id := range ids {
-		r.record(journal.Record{Op: journal.OpEnd, ID: id})
+		r.record(journal.Record{Op: journal.OpForget, ID: id})
 		r.past.remove(id)
 	}
 }
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -21,6 +21,7 @@
 	MemoryMB  float64
 	Sockets   int
 	DiskMB    float64
+	Power     bool // what is recorded outlasts a loss of power
 	Known     list
 	Settings  settings.Settings
 	Admin     string         // the second address; empty for none
--- a/internal/relay/flood_test.go
+++ b/internal/relay/flood_test.go
@@ -101,7 +101,7 @@
 	if n := count() - before; n > 6 { // outcomes come as they come; a write for each message would be 20 and more
 		t.Errorf("%d writes for one Step's 20 messages and what followed", n)
 	}
-	r.post(func() { r.journal.Budget = r.journal.Size() + 180_000 })
+	r.post(func() { r.journal.SetBudget(240_000) })
 	refused := 0
 	for _, status := range took(10, 10_000) {
 		if status == http.StatusServiceUnavailable {
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -279,7 +279,7 @@
 func (r *Relay) withdraw(id string) {
 	if m := r.held[id]; m != nil && m.Tries == 0 && !m.twice {
 		r.events = append(r.events, choice.Withdrawn{ID: id})
-		r.record(journal.Record{Op: journal.OpEnd, ID: id})
+		r.record(journal.Record{Op: journal.OpForget, ID: id})
 		r.free(m)
 	}
 }
@@ -307,7 +307,10 @@
 	if s.sums == nil {
 		s.sums = map[string]uint32{}
 	}
-	s.sums[id] = sum
+	_, again := s.sums[id]
+	if s.sums[id] = sum; again {
+		return
+	}
 	if len(s.ring) < s.most {
 		s.ring = append(s.ring, id)
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,6 +32,10 @@
 	intakeRoom = 512 // messages that wait to be looked at; more are refused at once
 	maxOwed    = 8192
 	keptBack   = 16 // descriptors for all but clients and hosts; conf.Sockets is at least 64
+	// The ids of messages that are over are remembered for so long, across restarts: a client may repeat one.
+	pastMost  = 4096
+	pastBytes = 1 << 20
+	pastAge   = 15 * time.Minute
 	// forgetUnwell is when an outage last heard of is over for a restarted relay.
 	forgetUnwell = 5 * time.Minute
 )
@@ -105,6 +109,9 @@
 	out       int  // calls
 	owed      int  // notices
 	stopped   bool // no more decisions; outcomes are still recorded
+
+	unrecorded int // failures to record since the last line in the log
+	complainAt time.Duration
 }
 
 // New replays the journal and listens; Serve does the rest.
@@ -113,7 +120,7 @@
 	r := &Relay{conf: conf, set: set, began: time.Now(), held: map[string]*message{}, abroad: map[string]int{}, hosts: map[string]*host{},
 		dests: map[int]time.Duration{}, waits: map[int]*httpcall.Waits{}, inbox: make(chan func(), batchMost), intakes: make(chan *intake, intakeRoom), notices: newOutbox(),
 		quit: make(chan struct{}), wake: time.NewTimer(time.Hour), bodies: bodyBytes(conf.MemoryMB)}
-	r.past.most = 4096
+	r.past.most = pastMost
 	if conf.Alone != nil {
 		r.alone = newAlone(*conf.Alone)
 		r.past.most = max(r.past.most, conf.Alone.EndsKeep)
@@ -135,7 +142,8 @@
 	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
 		return nil, err
 	}
-	if r.journal, err = journal.Open(conf.State, int64(conf.DiskMB*1e6)); err != nil {
+	if r.journal, err = journal.Open(conf.State, journal.Options{Budget: int64(conf.DiskMB * 1e6), Power: conf.Power,
+		Memory: journal.Memory{Most: r.past.most, Bytes: pastBytes, AgeMS: pastAge.Milliseconds()}}); err != nil {
 		return nil, err
 	}
 	switch {
@@ -314,11 +322,12 @@
 func (r *Relay) restore() {
 	wall := time.Now().UnixMilli()
 	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
-	for _, id := range r.journal.Order {
-		e := r.journal.Entries[id]
-		if e == nil {
-			continue
-		}
+	for _, e := range r.journal.Ended() {
+		r.past.put(e.ID, e.Sum)
+	}
+	r.damage()
+	for _, e := range r.journal.InOrder() {
+		id := e.ID
 		if e.Status != "" && r.alone != nil {
 			r.restoreEnd(e)
 			continue
@@ -367,7 +376,30 @@
 	slog.Info("journal replayed", "held", len(r.held), "owed", r.owed)
 }
 
-func (r *Relay) record(rec journal.Record) { r.records = append(r.records, rec) }
+// damage says what of the journal could not be read, and which messages it may concern.
+func (r *Relay) damage() {
+	rep := r.journal.Report()
+	for _, d := range rep.Damage {
+		slog.Error("the journal is damaged", "where", d.String(), "kept", d.Saved)
+	}
+	if rep.LegacyUnread > 0 {
+		slog.Warn("the end of the earlier journal could not be read", "bytes", rep.LegacyUnread)
+	}
+	if len(rep.Lost) > 0 {
+		slog.Error("messages are lost with it; only their ids are known", "count", len(rep.Lost), "ids", rep.Lost[:min(20, len(rep.Lost))])
+	}
+	if len(rep.Suspects) > 0 {
+		slog.Error("messages whose attempts may be missing from it; they count as possibly run", "count", len(rep.Suspects),
+			"ids", rep.Suspects[:min(20, len(rep.Suspects))])
+	}
+}
+
+func (r *Relay) record(rec journal.Record) {
+	if rec.Op == journal.OpEnd {
+		rec.At = time.Now().UnixMilli()
+	}
+	r.records = append(r.records, rec)
+}
 
 // owe has a notice told once what it says is recorded.
 func (r *Relay) owe(n notice) {
@@ -416,7 +448,7 @@
 	}
 	if len(r.records) > 0 {
 		if err := r.journal.Append(r.records...); err != nil {
-			slog.Error("not recorded", "records", len(r.records), "err", err)
+			r.complain("not recorded", err)
 			time.AfterFunc(longPause, func() { r.post(func() {}) })
 			return
 		}
@@ -437,7 +469,7 @@
 	if r.stopped {
 		r.events = nil
 		for _, m := range r.fresh {
-			r.refuse(m, comeBack)
+			r.refuse(m, comeBack, "stopping")
 		}
 		r.fresh = nil
 		r.flush()
@@ -531,9 +563,9 @@
 func (r *Relay) takenOn(m *message) bool {
 	err := r.journal.Append(journal.Record{Op: journal.OpTaken, Entry: m.Entry})
 	if err != nil {
-		slog.Error("message not taken on", "err", err)
+		r.complain("message not taken on", err)
 		r.events = append(r.events, choice.Withdrawn{ID: m.ID})
-		r.refuse(m, comeBack)
+		r.refuse(m, comeBack, "no room on the disk")
 	}
 	return err == nil
 }
@@ -546,7 +578,7 @@
 		err = r.journal.Append(r.tries(c)...)
 	}
 	if err != nil {
-		slog.Error("attempts not sent", "err", err)
+		r.complain("attempts not sent", err)
 		for _, s := range c.sends {
 			r.notSent(s)
 		}
@@ -568,13 +600,22 @@
 	}
 }
 
+// complain logs that something could not be recorded, at most once a second: there may be thousands.
+func (r *Relay) complain(what string, err error) {
+	r.unrecorded++
+	if now := r.now(); now >= r.complainAt {
+		slog.Error(what, "err", err, "times", r.unrecorded)
+		r.unrecorded, r.complainAt = 0, now+time.Second
+	}
+}
+
 // refuse ends a message that was never taken on.
-func (r *Relay) refuse(m *message, after time.Duration) {
+func (r *Relay) refuse(m *message, after time.Duration, text string) {
 	if r.alone != nil {
 		r.alone.count.turned()
 	}
 	r.free(m)
-	m.answer(answer{status: http.StatusServiceUnavailable, after: after, text: "refused"})
+	m.answer(answer{status: http.StatusServiceUnavailable, after: after, text: text})
 }
 
 // final ends a message that the Chooser has given up, at once.
@@ -582,7 +623,7 @@
 	switch m := r.held[id]; {
 	case m == nil:
 	case m.fresh != nil:
-		r.refuse(m, after)
+		r.refuse(m, after, "refused")
 	default:
 		r.give(m, notice{id, status, after.Milliseconds()}, r.reason(m))
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -136,7 +136,7 @@
 // newJournal is an empty one of the test's own.
 func newJournal(t *testing.T, recs ...journal.Record) *journal.Journal {
 	t.Helper()
-	j, err := journal.Open(t.TempDir(), 3e6)
+	j, err := journal.Open(t.TempDir(), journal.Options{Budget: 3e6})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -597,7 +597,7 @@
 		calls := make(chan *seen, 10)
 		p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
 		startRelay(t, p, func(conf *Config) {
-			j, err := journal.Open(conf.State, 3e6)
+			j, err := journal.Open(conf.State, journal.Options{Budget: 3e6})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/relay/retune_test.go
+++ b/internal/relay/retune_test.go
@@ -78,7 +78,7 @@
 			calls := make(chan *seen, 10)
 			p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
 			startRelay(t, p, func(conf *Config) {
-				j, err := journal.Open(conf.State, 3e6)
+				j, err := journal.Open(conf.State, journal.Options{Budget: 3e6})
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/relay/service_test.go
+++ b/internal/relay/service_test.go
@@ -334,8 +334,8 @@
 	set := func(budget int64) (old int64) {
 		was := make(chan int64)
 		r.post(func() {
-			was <- r.journal.Budget
-			r.journal.Budget = budget
+			was <- r.journal.Budget()
+			r.journal.SetBudget(budget)
 		})
 		return wait(t, was, "budget")
 	}
--- a/internal/relay/succession_test.go
+++ b/internal/relay/succession_test.go
@@ -217,7 +217,7 @@
 	h.Close()
 	wait(t, s.done, "end of the first")
 	want(t, "wanted again", s.first.Orphan(), true)
-	j, err := journal.Open(s.conf.State, 3e6)
+	j, err := journal.Open(s.conf.State, journal.Options{Budget: 3e6})
 	if err != nil {
 		t.Fatal(err)
 	}
