Read a long log with bounded memory, and never move what waits to be carried

Cause: opening 100,000 live messages beside a million ended ones took 3 s, most of it a map and a sort for ids that are forgotten again; the list of places, doubled as it grew, kept an Append of 100,000 held away for 26 ms.

Change: ids that ended are collected while a log is read and taken in at its end; places are in a queue of chunks; buffers of what is carried are kept.

--- a/internal/journal/bench_test.go
+++ b/internal/journal/bench_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -30,15 +31,38 @@
 // BenchmarkAppend is the life of a message that is delivered at once, a record at a time, with 1,000 others held, so
 // that compaction is always under way; and the same bytes by write(2) alone.
 func BenchmarkAppend(b *testing.B) {
+	body := make([]byte, 300)
+	taken := func(id string, _ int) Record {
+		return Record{Op: OpTaken, Entry: &Entry{ID: id, Class: "payment", Dest: 7, Due: 99, Body: body}}
+	}
 	b.Run("journal", func(b *testing.B) {
 		j := filled(b, b.TempDir(), 1000, Options{Budget: 64 << 20, Memory: Memory{Most: 4096, Bytes: 1 << 20, AgeMS: 1e6}})
 		defer j.Close()
 		b.ResetTimer()
 		for i := range b.N {
-			id := fmt.Sprint("m", i)
-			put(b, j, taken(id, 300))
-			put(b, j, Record{Op: OpTry, ID: id, At: int64(i), Wait: 300})
-			put(b, j, Record{Op: OpEnd, ID: id, At: int64(i)})
+			id := "m" + strconv.Itoa(i)
+			for _, r := range []Record{taken(id, 300), {Op: OpTry, ID: id, At: int64(i), Wait: 300}, {Op: OpEnd, ID: id, At: int64(i)}} {
+				if err := j.Append(r); err != nil {
+					b.Fatal(err)
+				}
+			}
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(3*b.N), "ns/record")
+	})
+	b.Run("journal-steps-of-10", func(b *testing.B) { // as a loaded relay writes them
+		j := filled(b, b.TempDir(), 1000, Options{Budget: 64 << 20, Memory: Memory{Most: 4096, Bytes: 1 << 20, AgeMS: 1e6}})
+		defer j.Close()
+		b.ResetTimer()
+		for i := 0; i < b.N; i += 10 {
+			var all [30]Record
+			for k := range 10 {
+				id := "m" + strconv.Itoa(i+k)
+				all[k], all[10+k] = taken(id, 300), Record{Op: OpTry, ID: id, At: int64(i), Wait: 300}
+				all[20+k] = Record{Op: OpEnd, ID: id, At: int64(i)}
+			}
+			if err := j.Append(all[:]...); err != nil {
+				b.Fatal(err)
+			}
 		}
 		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(3*b.N), "ns/record")
 	})
@@ -92,13 +116,14 @@
 	}
 }
 
-// BenchmarkOpen reads a journal with so many live messages of 1 kB, after as many ended ones times ten.
+// BenchmarkOpen reads a journal with so many live messages of 1 kB, and ended ones.
 func BenchmarkOpen(b *testing.B) {
-	for _, held := range []int{1000, 100_000} {
-		b.Run(fmt.Sprint("held-", held), func(b *testing.B) {
+	for _, n := range [][2]int{{1000, 0}, {100_000, 0}, {100_000, 1_000_000}} {
+		b.Run(fmt.Sprint("held-", n[0], "-ended-", n[1]), func(b *testing.B) {
+			held := n[0]
 			dir, o := b.TempDir(), Options{Budget: 1 << 30, Memory: Memory{Most: 4096, Bytes: 1 << 20, AgeMS: 1e6}}
 			j := filled(b, dir, held, o)
-			for n := range held / 2 {
+			for n := range n[1] / 20 {
 				var recs []Record
 				for i := range 20 {
 					id := fmt.Sprint("m", n, "-", i)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -29,8 +29,8 @@
 const (
 	spareName = "journal.spare" // room on the disk for when it is full
 	blockSize = 4096
-	trimMost  = 4               // segments let go in one Append
-	passMost  = 1 << 14         // places passed over in one Append that are no longer live
+	trimMost  = 4       // segments let go in one Append
+	passMost  = 1 << 14 // places passed over in one Append that are no longer live
 )
 
 // Options of a journal.
@@ -62,8 +62,10 @@
 	torn     bool       // the active segment has bytes behind its end that could not be cut off
 	writes   int
 	report   Report
-	buf      []byte
-	sizes    []int64
+	// Kept for the next time:
+	buf, carryBuf     []byte
+	sizes, carrySizes []int64
+	moved             []Record
 }
 
 type segment struct {
@@ -125,7 +127,7 @@
 // convert writes what was read from a file of format 1, and removes that.
 func (j *Journal) convert() error {
 	for {
-		if _, ok := j.oldest(len(j.items)); !ok || j.items[j.first].segment > 0 {
+		if _, ok := j.oldest(j.items.Len()); !ok || j.items.At(0).segment > 0 {
 			break
 		}
 		if err := j.carryTo(compaction.MostCarried); err != nil {
@@ -343,15 +345,21 @@
 }
 
 func (j *Journal) carryTo(most int64) error {
-	var buf []byte
-	var moved []Record
-	var sizes []int64
-	seq, active, at := j.seq, j.active().number, j.first
-	for ; at < len(j.items) && at < j.first+passMost && int64(len(buf)) < most && j.items[at].segment < active; at++ {
-		if !j.isLive(j.items[at]) {
+	buf, sizes, moved := j.carryBuf[:0], j.carrySizes[:0], j.moved[:0]
+	defer func() {
+		clear(j.moved)
+		j.carryBuf, j.carrySizes, j.moved = buf, sizes, moved
+	}()
+	seq, active, passed := j.seq, j.active().number, 0
+	for ; passed < min(j.items.Len(), passMost) && int64(len(buf)) < most; passed++ {
+		i := j.items.At(passed)
+		if i.segment >= active {
+			break
+		}
+		if !j.isLive(i) {
 			continue
 		}
-		r, before := j.carried(j.items[at]), len(buf)
+		r, before := j.carried(i), len(buf)
 		seq++
 		buf = appendFrame(buf, seq, j.unsynced(seq), &r)
 		sizes, moved = append(sizes, int64(len(buf)-before)), append(moved, r)
@@ -369,8 +377,8 @@
 	for i := range moved {
 		j.apply(j.seq+1, &moved[i], number, sizes[i])
 	}
-	for at -= j.first; at > 0; at-- {
-		j.pop()
+	for range passed {
+		j.items.Pop()
 	}
 	return nil
 }
@@ -382,7 +390,7 @@
 		if len(j.segments) == 1 {
 			return
 		}
-		if i, ok := j.oldest(passMost); !ok && j.first < len(j.items) || ok && i.segment <= first.number {
+		if i, ok := j.oldest(passMost); !ok && j.items.Len() > 0 || ok && i.segment <= first.number {
 			return
 		}
 		if j.power && j.sync() != nil { // what was carried from it has to be as durable as it was
--- a/internal/journal/read.go
+++ b/internal/journal/read.go
@@ -113,8 +113,7 @@
 		return l, nil
 	}
 	r := &reading{loaded: l, state: s}
-	s.replaying = true
-	defer func() { s.replaying = false }()
+	s.replaying, s.forgot = true, map[string]uint64{}
 	var ahead []byte // the segment after this one, which tells where this one ends
 	for i, n := range numbers {
 		data := ahead
@@ -136,7 +135,7 @@
 			return nil, fmt.Errorf("%s: %w", segName(n), err)
 		}
 	}
-	s.fade()
+	s.replayedAll()
 	for id := range s.suspects { // an attempt whose record is missing may be out, or may have run
 		if e := s.Entries[id]; !e.Ran && e.Status == "" {
 			e.Out, e.OutAt, e.OutTo = true, 0, Nowhere
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"larchrouter/internal/queue"
 )
 
 const (
@@ -17,7 +19,9 @@
 	Sum uint32 // as Entry.Checksum
 	At  int64  // Unix milliseconds; 0 if it is not known
 
-	turn uint64 // no other that was remembered has the same
+	turn    uint64 // no other that was remembered has the same
+	place   uint64
+	segment uint64 // while a log is read
 }
 
 // Memory bounds what is remembered of messages that are over. Where one is passed the oldest are forgotten.
@@ -65,13 +69,14 @@
 	turns      uint64
 	lastEnd    int64 // Unix milliseconds
 	replaying  bool  // a log is read
+	replayed   []Ended
+	forgot     map[string]uint64 // place from which on an id that was remembered is not
 
 	seq    uint64 // of the last record
 	live   int64  // bytes that carrying all of it takes at most
 	places map[mark]uint64
 	placed uint64
-	items  []item // in the order of the log, from first on
-	first  int
+	items  queue.FIFO[item] // in the order of the log
 
 	// While a damaged log is read:
 	damaged  bool
@@ -87,7 +92,7 @@
 // settle puts something at a place in a segment.
 func (s *state) settle(k kind, id string, segment uint64) (place uint64) {
 	s.placed++
-	s.items = append(s.items, item{k, id, segment, s.placed})
+	s.items.Push(item{k, id, segment, s.placed})
 	return s.placed
 }
 
@@ -97,28 +102,23 @@
 		e := s.Entries[i.id]
 		return e != nil && e.place == i.place
 	}
+	if i.kind == endedKind {
+		return s.ended[i.id].place == i.place
+	}
 	return s.places[mark{i.kind, i.id}] == i.place
 }
 
 // oldest is the first item that is live; at most so many that are not are passed over.
 func (s *state) oldest(most int) (i item, ok bool) {
-	for ; s.first < len(s.items) && most > 0; most-- {
-		if i = s.items[s.first]; s.isLive(i) {
+	for ; s.items.Len() > 0 && most > 0; most-- {
+		if i = s.items.At(0); s.isLive(i) {
 			return i, true
 		}
-		s.pop()
+		s.items.Pop()
 	}
 	return i, false
 }
 
-func (s *state) pop() {
-	s.items[s.first] = item{}
-	if s.first++; s.first > 1024 && s.first > len(s.items)/2 {
-		s.items = append(s.items[:0:0], s.items[s.first:]...)
-		s.first = 0
-	}
-}
-
 // carried is the record that says all that is known of an item.
 func (s *state) carried(i item) Record {
 	switch i.kind {
@@ -208,6 +208,9 @@
 	e.place = s.settle(entryKind, e.ID, segment)
 	s.Entries[e.ID] = e
 	s.forget(e.ID)
+	if s.replaying {
+		s.sift()
+	}
 	delete(s.suspects, e.ID)
 	delete(s.orphans, e.ID)
 }
@@ -253,7 +256,13 @@
 		delete(s.Entries, r.ID)
 		delete(s.suspects, r.ID)
 		if r.Op == OpEnd {
-			s.remember(Ended{ID: r.ID, Sum: e.Checksum(), At: r.At}, segment)
+			sum := r.Sum
+			if sum == 0 {
+				sum = e.Checksum()
+			}
+			s.remember(Ended{ID: r.ID, Sum: sum, At: r.At}, segment)
+		} else if s.replaying {
+			s.forgot[r.ID] = s.placed
 		}
 	}
 }
@@ -270,6 +279,22 @@
 	if s.memory.Most <= 0 {
 		return
 	}
+	s.placed++
+	e.place = s.placed
+	if s.replaying {
+		e.segment = segment
+		s.replayed = append(s.replayed, e)
+		if len(s.replayed) > 4*s.memory.Most+4096 {
+			s.thin()
+		}
+		return
+	}
+	s.items.Push(item{endedKind, e.ID, segment, e.place})
+	s.enroll(e)
+}
+
+// enroll takes an id that has a place into the order of those that are remembered.
+func (s *state) enroll(e Ended) {
 	if was, ok := s.ended[e.ID]; ok { // it was carried
 		e.turn = was.turn
 	} else {
@@ -280,20 +305,7 @@
 		s.live += int64(endedRoom + len(e.ID))
 	}
 	s.ended[e.ID] = e
-	s.places[mark{endedKind, e.ID}] = s.settle(endedKind, e.ID, segment)
 	s.lastEnd = max(s.lastEnd, e.At)
-	if !s.replaying || len(s.ended) > 2*s.memory.Most+1024 {
-		s.fade()
-	}
-}
-
-// fade forgets those that are too many or too old. While a log is read they come in the order in which they were
-// carried, not in that in which they ended.
-func (s *state) fade() {
-	if s.replaying {
-		s.endedIDs = slices.DeleteFunc(s.endedIDs, func(e Ended) bool { return s.ended[e.ID].turn != e.turn })
-		slices.SortStableFunc(s.endedIDs, func(a, b Ended) int { return cmp.Compare(a.At, b.At) })
-	}
 	for len(s.endedIDs) > 0 {
 		old := s.endedIDs[0]
 		remembered := s.ended[old.ID].turn == old.turn
@@ -314,11 +326,50 @@
 		return
 	}
 	delete(s.ended, id)
-	delete(s.places, mark{endedKind, id})
 	s.endedBytes -= int64(endedRoom + len(id))
 	s.live -= int64(endedRoom + len(id))
 }
 
+// thin drops of what was read of ended ids all but the last ones to end. A log has them in the order in which they
+// were carried.
+func (s *state) thin() {
+	slices.SortStableFunc(s.replayed, func(a, b Ended) int { return cmp.Compare(a.At, b.At) })
+	s.replayed = append(s.replayed[:0], s.replayed[len(s.replayed)-s.memory.Most:]...)
+}
+
+// sift drops places at which nothing is live any more while a log is read, in which most are.
+func (s *state) sift() {
+	if s.items.Len() <= 2*len(s.Entries)+1<<16 {
+		return
+	}
+	for range s.items.Len() {
+		if i := s.items.Pop(); s.isLive(i) {
+			s.items.Push(i)
+		}
+	}
+}
+
+// replayedAll ends the reading of a log: what is remembered is what would have been by the process that wrote it.
+func (s *state) replayedAll() {
+	s.replaying = false
+	slices.SortStableFunc(s.replayed, func(a, b Ended) int { return cmp.Compare(a.At, b.At) })
+	var all []item
+	for s.items.Len() > 0 {
+		all = append(all, s.items.Pop())
+	}
+	for _, e := range s.replayed {
+		if s.Entries[e.ID] == nil && e.place > s.forgot[e.ID] {
+			all = append(all, item{endedKind, e.ID, e.segment, e.place})
+			s.enroll(e)
+		}
+	}
+	s.replayed, s.forgot = nil, nil
+	slices.SortFunc(all, func(a, b item) int { return cmp.Compare(a.place, b.place) })
+	for _, i := range all {
+		s.items.Push(i)
+	}
+}
+
 // hole notes that records are missing here.
 func (s *state) hole() {
 	s.damaged = true
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -116,3 +116,33 @@
 		})
 	}
 }
+
+// A FIFO is a slice that is pushed to and popped from.
+func TestFIFO(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q FIFO[int]
+		var plain []int
+		next := 0
+		for range rapid.IntRange(1, 30).Draw(t, "rounds") {
+			for range rapid.IntRange(0, 2*chunk).Draw(t, "pushes") {
+				q.Push(next)
+				plain = append(plain, next)
+				next++
+			}
+			for range rapid.IntRange(0, len(plain)).Draw(t, "pops") {
+				if got := q.Pop(); got != plain[0] {
+					t.Fatalf("popped %d, want %d", got, plain[0])
+				}
+				plain = plain[1:]
+			}
+			if q.Len() != len(plain) {
+				t.Fatalf("%d elements, want %d", q.Len(), len(plain))
+			}
+			for i, want := range plain {
+				if got := q.At(i); got != want {
+					t.Fatalf("%d at %d, want %d", got, i, want)
+				}
+			}
+		}
+	})
+}
