--- a/internal/compaction/compaction.go
+++ b/internal/compaction/compaction.go
@@ -13,9 +13,9 @@
 // Bounds of what a segment takes, and of what is carried at a time.
 const (
 	leastSegment = 16 << 10
-	mostSegment  = 8 << 20
+	mostSegment  = 4 << 20
 	leastCarried = 16 << 10
-	MostCarried  = 512 << 10 // or as much as was written; and no more than a segment
+	MostCarried  = 128 << 10 // or as much as was written; and no more than a segment
 	pace         = 4         // bytes carried for each one written, at most
 	mostSegments = 64        // more small ones than that are compacted whatever they take
 )
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -29,8 +29,7 @@
 const (
 	spareName = "journal.spare" // room on the disk for when it is full
 	blockSize = 4096
-	trimMost  = 4       // segments let go in one Append
-	passMost  = 1 << 14 // places passed over in one Append that are no longer live
+	passMost  = 1 << 12 // places passed over in one Append that are no longer live
 )
 
 // Options of a journal.
@@ -383,27 +382,24 @@
 	return nil
 }
 
-// trim lets go of the oldest segments as long as nothing in them is live.
+// trim lets go of the oldest segment if nothing in it is live: one at a time, as a file system takes a while for each.
 func (j *Journal) trim() {
-	for range trimMost {
-		first := j.segments[0]
-		if len(j.segments) == 1 {
-			return
-		}
-		if i, ok := j.oldest(passMost); !ok && j.items.Len() > 0 || ok && i.segment <= first.number {
-			return
-		}
-		if j.power && j.sync() != nil { // what was carried from it has to be as durable as it was
-			return
-		}
-		if err := j.dir.Remove(segName(first.number)); err != nil {
-			return // the next Append tries again
-		}
-		j.segments = slices.Delete(j.segments, 0, 1)
-		j.total -= first.size
-		if j.power && j.dir.SyncDir() != nil { // were one to come back without those after it, they would seem lost
-			return
-		}
+	first := j.segments[0]
+	if len(j.segments) == 1 {
+		return
+	}
+	if i, ok := j.oldest(passMost); !ok && j.items.Len() > 0 || ok && i.segment <= first.number {
+		return
+	}
+	if j.power && j.sync() != nil { // what was carried from it has to be as durable as it was
+		return
+	}
+	if err := j.dir.Remove(segName(first.number)); err != nil {
+		return // the next Append tries again
+	}
+	j.segments = slices.Delete(j.segments, 0, 1)
+	if j.total -= first.size; j.power {
+		j.dir.SyncDir() // were one to come back without those after it, they would seem lost
 	}
 }
 
