--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -487,13 +487,18 @@
 
 // processAt starts the program, to serve at an address, which it tells once it does.
 func processAt(t *testing.T, p *platform, state, listen string) (*exec.Cmd, chan string) {
+	t.Helper()
+	return processWith(t, bytes.Replace(testConfig(t, p), []byte("127.0.0.1:0"), []byte(listen), 1), state)
+}
+
+// processWith starts the program with a configuration; the channel tells the address once it serves.
+func processWith(t *testing.T, text []byte, state string) (*exec.Cmd, chan string) {
 	t.Helper()
 	path, err := testbin.Path()
 	if err != nil {
 		t.Fatal(err)
 	}
 	config := filepath.Join(t.TempDir(), "config.json")
-	text := bytes.Replace(testConfig(t, p), []byte("127.0.0.1:0"), []byte(listen), 1)
 	if err := os.WriteFile(config, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/upgrade_test.go
+++ b/internal/relay/upgrade_test.go
@@ -53,66 +53,92 @@
 	}
 }
 
-// Messages keep coming while the process is replaced again and again, in order and by kills of either process at
-// any point of the handover: each message taken on has one end, no payment runs twice, and in order no client is
-// turned away.
-func TestUpgradesUnderLoad(t *testing.T) {
-	t.Logf("seed %d", *seed)
-	draw := rand.New(rand.NewPCG(*seed, 0))
-	f := newEffects()
-	s := &upgradeSite{t: t, state: t.TempDir(), addr: quietAddr(t),
-		p: newPlatform(t, at("s-1", f.host(t, "a"), "taller"), at("s-2", f.host(t, "b"), "almacen"))}
-	s.p.notices = make(chan notice, 100_000)
-	var serves chan string
-	s.cmd, serves = s.start()
-	wait(t, serves, "address")
+// load is four clients that hand in messages, one after the other, whatever becomes of the process.
+type load struct {
+	results chan result
+	quit    chan struct{}
+	clients chan bool
+	took    map[string]bool // by id: whether it was taken on
+}
 
-	type result struct {
-		id     string
-		status int // 0 for no answer
-		began  time.Time
-	}
-	results, quit := make(chan result, 100_000), make(chan struct{})
-	clients := make(chan bool, 4)
-	for k := range cap(clients) {
+type result struct {
+	id     string
+	status int // 0 for no answer
+	began  time.Time
+}
+
+// startLoad has each client pause before each message. Bodies have so many bytes at least.
+func startLoad(addr string, pause time.Duration, body int) *load {
+	l := &load{make(chan result, 1_000_000), make(chan struct{}), make(chan bool, 4), map[string]bool{}}
+	for k := range cap(l.clients) {
 		go func() {
-			defer func() { clients <- true }()
+			defer func() { l.clients <- true }()
 			client := &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 			defer client.CloseIdleConnections()
-			for n := k; ; n += cap(clients) {
+			for n := k; ; n += cap(l.clients) {
 				select {
-				case <-quit:
+				case <-l.quit:
 					return
-				case <-time.After(time.Duration(20+k) * time.Millisecond):
+				case <-time.After(pause + time.Duration(k)*time.Millisecond):
 				}
 				began := time.Now()
 				id := fmt.Sprint("m", n)
 				_, class := effectOf(id)
-				req, _ := http.NewRequest("POST", "http://"+s.addr+"/api", strings.NewReader("body of "+id))
+				req, _ := http.NewRequest("POST", "http://"+addr+"/api", strings.NewReader("body of "+id+strings.Repeat(".", body)))
 				for k, v := range map[string]string{"X-Request-Id": id, "X-Class": class, "X-Deadline-Ms": "2000",
 					"Idempotency-Key": "key-" + id, "X-Addressing": "dest=7"} {
 					req.Header.Set(k, v)
 				}
 				resp, err := client.Do(req)
 				if err != nil {
-					results <- result{id, 0, began}
+					l.results <- result{id, 0, began}
 					continue
 				}
 				resp.Body.Close()
-				results <- result{id, resp.StatusCode, began}
+				l.results <- result{id, resp.StatusCode, began}
 			}
 		}()
 	}
-	took := map[string]bool{}
-	drain := func(since time.Time) (unanswered int) {
-		for len(results) > 0 {
-			r := <-results
-			if took[r.id] = r.status == http.StatusAccepted; r.status == 0 && r.began.After(since) {
-				unanswered++
-			}
+	return l
+}
+
+// drain takes in the answers so far, and tells how many clients had none that began after a time.
+func (l *load) drain(since time.Time) (unanswered int) {
+	for len(l.results) > 0 {
+		r := <-l.results
+		if l.took[r.id] = r.status == http.StatusAccepted; r.status == 0 && r.began.After(since) {
+			unanswered++
 		}
-		return unanswered
 	}
+	return unanswered
+}
+
+// end ends the clients, and tells which messages were taken on.
+func (l *load) end(t *testing.T) map[string]bool {
+	t.Helper()
+	close(l.quit)
+	for range cap(l.clients) {
+		wait(t, l.clients, "end of a client")
+	}
+	l.drain(time.Now())
+	return l.took
+}
+
+// Messages keep coming while the process is replaced again and again, in order and by kills of either process at
+// any point of the handover: each message taken on has one end, no payment runs twice, and in order no client is
+// turned away.
+func TestUpgradesUnderLoad(t *testing.T) {
+	t.Logf("seed %d", *seed)
+	draw := rand.New(rand.NewPCG(*seed, 0))
+	f := newEffects()
+	s := &upgradeSite{t: t, state: t.TempDir(), addr: quietAddr(t),
+		p: newPlatform(t, at("s-1", f.host(t, "a"), "taller"), at("s-2", f.host(t, "b"), "almacen"))}
+	s.p.notices = make(chan notice, 100_000)
+	var serves chan string
+	s.cmd, serves = s.start()
+	wait(t, serves, "address")
+
+	load := startLoad(s.addr, 20*time.Millisecond, 0)
 	kinds := map[string]int{}
 	for range *upgrades {
 		wait(t, f.progress, "call")
@@ -123,7 +149,7 @@
 			kinds["in order"]++
 			wait(t, serves, "address")
 			s.end(s.cmd, syscall.SIGTERM)
-			if n := drain(since); n > 0 {
+			if n := load.drain(since); n > 0 {
 				t.Errorf("%d clients without an answer while the process was replaced in order", n)
 			}
 			s.cmd = next
@@ -139,23 +165,19 @@
 			case <-time.After(time.Duration(draw.IntN(30)) * time.Millisecond):
 			}
 			s.end(next, syscall.SIGKILL)
-			drain(since)
+			load.drain(since)
 			for serving := false; !serving; {
 				select {
-				case r := <-results: // answers show that it serves
-					took[r.id] = r.status == http.StatusAccepted
-					serving = took[r.id]
+				case r := <-load.results: // answers show that it serves
+					load.took[r.id] = r.status == http.StatusAccepted
+					serving = load.took[r.id]
 				case <-time.After(30 * time.Second):
 					t.Fatal("nobody takes messages after the second process was killed")
 				}
 			}
 		}
 	}
-	close(quit)
-	for range cap(clients) {
-		wait(t, clients, "end of a client")
-	}
-	drain(time.Now())
+	took := load.end(t)
 	f.ends(t, s.p, took)
 	f.check(t)
 	n := 0
