--- a/cmd/larchrouter/client.go
+++ b/cmd/larchrouter/client.go
@@ -57,7 +57,12 @@
 				t := s.Totals
 				fmt.Fprintf(a.out, "since its start: taken on %d, turned away %d, delivered %d, refused %d, failed %d, in %d calls\n",
 					t.Taken, t.Turned, t.Delivered, t.Refused, t.Failed, t.Calls)
-				fmt.Fprintf(a.out, "%d of %d endpoints are not healthy; %d ends remembered; journal %.1f MB\n", s.Unhealthy, s.Endpoints, s.Ends, float64(s.DiskBytes)/1e6)
+				fmt.Fprintf(a.out, "%d of %d endpoints are not healthy; %d ends remembered\n", s.Unhealthy, s.Endpoints, s.Ends)
+				fmt.Fprintf(a.out, "journal %.1f of %.0f MB in %d segments; durability %s\n", float64(s.DiskBytes)/1e6,
+					float64(s.Journal.MostBytes)/1e6, s.Journal.Segments, s.Journal.Durability)
+				if s.Journal.Trouble != "" {
+					fmt.Fprintf(a.out, "NOTHING NEW IS TAKEN ON: %s\n", s.Journal.Trouble)
+				}
 				if s.Left != nil {
 					fmt.Fprintf(a.out, "left by the drain: %s\n", console.Left(*s.Left))
 				}
--- a/deploy/appliance.hcl
+++ b/deploy/appliance.hcl
@@ -18,7 +18,7 @@
   attempts    = 6    # for one message
   descriptors = 1024 # half for clients, 16 kept back, the rest for partners' connections: at least 2 * (slots + 16)
   memory_mb   = 256  # bodies held may take an eighth
-  disk_mb     = 256  # journal and its copy together
+  disk_mb     = 256  # the journal, of which about half may be messages and ends
   cores       = 0    # 0 for all
 }
 
@@ -28,6 +28,12 @@
   for  = "24h"
 }
 
+# What is recorded before a message is taken on (202) and before each attempt outlasts the end of the process, or a
+# loss of power too. "power" waits for the disk: messages that come together share one wait. See docs/operate/journal.md.
+journal {
+  durability = "process"
+}
+
 # The socket that the command line and the console use: mode 0600, relative to `state`.
 control {
   enabled = true
--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -81,7 +81,7 @@
 		set.KindNames, set.Kinds = append(set.KindNames, k.Name), append(set.Kinds, k.Kind)
 	}
 	return relay.Config{Listen: f.Listen, State: f.State, Seed: rand.Uint64(), Cores: float64(f.Limits.Cores),
-		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Descriptors, DiskMB: f.Limits.DiskMB, Settings: set,
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Descriptors, DiskMB: f.Limits.DiskMB, Power: f.Journal.Power, Settings: set,
 		Alone: &relay.Alone{Version: version, Partners: partners(f), EndsKeep: f.Ends.Keep, EndsAge: f.Ends.For, StopWithin: f.StopWithin}}
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,6 +34,12 @@
 	Kinds      []Kind
 	Partners   []Partner
 	StopWithin time.Duration // an orderly stop takes no longer
+	Journal    Journal
+}
+
+// Journal is the durable record.
+type Journal struct {
+	Power bool // it outlasts a loss of power, not just the end of the process
 }
 
 // Limits bound what a relay uses.
@@ -94,7 +100,7 @@
 	maxSocket  = 107     // bytes of a Unix socket's path, after unix(7)
 	maxHeld    = 1_000_000
 	maxSlots   = 10_000
-	perHeld    = 1 << 10 // bytes on disk that a held message with a small body takes in its place, and in the copy again
+	perHeld    = 1 << 10 // bytes on disk that a held message with a small body takes, half of them for compaction
 	perEnd     = 512     // bytes on disk of an end, likewise
 	keptBack   = 16      // descriptors for neither clients nor partners
 	leastFiles = 64
@@ -164,7 +170,7 @@
 	}
 	top := r.open(parsed.Body, hcl.Range{Filename: path, Start: hcl.Pos{Line: 1, Column: 1}},
 		[]string{"listen", "state", "stop_within"},
-		map[string]string{"limits": "", "ends": "", "control": "", "rules": "", "class": "name", "zone": "name", "kind": "name",
+		map[string]string{"limits": "", "ends": "", "journal": "", "control": "", "rules": "", "class": "name", "zone": "name", "kind": "name",
 			"partner": "name"})
 	f := &File{Path: path, Listen: top.text("listen", ""), StopWithin: top.span("stop_within", 10*time.Second, time.Second, time.Hour)}
 	top.need("listen", `where clients connect, such as listen = "127.0.0.1:8080"`)
@@ -173,6 +179,8 @@
 	}
 	f.State = under(dir, top.text("state", "larchrouter-state"))
 	f.limits(top)
+	j, _ := top.one("journal", "durability")
+	f.Journal.Power = j.choose("durability", "process", "process", "power") == "power"
 	f.control(top)
 	f.rules(top)
 	f.classes(top)
@@ -216,7 +224,7 @@
 	f.Ends = Ends{Keep: e.whole("keep", 10_000, 0, maxHeld), For: e.span("for", 24*time.Hour, time.Second, 30*24*time.Hour)}
 	least := 2 * (float64(f.Limits.Held)*perHeld + float64(f.Ends.Keep)*perEnd) / 1e6
 	if f.Limits.DiskMB < least {
-		b.fault(b.where("disk_mb"), "disk_mb is %s, must be at least %.0f for %d messages held and %d ends kept: a copy of the journal must fit beside it",
+		b.fault(b.where("disk_mb"), "disk_mb is %s, must be at least %.0f for %d messages held and %d ends kept: what is live may take half of it, so that the rest can be compacted",
 			show(f.Limits.DiskMB), least+0.5, f.Limits.Held, f.Ends.Keep)
 	}
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -117,6 +117,7 @@
 		"control as text":      {with("control {\n  enabled = \"yes\"\n}\n"), "6:13", "enabled must be true or false"},
 		"long socket":          {with("control {\n  socket = \"" + strings.Repeat("x", 100) + "\"\n}\n"), "6:12", "a Unix socket's may have 107"},
 		"empty text":           {with("state = \"\"\n"), "5:9", "state must not be empty"},
+		"durability":           {with("journal {\n  durability = \"disk\"\n}\n"), "6:16", "must be one of process, power"},
 		"texts":                {with("partner \"x\" {\n  classes = [1]\n  endpoint \"e\" { address = \"h:1\" }\n}\n"), "6:13", "a list of texts"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/console/view.go
+++ b/internal/console/view.go
@@ -84,6 +84,9 @@
 		phase = warn.Render("NOT SERVING: " + Phase(s))
 	}
 	text := fmt.Sprintf("%s on %s, up %s", phase, s.Listen, Span(s.UpMs))
+	if s.Journal.Trouble != "" {
+		text = bad.Render("TAKES NOTHING NEW ON: "+s.Journal.Trouble) + "; " + text
+	}
 	if n := len(s.Drains); n > 0 {
 		text += warn.Render(fmt.Sprintf("; %d drained", n))
 	}
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -78,6 +78,7 @@
 	Ends      int       `json:"ends"`      // remembered
 	EndsMost  int       `json:"ends_most"`
 	DiskBytes int64     `json:"disk_bytes"`
+	Journal   Journal   `json:"journal"`
 	Totals    Totals    `json:"totals"`
 	Series    []Second  `json:"series"` // the last whole seconds, oldest first
 	Drains    []Drained `json:"drains"`
@@ -85,6 +86,14 @@
 	Endpoints int       `json:"endpoints"`
 }
 
+// Journal is the durable record.
+type Journal struct {
+	Segments   int    `json:"segments"`
+	MostBytes  int64  `json:"most_bytes"`
+	Durability string `json:"durability"`        // process or power
+	Trouble    string `json:"trouble,omitempty"` // why nothing new is taken on
+}
+
 // Totals count messages since the process began.
 type Totals struct {
 	Taken     uint64 `json:"taken"`
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"larchrouter/internal/files"
 	"larchrouter/internal/handover"
 	"larchrouter/internal/settings"
 )
@@ -21,7 +22,8 @@
 	MemoryMB  float64
 	Sockets   int
 	DiskMB    float64
-	Power     bool // what is recorded outlasts a loss of power
+	Power     bool         // what is recorded outlasts a loss of power
+	Files     files.System // the journal's folder, nil for State
 	Known     list
 	Settings  settings.Settings
 	Admin     string         // the second address; empty for none
--- a/internal/relay/query.go
+++ b/internal/relay/query.go
@@ -85,6 +85,21 @@
 	})
 }
 
+// showJournal tells how the durable record is.
+func (r *Relay) showJournal() control.Journal {
+	v := control.Journal{Segments: r.journal.Segments(), MostBytes: r.journal.Budget(), Durability: "process"}
+	if r.conf.Power {
+		v.Durability = "power"
+	}
+	switch {
+	case r.journal.Broken != nil:
+		v.Trouble = r.journal.Broken.Error()
+	case r.journal.Full():
+		v.Trouble = "the disk is full: what is held is recorded from spare room"
+	}
+	return v
+}
+
 // show makes a view, in the loop.
 func (r *Relay) show() *cachedView {
 	a, now := r.alone, time.Now()
@@ -93,7 +108,7 @@
 	s := control.Status{API: control.Version, Version: a.Version, PID: os.Getpid(), NowMs: now.UnixMilli(),
 		UpMs: r.now().Milliseconds(), Listen: r.Addr(), State: r.conf.State, Phase: string(phase), Held: len(r.held),
 		HeldMost: r.set.MaxHeld, Out: r.out, Slots: r.set.Workers, Ends: a.ends.Len(), EndsMost: a.EndsKeep,
-		DiskBytes: r.journal.Size(), Totals: control.Totals{Taken: t.taken, Turned: t.turned + r.busy.Load(), Delivered: t.delivered,
+		DiskBytes: r.journal.Size(), Journal: r.showJournal(), Totals: control.Totals{Taken: t.taken, Turned: t.turned + r.busy.Load(), Delivered: t.delivered,
 			Refused: t.refused, Failed: t.failed, Calls: t.calls}, Series: a.count.series(now), Drains: []control.Drained{}, Left: a.left}
 	if !until.IsZero() {
 		s.UntilMs = until.UnixMilli()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -142,7 +142,7 @@
 	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
 		return nil, err
 	}
-	if r.journal, err = journal.Open(conf.State, journal.Options{Budget: int64(conf.DiskMB * 1e6), Power: conf.Power,
+	if r.journal, err = journal.Open(conf.State, journal.Options{Budget: int64(conf.DiskMB * 1e6), Power: conf.Power, Files: conf.Files,
 		Memory: journal.Memory{Most: r.past.most, Bytes: pastBytes, AgeMS: pastAge.Milliseconds()}}); err != nil {
 		return nil, err
 	}
@@ -337,6 +337,7 @@
 			continue
 		}
 		if e.Status != "" {
+			r.past.add(e)
 			r.owe(notice{e.ID, e.Status, e.Again})
 			continue
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -628,6 +628,7 @@
 	tries    map[string]int
 	over     map[string]bool
 	progress chan struct{}
+	of       int // of so many calls one is refused, one fails, one breaks off, one hangs; the others are answered
 }
 
 var effectClasses = []string{"job-order", "status-update", "payment"}
@@ -639,7 +640,7 @@
 }
 
 func newEffects() *effects {
-	return &effects{ran: map[string]map[string]int{}, tries: map[string]int{}, over: map[string]bool{}, progress: make(chan struct{}, 100_000)}
+	return &effects{ran: map[string]map[string]int{}, tries: map[string]int{}, over: map[string]bool{}, progress: make(chan struct{}, 1_000_000), of: 5}
 }
 
 // host starts one.
@@ -650,14 +651,14 @@
 		n, _ := effectOf(id)
 		f.mu.Lock()
 		f.tries[id]++
-		how := (n/3 + f.tries[id] - 1) % 5
+		how := (n/3 + f.tries[id] - 1) % f.of
 		if how != 1 {
 			if f.ran[id] == nil {
 				f.ran[id] = map[string]int{}
 			}
 			f.ran[id][name]++
 		}
-		f.over[id] = f.over[id] || how == 0
+		f.over[id] = f.over[id] || how == 0 || how > 4
 		f.mu.Unlock()
 		f.progress <- struct{}{}
 		switch how {
--- a/internal/statedir/statedir.go
+++ b/internal/statedir/statedir.go
@@ -42,3 +42,13 @@
 	}
 	return f, nil
 }
+
+// InUse tells whether a process holds a folder.
+func InUse(dir string) bool {
+	f, err := os.Open(filepath.Join(dir, lockName))
+	if err != nil {
+		return false
+	}
+	defer f.Close()
+	return errors.Is(syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB), syscall.EWOULDBLOCK)
+}
