Pace compaction by what it costs, and keep the spare room on the disk for records

Cause: with bodies of up to 40 kB compaction fell behind: letting a segment go counted as much as carrying 64 kB, and no more was carried than a segment (ErrFull with 1.0 of 1.6 MB live). On a full disk it used up the spare room itself.

--- a/cmd/loadbench/main.go
+++ b/cmd/loadbench/main.go
@@ -46,6 +46,7 @@
 		add(loadbench.Scenario{Name: fmt.Sprintf("dests-%d", n), Dests: n})
 	}
 	add(loadbench.Scenario{Name: "dests-5000-refuse-50%", Dests: 5000, Trouble: "refuse", Share: 0.5})
+	add(loadbench.Scenario{Name: "disk-3MB", Disk: 3}) // the journal is always being compacted
 	add(loadbench.Scenario{Name: "return-50%", Trouble: "refuse", Share: 0.5, Return: true})
 	add(loadbench.Scenario{Name: "due-20000", Held: 20_000, Due: true})
 	for _, n := range []int{1000, 20_000, 200_000} {
--- a/internal/compaction/compaction.go
+++ b/internal/compaction/compaction.go
@@ -15,7 +15,8 @@
 	leastSegment = 16 << 10
 	mostSegment  = 4 << 20
 	leastCarried = 16 << 10
-	MostCarried  = 128 << 10 // or as much as was written; and no more than a segment
+	MostCarried  = 128 << 10 // or as much as was written
+	mostPaced    = 2 << 20   // by pace, for what was written at once
 	pace         = 4         // bytes carried for each one written, at most
 	mostSegments = 64        // more small ones than that are compacted whatever they take
 )
@@ -57,10 +58,11 @@
 // Fits tells whether n bytes of records of what is held already can be written before anything is carried.
 func (l Limits) Fits(g Log, n int64) bool { return g.Total+n+l.Spare+l.Segment <= l.Budget }
 
-// Carry is how many bytes are to be carried now, after so many were written; 0 for none.
+// Carry is how many bytes are to be carried now, after so many were written; 0 for none. They are to be carried in
+// pieces of a segment at most, and segments that have nothing live let go between them.
 func (l Limits) Carry(g Log, written int64) int64 {
 	goal := min(2*g.Live+4*l.Segment, l.ceiling()-3*l.Segment)
-	most := min(max(MostCarried, written), l.Segment) // what was written took its time as well
+	most := max(MostCarried, written, min(pace*written, mostPaced)) // what was written took its time as well
 	switch {
 	case g.Segments < 2 || g.Total <= goal && g.Segments <= mostSegments:
 		return 0
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -191,8 +191,14 @@
 	if cap(j.buf) > 1<<20 {
 		j.buf = nil // a burst's memory is not kept
 	}
-	if carry := j.limits.Carry(j.log(), n); carry > 0 {
-		j.compact(carry) // if it fails, the next Append tries again
+	if j.spare == nil { // what room there is now is for records
+		j.trim()
+		return nil
+	}
+	for carry := j.limits.Carry(j.log(), n); carry > 0 && len(j.segments) > 1; {
+		if j.compact(&carry) != nil {
+			break // the next Append tries again
+		}
 	}
 	return nil
 }
@@ -229,16 +235,16 @@
 func (j *Journal) room(n, grows int64, takes bool) error {
 	if takes {
 		admits := func() bool { return j.limits.Admits(j.log(), n, grows) && j.regain() }
-		piece := min(compaction.MostCarried, j.limits.Segment)
-		for left := max(compaction.MostCarried, 4*n); !admits(); left -= piece { // as much as n takes to write, and more
-			if left <= 0 || j.live+grows > j.limits.MostLive() || j.compact(piece) != nil {
+		for left := max(compaction.MostCarried, 4*n); !admits(); { // as much as n takes to write, and more
+			if left <= 0 || j.live+grows > j.limits.MostLive() || j.compact(&left) != nil {
 				return ErrFull
 			}
 		}
 		return nil
 	}
-	for rounds := 4 * len(j.segments); !j.limits.Fits(j.log(), n); rounds-- {
-		if rounds <= 0 || j.compact(j.limits.Segment) != nil {
+	// This is not bounded in time: what is held has to be recorded, and pacing has it happen hardly ever.
+	for left := 4 * (j.total + j.limits.Budget); !j.limits.Fits(j.log(), n); {
+		if left <= 0 || j.compact(&left) != nil {
 			return ErrFull
 		}
 	}
@@ -249,7 +255,7 @@
 // full.
 func (j *Journal) write(buf []byte, records int, takes bool) error {
 	err := j.writeOnce(buf)
-	if files.Full(err) && !takes && j.release() {
+	if files.Full(err) && !takes && (j.release() || j.trim()) {
 		err = j.writeOnce(buf)
 	}
 	if err != nil {
@@ -334,16 +340,16 @@
 	return nil
 }
 
-// compact lets go of the oldest segment, or else carries so many bytes from it, or a little more, to the end of the log.
-func (j *Journal) compact(most int64) error {
-	if j.trim() {
+// compact lets go of the oldest segment, or else carries a piece of it to the end of the log, and takes what that cost
+// off the bytes that may be carried.
+func (j *Journal) compact(left *int64) error {
+	if size := j.segments[0].size; j.trim() {
+		*left -= 4<<10 + size/32 // what could be carried in that time
 		return nil
 	}
-	if err := j.carryTo(most); err != nil {
-		return err
-	}
-	j.trim()
-	return nil
+	piece := min(*left, j.limits.Segment)
+	*left -= piece
+	return j.carryTo(piece)
 }
 
 // carryTo carries items from the oldest segments to the end of the log, up to a number of bytes or a little over it.
@@ -368,11 +374,7 @@
 		sizes, moved = append(sizes, int64(len(buf)-before)), append(moved, r)
 	}
 	if len(moved) > 0 {
-		err := j.writeOnce(buf)
-		if files.Full(err) && j.release() {
-			err = j.writeOnce(buf)
-		}
-		if err != nil {
+		if err := j.writeOnce(buf); err != nil { // the spare room is not for this
 			return err
 		}
 	}
