--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -411,3 +411,29 @@
 		}
 	})
 }
+
+// Records at the bounds of what a relay takes: bodies of 64 KiB and none, ids and keys of 200 bytes, a hundred attempts.
+func TestLargestRecords(t *testing.T) {
+	dir := t.TempDir()
+	j := open(t, dir, 3e6)
+	id := strings.Repeat("i", 199)
+	for round := range 60 {
+		for n, size := range []int{64 << 10, 0, 1} {
+			r := taken(id+fmt.Sprint(n), size)
+			r.Entry.Key = strings.Repeat("k", 200)
+			put(t, j, r)
+			for range 100 {
+				put(t, j, Record{Op: OpTry, ID: r.Entry.ID, At: 1, Host: strings.Repeat("h", 100)}, Record{Op: OpOutcome, ID: r.Entry.ID, Why: "no connection"})
+			}
+		}
+		if round%20 == 0 {
+			j = open(t, dir, 3e6)
+		}
+		want(t, "entries", len(j.Entries), 3)
+		want(t, "bytes", len(j.Entries[id+"0"].Body), 64<<10)
+		want(t, "attempts", len(j.Entries[id+"1"].Log), 100)
+		for n := range 3 {
+			put(t, j, Record{Op: OpNotice, ID: id + fmt.Sprint(n), Status: "deferred"}, Record{Op: OpEnd, ID: id + fmt.Sprint(n)})
+		}
+	}
+}
