Look an entry up for ends only, and share what two tests wrote twice

Cause: read again, encode looked every record's message up though only an end needs it; a field of wire was never read; the tests on a faulty disk had a second inLoop, two campaigns the same count.

Change: those four places; no behaviour, bound or assertion differs.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -215,11 +215,13 @@
 	buf, sizes = j.buf[:0], j.sizes[:0]
 	for i := range recs {
 		before, seq := len(buf), j.seq+1+uint64(i)
-		switch e := j.Entries[recs[i].ID]; {
-		case recs[i].Op == OpTaken:
+		switch recs[i].Op {
+		case OpTaken:
 			takes, recs[i].Entry.number = true, seq
-		case recs[i].Op == OpEnd && e != nil: // it outlasts what is before it
-			recs[i].Sum = e.Checksum()
+		case OpEnd: // it outlasts what is before it
+			if e := j.Entries[recs[i].ID]; e != nil {
+				recs[i].Sum = e.Checksum()
+			}
 		}
 		buf = appendFrame(buf, seq, j.unsynced(seq), &recs[i])
 		sizes = append(sizes, int64(len(buf)-before))
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -116,7 +116,6 @@
 
 // wire is a field's value as it was read.
 type wire struct {
-	kind   protowire.Type
 	number uint64
 	bytes  []byte
 }
@@ -164,7 +163,7 @@
 			return protowire.ParseError(size)
 		}
 		data = data[size:]
-		f := wire{kind: kind}
+		var f wire
 		switch kind {
 		case protowire.VarintType:
 			f.number, size = protowire.ConsumeVarint(data)
--- a/internal/relay/disk_test.go
+++ b/internal/relay/disk_test.go
@@ -20,9 +20,9 @@
 // in runs something in the loop.
 func in(t *testing.T, r *Relay, f func()) {
 	t.Helper()
-	done := make(chan bool, 1)
-	r.post(func() { f(); done <- true })
-	wait(t, done, "the loop")
+	if _, err := inLoop(t.Context(), r, func() bool { f(); return true }); err != nil {
+		t.Fatal(err)
+	}
 }
 
 // A disk that fills: new messages are refused plainly with a time to come again, what was taken on is tried, ends and
--- a/internal/relay/kills_test.go
+++ b/internal/relay/kills_test.go
@@ -81,14 +81,8 @@
 	took := load.end(t)
 	f.ends(t, s.p, took)
 	f.check(t)
-	n := 0
-	for _, ok := range took {
-		if ok {
-			n++
-		}
-	}
 	if dropped < 2 {
 		t.Error("compaction let go of nothing")
 	}
-	t.Logf("%d kills; %d messages handed in, %d taken on, each with its end; the log let go of its first %d records", *kills, len(took), n, dropped)
+	t.Logf("%d kills; %d messages handed in, %d taken on, each with its end; the log let go of its first %d records", *kills, len(took), takenOn(took), dropped)
 }
--- a/internal/relay/upgrade_test.go
+++ b/internal/relay/upgrade_test.go
@@ -124,6 +124,16 @@
 	return l.took
 }
 
+// takenOn counts the messages that were.
+func takenOn(took map[string]bool) (n int) {
+	for _, ok := range took {
+		if ok {
+			n++
+		}
+	}
+	return n
+}
+
 // Messages keep coming while the process is replaced again and again, in order and by kills of either process at
 // any point of the handover: each message taken on has one end, no payment runs twice, and in order no client is
 // turned away.
@@ -180,11 +190,5 @@
 	took := load.end(t)
 	f.ends(t, s.p, took)
 	f.check(t)
-	n := 0
-	for _, ok := range took {
-		if ok {
-			n++
-		}
-	}
-	t.Logf("%v; %d messages handed in, %d taken on, each with its end", kinds, len(took), n)
+	t.Logf("%v; %d messages handed in, %d taken on, each with its end", kinds, len(took), takenOn(took))
 }
