--- a/choice/choice.go
+++ b/choice/choice.go
@@ -15,6 +15,9 @@
 const (
 	margin = 4   // ticks between the last own look at a message and its deadline
 	glance = 200 // looks without news within the shortest aim
+	// In a fleet of large size a relay begins at each unit with its share of a guess, in calls a second from
+	// all of them: each one's first calls are harmless, their sum shuts a unit where refused ones count.
+	large, guess = 16, 15.0
 )
 
 // New returns a Chooser for one relay. Pauses are drawn from the seed.
@@ -111,6 +114,9 @@
 			}
 			if d.kind.Apart || len(d.units) == 0 {
 				u := &unit{name: n.Addr, born: c.now - time.Second, lastServed: c.now - time.Second}
+				if c.set.Fleet >= large && !c.set.Listed {
+					u.limit, u.limitAt, u.tokens = guess/float64(c.set.Fleet), c.now, c.rand.Float64()
+				}
 				d.units = append(d.units, u)
 			}
 			h.unit = d.units[len(d.units)-1]
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -530,6 +530,27 @@
 	}
 }
 
+// TestManyRelaysBeginGently: a first call of each relay does no harm alone, and shuts a destination when all make
+// it: eighty relays with a message each begin, and go on, at the share of a guess.
+func TestManyRelaysBeginGently(t *testing.T) {
+	s := settings()
+	s.Fleet, s.Listed = 80, false
+	var first, sent int
+	for seed := range uint64(80) {
+		c, err := New(s, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{t: t, c: c, now: time.Hour, try: map[string]int{}}
+		acts := r.step(Listing{Whole: true, Hosts: []Host{ready("a", 1, 0, 0)}}, arrival("m", 0), arrival("n", 0))
+		first += len(sends(acts))
+		sent += len(sends(acts)) + len(sends(r.after(2*time.Second)))
+	}
+	if most := 2.5 * guess; first > 0 || float64(sent) > most || sent < guess {
+		t.Errorf("%d calls at once and %d in two seconds, want none and %g to %g", first, sent, guess, most)
+	}
+}
+
 // TestRelaysDoNotAllLikeOneHost: relays of a large fleet spread over the hosts of a destination.
 func TestRelaysDoNotAllLikeOneHost(t *testing.T) {
 	s := settings()
--- a/choice/internal/scanning/choice.go
+++ b/choice/internal/scanning/choice.go
@@ -130,6 +130,9 @@
 			}
 			if d.kind.Apart || len(d.units) == 0 {
 				u := &unit{name: n.Addr, born: c.now - time.Second, lastServed: c.now - time.Second}
+				if c.set.Fleet >= 16 && !c.set.Listed {
+					u.limit, u.limitAt, u.tokens = 15/float64(c.set.Fleet), c.now, c.rand.Float64()
+				}
 				d.units = append(d.units, u)
 			}
 			h.unit = d.units[len(d.units)-1]
--- a/cmd/larchrouter/main.go
+++ b/cmd/larchrouter/main.go
@@ -23,6 +23,14 @@
 	exitRefused = 5 // the relay says no: not as things stand, or no such thing
 )
 
+// logLevel is that of the platform's relay: info, or what LARCHROUTER_LOG names (debug, info, warn, error).
+func logLevel() (l slog.Level) {
+	if err := l.UnmarshalText([]byte(os.Getenv("LARCHROUTER_LOG"))); err != nil {
+		return slog.LevelInfo
+	}
+	return l
+}
+
 // coded is an error with an exit code.
 type coded struct {
 	error
@@ -37,7 +45,7 @@
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
 	if len(os.Args) == 1 && os.Getenv("BALANCER_CONFIG") != "" {
-		slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()})))
 		if err := platform.Run(os.Getenv, stop, reload); err != nil {
 			slog.Error("cannot start", "err", err)
 			os.Exit(exitFailed)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -30,6 +30,7 @@
 	if err != nil {
 		return err
 	}
+	slog.Debug("configuration", "file", string(conf.File()))
 	Limit(max(1, conf.Cores), conf.MemoryMB)
 	at := new(seat)
 	if conf.Admin != "" {
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -99,6 +99,9 @@
 	return c, nil
 }
 
+// File is the configuration as it was read.
+func (c Config) File() []byte { return c.file }
+
 // ReadAgain reads the file anew for a relay that runs with c. Its address of discovery now wins over
 // BALANCER_DISCOVERY. A file that a relay would not start with, or that lacks anything c's had, is an error:
 // nothing is taken from it.
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -110,7 +110,9 @@
 		if now := r.agent.Load(); now != a {
 			a, full, version = now, true, 0
 		}
+		began := time.Now()
 		l, err := r.ask(a, version, full)
+		traceAsked(full, version, l, time.Since(began), err)
 		if a.life.Err() != nil {
 			continue // another took its place
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -410,6 +410,7 @@
 
 // give ends a message undelivered. Why is for people.
 func (r *Relay) give(m *message, n notice, why string) {
+	traceEnd(m, n.Status, why)
 	if r.alone != nil {
 		r.conclude(m, n.Status, n.Again, why)
 		return
@@ -615,6 +616,7 @@
 	if r.alone != nil {
 		r.alone.count.turned()
 	}
+	traceEnd(m, "turned away", text)
 	r.free(m)
 	m.answer(answer{status: http.StatusServiceUnavailable, after: after, text: text})
 }
@@ -678,6 +680,7 @@
 		return // its own time was up before the call's
 	}
 	m.call = nil
+	traceAttempt(c, m, e, took, wait)
 	if r.heir.Load() != nil {
 		r.tellHeir(c, m, e, took, wait)
 		return
@@ -696,6 +699,7 @@
 	}
 	switch over := e.Done || e.Outcome == choice.Served; {
 	case r.alone == nil && over:
+		traceEnd(m, delivered, "")
 		r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
 		r.drop(m)
 	case !over && !expelled:
--- /dev/null
+++ b/internal/relay/trace.go
@@ -0,0 +1,38 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"larchrouter/internal/transport/httpcall"
+)
+
+// Lines at debug level, from which a day can be counted across a fleet: what was taken on or refused, each attempt
+// and its end, each message's end, and each question to discovery. They are off unless the log's level asks for them.
+
+// debugging tells whether such lines are wanted; it is asked first, so that they cost nothing while they are not.
+func debugging() bool { return slog.Default().Enabled(context.Background(), slog.LevelDebug) }
+
+// traceAttempt notes how one message's attempt ended.
+func traceAttempt(c *call, m *message, e httpcall.End, took, wait time.Duration) {
+	if debugging() {
+		slog.Debug("attempt", "id", m.ID, "class", m.class, "dest", c.host.dest, "host", c.host.id, "with", len(c.members),
+			"outcome", outcomeNames[e.Outcome], "took", took.Milliseconds(), "wait", wait.Milliseconds(), "new", e.Dialled)
+	}
+}
+
+// traceEnd notes how a message ended.
+func traceEnd(m *message, status, why string) {
+	if debugging() {
+		slog.Debug("ended", "id", m.ID, "class", m.class, "dest", m.Dest, "status", status, "why", why, "tries", m.Tries)
+	}
+}
+
+// traceAsked notes an answer of discovery, or its absence.
+func traceAsked(full bool, since int64, l list, took time.Duration, err error) {
+	if debugging() {
+		slog.Debug("asked", "full", full, "since", since, "version", l.Version, "whole", l.Full, "lines", len(l.Servers),
+			"took", took.Milliseconds(), "err", err)
+	}
+}
--- a/internal/transport/httpcall/httpcall.go
+++ b/internal/transport/httpcall/httpcall.go
@@ -68,6 +68,7 @@
 type End struct {
 	Outcome choice.Outcome
 	Done    bool // the host holds the message to be over
+	Dialled bool // the call went out on a new connection, or failed to get one
 }
 
 // Frame is a message as it stands in the body of a call with several.
@@ -96,8 +97,13 @@
 		if err == errGated || err == errTold || err == errNoDescriptor || context.Cause(ctx) == ErrCalledOff {
 			o = choice.NotSent // nothing that the host did
 		}
-		return all(End{Outcome: o}), time.Since(begin), c.Host.waits().Left()
+		return all(End{Outcome: o, Dialled: o == choice.NoConnection}), time.Since(begin), c.Host.waits().Left()
 	}
+	defer func() {
+		for i := range ends {
+			ends[i].Dialled = !conn.kept
+		}
+	}()
 	a := conn.reply()
 	took = time.Since(begin)
 	if a.begun { // before another call can have the connection
--- a/internal/transport/httpcall/httpcall_test.go
+++ b/internal/transport/httpcall/httpcall_test.go
@@ -138,16 +138,16 @@
 }
 
 func TestStatuses(t *testing.T) {
-	for status, o := range map[int]End{200: {choice.Served, false}, 500: {choice.Error, false}, 429: {choice.Refused, false},
-		503: {choice.Refused, false}, 504: {choice.NotSent, false}, 410: {choice.NotSent, true}, 418: {choice.Error, false}} {
+	for status, o := range map[int]End{200: {Outcome: choice.Served}, 500: {Outcome: choice.Error}, 429: {Outcome: choice.Refused},
+		503: {Outcome: choice.Refused}, 504: {Outcome: choice.NotSent}, 410: {Outcome: choice.NotSent, Done: true}, 418: {Outcome: choice.Error}} {
 		want(t, fmt.Sprint("end after ", status), single(reply{status: status, whole: true}, false), o)
 		if status != 200 {
-			want(t, fmt.Sprint("end after a spoilt ", status), single(reply{status: status}, false), End{choice.Spoilt, false})
+			want(t, fmt.Sprint("end after a spoilt ", status), single(reply{status: status}, false), End{Outcome: choice.Spoilt})
 		}
 	}
 	over := reply{status: 503, whole: true, header: http.Header{"X-Over-Slots": {"1"}}}
-	want(t, "end without a slot", single(over, false), End{choice.NotSent, false})
-	want(t, "end of a call too large", single(reply{status: 413, whole: true}, true), End{choice.NotSent, false})
+	want(t, "end without a slot", single(over, false), End{Outcome: choice.NotSent})
+	want(t, "end of a call too large", single(reply{status: 413, whole: true}, true), End{Outcome: choice.NotSent})
 }
 
 // Guards against a connection for each message.
@@ -315,11 +315,11 @@
 	ids := []string{"a", "b"}
 	for _, body := range []string{"a ok\r\n", "a ok\r\nb ok\r\nc ok\r\n", "a later\r\na later\r\nb ok\r\n", "a ok\r\nb o", "", "noise"} {
 		for i, e := range batchEnds(reply{whole: true, body: []byte(body)}, ids) {
-			want(t, fmt.Sprintf("%s after %q", ids[i], body), e, End{choice.Spoilt, false})
+			want(t, fmt.Sprintf("%s after %q", ids[i], body), e, End{Outcome: choice.Spoilt})
 		}
 	}
 	cut := reply{body: []byte("a later\r\nb later\r\n")}
-	want(t, "an answer that is not whole", batchEnds(cut, ids)[0], End{choice.Spoilt, false})
+	want(t, "an answer that is not whole", batchEnds(cut, ids)[0], End{Outcome: choice.Spoilt})
 }
 
 // Guards against telling the relay's own want of descriptors as a host's failure, and against more
