--- a/choice/admit.go
+++ b/choice/admit.go
@@ -58,7 +58,8 @@
 	c.touch(d)
 	u.waitUntil = max(u.waitUntil, c.now+e.Wait) // it binds with any outcome
 	m.call, m.last = nil, h
-	if k.members = remove(k.members, m); len(k.members) == 0 {
+	k.members = remove(k.members, m)
+	if c.report(k, e); len(k.members) == 0 {
 		c.busy, d.out, h.out = c.busy-1, d.out-1, h.out-1
 		u.outs = remove(u.outs, k)
 	}
--- a/choice/api.go
+++ b/choice/api.go
@@ -73,7 +73,10 @@
 	// ReportLimit is the place in Result.Report of the limit in calls a second;
 	// below 0 where it is not reported.
 	ReportLimit int
-	Rules       Rules
+	// Granted has calls go out on grants alone, one each (Want, Granted, Spent). Whoever gives them keeps all
+	// relays together under a route's limit and within the rule for one that returns; waits still bind here.
+	Granted bool
+	Rules   Rules
 }
 
 // Outcome is how an attempt ended.
@@ -158,6 +161,22 @@
 	Wait time.Duration
 }
 
+// Granted gives leave for one call to a route, in answer to a Want. Each ends in one Spent.
+type Granted struct {
+	Dest  int
+	Route string
+	Grant uint32        // tells it from others
+	For   time.Duration // it lapses if the call is not begun by then
+	Well  bool          // the route has served other relays since this one may have seen it fail
+}
+
+// Heard is a note of another relay of the fleet, and Tell an action that sends one. A Chooser does neither; they
+// pass between whoever carries notes and whoever gives grants (internal/core).
+type Heard struct {
+	From int // its number
+	Note []byte
+}
+
 // Woken is the wake-up that a Wake action asked for.
 type Woken struct{}
 
@@ -169,6 +188,8 @@
 func (Listing) event()   {}
 func (Retuned) event()   {}
 func (Told) event()      {}
+func (Granted) event()   {}
+func (Heard) event()     {}
 func (Woken) event()     {}
 
 // An Action is something the relay must do. The types below are the actions.
@@ -217,6 +238,31 @@
 	Base   float64 // messages a second served to this relay before
 }
 
+// Want tells how many calls could go to a destination now if they were granted, and what the next would be worth.
+// It replaces the last one for that destination.
+type Want struct {
+	Dest   int
+	Calls  int
+	Value  float64
+	Routes []string // to any of these, the best liked first
+}
+
+// Spent tells what became of a granted call; NotSent if it was not made, as when the grant has lapsed.
+type Spent struct {
+	Dest    int
+	Route   string
+	Grant   uint32
+	Outcome Outcome
+	Took    time.Duration
+	Wait    time.Duration // told
+}
+
+// Tell sends a note to another relay of the fleet; it may be lost.
+type Tell struct {
+	To   int
+	Note []byte
+}
+
 // Log is a line for the operators.
 type Log struct{ Text string }
 
@@ -226,5 +272,8 @@
 func (Cancel) action()    {}
 func (Wake) action()      {}
 func (Subscribe) action() {}
+func (Want) action()      {}
+func (Spent) action()     {}
+func (Tell) action()      {}
 func (Log) action()       {}
 func (Health) action()    {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,7 +27,7 @@
 	}
 	c := &Chooser{set: s, msgs: map[string]*message{}, dests: map[int]*dest{},
 		hosts: map[string]*host{}, lines: map[string]*line{},
-		rand: rand.New(rand.NewPCG(seed, 0)), pool: table{weight: 1}, watchAt: never}
+		rand: rand.New(rand.NewPCG(seed, 0)), pool: table{weight: 1}, watchAt: never, lapseAt: never}
 	if !s.Subscribe {
 		c.askAt = -1
 	}
@@ -45,6 +45,7 @@
 	c.answer()
 	c.shed()
 	c.turn()
+	c.ask()
 	c.wake()
 	return c.acts
 }
@@ -52,6 +53,7 @@
 // take takes in all that happened. Time that runs backwards stands still.
 func (c *Chooser) take(now time.Duration, events []Event) {
 	c.now, c.acts = max(c.now, now), nil
+	c.lapse()
 	for _, e := range events {
 		switch e := e.(type) {
 		case Arrival:
@@ -72,6 +74,8 @@
 			c.retune(e.Settings)
 		case Told:
 			c.told(e)
+		case Granted:
+			c.granted(e)
 		case Woken:
 			c.wakeAt = 0
 		}
@@ -107,19 +111,7 @@
 		d := c.dest(n.Dest)
 		c.settle(d) // what is new here has its tokens
 		if h == nil {
-			h = &host{dest: d, liking: c.rand.Float64()}
-			c.hosts[n.Addr], d.hosts = h, append(d.hosts, h)
-			if n.Kind >= 0 && n.Kind < len(c.set.Kinds) {
-				d.kind, d.luck = c.set.Kinds[n.Kind], &c.luck[n.Kind]
-			}
-			if d.kind.Apart || len(d.units) == 0 {
-				u := &unit{name: n.Addr, born: c.now - time.Second, lastServed: c.now - time.Second}
-				if c.set.Fleet >= large && !c.set.Listed {
-					u.limit, u.limitAt, u.tokens = guess/float64(c.set.Fleet), c.now, c.rand.Float64()
-				}
-				d.units = append(d.units, u)
-			}
-			h.unit = d.units[len(d.units)-1]
+			h = c.newHost(d, n)
 		}
 		if c.touch(h.dest); n.State == Gone {
 			c.depart(h.dest)
--- a/choice/health.go
+++ b/choice/health.go
@@ -91,6 +91,9 @@
 func (c *Chooser) refused(u *unit, d *dest, wait time.Duration) {
 	c.bad(u)
 	u.waitUntil = max(u.waitUntil, c.now+wait)
+	if c.set.Granted { // whoever gives the grants hears of it
+		return
+	}
 	u.pauseUntil = max(c.now, u.waitUntil)
 	if wait <= 0 || c.thin(u) {
 		u.pauseUntil += c.spread(u, d, u.bad-1)
@@ -194,6 +197,8 @@
 func (c *Chooser) roomAt(u *unit) time.Duration {
 	at := max(c.now, u.waitUntil, u.pauseUntil)
 	switch {
+	case c.set.Granted:
+		return u.leaveAt(at)
 	case u.state == suspect && len(u.outs) > 1:
 		return never
 	case u.state == suspect:
--- a/choice/state.go
+++ b/choice/state.go
@@ -63,6 +63,7 @@
 	sent    time.Duration
 	members []*message // outcomes still due
 	off     bool       // called off
+	leave   *grant     // that it goes on; nil without one
 }
 
 // host is one endpoint.
@@ -89,6 +90,8 @@
 // unit is what health, limits and waits hang on: a destination, or a route where routes are apart.
 type unit struct {
 	name       string
+	key        string  // names the route to other relays
+	grants     []grant // not used yet
 	born       time.Duration
 	listed     float64 // calls a second from all relays, 0 if unknown
 	state      health
@@ -139,7 +142,9 @@
 	refused    int      // refusals in a row
 	luck       *float64 // of its kind
 	pauseUntil time.Duration
-	backoff    int // time-outs in a row with nothing served since
+	backoff    int  // time-outs in a row with nothing served since
+	wanted     Want // as last told
+	wanting    bool // on the list of those to be told
 }
 
 // turnKey is what the order of turns goes by.
@@ -198,9 +203,37 @@
 	luck      []float64     // by kind: share served of the calls to destinations that refused the last one
 	pool      table         // of all destinations together, for those that have few samples yet
 	askAt     time.Duration // ask for list changes then; below 0 for never
+	wanting   []*dest       // their wants are to be told
+	lapseAt   time.Duration // the next grant lapses then
 	acts      []Action
 }
 
+// newHost is an endpoint that a destination did not have.
+func (c *Chooser) newHost(d *dest, n Host) *host {
+	h := &host{dest: d, liking: c.rand.Float64()}
+	c.hosts[n.Addr], d.hosts = h, append(d.hosts, h)
+	if n.Kind >= 0 && n.Kind < len(c.set.Kinds) {
+		d.kind, d.luck = c.set.Kinds[n.Kind], &c.luck[n.Kind]
+	}
+	if d.kind.Apart || len(d.units) == 0 {
+		d.units = append(d.units, c.newUnit(d, n))
+	}
+	h.unit = d.units[len(d.units)-1]
+	return h
+}
+
+// newUnit is a unit of a destination, first heard of with a host.
+func (c *Chooser) newUnit(d *dest, n Host) *unit {
+	u := &unit{name: n.Addr, key: n.Addr, born: c.now - time.Second, lastServed: c.now - time.Second}
+	if !d.kind.Apart {
+		u.key = fmt.Sprint("dest ", d.id)
+	}
+	if c.set.Fleet >= large && !c.set.Listed {
+		u.limit, u.limitAt, u.tokens = guess/float64(c.set.Fleet), c.now, c.rand.Float64()
+	}
+	return u
+}
+
 // remove deletes one element.
 func remove[T comparable](all []T, one T) []T {
 	return slices.DeleteFunc(all, func(o T) bool { return o == one })
--- a/choice/turn.go
+++ b/choice/turn.go
@@ -178,6 +178,7 @@
 	if u.state == suspect {
 		u.trialAt = c.now + c.patience(d)<<min(u.trials, 4) + c.gap(u)
 	}
+	c.spend(k)
 	c.send(m, k)
 	for len(k.members) < d.kind.PerCall && u.state != suspect {
 		m := c.best(d, append(c.open[:0], h))
@@ -301,7 +302,7 @@
 	if m.dest.kind.Apart && h.Zone < len(c.set.ZoneFee) {
 		cost += c.set.ZoneFee[h.Zone]
 	}
-	if c.thin(u) {
+	if c.thin(u) && !c.set.Granted {
 		cost = cost/10 + h.liking/20
 	}
 	finish := u.pace * float64(h.out+1) / m.class.Aim.Seconds()
--- a/choice/waiting.go
+++ b/choice/waiting.go
@@ -189,6 +189,9 @@
 // place puts a destination where it belongs in the orders of turns and of looks, after a look.
 func (c *Chooser) place(d *dest, ready bool, turn turnKey, lookAt time.Duration) {
 	d.changed = false
+	if c.set.Granted {
+		lookAt = min(lookAt, c.want(d))
+	}
 	if d.turn = turn; ready {
 		c.ready.Set(d)
 	} else {
@@ -225,7 +228,7 @@
 
 // wake asks to be woken when something changes by the passing of time alone, no sooner than a nap from now.
 func (c *Chooser) wake() {
-	at := c.watchAt
+	at := min(c.watchAt, c.lapseAt)
 	if c.askAt >= 0 {
 		at = min(at, c.askAt)
 	}
--- /dev/null
+++ b/internal/grants/fleet.go
@@ -0,0 +1,475 @@
+// Package grants has the relays of a fleet share what a destination takes. Each destination has a steward among them.
+// A relay that could make calls asks it for leave; the steward knows of all calls of the fleet and how they ended, and
+// grants one by one what the routes have room for, to those first whose calls are worth most. So eighty relays that
+// see little each keep under a limit as one would that sees all.
+//
+// The steward is the relay that comes first by rendezvous hashing (Thaler and Ravishankar 1998) of those that answer.
+// What one learns goes along with its grants, so that another that takes its place goes on from there. A relay whose
+// asks nobody answers grants to itself its share of what it last heard.
+//
+// The package decides and does nothing else: time and events in, actions out; no clock, no socket, no goroutine. The
+// same events give the same actions.
+package grants
+
+import (
+	"cmp"
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"larchrouter/choice"
+)
+
+const (
+	never      = time.Duration(math.MaxInt64)
+	answerIn   = 150 * time.Millisecond // an ask that is not answered by then is lost, or its steward is gone
+	refresh    = 500 * time.Millisecond // an ask that waits is said again
+	askTries   = 2
+	silentFor  = 3 * time.Second // one that did not answer is passed over
+	ranks      = 8               // stewards that are tried, before a relay goes alone
+	helloEvery = 400 * time.Millisecond
+	matters    = 1.1 // a value that changes by this factor is told
+	sweepEvery = 10 * time.Second
+	seenLife   = 2 * time.Second
+	givenLife  = time.Minute // of a grant of which nothing is heard any more
+)
+
+// Settings of one relay's part.
+type Settings struct {
+	Index, Fleet int
+	Seed         uint64 // new with each start
+	Rules        choice.Rules
+}
+
+// Fleet is one relay's part: it asks for what it wants, and is steward of some destinations. It is not safe for
+// concurrent use.
+type Fleet struct {
+	set     Settings
+	now     time.Duration
+	errands map[int]*errand
+	active  []*errand // with something asked for or wanted, by destination
+	desks   map[int]*desk
+	busy    []*desk         // with asks, by destination
+	silent  []time.Duration // by relay: passed over until then
+	misses  []int           // by relay: how often it was, since it was heard last
+	heardAt []time.Duration // by relay: last
+	number  uint32          // of the last grant given to any relay
+	local   uint32          // of the last grant that the Chooser has been given
+	notes   map[int][]byte  // under way, by receiver
+	acts    []choice.Action
+	given   []choice.Event // grants for this relay
+	wakeAt  time.Duration
+	sweepAt time.Duration
+}
+
+// errand is what this relay wants of one destination.
+type errand struct {
+	dest    int
+	ranked  []int       // who may be its steward, the first first
+	want    choice.Want // wanted now
+	said    choice.Want // last told, less what was granted since
+	asked   int         // whom it was told; -1 for nobody
+	saidAt  time.Duration
+	heard   bool // an answer came since
+	tries   int  // without an answer
+	names   map[uint32]string
+	heardOf map[uint32]hearsay      // by route
+	held    map[uint32]held         // grants that this relay has, by the number that the Chooser knows
+	seen    map[given]time.Duration // all that came of late: a note that comes twice must not grant twice
+	listed  bool                    // among the active
+}
+
+// hearsay is what a steward told of a route.
+type hearsay struct {
+	rumour
+	at time.Duration
+}
+
+// given names a grant in the whole fleet.
+type given struct {
+	by     int
+	number uint32
+}
+
+// held is a grant that this relay has.
+type held struct {
+	given
+	at time.Duration
+}
+
+// New returns one relay's part of a fleet.
+func New(s Settings) (*Fleet, error) {
+	if s.Fleet < 1 || s.Index < 0 || s.Index >= s.Fleet {
+		return nil, fmt.Errorf("grants: this relay has number %d in a fleet of %d; numbers begin at 0", s.Index, s.Fleet)
+	}
+	return &Fleet{set: s, number: uint32(s.Seed), errands: map[int]*errand{}, desks: map[int]*desk{}, silent: make([]time.Duration, s.Fleet), misses: make([]int, s.Fleet),
+		heardAt: slices.Repeat([]time.Duration{-1}, s.Fleet), notes: map[int][]byte{}}, nil
+}
+
+// Step takes in the notes that came and what the Chooser said (its choice.Want and choice.Spent), and decides once.
+// Actions are choice.Tell and choice.Wake; what is given are grants for the Chooser.
+func (f *Fleet) Step(now time.Duration, heard []choice.Heard, said []choice.Action) (acts []choice.Action, given []choice.Event) {
+	f.now, f.acts, f.given = max(f.now, now), nil, nil
+	for _, h := range heard {
+		f.hear(h)
+	}
+	for _, a := range said {
+		switch a := a.(type) {
+		case choice.Want:
+			f.want(a)
+		case choice.Spent:
+			f.spent(a)
+		}
+	}
+	f.active = slices.DeleteFunc(f.active, func(e *errand) bool {
+		f.ask(e)
+		e.listed = e.want.Calls > 0 || e.said.Calls > 0
+		return !e.listed
+	})
+	f.busy = slices.DeleteFunc(f.busy, func(k *desk) bool {
+		f.serve(k)
+		k.listed = len(k.asks) > 0
+		return !k.listed
+	})
+	f.sweep()
+	f.mail()
+	f.wake()
+	return f.acts, f.given
+}
+
+// want takes in what the Chooser could use.
+func (f *Fleet) want(w choice.Want) {
+	e := f.errand(w.Dest)
+	e.want = w
+	for _, name := range w.Routes {
+		e.names[routeOf(name)] = name
+	}
+	f.list(e)
+}
+
+func (f *Fleet) errand(dest int) *errand {
+	e := f.errands[dest]
+	if e == nil {
+		e = &errand{dest: dest, asked: -1, ranked: f.rank(dest), names: map[uint32]string{}, heardOf: map[uint32]hearsay{},
+			held: map[uint32]held{}, seen: map[given]time.Duration{}}
+		f.errands[dest] = e
+	}
+	return e
+}
+
+// list has an errand looked at; the order is by destination, so that the same events give the same actions.
+func (f *Fleet) list(e *errand) {
+	if !e.listed {
+		e.listed = true
+		i, _ := slices.BinarySearchFunc(f.active, e, func(a, b *errand) int { return cmp.Compare(a.dest, b.dest) })
+		f.active = slices.Insert(f.active, i, e)
+	}
+}
+
+func (f *Fleet) desk(dest int) *desk {
+	k := f.desks[dest]
+	if k == nil {
+		ranked := f.errand(dest).ranked // none are before one that grants to itself alone
+		k = &desk{dest: dest, routes: map[uint32]*pacer{}, again: never, helloAt: -helloEvery,
+			before: ranked[:max(0, slices.Index(ranked, f.set.Index))]}
+		f.desks[dest] = k
+	}
+	if !k.listed {
+		k.listed, k.since = true, f.now
+		i, _ := slices.BinarySearchFunc(f.busy, k, func(a, b *desk) int { return cmp.Compare(a.dest, b.dest) })
+		f.busy = slices.Insert(f.busy, i, k)
+	}
+	return k
+}
+
+// rank orders the relays for a destination. All relays have the same order, and one more or less in the fleet changes
+// it for few destinations.
+func (f *Fleet) rank(dest int) (first []int) {
+	type scored struct {
+		relay int
+		score uint32
+	}
+	all := make([]scored, f.set.Fleet)
+	for i := range all {
+		all[i] = scored{i, crc32.Checksum(fmt.Appendf(nil, "%d of %d", i, dest), castagnoli)}
+	}
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.relay, b.relay)) })
+	for _, s := range all[:min(ranks, len(all))] {
+		first = append(first, s.relay)
+	}
+	return first
+}
+
+// steward is whom to ask now; lone if nobody else answers.
+func (f *Fleet) steward(ranked []int) (relay int, lone bool) {
+	for _, i := range ranked {
+		if i == f.set.Index || f.silent[i] <= f.now {
+			return i, false
+		}
+	}
+	return f.set.Index, true
+}
+
+// pass passes over a relay that did not answer, each time for longer until it is heard again.
+func (f *Fleet) pass(i int) {
+	f.misses[i] = min(f.misses[i]+1, 4)
+	f.silent[i] = f.now + silentFor<<(f.misses[i]-1)
+}
+
+// ask tells a steward what is wanted, if that has changed, is not answered or has to be said again.
+func (f *Fleet) ask(e *errand) {
+	due := f.now-e.saidAt >= refresh
+	if e.said.Calls > 0 && !e.heard && f.now-e.saidAt >= answerIn {
+		due = true
+		if e.tries++; e.tries >= askTries && e.asked != f.set.Index {
+			f.pass(e.asked)
+		}
+	}
+	to, lone := f.steward(e.ranked)
+	if e.want.Calls == 0 && e.said.Calls == 0 || !due && (e.want.Calls == 0 || to == e.asked) && !e.differs() {
+		return
+	}
+	if e.asked >= 0 && e.asked != to && e.said.Calls > 0 { // the one before must not grant as well
+		f.send(e.asked, record{kind: askKind, dest: e.dest})
+	}
+	if e.asked != to {
+		e.tries = 0
+	}
+	e.asked, e.saidAt, e.heard = to, f.now, false
+	e.said = e.want
+	r := record{kind: askKind, dest: e.dest, calls: e.want.Calls, value: e.want.Value}
+	for _, name := range e.want.Routes {
+		x := rumour{route: routeOf(name)}
+		if h, ok := e.heardOf[x.route]; ok {
+			x = h.rumour
+			x.span += f.now - h.at
+		}
+		r.routes = append(r.routes, x)
+	}
+	if to != f.set.Index {
+		f.send(to, r)
+		return
+	}
+	share := 1.0
+	if lone {
+		share /= float64(f.set.Fleet)
+	}
+	e.heard = true
+	f.desk(e.dest).put(f.set.Rules, share, f.now, to, r)
+}
+
+// differs tells whether what is wanted differs from what was said by enough to be told.
+func (e *errand) differs() bool {
+	w, s := &e.want, &e.said
+	return w.Calls != s.Calls || !slices.Equal(w.Routes, s.Routes) || w.Value > s.Value*matters || s.Value > w.Value*matters
+}
+
+// hear takes in a note. One that cannot be read, or comes from nowhere, is passed over.
+func (f *Fleet) hear(h choice.Heard) {
+	if h.From < 0 || h.From >= f.set.Fleet || h.From == f.set.Index {
+		return
+	}
+	all, err := read(h.Note)
+	if err != nil {
+		return
+	}
+	f.silent[h.From], f.misses[h.From], f.heardAt[h.From] = 0, 0, f.now
+	for _, r := range all {
+		f.take(h.From, r)
+	}
+}
+
+// take takes in one record.
+func (f *Fleet) take(from int, r record) {
+	switch r.kind {
+	case askKind:
+		f.desk(r.dest).put(f.set.Rules, 1, f.now, from, r)
+	case spentKind:
+		if k := f.desks[r.dest]; k != nil {
+			if p := k.routes[r.routes[0].route]; p != nil {
+				p.settle(f.now, false)
+				p.ended(f.now, from, r.grant, r.outcome, r.took, r.wait)
+			}
+		}
+	case queuedKind:
+		f.answered(from, r)
+	case grantKind:
+		e := f.answered(from, r)
+		name, ok := e.names[r.routes[0].route]
+		if !ok { // no such route is wanted any more
+			r.kind, r.outcome = spentKind, choice.NotSent
+			f.send(from, r)
+			return
+		}
+		g := given{from, r.grant}
+		if _, twice := e.seen[g]; twice {
+			return
+		}
+		f.local++
+		e.seen[g], e.held[f.local] = f.now, held{g, f.now}
+		e.said.Calls, e.want.Calls = max(0, e.said.Calls-1), max(0, e.want.Calls-1)
+		f.given = append(f.given, choice.Granted{Dest: r.dest, Route: name, Grant: f.local, For: r.life, Well: r.well})
+	case movedKind:
+		if e := f.errand(r.dest); e.asked == from && r.steward < f.set.Fleet {
+			f.silent[r.steward] = 0
+			f.list(e)
+		}
+	case helloKind:
+		if !r.answer {
+			f.send(from, record{kind: helloKind, answer: true})
+		}
+	}
+}
+
+// answered notes that a steward answered, and what it tells of rates.
+func (f *Fleet) answered(from int, r record) *errand {
+	e := f.errand(r.dest)
+	if from == e.asked {
+		e.heard, e.tries = true, 0
+	}
+	for _, x := range r.routes {
+		if x.rate > 0 {
+			e.heardOf[x.route] = hearsay{x, f.now}
+		}
+	}
+	return e
+}
+
+// spent passes on what became of a granted call to whoever granted it.
+func (f *Fleet) spent(s choice.Spent) {
+	e := f.errand(s.Dest)
+	h, ok := e.held[s.Grant]
+	if !ok {
+		return
+	}
+	delete(e.held, s.Grant)
+	f.send(h.by, record{kind: spentKind, dest: s.Dest, routes: []rumour{{route: routeOf(s.Route)}}, grant: h.number,
+		outcome: s.Outcome, took: s.Took, wait: s.Wait})
+}
+
+// serve grants what there is room for at a destination that this relay is steward of.
+func (f *Fleet) serve(k *desk) {
+	if f.yields(k) {
+		return
+	}
+	k.serve(f.now, func(a *ask, route uint32, p *pacer) {
+		f.number++
+		p.grant(f.now, a.relay, f.number)
+		f.send(a.relay, record{kind: grantKind, dest: k.dest, routes: []rumour{p.rumour(f.now, route)}, grant: f.number,
+			life: grantLife, well: p.sound(f.now)})
+	})
+	for _, a := range k.asks {
+		if a.told {
+			continue
+		}
+		a.told = true
+		r := record{kind: queuedKind, dest: k.dest}
+		for _, id := range a.routes {
+			r.routes = append(r.routes, k.routes[id].rumour(f.now, id))
+		}
+		f.send(a.relay, r)
+	}
+}
+
+// yields hands the asks of a destination to a relay that comes before this one, if there is one that was heard since
+// they came here. They come while that is silent, or was to some; it is greeted for as long as they do.
+func (f *Fleet) yields(k *desk) bool {
+	if len(k.asks) == 0 {
+		return false
+	}
+	greet := f.now-k.helloAt >= helloEvery
+	for _, i := range k.before {
+		if f.heardAt[i] > k.since {
+			for _, a := range k.asks {
+				if a.relay != f.set.Index {
+					f.send(a.relay, record{kind: movedKind, dest: k.dest, steward: i})
+				}
+			}
+			k.asks = nil
+			return true
+		}
+		if greet {
+			f.send(i, record{kind: helloKind})
+		}
+	}
+	if greet {
+		k.helloAt = f.now
+	}
+	return false
+}
+
+// send gives a record to a relay, or takes it in where that is this one.
+func (f *Fleet) send(to int, r record) {
+	if to == f.set.Index {
+		f.take(to, r)
+		return
+	}
+	b := f.notes[to]
+	if b == nil {
+		b = []byte{version}
+	}
+	next := r.append(b)
+	if len(next)+sumBytes > MostNote {
+		f.acts = append(f.acts, choice.Tell{To: to, Note: seal(b)})
+		next = r.append([]byte{version})
+	}
+	f.notes[to] = next
+}
+
+// mail sends what others are to be told.
+func (f *Fleet) mail() {
+	for to := range f.silent {
+		if b := f.notes[to]; b != nil {
+			f.acts = append(f.acts, choice.Tell{To: to, Note: seal(b)})
+		}
+	}
+	clear(f.notes)
+}
+
+// sweep forgets what hangs on destinations and routes that are gone for good.
+func (f *Fleet) sweep() {
+	if f.now < f.sweepAt {
+		return
+	}
+	f.sweepAt = f.now + sweepEvery
+	for dest, k := range f.desks {
+		if k.forget(f.now); len(k.order) == 0 && !k.listed {
+			delete(f.desks, dest)
+		}
+	}
+	for dest, e := range f.errands {
+		for id, h := range e.held {
+			if f.now-h.at > givenLife {
+				delete(e.held, id)
+			}
+		}
+		maps.DeleteFunc(e.seen, func(_ given, at time.Duration) bool { return f.now-at > seenLife })
+		if !e.listed && len(e.held) == 0 && f.now-e.saidAt > routeLife {
+			delete(f.errands, dest)
+		}
+	}
+}
+
+// wake asks to be woken when something is due by the passing of time alone.
+func (f *Fleet) wake() {
+	at := never
+	for _, e := range f.active {
+		if e.said.Calls > 0 && !e.heard {
+			at = min(at, e.saidAt+answerIn)
+		}
+		at = min(at, e.saidAt+refresh)
+	}
+	for _, k := range f.busy {
+		at = min(at, k.again)
+		if len(k.before) > 0 {
+			at = min(at, k.helloAt+helloEvery)
+		}
+	}
+	if at < never && (f.wakeAt <= f.now || at < f.wakeAt) {
+		f.wakeAt = max(at, f.now+time.Millisecond)
+		f.acts = append(f.acts, choice.Wake{After: f.wakeAt - f.now})
+	}
+}
--- /dev/null
+++ b/internal/grants/note.go
@@ -0,0 +1,203 @@
+package grants
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"math"
+	"time"
+
+	"larchrouter/choice"
+)
+
+// A note is a version byte, records, and the low half of a CRC-32C over all before it. It has 256 bytes at most.
+// Times are in units of 8 ms, rates and values in steps of an eighth of an octave, routes the CRC-32C of their names.
+const (
+	version  = 1
+	MostNote = 256
+	sumBytes = 2
+	step     = 8 * time.Millisecond
+	octave   = 8.0
+)
+
+type kind byte
+
+const (
+	askKind    kind = iota + 1 // relay to steward: so many calls could go to a destination
+	queuedKind                 // steward to relay: the ask is known, there is no room yet
+	grantKind                  // steward to relay: one call may go to a route
+	spentKind                  // relay to steward: what became of it
+	movedKind                  // steward to relay: another is steward of a destination
+	helloKind                  // to a relay that was silent, and its answer
+)
+
+// record is one of a note; which fields count depends on its kind.
+type record struct {
+	kind    kind
+	dest    int
+	calls   int
+	value   float64
+	routes  []rumour // ask, queued; grant and spent have one
+	grant   uint32
+	life    time.Duration // grant: it lapses after that
+	well    bool
+	outcome choice.Outcome
+	took    time.Duration
+	wait    time.Duration
+	steward int  // moved
+	answer  bool // hello: none is wanted
+}
+
+// rumour is what a steward holds of a route, as it goes from relay to relay.
+type rumour struct {
+	route uint32
+	rate  float64 // calls a second for the whole fleet; 0 if nothing is known
+	state state
+	span  time.Duration // it is in that state
+}
+
+var (
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+	errNote    = errors.New("grants: the note cannot be read")
+)
+
+func routeOf(name string) uint32 { return crc32.Checksum([]byte(name), castagnoli) }
+
+// logByte puts a positive number on a scale of eighths of octaves round 1; 0 stands for 0.
+func logByte(x float64) byte {
+	if !(x > 0) {
+		return 0
+	}
+	return byte(max(1, min(255, math.Round(octave*math.Log2(x))+128)))
+}
+
+func fromLog(b byte) float64 {
+	if b == 0 {
+		return 0
+	}
+	return math.Exp2((float64(b) - 128) / octave)
+}
+
+func timeByte(d time.Duration) byte { return byte(max(0, min(255, (d+step-1)/step))) }
+
+func timeWord(d time.Duration) uint16 { return uint16(max(0, min(65535, (d+step-1)/step))) }
+
+// append adds a record to a note.
+func (r record) append(b []byte) []byte {
+	b = append(b, byte(r.kind))
+	be := binary.BigEndian
+	if r.kind != helloKind {
+		b = be.AppendUint32(b, uint32(r.dest))
+	}
+	switch r.kind {
+	case askKind:
+		b = append(b, byte(min(r.calls, 255)), logByte(r.value), byte(len(r.routes)))
+		for _, x := range r.routes {
+			b = x.append(b)
+		}
+	case queuedKind:
+		b = append(b, byte(len(r.routes)))
+		for _, x := range r.routes {
+			b = x.append(b)
+		}
+	case grantKind:
+		b = append(be.AppendUint32(r.routes[0].append(b), r.grant), timeByte(r.life), bit(r.well))
+	case spentKind:
+		b = be.AppendUint32(be.AppendUint32(b, r.routes[0].route), r.grant)
+		b = be.AppendUint16(be.AppendUint16(append(b, byte(r.outcome)), timeWord(r.took)), timeWord(r.wait))
+	case movedKind:
+		b = be.AppendUint16(b, uint16(r.steward))
+	case helloKind:
+		b = append(b, bit(r.answer))
+	}
+	return b
+}
+
+func (x rumour) append(b []byte) []byte {
+	return binary.BigEndian.AppendUint16(append(binary.BigEndian.AppendUint32(b, x.route), logByte(x.rate), byte(x.state)), timeWord(x.span))
+}
+
+func (c *cursor) rumour() rumour {
+	return rumour{c.long(), fromLog(c.byte()), state(c.byte()), c.time()}
+}
+
+func bit(b bool) byte {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// seal ends a note that began with the version byte.
+func seal(b []byte) []byte {
+	return binary.BigEndian.AppendUint16(b, uint16(crc32.Checksum(b, castagnoli)))
+}
+
+// cursor reads fields; once one is missing all further are 0.
+type cursor struct {
+	rest  []byte
+	short bool
+}
+
+func (c *cursor) take(n int) []byte {
+	if len(c.rest) < n {
+		c.rest, c.short = nil, true
+		return make([]byte, n)
+	}
+	b := c.rest[:n]
+	c.rest = c.rest[n:]
+	return b
+}
+
+func (c *cursor) byte() byte           { return c.take(1)[0] }
+func (c *cursor) word() uint16         { return binary.BigEndian.Uint16(c.take(2)) }
+func (c *cursor) long() uint32         { return binary.BigEndian.Uint32(c.take(4)) }
+func (c *cursor) brief() time.Duration { return time.Duration(c.byte()) * step }
+func (c *cursor) time() time.Duration  { return time.Duration(c.word()) * step }
+
+// read takes a note apart. One that is damaged in any way gives nothing.
+func read(note []byte) ([]record, error) {
+	if len(note) < 1+sumBytes || len(note) > MostNote || note[0] != version {
+		return nil, errNote
+	}
+	body := note[:len(note)-sumBytes]
+	if binary.BigEndian.Uint16(note[len(body):]) != uint16(crc32.Checksum(body, castagnoli)) {
+		return nil, errNote
+	}
+	var all []record
+	for c := (&cursor{rest: body[1:]}); len(c.rest) > 0; {
+		r := record{kind: kind(c.byte())}
+		if r.kind != helloKind {
+			r.dest = int(c.long())
+		}
+		switch r.kind {
+		case askKind:
+			r.calls, r.value = int(c.byte()), fromLog(c.byte())
+			for range c.byte() {
+				r.routes = append(r.routes, c.rumour())
+			}
+		case queuedKind:
+			for range c.byte() {
+				r.routes = append(r.routes, c.rumour())
+			}
+		case grantKind:
+			r.routes = []rumour{c.rumour()}
+			r.grant, r.life, r.well = c.long(), c.brief(), c.byte() == 1
+		case spentKind:
+			r.routes = []rumour{{route: c.long()}}
+			r.grant = c.long()
+			r.outcome, r.took, r.wait = choice.Outcome(c.byte()), c.time(), c.time()
+		case movedKind:
+			r.steward = int(c.word())
+		case helloKind:
+			r.answer = c.byte() == 1
+		default:
+			return nil, errNote
+		}
+		if c.short {
+			return nil, errNote
+		}
+		all = append(all, r)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/grants/pacer.go
@@ -0,0 +1,274 @@
+package grants
+
+import (
+	"math"
+	"time"
+
+	"larchrouter/choice"
+)
+
+// state of a route, as its steward holds it.
+type state int
+
+const (
+	open state = iota
+	down       // single trials only
+	cold       // within the budget of one that has come back
+)
+
+const (
+	firstRate  = 15.0 // calls a second of the whole fleet to a route that nobody knows
+	leastRate  = 0.5
+	mostRate   = 1e5
+	slowStart  = 0.7 // growth a second until the first refusal, as a share
+	firstGrow  = 0.04
+	mostGrow   = 0.5
+	growDouble = 1500 * time.Millisecond // growth doubles in this time without a refusal
+	creditEach = 0.06                    // of growth, for each call that is served: what a rate stands for has to be seen
+	creditMost = 0.5
+	flowSpan   = 4 * time.Second
+	useSpan    = time.Second
+	reach      = 1.5                    // a rate grows no further beyond what is used of it
+	burstSpan  = 250 * time.Millisecond // tokens for so long are kept
+	shortEpoch = 500 * time.Millisecond // a rate is measured over no less
+	cutBlind   = 0.7                    // of the rate, where nothing was measured
+	cutMost    = 0.5
+	under      = 0.96 // of the measured rate
+	failures   = 3    // in a row are an outage
+	firstGap   = 200 * time.Millisecond
+	leastQuiet = 700 * time.Millisecond // calls unanswered for less mean nothing
+	lostAfter  = 20 * time.Second       // a grant whose end was never told
+	budget     = 0.9                    // of the rule's, for a cold route
+)
+
+// pacer decides when the next call of the fleet may go to one route. It learns the route's limit: every call counts,
+// refused ones too, so between two instants at which there was no room the calls made are what the limit gave.
+type pacer struct {
+	rules  choice.Rules
+	rate   float64 // calls a second of the whole fleet
+	share  float64 // of it that is given here: 1, or less where a relay grants to itself alone
+	known  bool    // the rate was measured, or heard of
+	tokens float64
+	at     time.Duration // of rate and tokens
+	grown  time.Duration // how long it has grown since the last cut
+	epoch  time.Duration // last instant without room; below 0 if there was none
+	calls  int           // since then
+	cutAt  time.Duration
+	out    []leave
+	state  state
+	since  time.Duration
+	base   float64 // rate before the outage
+	fails  int     // in a row
+	trials int     // failed in a row
+	trial  time.Duration
+	served time.Duration // last
+	mean   float64       // of the time that a served call takes, seconds
+	flow   float64       // smoothed rate of calls served
+	use    float64       // smoothed rate of calls granted
+	credit float64       // by which the rate may grow, as a logarithm
+}
+
+// leave is a grant whose end has not been told.
+type leave struct {
+	relay int
+	id    uint32
+	at    time.Duration
+}
+
+func newPacer(rules choice.Rules, now time.Duration) *pacer {
+	return &pacer{rules: rules, rate: firstRate, share: 1, tokens: 1, at: now, epoch: -1, cutAt: -1, served: now, mean: 0.2}
+}
+
+// hear takes in what another steward held, where nothing is known yet.
+func (p *pacer) hear(now time.Duration, x rumour) {
+	if p.known || x.rate == 0 {
+		return
+	}
+	p.rate, p.base, p.known, p.tokens = x.rate, x.rate, true, min(p.tokens, 0)
+	if x.state == down || x.state == cold {
+		p.state, p.since, p.trial = x.state, now-x.span, now
+	}
+}
+
+// rumour is what is told of a route.
+func (p *pacer) rumour(now time.Duration, route uint32) rumour {
+	x := rumour{route, p.rate, p.state, now - p.since}
+	if p.state != open {
+		x.rate = p.base
+	}
+	return x
+}
+
+// settle brings rate and tokens up to date. The rate grows while there are asks that wait for it.
+func (p *pacer) settle(now time.Duration, waiting bool) {
+	span := max(0, now-p.at)
+	p.at = now
+	if waiting && p.state == open && span > 0 && p.rate < reach*p.use+2 {
+		grow := slowStart
+		if p.epoch >= 0 || p.known {
+			grow = min(mostGrow, firstGrow*math.Exp2(p.grown.Seconds()/growDouble.Seconds()))
+		}
+		p.grown += span
+		by := min(grow*span.Seconds(), p.credit)
+		p.credit -= by
+		p.rate = min(mostRate, p.rate*math.Exp(by))
+	}
+	allowed := p.allowed(now)
+	p.tokens = min(p.tokens+allowed*span.Seconds(), max(1, allowed*burstSpan.Seconds()))
+	p.use *= math.Exp(-span.Seconds() / useSpan.Seconds())
+	p.flow *= math.Exp(-span.Seconds() / flowSpan.Seconds())
+	for len(p.out) > 0 && now-p.out[0].at > lostAfter {
+		p.out = p.out[1:]
+	}
+	p.watch(now)
+}
+
+// allowed is the rate, within the budget of a route that has come back cold.
+func (p *pacer) allowed(now time.Duration) float64 {
+	if p.state != cold {
+		return p.share * p.rate
+	}
+	return p.share * min(p.rate, budget*p.rules.OverloadFactor*p.warm(now)*p.base)
+}
+
+// warm is the share of its capacity that a route has at the least, after its return.
+func (p *pacer) warm(now time.Duration) float64 {
+	return min(1, p.rules.ColdFrom+(1-p.rules.ColdFrom)*(now-p.since).Seconds()/p.rules.Cold.Seconds())
+}
+
+// roomAt is when a call may go, after settle: then or later.
+func (p *pacer) roomAt(now time.Duration) time.Duration {
+	if p.state == down {
+		return max(now, p.trial)
+	}
+	if p.tokens >= 1-1e-9 {
+		return now
+	}
+	return now + max(time.Millisecond, time.Duration((1-p.tokens)/max(p.allowed(now), 1e-3)*float64(time.Second)))
+}
+
+// grant notes a call that may go.
+func (p *pacer) grant(now time.Duration, relay int, id uint32) {
+	p.tokens--
+	p.calls++
+	p.use += 1 / useSpan.Seconds()
+	p.out = append(p.out, leave{relay, id, now})
+	if p.state == down {
+		p.trial = now + time.Duration(float64(p.gap())/p.share)
+	}
+}
+
+// under way are the calls that may not have reached the route yet, or whose answer may not have come back.
+func (p *pacer) underWay(now time.Duration) int {
+	n, recent := 0, now-max(leastQuiet, time.Duration(4*p.mean*float64(time.Second)))
+	for i := len(p.out) - 1; i >= 0 && p.out[i].at > recent; i-- {
+		n++
+	}
+	return n
+}
+
+// gap between trials of a route that is down.
+func (p *pacer) gap() time.Duration { return min(firstGap<<min(p.trials, 4), p.rules.Fall/3) }
+
+// ended takes in what became of a call.
+func (p *pacer) ended(now time.Duration, relay int, id uint32, o choice.Outcome, took, wait time.Duration) {
+	at := -1
+	for i, l := range p.out {
+		if l.relay == relay && l.id == id {
+			at = i
+			break
+		}
+	}
+	if at < 0 {
+		return
+	}
+	granted := p.out[at].at
+	p.out = append(p.out[:at:at], p.out[at+1:]...)
+	switch o {
+	case choice.NotSent:
+		p.tokens++
+		p.calls--
+	case choice.Served:
+		p.well(now, granted, took)
+	case choice.Refused:
+		p.refused(now, granted, wait)
+	case choice.Spoilt, choice.Cancelled:
+	default:
+		p.failed(now)
+	}
+}
+
+func (p *pacer) well(now, granted, took time.Duration) {
+	p.mean += (took.Seconds() - p.mean) / 16
+	p.flow += 1 / flowSpan.Seconds()
+	p.credit = min(p.credit+creditEach, creditMost)
+	p.served, p.fails = now, 0
+	switch {
+	case p.state == down && p.trials <= 1 && now-p.since < time.Second:
+		p.state = open // a slip, no outage
+	case p.state == down && granted >= p.since:
+		p.state, p.since, p.tokens, p.trials = cold, now, 0, 0
+		p.grown, p.cutAt, p.epoch, p.calls = 0, now, -1, 0
+	case p.state == cold && now-p.since >= p.rules.Cold:
+		p.state = open
+	}
+}
+
+// refused takes in a refusal. Calls that were out when the room was last seen used up are refused with it, and are
+// no news.
+func (p *pacer) refused(now, granted, wait time.Duration) {
+	p.fails = 0
+	if p.state == down {
+		p.trials++
+		return
+	}
+	if granted <= p.cutAt {
+		return
+	}
+	to := p.rate * cutBlind
+	if span := granted - p.epoch; p.epoch >= 0 && span >= shortEpoch {
+		measured := float64(p.calls) / (now - p.epoch).Seconds()
+		to = min(p.rate*under, max(under*measured, p.rate*cutMost))
+	}
+	p.rate = max(leastRate, to)
+	p.known = true
+	p.calls = p.underWay(now)
+	p.epoch, p.cutAt, p.grown, p.tokens = now, now, 0, -float64(p.calls) // they will find no room either
+}
+
+func (p *pacer) failed(now time.Duration) {
+	p.fails++
+	if p.state == down {
+		p.trials++
+		p.trial = max(p.trial, now+p.gap()/2)
+		return
+	}
+	if p.fails >= failures || p.share < 1 { // one that goes alone sees too little to wait for more
+		p.fall(now)
+	}
+}
+
+// watch notices that calls are left unanswered.
+func (p *pacer) watch(now time.Duration) {
+	if p.state == down || len(p.out) < failures {
+		return
+	}
+	quiet := max(leastQuiet, time.Duration(4*p.mean*float64(time.Second)))
+	if late := p.out[failures-1].at; now-max(late, p.served) > quiet {
+		p.fall(now)
+	}
+}
+
+func (p *pacer) fall(now time.Duration) {
+	if p.state == open {
+		if p.base = max(leastRate, min(p.rate, max(p.flow, 2))); p.epoch >= 0 { // it is a limit that was found
+			p.base = p.rate
+		}
+	}
+	p.state, p.since, p.trials, p.trial = down, now, 0, now+time.Duration(float64(firstGap)/p.share)
+}
+
+// sound tells whether a route is well by what the fleet has seen.
+func (p *pacer) sound(now time.Duration) bool {
+	return p.state == open && p.fails == 0 && now-p.served < 2*time.Second
+}
--- /dev/null
+++ b/internal/grants/steward.go
@@ -0,0 +1,113 @@
+package grants
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"larchrouter/choice"
+)
+
+const (
+	grantLife = 400 * time.Millisecond  // a grant that is not used by then lapses
+	askLife   = 2500 * time.Millisecond // an ask that is not said again by then is dropped
+	routeLife = 10 * time.Minute        // what is known of a route that nobody asks for
+)
+
+// desk is the steward's side of one destination: the asks of relays that wait, and a pacer for each route.
+type desk struct {
+	dest    int
+	before  []int // relays that come before this one
+	routes  map[uint32]*pacer
+	order   []uint32 // in the order in which they were heard of
+	asks    []*ask
+	again   time.Duration // there is more room then
+	since   time.Duration // there are asks
+	helloAt time.Duration // those that come before this relay were last greeted
+	listed  bool          // among the desks with asks
+}
+
+// ask is what one relay wants of a destination.
+type ask struct {
+	relay  int
+	calls  int
+	value  float64
+	routes []uint32
+	since  time.Duration // it began to wait
+	at     time.Duration // last said
+	told   bool          // it has been answered since
+}
+
+// route finds or makes what is kept of a route.
+func (k *desk) route(rules choice.Rules, share float64, now time.Duration, id uint32) *pacer {
+	p := k.routes[id]
+	if p == nil {
+		p = newPacer(rules, now)
+		k.routes[id] = p
+		k.order = append(k.order, id)
+	}
+	p.share = share
+	return p
+}
+
+// put takes in an ask, in the place of that relay's last one.
+func (k *desk) put(rules choice.Rules, share float64, now time.Duration, from int, r record) {
+	i := slices.IndexFunc(k.asks, func(a *ask) bool { return a.relay == from })
+	if r.calls == 0 || len(r.routes) == 0 {
+		if i >= 0 {
+			k.asks = slices.Delete(k.asks, i, i+1)
+		}
+		return
+	}
+	if i < 0 {
+		i = len(k.asks)
+		k.asks = append(k.asks, &ask{relay: from, since: now})
+	}
+	a := k.asks[i]
+	a.calls, a.value, a.at, a.told, a.routes = r.calls, r.value, now, false, a.routes[:0]
+	for _, x := range r.routes {
+		k.route(rules, share, now, x.route).hear(now, x)
+		a.routes = append(a.routes, x.route)
+	}
+}
+
+// serve gives the room that there is to the calls that are worth most, each on the route that its relay likes best of
+// those with room, and notes when there will be more.
+func (k *desk) serve(now time.Duration, give func(a *ask, route uint32, p *pacer)) {
+	k.asks = slices.DeleteFunc(k.asks, func(a *ask) bool { return now-a.at > askLife })
+	for _, id := range k.order {
+		k.routes[id].settle(now, slices.ContainsFunc(k.asks, func(a *ask) bool { return slices.Contains(a.routes, id) }))
+	}
+	slices.SortStableFunc(k.asks, func(a, b *ask) int {
+		return cmp.Or(cmp.Compare(b.value, a.value), cmp.Compare(a.since, b.since), cmp.Compare(a.relay, b.relay))
+	})
+	for _, a := range k.asks {
+		for a.calls > 0 {
+			at := slices.IndexFunc(a.routes, func(id uint32) bool { return k.routes[id].roomAt(now) <= now })
+			if at < 0 {
+				break
+			}
+			a.calls--
+			a.told = true
+			give(a, a.routes[at], k.routes[a.routes[at]])
+		}
+	}
+	k.asks = slices.DeleteFunc(k.asks, func(a *ask) bool { return a.calls == 0 })
+	k.again = never
+	for _, a := range k.asks {
+		for _, id := range a.routes {
+			k.again = min(k.again, max(now+time.Millisecond, k.routes[id].roomAt(now)))
+		}
+	}
+}
+
+// forget drops routes that nobody has asked for in a long while.
+func (k *desk) forget(now time.Duration) {
+	k.order = slices.DeleteFunc(k.order, func(id uint32) bool {
+		old := now-k.routes[id].at > routeLife
+		if old {
+			delete(k.routes, id)
+		}
+		return old
+	})
+}
--- /dev/null
+++ b/internal/lab/days.go
@@ -0,0 +1,76 @@
+package lab
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"larchrouter/choice"
+	"larchrouter/internal/settings"
+)
+
+// CampusSettings are a site's as relays are told them: three classes, two kinds of destination whose endpoints are
+// routes apart, one of them with several messages in a call.
+func CampusSettings() settings.Settings {
+	const s = time.Second
+	set := settings.Settings{Peers: true, Zones: []string{"a", "b", "c"}, KindNames: []string{"batch", "single"},
+		IdleConn: 5 * s, DialTimeout: s, MaxRetryAfter: 2 * s}
+	set.Settings = choice.Settings{Workers: 4, MaxHeld: 76, MaxAttempts: 6, Tick: time.Millisecond, Cancels: true, ReportLimit: -1,
+		Classes: []choice.Class{
+			{Name: "job-order", Aim: 2 * s, Deadline: 12 * s, Worth: 1, LateShare: 0.3, Effect: choice.Keyed, SameZone: true, Window: 11 * s},
+			{Name: "status-update", Aim: 3 * s, Deadline: 12 * s, Worth: 2, LateShare: 0.5, Effect: choice.Safe},
+			{Name: "payment", Aim: 4 * s, Deadline: 12 * s, Worth: 5, LateShare: 0.3, Effect: choice.Unsafe},
+		},
+		Kinds:   []choice.Kind{{Apart: true, PerCall: 5}, {Apart: true, PerCall: 1}},
+		ZoneFee: []float64{0, 0.05, 0.02},
+		Rules: choice.Rules{AnswerGrace: 5 * time.Millisecond, DrainGrace: s / 4, OverloadFactor: 2, Fall: 2 * s,
+			ColdFrom: 0.22, Cold: 13 * s, OrderSettle: 100 * time.Millisecond}}
+	return set
+}
+
+// Campus draws a day at a site with seven destinations, so many relays, and a load that is a share of what the limits
+// allow. Load and limits do not depend on the number of relays: that is what is compared.
+func Campus(relays int, load float64, seed uint64) Day {
+	r := rand.New(rand.NewPCG(seed, 2))
+	d := Day{Relays: relays, Settings: CampusSettings(), Span: 25 * time.Second, Seed: seed,
+		Delay: [2]time.Duration{2 * time.Millisecond, 25 * time.Millisecond}}
+	d.Settings.Workers, d.Settings.MaxHeld = max(4, 320/relays), max(76, 6080/relays) // room for the load is not what is tried
+	for i := range 7 {
+		x := Dest{Kind: i % 2}
+		if i == 0 {
+			x.Kind = 1
+		}
+		limit := 0.0
+		for z := range 2 + r.IntN(2) {
+			one := Route{Limit: 8 + 30*r.Float64(), Wait: time.Duration(500+r.IntN(300)) * time.Millisecond, Tells: 0.35,
+				Service: time.Duration(20+r.IntN(60)) * time.Millisecond, Zone: z % 3}
+			one.Burst, one.Debt = one.Limit, one.Limit*(0.8+0.2*r.Float64())
+			x.Routes = append(x.Routes, one)
+			limit += one.Limit
+		}
+		messages := 1.0 // in a call, as they come
+		if x.Kind == 0 {
+			messages = 1.5
+		}
+		x.Load = load * limit * messages * (0.8 + 0.4*r.Float64())
+		d.Dests = append(d.Dests, x)
+	}
+	return d
+}
+
+// Outage has half of the destinations down for 5 s from the sixth second on.
+func (d Day) Outage(shut bool) Day {
+	d.Troubles = append(d.Troubles, Trouble{From: 6 * time.Second, To: 11 * time.Second, Dests: []int{0, 2, 4, 6}, Down: true, Shut: shut})
+	return d
+}
+
+// Lowered has all limits at a third for 9 s from the sixth second on.
+func (d Day) Lowered() Day {
+	d.Troubles = append(d.Troubles, Trouble{From: 6 * time.Second, To: 15 * time.Second, Dests: []int{0, 1, 2, 3, 4, 5, 6}, Limit: 1.0 / 3})
+	return d
+}
+
+// Killed has so many relays end at the eighth second and start again 0.6 s later.
+func (d Day) Killed(n int) Day {
+	d.Troubles = append(d.Troubles, Trouble{From: 8 * time.Second, To: 8600 * time.Millisecond, Kill: n})
+	return d
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,128 @@
+package lab
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var seeds = flag.Int("seeds", 1, "days of each kind, from seed 1")
+
+// play plays a day, on which no rule may be broken whatever happens.
+func play(t *testing.T, d Day) Result {
+	t.Helper()
+	began := time.Now()
+	r, err := Play(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d relays, seed %d: %v; %d steps in %v", d.Relays, d.Seed, r, r.Steps, time.Since(began).Round(time.Millisecond))
+	if r.Waits > 0 || r.Falls > 0 {
+		t.Errorf("%d calls within a told wait, %d routes pushed over when cold", r.Waits, r.Falls)
+	}
+	return r
+}
+
+// each plays a kind of day with several seeds.
+func each(t *testing.T, name string, make func(seed uint64) Day, check func(t *testing.T, r Result)) {
+	for seed := range uint64(*seeds) {
+		t.Run(fmt.Sprint(name, "/", seed+1), func(t *testing.T) {
+			t.Parallel()
+			check(t, play(t, make(seed+1)))
+		})
+	}
+}
+
+// share checks what part of the worth is delivered, and what part of the calls goes over a limit.
+func share(worth, over float64) func(*testing.T, Result) {
+	return func(t *testing.T, r Result) {
+		if got := r.Worth / r.Asked; got < worth {
+			t.Errorf("%.3f of the worth delivered, want %.2f at least", got, worth)
+		}
+		if got := float64(r.Over) / float64(r.Calls); got > over {
+			t.Errorf("%.3f of the calls went over a limit, want %.2f at most", got, over)
+		}
+	}
+}
+
+// Guards against what is harmless in one relay and harmful in eighty: the sum of all goes by the limits.
+func TestManyRelaysKeepToLimits(t *testing.T) {
+	each(t, "calm", func(s uint64) Day { return Campus(80, 0.8, s) }, share(0.95, 0.06))
+	each(t, "overload", func(s uint64) Day { return Campus(80, 1.3, s) }, share(0.7, 0.08))
+	each(t, "lowered", func(s uint64) Day { return Campus(80, 0.8, s).Lowered() }, share(0.8, 0.12))
+	each(t, "down", func(s uint64) Day { return Campus(80, 0.8, s).Outage(false) }, share(0.8, 0.08))
+	each(t, "shut", func(s uint64) Day { return Campus(80, 0.8, s).Outage(true) }, share(0.8, 0.08))
+	each(t, "killed", func(s uint64) Day { return Campus(80, 0.8, s).Killed(70) }, share(0.8, 0.08))
+}
+
+// Without grants the same days go badly: this is what the others guard against.
+func TestManyRelaysWithoutNotes(t *testing.T) {
+	for _, d := range []Day{Campus(80, 0.8, 1).Lowered(), Campus(80, 1.3, 1)} {
+		d.Settings.Peers = false
+		if r := play(t, d); r.Over < r.Calls/4 {
+			t.Errorf("%d of %d calls over a limit without grants: the day shows nothing", r.Over, r.Calls)
+		}
+	}
+}
+
+// Notes that are lost, doubled or spoilt cost service, and break nothing.
+func TestBadNotes(t *testing.T) {
+	each(t, "half lost", func(s uint64) Day {
+		d := Campus(80, 0.8, s)
+		d.Lose = 0.5
+		return d
+	}, share(0.6, 0.25))
+	each(t, "all lost", func(s uint64) Day {
+		d := Campus(80, 0.8, s).Outage(false)
+		d.Lose = 1
+		return d
+	}, share(0.3, 0.5))
+	each(t, "doubled", func(s uint64) Day {
+		d := Campus(80, 0.8, s).Outage(false)
+		d.Double = 0.5
+		return d
+	}, share(0.8, 0.1))
+	each(t, "spoilt", func(s uint64) Day {
+		d := Campus(80, 0.8, s).Outage(false)
+		d.Spoil = func(note []byte, r *rand.Rand) []byte {
+			if r.IntN(4) > 0 {
+				return note
+			}
+			note = append([]byte(nil), note...)
+			switch r.IntN(3) {
+			case 0:
+				note[r.IntN(len(note))] ^= byte(1 << r.IntN(8))
+			case 1:
+				note = note[:r.IntN(len(note))]
+			default:
+				for i := range note {
+					note[i] = byte(r.Uint32())
+				}
+			}
+			return note
+		}
+		return d
+	}, share(0.6, 0.25))
+}
+
+// A fleet that grows from 16 to 80 relays and shrinks again.
+func TestFleetThatGrows(t *testing.T) {
+	each(t, "grows", func(s uint64) Day {
+		d := Campus(16, 0.8, s)
+		d.Grow = []Size{{5 * time.Second, 80}, {14 * time.Second, 16}}
+		return d
+	}, func(t *testing.T, r Result) {
+		if r.Worth/r.Asked < 0.6 {
+			t.Errorf("%.3f of the worth delivered", r.Worth/r.Asked)
+		}
+	})
+}
+
+func TestSameSeedSameDay(t *testing.T) {
+	a, b := play(t, Campus(20, 0.9, 3).Outage(true)), play(t, Campus(20, 0.9, 3).Outage(true))
+	if fmt.Sprint(a) != fmt.Sprint(b) || a.Steps != b.Steps {
+		t.Errorf("%v\n%v", a, b)
+	}
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -14,22 +14,24 @@
 
 // Config is what a relay is told at its start.
 type Config struct {
-	Listen    string
-	Discovery []string // addresses to try in turn
-	State     string   // folder that lasts
-	Seed      uint64
-	Cores     float64
-	MemoryMB  float64
-	Sockets   int
-	DiskMB    float64
-	Power     bool         // what is recorded outlasts a loss of power
-	Files     files.System // the journal's folder, nil for State
-	Known     list
-	Settings  settings.Settings
-	Admin     string         // the second address; empty for none
-	Alone     *Alone         // nil under a platform
-	Heir      *handover.Heir // of the process whose place this one takes; nil for none
-	Unlock    func()         // lets go of the state folder once the relay is handed over; may be nil
+	Listen     string
+	Discovery  []string // addresses to try in turn
+	State      string   // folder that lasts
+	Seed       uint64
+	Cores      float64
+	MemoryMB   float64
+	Sockets    int
+	DiskMB     float64
+	Power      bool         // what is recorded outlasts a loss of power
+	Files      files.System // the journal's folder, nil for State
+	Known      list
+	Settings   settings.Settings
+	PeerListen string         // where notes of other relays come; empty for none
+	Peers      []string       // the addresses of all relays by number, this one's among them
+	Admin      string         // the second address; empty for none
+	Alone      *Alone         // nil under a platform
+	Heir       *handover.Heir // of the process whose place this one takes; nil for none
+	Unlock     func()         // lets go of the state folder once the relay is handed over; may be nil
 
 	file []byte // as it was read
 }
@@ -57,8 +59,10 @@
 			Sockets  int     `json:"sockets"`
 			DiskMB   float64 `json:"disk_mb"`
 		} `json:"limits"`
-		Known    list            `json:"known"`
-		Settings json.RawMessage `json:"settings"`
+		PeerListen string          `json:"peer_listen"`
+		Peers      []string        `json:"peers"`
+		Known      list            `json:"known"`
+		Settings   json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(data, &f); err != nil {
 		return c, fmt.Errorf("%s: %w", path, err)
@@ -71,7 +75,7 @@
 	}
 	c = Config{Listen: or("BALANCER_LISTEN", f.Listen), Discovery: []string{or("BALANCER_DISCOVERY", f.Discovery)},
 		State: env("BALANCER_STATE"), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
-		Sockets: f.Limits.Sockets, DiskMB: f.Limits.DiskMB, Known: f.Known,
+		Sockets: f.Limits.Sockets, DiskMB: f.Limits.DiskMB, Known: f.Known, PeerListen: f.PeerListen, Peers: f.Peers,
 		Admin: or("BALANCER_ADMIN", f.Admin), file: data}
 	for name, v := range map[string]string{"listen": c.Listen, "discovery": c.Discovery[0], "BALANCER_STATE": c.State} {
 		if v == "" {
--- /dev/null
+++ b/internal/relay/fleet.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+
+	"larchrouter/choice"
+	"larchrouter/internal/peers"
+)
+
+// joinFleet listens for the notes of other relays until the context ends. A relay that cannot goes on without them:
+// then it grants its calls to itself.
+func (r *Relay) joinFleet(ctx context.Context) {
+	c, err := peers.Listen(ctx, r.conf.PeerListen)
+	if err == nil {
+		if err = c.Join(r.conf.Peers); err != nil {
+			c.Close()
+		}
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			slog.Error("no notes from other relays", "err", err)
+		}
+		return
+	}
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	defer c.Close()
+	r.post(func() { r.peers = c })
+	c.Receive(func(from int, note []byte) {
+		r.post(func() { r.events = append(r.events, choice.Heard{From: from, Note: note}) })
+	})
+}
+
+// leaveFleet hears no more notes: another process takes this one's place. It runs in the loop.
+func (r *Relay) leaveFleet() {
+	if r.peers != nil {
+		r.peers.Close()
+		r.peers = nil
+	}
+}
+
+// tellPeer sends a note.
+func (r *Relay) tellPeer(t choice.Tell) {
+	if r.peers != nil {
+		r.peers.Send(t.To, t.Note)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,9 +19,11 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/core"
 	"larchrouter/internal/front/admin"
 	"larchrouter/internal/front/httpapi"
 	"larchrouter/internal/journal"
+	"larchrouter/internal/peers"
 	"larchrouter/internal/settings"
 	"larchrouter/internal/transport/httpcall"
 )
@@ -88,7 +90,8 @@
 	orphan   atomic.Bool
 	classes  atomic.Pointer[classes] // stored by the loop, read by clients' requests
 
-	chooser   *choice.Chooser
+	chooser   *core.Core
+	peers     *peers.Conn // nil without other relays to hear from
 	journal   *journal.Journal
 	held      map[string]*message
 	past      recent
@@ -139,7 +142,7 @@
 	r.calls, r.endCalls = context.WithCancelCause(context.Background())
 	r.classes.Store(newClasses(set.Classes))
 	var err error
-	if r.chooser, err = choice.New(set.Settings, conf.Seed); err != nil {
+	if r.chooser, err = core.New(set, conf.Seed); err != nil {
 		return nil, err
 	}
 	if r.journal, err = journal.Open(conf.State, journal.Options{Budget: int64(conf.DiskMB * 1e6), Power: conf.Power, Files: conf.Files,
@@ -191,6 +194,9 @@
 		go r.follow(r.life)
 		go r.tell(r.life)
 	}
+	if r.chooser.Granted() && r.conf.PeerListen != "" {
+		go r.joinFleet(r.life)
+	}
 	go r.server.Serve(r.listener)
 	r.loop()
 	r.end()
@@ -506,6 +512,8 @@
 			r.arm(now, a.After)
 		case choice.Health:
 			r.record(journal.Record{Op: journal.OpHealth, ID: a.Host, Ran: a.Unwell, Base: a.Base, At: time.Now().UnixMilli()})
+		case choice.Tell:
+			r.tellPeer(a)
 		case choice.Log:
 			slog.Info(r.named(a.Text))
 		}
--- a/internal/relay/succession.go
+++ b/internal/relay/succession.go
@@ -86,6 +86,7 @@
 		return s, err
 	}
 	r.heir.Store(&heir{link: to, serves: make(chan struct{}), way: handover.Forwarder(r.conf.State)})
+	r.leaveFleet()
 	r.journal.Close()
 	if r.conf.Unlock != nil {
 		r.conf.Unlock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 	IdleConn      time.Duration // hosts close a connection that stood idle for so long
 	DialTimeout   time.Duration // a connection that is not up by then has failed
 	MaxRetryAfter time.Duration // clients heed no longer advice
+	Peers         bool          // relays may send one another notes
 }
 
 func seconds(f float64) time.Duration { return time.Duration(math.Round(f*1e6)) * time.Microsecond }
@@ -32,6 +33,7 @@
 		DialTimeout   float64 `json:"dial-timeout"`
 		MaxRetryAfter float64 `json:"max-retry-after"`
 		MaxAttempts   int     `json:"max-attempts"`
+		Peers         bool    `json:"peers"`
 		MostHeld      int     `json:"most-held"`
 	} `json:"bounds"`
 	Classes []struct {
@@ -81,7 +83,8 @@
 		return Settings{}, err
 	}
 	s := Settings{Zones: c.Zones, KindNames: c.Skus, IdleConn: seconds(c.Bounds.ConnIdle),
-		DialTimeout: seconds(c.Bounds.DialTimeout), MaxRetryAfter: seconds(c.Bounds.MaxRetryAfter)}
+		DialTimeout: seconds(c.Bounds.DialTimeout), MaxRetryAfter: seconds(c.Bounds.MaxRetryAfter),
+		Peers: c.Bounds.Peers}
 	s.Settings = choice.Settings{
 		Index: c.Index, Fleet: c.FleetSize, Workers: c.Family.Workers, MaxHeld: c.Bounds.MostHeld,
 		MaxAttempts: c.Bounds.MaxAttempts, Tick: seconds(c.Tick), ZoneFee: c.Family.ZoneFee,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/core"
 	"larchrouter/internal/settings"
 )
 
@@ -138,10 +139,11 @@
 
 // instance is one chooser with the events that a batch holds for it.
 type instance struct {
-	name    string
-	chooser *choice.Chooser
-	events  []choice.Event
-	due     bool // among those with an event in this batch
+	name   string
+	core   *core.Core
+	events []choice.Event
+	timer  int  // tag of the one that counts
+	due    bool // among those with an event in this batch
 }
 
 type server struct {
@@ -234,8 +236,8 @@
 	}()
 	events := in.events
 	in.events, in.due = nil, false
-	for _, a := range in.chooser.Step(clock, events) {
-		s.print(in.name, a)
+	for _, a := range in.core.Step(clock, events) {
+		s.print(in, a)
 	}
 }
 
@@ -287,7 +289,7 @@
 		delete(s.insts, name)
 		return nil
 	}
-	e, err := s.translate(l)
+	e, err := s.translate(l, in)
 	if err == nil {
 		err = l.err
 	}
@@ -320,18 +322,18 @@
 	if err != nil {
 		return fmt.Errorf("line %d: CONFIGURE: field config: %w", l.number, err)
 	}
-	c, err := choice.New(set.Settings, seed)
+	c, err := core.New(set, seed)
 	if err != nil {
 		return fmt.Errorf("line %d: CONFIGURE: field config: %w", l.number, err)
 	}
-	in := &instance{name: name, chooser: c, due: true}
+	in := &instance{name: name, core: c, due: true}
 	s.insts[name] = in
 	s.turn = append(s.turn, in)
 	return nil
 }
 
 // translate maps one event line; the event is nil where choice has no use for it.
-func (s *server) translate(l *line) (choice.Event, error) {
+func (s *server) translate(l *line, in *instance) (choice.Event, error) {
 	switch l.name {
 	case "ACCEPT":
 		return choice.Arrival{ID: l.text("op-id"), Class: l.whole("priority", false), Dest: l.whole("far-end", true),
@@ -357,19 +359,23 @@
 	case "CLIENT_GONE":
 		return choice.Withdrawn{ID: l.text("op-id")}, nil
 	case "FIRED":
-		l.whole("tag", false)
+		if tag := l.whole("tag", false); in == nil || tag != in.timer {
+			return nil, nil // another took its place
+		}
 		return choice.Woken{}, nil
 	case "PROBE_DONE":
 		l.text("host")
 		l.outcome("how")
 		return nil, nil // no probe is ever sent
 	case "FROM_PEER":
+		e := choice.Heard{From: l.whole("author", false)}
 		if b := l.fields["bytes"]; b != "" && b != "-" {
-			if _, err := base64.StdEncoding.DecodeString(b); err != nil {
+			var err error
+			if e.Note, err = base64.StdEncoding.DecodeString(b); err != nil {
 				l.fail("bytes", "not base64")
 			}
 		}
-		return nil, nil
+		return e, nil
 	case "FIRST_BYTE":
 		l.text("op-id")
 		return nil, nil
@@ -377,7 +383,8 @@
 	return nil, fmt.Errorf("line %d: unknown message %q", l.number, l.name)
 }
 
-func (s *server) print(inst string, a choice.Action) {
+func (s *server) print(in *instance, a choice.Action) {
+	inst := in.name
 	sec := func(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', -1, 64) }
 	switch a := a.(type) {
 	case choice.Send:
@@ -389,9 +396,12 @@
 	case choice.Cancel:
 		fmt.Fprintf(s.out, "REVOKE\trelay-id=%s\top-id=%s\ttry=%d\n", inst, a.ID, a.Attempt)
 	case choice.Wake:
-		fmt.Fprintf(s.out, "ARM\trelay-id=%s\twait=%s\ttag=0\n", inst, sec(a.After))
+		in.timer++
+		fmt.Fprintf(s.out, "ARM\trelay-id=%s\twait=%s\ttag=%d\n", inst, sec(a.After), in.timer)
 	case choice.Subscribe:
 		fmt.Fprintf(s.out, "OBSERVE\trelay-id=%s\twant=1\n", inst)
+	case choice.Tell:
+		fmt.Fprintf(s.out, "SAY\trelay-id=%s\taddressee=%d\tbytes=%s\n", inst, a.To, base64.StdEncoding.EncodeToString(a.Note))
 	case choice.Log:
 		fmt.Fprintf(s.out, "EMIT\trelay-id=%s\tnote-text=%s\n", inst, a.Text)
 	}
