--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -21,28 +21,49 @@
 	at                         time.Duration
 }
 
-func (b *bucket) admit(now time.Duration) bool {
+func (b *bucket) admit(now time.Duration) (bool, time.Duration) {
 	b.tokens = min(b.burst, b.tokens+b.limit*(now-b.at).Seconds())
 	b.at = now
 	if b.tokens < 1 {
 		b.tokens = max(-b.debt, b.tokens-1)
-		return false
+		return false, 700 * ms
 	}
 	b.tokens--
-	return true
+	return true, 0
+}
+
+// counter is a route that takes so many calls in a fixed span, and tells when the next begins.
+type counter struct {
+	most, came int
+	span, next time.Duration
+}
+
+func (c *counter) admit(now time.Duration) (bool, time.Duration) {
+	for now >= c.next {
+		c.next, c.came = c.next+c.span, 0
+	}
+	if c.came++; c.came > c.most {
+		return false, c.next - now
+	}
+	return true, 0
+}
+
+type limited interface {
+	admit(now time.Duration) (ok bool, wait time.Duration)
 }
 
 // paced plays a pacer against a route for a while with more asked than it takes, and counts from a time on.
-func paced(p *pacer, b *bucket, from, span time.Duration, seed uint64) (served, refused int) {
+func paced(p *pacer, b limited, begin, from, span time.Duration, seed uint64) (served, refused int) {
 	type answer struct {
 		at     time.Duration
 		id     uint32
 		served bool
+		wait   time.Duration
 	}
 	r := rand.New(rand.NewPCG(seed, 0))
 	var coming []answer
 	id := uint32(0)
-	for now := b.at; now < span; now += ms {
+	for now := begin; now < span; now += ms {
 		coming = slices.DeleteFunc(coming, func(a answer) bool {
 			if a.at > now {
 				return false
@@ -51,14 +72,17 @@
 			if a.served {
 				o = choice.Served
 			}
-			p.ended(now, 0, a.id, o, 80*ms, 0)
+			p.ended(now, 0, a.id, o, 80*ms, a.wait)
 			return true
 		})
 		for p.settle(now, true); p.roomAt(now) <= now; {
 			id++
 			p.grant(now, 0, id)
-			ok := b.admit(now)
-			coming = append(coming, answer{now + 40*ms + time.Duration(r.IntN(80))*ms, id, ok})
+			ok, wait := b.admit(now)
+			if id%3 > 0 { // one refusal in three tells
+				wait = 0
+			}
+			coming = append(coming, answer{now + 40*ms + time.Duration(r.IntN(80))*ms, id, ok, wait})
 			if now >= from && ok {
 				served++
 			} else if now >= from {
@@ -74,7 +98,7 @@
 	for _, limit := range []float64{3, 10, 40, 150} {
 		b := &bucket{limit: limit, burst: limit, debt: limit, tokens: limit}
 		p := newPacer(rules(), 0)
-		served, refused := paced(p, b, 10*time.Second, 40*time.Second, 1)
+		served, refused := paced(p, b, 0, 10*time.Second, 40*time.Second, 1)
 		if share := float64(served) / (30 * limit); share < 0.85 {
 			t.Errorf("limit %g: %.2f of it used", limit, share)
 		}
@@ -88,23 +112,35 @@
 func TestPacerFollowsALimit(t *testing.T) {
 	b := &bucket{limit: 30, burst: 30, debt: 30, tokens: 30}
 	p := newPacer(rules(), 0)
-	paced(p, b, 0, 10*time.Second, 1)
+	paced(p, b, 0, 0, 10*time.Second, 1)
 	b.limit = 10
-	served, refused := paced(p, b, 12*time.Second, 19*time.Second, 2)
+	served, refused := paced(p, b, 10*time.Second, 12*time.Second, 19*time.Second, 2)
 	if served < 45 || refused > 25 {
 		t.Errorf("%d served and %d refused in the last 7 s of a third of the limit; 70 are possible", served, refused)
 	}
 	b.limit = 30
-	if served, _ := paced(p, b, 26*time.Second, 30*time.Second, 3); served < 90 {
+	if served, _ := paced(p, b, 19*time.Second, 26*time.Second, 30*time.Second, 3); served < 90 {
 		t.Errorf("%d served from 7 to 11 s after the limit rose; 120 are possible", served)
 	}
 }
 
+// A route that counts calls in a fixed span is left alone until its end once it has said so, and used as far in the next.
+func TestPacerKeepsToAFixedSpan(t *testing.T) {
+	for _, span := range []time.Duration{6 * time.Second, 15 * time.Second} {
+		p := newPacer(rules(), 0)
+		c := &counter{most: 90, span: span}
+		served, refused := paced(p, c, 0, 0, 3*span, 1)
+		if served < 90*3*8/10 || refused > served/4 {
+			t.Errorf("%v: %d served and %d refused in three spans of 90 calls", span, served, refused)
+		}
+	}
+}
+
 // What comes back cold gets single trials while it is down, and then no more than the rule's budget.
 func TestPacerAfterAnOutage(t *testing.T) {
 	p := newPacer(rules(), 0)
 	b := &bucket{limit: 30, burst: 30, debt: 30, tokens: 30}
-	paced(p, b, 0, 10*time.Second, 1)
+	paced(p, b, 0, 0, 10*time.Second, 1)
 	now, id, trials := 10*time.Second, uint32(1000), 0
 	for ; now < 15*time.Second; now += ms {
 		for p.settle(now, true); p.roomAt(now) <= now; trials++ {
--- a/internal/grants/pacer.go
+++ b/internal/grants/pacer.go
@@ -40,6 +40,9 @@
 	leastQuiet  = 700 * time.Millisecond // calls unanswered for less mean nothing
 	lostAfter   = 20 * time.Second       // a grant whose end was never told
 	budget      = 0.9                    // of the rule's, for a cold route
+	agree       = 100 * time.Millisecond // waits told so long apart that end within it end at one instant
+	longWait    = 5 * time.Second        // no limit by rate tells so much
+	leastSpan   = time.Second            // a shorter span needs no care
 )
 
 // pacer decides when the next call of the fleet may go to one route. It learns the route's limit: every call counts,
@@ -62,6 +65,11 @@
 	fails  int     // in a row
 	trials int     // failed in a row
 	trial  time.Duration
+	hold   time.Duration // the route has said that there is no room before
+	end    time.Duration // of the wait told last ...
+	told   time.Duration // ... at this time
+	span   time.Duration // the end of the hold before
+	count  int           // calls served since then
 	served time.Duration // last
 	mean   float64       // of the time that a served call takes, seconds
 	flow   float64       // smoothed rate of calls served
@@ -77,7 +85,7 @@
 }
 
 func newPacer(rules choice.Rules, now time.Duration) *pacer {
-	return &pacer{rules: rules, rate: firstRate, share: 1, tokens: 1, at: now, epoch: -1, cutAt: -1, served: now, mean: 0.2}
+	return &pacer{rules: rules, rate: firstRate, share: 1, tokens: 1, at: now, epoch: -1, cutAt: -1, span: now, served: now, mean: 0.2}
 }
 
 // hear takes in what another steward held, where nothing is known yet.
@@ -142,6 +150,7 @@
 	if p.state == down {
 		return max(now, p.trial)
 	}
+	now = max(now, p.hold)
 	if p.tokens >= 1-1e-9 {
 		return now
 	}
@@ -208,6 +217,7 @@
 	}
 	p.credit = min(p.credit+each, creditMost)
 	p.served, p.fails = now, 0
+	p.count++
 	switch {
 	case p.state == down && p.trials <= 1 && now-p.since < time.Second:
 		p.state = open // a slip, no outage
@@ -223,6 +233,9 @@
 // no news.
 func (p *pacer) refused(now, granted, wait time.Duration) {
 	p.fails = 0
+	if wait > 0 {
+		p.wait(now, wait)
+	}
 	if p.state == down {
 		p.trials++
 		return
@@ -241,6 +254,28 @@
 	p.epoch, p.cutAt, p.grown, p.tokens = now, now, 0, -float64(p.calls) // they will find no room either
 }
 
+// wait takes in a told wait. It binds the relay that was told; the others go on, as most routes tell the same time
+// whatever room there is. But where waits told at different times end at one instant, or are long, the route counts
+// calls in a fixed span of time, and until its end there is no room for anybody. What it took in the span before is
+// what it takes in the next.
+func (p *pacer) wait(now, wait time.Duration) {
+	end := now + wait
+	same := p.end > 0 && max(end-p.end, p.end-end) < agree
+	if !same {
+		p.told = now
+	}
+	p.end = end
+	if end <= p.hold+agree || wait < leastSpan || wait < longWait && !(same && now-p.told > agree) {
+		return
+	}
+	if span := end - p.span; span >= leastSpan {
+		p.rate = max(leastRate, under*float64(p.count)/span.Seconds())
+		p.found = true
+	}
+	p.hold, p.span, p.count = end, end, 0
+	p.epoch, p.cutAt, p.grown, p.tokens = -1, now, 0, 0
+}
+
 func (p *pacer) failed(now time.Duration) {
 	p.fails++
 	if p.state == down {
