--- a/choice/granted.go
+++ b/choice/granted.go
@@ -132,7 +132,8 @@
 				}
 			}
 			w.Calls = max(0, min(c.set.Workers, (d.waits+d.kind.PerCall-1)/d.kind.PerCall)-live)
-			w.Value = c.worth(m.class, c.now-m.born) * float64(min(d.waits, d.kind.PerCall))
+			// Between worth and one for each message: the worst-served class counts for itself as well.
+			w.Value = math.Sqrt(c.worth(m.class, c.now-m.born)) * float64(min(d.waits, d.kind.PerCall))
 		}
 	}
 	if w.Calls == 0 {
--- a/internal/grants/pacer.go
+++ b/internal/grants/pacer.go
@@ -27,7 +27,8 @@
 	creditFirst = 0.15                    // of growth, for each call that is served, until the first refusal: what a rate stands for has to be seen
 	creditEach  = 0.05                    // later
 	creditMost  = 0.5
-	flowSpan    = 4 * time.Second
+	flowSpan    = 2 * time.Second
+	peakSpan    = time.Minute
 	useSpan     = time.Second
 	reach       = 2.0                    // a rate grows no further beyond what is used of it
 	burstSpan   = 250 * time.Millisecond // tokens for so long are kept
@@ -73,6 +74,7 @@
 	served time.Duration // last
 	mean   float64       // of the time that a served call takes, seconds
 	flow   float64       // smoothed rate of calls served
+	peak   float64       // the highest of late
 	use    float64       // smoothed rate of calls granted
 	credit float64       // by which the rate may grow, as a logarithm
 }
@@ -112,7 +114,7 @@
 func (p *pacer) settle(now time.Duration, waiting bool) {
 	span := max(0, now-p.at)
 	p.at = now
-	if waiting && p.state == open && span > 0 && p.rate < reach*p.use+2 {
+	if waiting && span > 0 && p.mayGrow(now) {
 		grow := slowStart
 		if p.found {
 			grow = min(mostGrow, firstGrow*math.Exp2(p.grown.Seconds()/growDouble.Seconds()))
@@ -126,12 +128,18 @@
 	p.tokens = min(p.tokens+allowed*span.Seconds(), max(1, allowed*burstSpan.Seconds()))
 	p.use *= math.Exp(-span.Seconds() / useSpan.Seconds())
 	p.flow *= math.Exp(-span.Seconds() / flowSpan.Seconds())
+	p.peak *= math.Exp(-span.Seconds() / peakSpan.Seconds())
 	for len(p.out) > 0 && now-p.out[0].at > lostAfter {
 		p.out = p.out[1:]
 	}
 	p.watch(now)
 }
 
+// mayGrow tells whether a higher rate would be used, and is not kept down by the budget of a cold route.
+func (p *pacer) mayGrow(now time.Duration) bool {
+	return p.rate < reach*p.use+2 && (p.state == open || p.state == cold && p.share*p.rate <= p.allowed(now))
+}
+
 // allowed is the rate, within the budget of a route that has come back cold.
 func (p *pacer) allowed(now time.Duration) float64 {
 	if p.state != cold {
@@ -211,6 +219,7 @@
 func (p *pacer) well(now, granted, took time.Duration) {
 	p.mean += (took.Seconds() - p.mean) / 16
 	p.flow += 1 / flowSpan.Seconds()
+	p.peak = max(p.peak, p.flow)
 	each := creditEach
 	if !p.found {
 		each = creditFirst
@@ -301,8 +310,8 @@
 
 func (p *pacer) fall(now time.Duration) {
 	if p.state == open {
-		if p.base = max(leastRate, min(p.rate, max(p.flow, 2))); p.found {
-			p.base = p.rate
+		if p.base = p.rate; !p.found { // no limit was met: what it has served at its best
+			p.base = max(leastRate, min(p.rate, p.peak))
 		}
 	}
 	p.state, p.since, p.trials, p.trial = down, now, 0, now+time.Duration(float64(firstGap)/p.share)
