--- a/choice/api.go
+++ b/choice/api.go
@@ -65,11 +65,13 @@
 	Tick        time.Duration
 	Classes     []Class
 	Kinds       []Kind
-	ZoneFee     []float64 // points for each message a route apart takes on, by zone
-	Halving     bool      // after the aim worth falls by half with each further aim; else evenly
-	Listed      bool      // Host.Rate is the rate that a destination takes from all relays
-	Cancels     bool      // Cancel is allowed
-	Subscribe   bool      // list changes come only after Subscribe
+	Handshake   float64       // points for each new connection, for each message
+	IdleConn    time.Duration // hosts close a connection that stood idle for so long
+	ZoneFee     []float64     // points for each message a route apart takes on, by zone
+	Halving     bool          // after the aim worth falls by half with each further aim; else evenly
+	Listed      bool          // Host.Rate is the rate that a destination takes from all relays
+	Cancels     bool          // Cancel is allowed
+	Subscribe   bool          // list changes come only after Subscribe
 	// ReportLimit is the place in Result.Report of the limit in calls a second;
 	// below 0 where it is not reported.
 	ReportLimit int
--- a/choice/granted.go
+++ b/choice/granted.go
@@ -95,6 +95,9 @@
 // them was.
 func (c *Chooser) report(k *call, e Result) {
 	g := k.leave
+	if e.Outcome == Served || e.Outcome == Refused {
+		k.host.endedAt = c.now
+	}
 	if g == nil {
 		return
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -76,6 +76,12 @@
 	fails   int           // in a row
 	spoilt  int           // answers in a row
 	retryAt time.Duration // after failures
+	endedAt time.Duration // the last call that was answered
+}
+
+// warm tells whether a connection of an earlier call is likely to be there still.
+func (c *Chooser) warm(h *host) bool {
+	return h.endedAt > 0 && h.out == 0 && c.now-h.endedAt < c.set.IdleConn*3/4
 }
 
 // health of a unit.
--- a/choice/turn.go
+++ b/choice/turn.go
@@ -307,6 +307,9 @@
 	}
 	finish := u.pace * float64(h.out+1) / m.class.Aim.Seconds()
 	cost += max(0, finish-0.25) + finish/100
+	if c.set.Granted && !c.warm(h) {
+		cost += c.set.Handshake
+	}
 	if h == m.last || u.state != healthy || h.fails > 0 {
 		cost += aside
 	}
--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -71,8 +71,8 @@
 
 // Settings are a file's as the relay takes them.
 func Settings(f *config.File, version string) relay.Config {
-	set := settings.Settings{IdleConn: idleConn, DialTimeout: dialTimeout, MaxRetryAfter: maxRetryAfter,
-		Settings: choice.Settings{Fleet: 1, Workers: f.Limits.Slots, MaxHeld: f.Limits.Held, MaxAttempts: f.Limits.Attempts, Tick: tick,
+	set := settings.Settings{DialTimeout: dialTimeout, MaxRetryAfter: maxRetryAfter,
+		Settings: choice.Settings{Fleet: 1, IdleConn: idleConn, Workers: f.Limits.Slots, MaxHeld: f.Limits.Held, MaxAttempts: f.Limits.Attempts, Tick: tick,
 			Classes: f.Classes, Cancels: true, ReportLimit: -1, Rules: f.Rules}}
 	for _, z := range f.Zones {
 		set.Zones, set.ZoneFee = append(set.Zones, z.Name), append(set.ZoneFee, z.Fee)
--- a/internal/lab/days.go
+++ b/internal/lab/days.go
@@ -13,7 +13,7 @@
 func CampusSettings() settings.Settings {
 	const s = time.Second
 	set := settings.Settings{Peers: true, Zones: []string{"a", "b", "c"}, KindNames: []string{"batch", "single"},
-		IdleConn: 5 * s, DialTimeout: s, MaxRetryAfter: 2 * s}
+		DialTimeout: s, MaxRetryAfter: 2 * s}
 	set.Settings = choice.Settings{Workers: 4, MaxHeld: 76, MaxAttempts: 6, Tick: time.Millisecond, Cancels: true, ReportLimit: -1,
 		Classes: []choice.Class{
 			{Name: "job-order", Aim: 2 * s, Deadline: 12 * s, Worth: 1, LateShare: 0.3, Effect: choice.Keyed, SameZone: true, Window: 11 * s},
@@ -21,7 +21,7 @@
 			{Name: "payment", Aim: 4 * s, Deadline: 12 * s, Worth: 5, LateShare: 0.3, Effect: choice.Unsafe},
 		},
 		Kinds:   []choice.Kind{{Apart: true, PerCall: 5}, {Apart: true, PerCall: 1}},
-		ZoneFee: []float64{0, 0.05, 0.02},
+		ZoneFee: []float64{0, 0.05, 0.02}, Handshake: 0.06, IdleConn: 5 * s,
 		Rules: choice.Rules{AnswerGrace: 5 * time.Millisecond, DrainGrace: s / 4, OverloadFactor: 2, Fall: 2 * s,
 			ColdFrom: 0.22, Cold: 13 * s, OrderSettle: 100 * time.Millisecond}}
 	return set
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,7 +17,6 @@
 	choice.Settings
 	Zones         []string      // names, in the order of Host.Zone
 	KindNames     []string      // in the order of Host.Kind
-	IdleConn      time.Duration // hosts close a connection that stood idle for so long
 	DialTimeout   time.Duration // a connection that is not up by then has failed
 	MaxRetryAfter time.Duration // clients heed no longer advice
 	Peers         bool          // relays may send one another notes
@@ -54,6 +53,9 @@
 		Workers   int       `json:"workers"`
 		ZoneFee   []float64 `json:"zone-fee"`
 	} `json:"family-info"`
+	Prices struct {
+		Handshake float64 `json:"handshake"`
+	} `json:"prices"`
 	FleetSize  int `json:"fleet-size"`
 	Index      int `json:"index"`
 	LoadReport struct {
@@ -82,7 +84,7 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return Settings{}, err
 	}
-	s := Settings{Zones: c.Zones, KindNames: c.Skus, IdleConn: seconds(c.Bounds.ConnIdle),
+	s := Settings{Zones: c.Zones, KindNames: c.Skus,
 		DialTimeout: seconds(c.Bounds.DialTimeout), MaxRetryAfter: seconds(c.Bounds.MaxRetryAfter),
 		Peers: c.Bounds.Peers}
 	s.Settings = choice.Settings{
@@ -90,7 +92,7 @@
 		MaxAttempts: c.Bounds.MaxAttempts, Tick: seconds(c.Tick), ZoneFee: c.Family.ZoneFee,
 		Halving: c.Family.Late == "halving", Listed: c.Weights == "nominal" || c.Weights == "rough",
 		Cancels: c.Bounds.Cancel, Subscribe: c.RegistryMode == "subscribe",
-		ReportLimit: -1,
+		ReportLimit: -1, Handshake: c.Prices.Handshake, IdleConn: seconds(c.Bounds.ConnIdle),
 		Rules: choice.Rules{
 			AnswerGrace: seconds(c.Rules.GraceToAnswer), DrainGrace: seconds(c.Rules.DrainGrace),
 			OverloadFactor: c.Rules.OverloadFactor, Fall: seconds(c.Rules.Fall),
