Look at the agent until the watch's turn comes: no drain broken on a rolling restart

What an agent has counts as told (PROTOCOL, Discovery), and relays did not ask it: membership.New let a large fleet's relay wait for its turn (index x 27 ms, up to 8 s) before its first question, Failed paused 1.25 to 5 s between two watches, and Moved had all relays begin watches at once after SIGHUP, which were turned away and then paused up to 20 s for.

Turns are needed for watches alone, which cost discovery work. Whole lists are answered by the agent at no cost. So a relay without a watch now looks every 100 ms, gives a look 100 ms, and never leaves an agent that answers unasked for longer than 200 of the 250 ms; after a move the watch has its turn again. A list that the relay has already is not taken in again.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,10 +1,15 @@
-// Package membership decides when a relay asks discovery, and for what: the changes since the list that it has, or the
-// whole list. It does no I/O and reads no clock.
+// Package membership decides when a relay asks discovery, and for what. It does no I/O and reads no clock.
 //
-// A question is harmless alone. Eighty relays that a release starts at one instant, each asking for the whole list and
-// then at once for changes, overload a discovery that could serve them all in turn, and their further tries keep it
-// overloaded: what it turns away costs it work as well. So in a large fleet each relay begins in its turn, by its number,
-// goes by the list that it was started with until then, and after a failure waits for as long as all of them need.
+// There are two questions. A look takes the whole list as the agent on the relay's own machine has it: that is answered
+// at once and costs discovery nothing. A watch waits for changes: that is how discovery tells of them soonest, a watch
+// that is kept up costs it nothing, but one that is begun costs it work, and one that it turns away as well. Three
+// hundred relays that a release starts at one instant, each with a watch, overload a discovery that could serve them all
+// in turn, and their further tries keep it overloaded. So in a large fleet each relay begins its watch in its turn, by
+// its number, and after a failure waits for as long as all of them need.
+//
+// What the agent has counts as told, whether or not the relay asks: nothing new may go to an endpoint 250 ms after the
+// agent has heard that it drains. So turns are for watches alone. A relay without a watch looks all the time, and between
+// two questions to an agent that answers at all there is never more than Blind.
 package membership
 
 import (
@@ -18,10 +23,16 @@
 	// turn is what each relay leaves to discovery for the one before it. 30 ms were just too few, 100 ms enough, for a
 	// discovery that 80 relays in step keep down for good.
 	turn         = 50 * time.Millisecond
-	turnsMost    = 8 * time.Second // a relay that has not asked for 10 s counts as told
 	firstPause   = 50 * time.Millisecond
 	longestPause = time.Second
 	largeLongest = 5 * time.Second
+
+	// A look is answered within LookFor or not at all, and the next begins lookEvery later.
+	lookEvery = 100 * time.Millisecond
+	LookFor   = 100 * time.Millisecond
+	// Blind is the longest that a relay without a watch goes on what an earlier look told: of the 250 ms that a drain
+	// allows (DRAIN grace, without the 50 ms more that sockets are given) it leaves a fifth to the relay's own work.
+	Blind = lookEvery + LookFor
 )
 
 // Settings of a relay.
@@ -29,38 +40,41 @@
 	Index, Fleet int
 	Seed         uint64
 	Version      int64 // of the list that it was started with
-	Listed       bool  // that list names hosts
 }
 
 // Question is what to ask, and when.
 type Question struct {
-	Whole bool
+	Whole bool  // a look; else a watch
 	Since int64 // where Whole is not set
 	At    time.Duration
 }
 
 // Follower follows the list. It is not safe for concurrent use.
 type Follower struct {
-	set   Settings
-	rand  *rand.Rand
-	next  Question
-	pause time.Duration // after the next failure, drawn about this
+	set      Settings
+	rand     *rand.Rand
+	version  int64 // of the list that the relay goes by
+	strange  bool  // the next list is taken whatever its version says: it may be of another history
+	watching bool  // the last answer was a watch's, or a small fleet's first look
+	lookAt   time.Duration
+	watchAt  time.Duration
+	pause    time.Duration // after the next watch that fails, drawn about this
 }
 
 // New begins to follow at a time.
 func New(s Settings, now time.Duration) *Follower {
-	f := &Follower{set: s, rand: rand.New(rand.NewPCG(s.Seed, 3))}
-	f.next = Question{Whole: true, At: now}
-	if s.Fleet >= Large {
-		f.next = Question{Whole: !s.Listed, Since: s.Version, At: now + f.mine()}
-	}
-	f.pause = f.first()
+	f := &Follower{set: s, rand: rand.New(rand.NewPCG(s.Seed, 3)), version: s.Version}
+	f.Moved(now)
 	return f
 }
 
-// mine is when this relay's turn comes.
-func (f *Follower) mine() time.Duration {
-	return time.Duration(f.set.Index) * min(turn, turnsMost/time.Duration(f.set.Fleet))
+// Moved begins anew with another discovery, which may have another history.
+func (f *Follower) Moved(now time.Duration) {
+	f.strange, f.watching, f.pause = true, false, f.first()
+	f.lookAt, f.watchAt = now, now
+	if f.set.Fleet >= Large { // all relays are moved within moments, or started
+		f.watchAt += time.Duration(f.set.Index) * turn
+	}
 }
 
 func (f *Follower) first() time.Duration {
@@ -70,42 +84,50 @@
 	return f.longest() / 4
 }
 
-// longest pause: then all relays together ask as often as each in its turn.
+// longest pause: then all relays together begin watches as often as each in its turn.
 func (f *Follower) longest() time.Duration {
 	if f.set.Fleet < Large {
 		return longestPause
 	}
-	all := time.Duration(f.set.Fleet) * turn
-	if f.next.Whole { // it costs discovery several times as much, and a relay without a list has nothing to keep to
-		return min(4*all, 4*largeLongest)
-	}
-	return min(all, largeLongest)
+	return min(time.Duration(f.set.Fleet)*turn, largeLongest)
 }
 
-// Next is the next question.
-func (f *Follower) Next() Question { return f.next }
-
-// Answered takes in an answer with a version, and tells whether it counts. One that runs backwards is of another
-// history: changes cannot be built on it, and the whole list is asked for.
-func (f *Follower) Answered(now time.Duration, version int64, whole bool) (counts bool) {
-	f.pause = f.first()
-	if !whole && version < f.next.Since {
-		f.next = Question{Whole: true, At: now}
-		return false
+// Next is the next question. A watch that goes on is asked for at once; a first look goes before any watch, which
+// then has the least to tell.
+func (f *Follower) Next() Question {
+	if !f.strange && (f.watching || f.watchAt <= f.lookAt) {
+		return Question{Since: f.version, At: f.watchAt}
 	}
-	f.next = Question{Since: version, At: now}
-	return true
+	return Question{Whole: true, At: f.lookAt}
 }
 
-// Failed notes that the question was not answered, or turned away. The pause is drawn by chance and doubles: a watch
-// that is begun anew costs discovery as much as the first.
-func (f *Follower) Failed(now time.Duration) {
-	f.next.At = now + f.pause/2 + time.Duration(f.rand.Float64()*float64(f.pause))
-	f.pause = min(2*f.pause, f.longest())
+// Answered takes in an answer to the last question with a version, and tells whether the relay is to go by it. Changes
+// that run backwards are of another history and cannot be built on; the list that it has already is no news.
+func (f *Follower) Answered(now time.Duration, q Question, version int64, whole bool) (counts bool) {
+	f.lookAt = now + lookEvery
+	if !q.Whole {
+		f.watching, f.watchAt, f.pause = true, now, f.first()
+		if !whole && version < f.version {
+			f.strange, f.lookAt = true, now
+			return false
+		}
+	}
+	counts = f.strange || !q.Whole || version != f.version
+	if whole {
+		f.strange = false
+	}
+	f.version = version
+	return counts
 }
 
-// Moved begins anew with another discovery, which may have another history.
-func (f *Follower) Moved(now time.Duration) {
-	f.pause = f.first()
-	f.next = Question{Whole: true, At: now}
+// Failed notes that a question was not answered, or turned away. A watch pauses for a time that is drawn by chance and
+// doubles, as one that is begun anew costs discovery as much as the first; until then the relay looks.
+func (f *Follower) Failed(now time.Duration, q Question) {
+	if q.Whole {
+		f.lookAt = now + lookEvery
+		return
+	}
+	f.watching, f.lookAt = false, now
+	f.watchAt = now + f.pause/2 + time.Duration(f.rand.Float64()*float64(f.pause))
+	f.pause = min(2*f.pause, f.longest())
 }
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -96,8 +96,7 @@
 	}
 }
 
-// follow watches discovery until the context ends. The list counts as told while the next call comes within 200 ms of
-// the last answer, so a watch is renewed at once.
+// follow follows discovery's list until the context ends.
 func (r *Relay) follow(ctx context.Context, at membership.Settings) {
 	a := r.agent.Load()
 	f := membership.New(at, r.now())
@@ -115,15 +114,15 @@
 			}
 		}
 		began := time.Now()
-		l, err := r.ask(a, q.Since, q.Whole)
+		l, err := r.ask(a, q)
 		traceAsked(q, l, time.Since(began), err)
 		switch {
 		case a.life.Err() != nil:
 		case err != nil:
-			slog.Warn("discovery does not answer", "err", err)
-			f.Failed(r.now())
+			r.unanswered(err)
+			f.Failed(r.now(), q)
 			r.unreachable(a, err)
-		case f.Answered(r.now(), l.Version, l.Full):
+		case f.Answered(r.now(), q, l.Version, l.Full):
 			r.post(func() { r.version = l.Version })
 			if l.Full || len(l.Servers) > 0 {
 				r.post(func() { r.listed(l) })
@@ -132,12 +131,20 @@
 	}
 }
 
-func (r *Relay) ask(a *agent, version int64, full bool) (l list, err error) {
+// unanswered logs that discovery does not answer, at most once a second: a silent one is asked several times in one.
+func (r *Relay) unanswered(err error) {
+	if now := r.now(); now >= r.unansweredAt {
+		slog.Warn("discovery does not answer", "err", err)
+		r.unansweredAt = now + time.Second
+	}
+}
+
+func (r *Relay) ask(a *agent, q membership.Question) (l list, err error) {
 	url := "http://" + a.addrs[0] + "/discovery/hosts"
-	limit := watchSlack
-	if !full {
-		url = fmt.Sprintf("%s?since=%d&timeout_ms=%d", url, version, watchFor.Milliseconds())
-		limit += watchFor
+	limit := membership.LookFor
+	if !q.Whole {
+		url = fmt.Sprintf("%s?since=%d&timeout_ms=%d", url, q.Since, watchFor.Milliseconds())
+		limit = watchFor + watchSlack
 	}
 	ctx, cancel := context.WithTimeout(a.life, limit)
 	defer cancel()
--- /dev/null
+++ b/internal/relay/discovery_test.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"strings"
+	"testing"
+
+	"larchrouter/internal/membership"
+)
+
+// looked waits until a whole list has been asked for and taken in since now.
+func looked(t *testing.T, p *platform) {
+	t.Helper()
+	for len(p.asked) > 0 {
+		<-p.asked
+	}
+	for n := 0; n < 3; { // the first may have been answered before, the third comes when the second is taken in
+		if wait(t, p.asked, "look") == "" {
+			n++
+		}
+	}
+}
+
+// Guards against a send to an endpoint of which the agent on this machine has been told that it drains, by a relay
+// whose turn to watch has not come, whose watches discovery turns away, or whose discovery has moved.
+func TestDrainHeardWithoutAWatch(t *testing.T) {
+	for name, c := range map[string]struct {
+		index int
+		deny  bool
+		moved bool
+	}{
+		"before its turn":            {index: membership.Large - 1},
+		"turned away":                {deny: true},
+		"before its turn, elsewhere": {index: membership.Large - 1, moved: true},
+		"turned away elsewhere":      {deny: true, moved: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			calls := make(chan *seen, 10)
+			a, b := at("s-1", fakeHost(t, "a", calls), "taller"), at("s-2", fakeHost(t, "b", calls), "oficinas")
+			first := newPlatform(t, a, b)
+			first.deny = c.deny
+			r := startRelay(t, first, func(conf *Config) { conf.Settings.Fleet, conf.Settings.Index = membership.Large, c.index })
+			p := first
+			if c.moved {
+				p = newPlatform(t, a, b)
+				p.deny = c.deny
+				r.Rediscover([]string{p.addr()})
+			}
+			gone := a
+			gone.State = "leaving"
+			p.publish(2, true, gone, b)
+			looked(t, p)
+			status, _ := hand(t, r.Addr(), "m1", "status-update") // a's route costs nothing, b's a fee
+			want(t, "status", status, 202)
+			call := wait(t, calls, "call")
+			want(t, "host", call.host, "b")
+			call.answer <- 200
+		})
+	}
+}
+
+// A silent agent is asked again at once, and so is heard soon after it comes back.
+func TestSilentAgentIsLookedAt(t *testing.T) {
+	calls := make(chan *seen, 10)
+	p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
+	r := startRelay(t, p, func(c *Config) {
+		c.Known = list{}
+		p.mu.Lock() // nothing is answered
+	})
+	for range 3 {
+		want(t, "question", wait(t, p.asked, "look"), "")
+	}
+	p.mu.Unlock()
+	for q := ""; !strings.Contains(q, "since=1&"); {
+		q = wait(t, p.asked, "watch")
+	}
+	status, _ := hand(t, r.Addr(), "m1", "payment")
+	want(t, "status", status, 202)
+	wait(t, calls, "call").answer <- 200
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,6 +115,8 @@
 	owed      int  // notices
 	stopped   bool // no more decisions; outcomes are still recorded
 
+	unansweredAt time.Duration // of the goroutine that follows discovery: no line in the log before
+
 	tracedAt   time.Duration
 	unrecorded int // failures to record since the last line in the log
 	complainAt time.Duration
@@ -196,7 +198,7 @@
 // Serve runs the relay until it is ended.
 func (r *Relay) Serve() {
 	if r.alone == nil {
-		go r.follow(r.life, membership.Settings{Index: r.set.Index, Fleet: r.set.Fleet, Seed: r.conf.Seed, Version: r.version, Listed: len(r.hosts) > 0})
+		go r.follow(r.life, membership.Settings{Index: r.set.Index, Fleet: r.set.Fleet, Seed: r.conf.Seed, Version: r.version})
 		go r.tell(r.life)
 	}
 	if r.chooser.Granted() && r.conf.PeerListen != "" {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -43,7 +43,8 @@
 	changed chan struct{}
 	asked   chan string // raw queries, as far as a test reads them
 	notices chan notice
-	fail    int // so many POSTs are answered 500 first
+	fail    int  // so many POSTs are answered 500 first
+	deny    bool // watches are turned away
 }
 
 func newPlatform(t *testing.T, servers ...server) *platform {
@@ -81,8 +82,12 @@
 	default:
 	}
 	p.mu.Lock()
-	l, changed := p.now, p.changed
+	l, changed, deny := p.now, p.changed, p.deny
 	p.mu.Unlock()
+	if deny && req.URL.RawQuery != "" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if since, err := strconv.ParseInt(req.URL.Query().Get("since"), 10, 64); err == nil && since == l.Version {
 		select {
 		case <-changed:
