--- a/internal/grants/fleet.go
+++ b/internal/grants/fleet.go
@@ -56,9 +56,10 @@
 	silent  []time.Duration // by relay: passed over until then
 	misses  []int           // by relay: how often it was, since it was heard last
 	heardAt []time.Duration // by relay: last
-	number  uint32          // of the last grant given to any relay
-	local   uint32          // of the last grant that the Chooser has been given
-	notes   map[int][]byte  // under way, by receiver
+	hearing hearing
+	number  uint32         // of the last grant given to any relay
+	local   uint32         // of the last grant that the Chooser has been given
+	notes   map[int][]byte // under way, by receiver
 	acts    []choice.Action
 	given   []choice.Event // grants for this relay
 	wakeAt  time.Duration
@@ -106,7 +107,7 @@
 		return nil, fmt.Errorf("grants: this relay has number %d in a fleet of %d; numbers begin at 0", s.Index, s.Fleet)
 	}
 	return &Fleet{set: s, number: uint32(s.Seed), errands: map[int]*errand{}, desks: map[int]*desk{}, silent: make([]time.Duration, s.Fleet), misses: make([]int, s.Fleet),
-		heardAt: slices.Repeat([]time.Duration{-1}, s.Fleet), notes: map[int][]byte{}}, nil
+		heardAt: slices.Repeat([]time.Duration{-1}, s.Fleet), hearing: newHearing(s), notes: map[int][]byte{}}, nil
 }
 
 // Step takes in the notes that came and what the Chooser said (its choice.Want and choice.Spent), and decides once.
@@ -124,6 +125,7 @@
 			f.spent(a)
 		}
 	}
+	f.listen()
 	f.active = slices.DeleteFunc(f.active, func(e *errand) bool {
 		f.ask(e)
 		e.listed = e.want.Calls > 0 || e.said.Calls > 0
@@ -205,6 +207,9 @@
 
 // steward is whom to ask now; lone if nobody else answers.
 func (f *Fleet) steward(ranked []int) (relay int, lone bool) {
+	if f.hearing.cut {
+		return f.set.Index, true
+	}
 	for _, i := range ranked {
 		if i == f.set.Index || f.silent[i] <= f.now {
 			return i, false
@@ -217,6 +222,7 @@
 func (f *Fleet) pass(i int) {
 	f.misses[i] = min(f.misses[i]+1, 4)
 	f.silent[i] = f.now + silentFor<<(f.misses[i]-1)
+	f.missing(i)
 }
 
 // ask tells a steward what is wanted, if that has changed, is not answered or has to be said again.
@@ -232,7 +238,7 @@
 	if e.want.Calls == 0 && e.said.Calls == 0 || !due && (e.want.Calls == 0 || to == e.asked) && !e.differs() {
 		return
 	}
-	if e.asked >= 0 && e.asked != to && e.said.Calls > 0 { // the one before must not grant as well
+	if e.asked >= 0 && e.asked != to && e.said.Calls > 0 && !f.hearing.cut { // the one before must not grant as well
 		f.send(e.asked, record{kind: askKind, dest: e.dest})
 	}
 	if e.asked != to {
@@ -246,6 +252,7 @@
 		if h, ok := e.heardOf[x.route]; ok {
 			x = h.rumour
 			x.span += f.now - h.at
+			x.saw = x.saw && f.now-h.at < witnessFor
 		}
 		r.routes = append(r.routes, x)
 	}
@@ -276,6 +283,9 @@
 	if err != nil {
 		return
 	}
+	if f.hearing.heard(f.now) {
+		f.healed()
+	}
 	f.silent[h.From], f.misses[h.From], f.heardAt[h.From] = 0, 0, f.now
 	for _, r := range all {
 		f.take(h.From, r)
@@ -290,7 +300,7 @@
 	case spentKind:
 		if k := f.desks[r.dest]; k != nil {
 			if p := k.routes[r.routes[0].route]; p != nil {
-				p.settle(f.now, false)
+				p.settle(f.now, f.heard, false)
 				p.ended(f.now, from, r.grant, r.outcome, r.took, r.wait)
 			}
 		}
@@ -324,6 +334,14 @@
 	}
 }
 
+// heard is when a relay was last heard; this one hears itself.
+func (f *Fleet) heard(relay int) time.Duration {
+	if relay == f.set.Index {
+		return f.now
+	}
+	return f.heardAt[relay]
+}
+
 // answered notes that a steward answered, and what it tells of rates.
 func (f *Fleet) answered(from int, r record) *errand {
 	e := f.errand(r.dest)
@@ -331,7 +349,7 @@
 		e.heard, e.tries = true, 0
 	}
 	for _, x := range r.routes {
-		if x.rate > 0 {
+		if x.rate > 0 && !(from == f.set.Index && f.hearing.cut) { // what one relay sees alone is not the fleet's rate
 			e.heardOf[x.route] = hearsay{x, f.now}
 		}
 	}
@@ -355,7 +373,7 @@
 	if f.yields(k) {
 		return
 	}
-	k.serve(f.now, func(a *ask, route uint32, p *pacer) {
+	k.serve(f.now, f.heard, func(a *ask, route uint32, p *pacer) {
 		f.number++
 		p.grant(f.now, a.relay, f.number)
 		f.send(a.relay, record{kind: grantKind, dest: k.dest, routes: []rumour{p.rumour(f.now, route)}, grant: f.number,
@@ -377,7 +395,7 @@
 // yields hands the asks of a destination to a relay that comes before this one, if there is one that was heard since
 // they came here. They come while that is silent, or was to some; it is greeted for as long as they do.
 func (f *Fleet) yields(k *desk) bool {
-	if len(k.asks) == 0 {
+	if len(k.asks) == 0 || f.hearing.cut {
 		return false
 	}
 	greet := f.now-k.helloAt >= helloEvery
@@ -462,6 +480,9 @@
 		}
 		at = min(at, e.saidAt+refresh)
 	}
+	if len(f.active) > 0 {
+		at = min(at, f.hearing.listenAt())
+	}
 	for _, k := range f.busy {
 		at = min(at, k.again)
 		if len(k.before) > 0 {
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -75,7 +75,7 @@
 			p.ended(now, 0, a.id, o, 80*ms, a.wait)
 			return true
 		})
-		for p.settle(now, true); p.roomAt(now) <= now; {
+		for p.settle(now, hears(now), true); p.roomAt(now) <= now; {
 			id++
 			p.grant(now, 0, id)
 			ok, wait := b.admit(now)
@@ -143,7 +143,7 @@
 	paced(p, b, 0, 0, 10*time.Second, 1)
 	now, id, trials := 10*time.Second, uint32(1000), 0
 	for ; now < 15*time.Second; now += ms {
-		for p.settle(now, true); p.roomAt(now) <= now; trials++ {
+		for p.settle(now, hears(now), true); p.roomAt(now) <= now; trials++ {
 			id++
 			p.grant(now, 0, id)
 			p.ended(now, 0, id, choice.NoConnection, 0, 0)
@@ -155,7 +155,7 @@
 	back := now
 	var came []time.Duration
 	for ; now < back+10*time.Second; now += ms {
-		for p.settle(now, true); p.roomAt(now) <= now; {
+		for p.settle(now, hears(now), true); p.roomAt(now) <= now; {
 			id++
 			p.grant(now, 0, id)
 			p.ended(now, 0, id, choice.Served, 50*ms, 0)
@@ -195,3 +195,6 @@
 		t.Errorf("%d of 80 relays are steward of any of 800 destinations", len(count))
 	}
 }
+
+// hears has every relay heard at a time.
+func hears(at time.Duration) func(int) time.Duration { return func(int) time.Duration { return at } }
--- a/internal/grants/note.go
+++ b/internal/grants/note.go
@@ -55,6 +55,7 @@
 	found bool    // that is a limit that was met
 	state state
 	span  time.Duration // it is in that state
+	saw   bool          // that is what the relay that tells it saw itself, while it heard nobody
 }
 
 var (
@@ -115,13 +116,13 @@
 }
 
 func (x rumour) append(b []byte) []byte {
-	return binary.BigEndian.AppendUint16(append(binary.BigEndian.AppendUint32(b, x.route), logByte(x.rate), byte(x.state)|bit(x.found)<<7), timeWord(x.span))
+	return binary.BigEndian.AppendUint16(append(binary.BigEndian.AppendUint32(b, x.route), logByte(x.rate), byte(x.state)|bit(x.found)<<7|bit(x.saw)<<6), timeWord(x.span))
 }
 
 func (c *cursor) rumour() rumour {
 	x := rumour{route: c.long(), rate: fromLog(c.byte())}
 	b := c.byte()
-	x.found, x.state, x.span = b>>7 == 1, state(b&0x7f), c.time()
+	x.found, x.saw, x.state, x.span = b>>7 == 1, b>>6&1 == 1, state(b&0x3f), c.time()
 	return x
 }
 
--- a/internal/grants/pacer.go
+++ b/internal/grants/pacer.go
@@ -77,6 +77,7 @@
 	peak   float64       // the highest of late
 	use    float64       // smoothed rate of calls granted
 	credit float64       // by which the rate may grow, as a logarithm
+	votes  map[int]bool  // of relays that were cut off: they saw it fail
 }
 
 // leave is a grant whose end has not been told.
@@ -96,14 +97,14 @@
 		return
 	}
 	p.rate, p.base, p.found, p.tokens = x.rate, x.rate, x.found, min(p.tokens, 0)
-	if x.state == down || x.state == cold {
+	if !x.saw && (x.state == down || x.state == cold) {
 		p.state, p.since, p.trial = x.state, now-x.span, now
 	}
 }
 
 // rumour is what is told of a route.
 func (p *pacer) rumour(now time.Duration, route uint32) rumour {
-	x := rumour{route, p.rate, p.found, p.state, now - p.since}
+	x := rumour{route: route, rate: p.rate, found: p.found, state: p.state, span: now - p.since}
 	if p.state != open {
 		x.rate = p.base
 	}
@@ -111,7 +112,8 @@
 }
 
 // settle brings rate and tokens up to date. The rate grows while there are asks that wait for it.
-func (p *pacer) settle(now time.Duration, waiting bool) {
+// Each relay was last heard at a time.
+func (p *pacer) settle(now time.Duration, heard func(relay int) time.Duration, waiting bool) {
 	span := max(0, now-p.at)
 	p.at = now
 	if waiting && span > 0 && p.mayGrow(now) {
@@ -132,7 +134,7 @@
 	for len(p.out) > 0 && now-p.out[0].at > lostAfter {
 		p.out = p.out[1:]
 	}
-	p.watch(now)
+	p.watch(now, heard)
 }
 
 // mayGrow tells whether a higher rate would be used, and is not kept down by the budget of a cold route.
@@ -142,7 +144,10 @@
 
 // allowed is the rate, within the budget of a route that has come back cold.
 func (p *pacer) allowed(now time.Duration) float64 {
-	if p.state != cold {
+	switch {
+	case p.share < 1 && p.state == open:
+		return p.lonely() * p.rate
+	case p.state != cold:
 		return p.share * p.rate
 	}
 	return p.share * min(p.rate, budget*p.rules.OverloadFactor*p.warm(now)*p.base)
@@ -253,7 +258,10 @@
 		return
 	}
 	to := p.rate * cutBlind
-	if span := granted - p.epoch; p.epoch >= 0 && span >= shortEpoch {
+	if p.share < 1 {
+		to = p.rate * lonelyBack
+	}
+	if span := granted - p.epoch; p.epoch >= 0 && span >= shortEpoch && p.share == 1 { // one that goes alone sees its own calls only
 		measured := float64(p.calls) / (now - p.epoch).Seconds()
 		to = min(p.rate*under, max(under*measured, p.rate*cutMost))
 	}
@@ -277,7 +285,7 @@
 	if end <= p.hold+agree || wait < leastSpan || wait < longWait && !(same && now-p.told > agree) {
 		return
 	}
-	if span := end - p.span; span >= leastSpan {
+	if span := end - p.span; span >= leastSpan && p.share == 1 {
 		p.rate = max(leastRate, under*float64(p.count)/span.Seconds())
 		p.found = true
 	}
@@ -297,14 +305,24 @@
 	}
 }
 
-// watch notices that calls are left unanswered.
-func (p *pacer) watch(now time.Duration) {
+// watch notices that calls are left unanswered. Their ends are told by notes: those of a relay of which nothing has been
+// heard since its call say nothing of the route.
+func (p *pacer) watch(now time.Duration, heard func(relay int) time.Duration) {
 	if p.state == down || len(p.out) < failures {
 		return
 	}
 	quiet := max(leastQuiet, time.Duration(4*p.mean*float64(time.Second)))
-	if late := p.out[failures-1].at; now-max(late, p.served) > quiet {
-		p.fall(now)
+	n := 0
+	for _, l := range p.out {
+		if now-max(l.at, p.served) <= quiet {
+			return
+		}
+		if heard(l.relay) > l.at {
+			if n++; n == failures {
+				p.fall(now)
+				return
+			}
+		}
 	}
 }
 
--- a/internal/grants/steward.go
+++ b/internal/grants/steward.go
@@ -16,15 +16,18 @@
 
 // desk is the steward's side of one destination: the asks of relays that wait, and a pacer for each route.
 type desk struct {
-	dest    int
-	before  []int // relays that come before this one
-	routes  map[uint32]*pacer
-	order   []uint32 // in the order in which they were heard of
-	asks    []*ask
-	again   time.Duration // there is more room then
-	since   time.Duration // there are asks
-	helloAt time.Duration // those that come before this relay were last greeted
-	listed  bool          // among the desks with asks
+	dest   int
+	before []int // relays that come before this one
+	routes map[uint32]*pacer
+	order  []uint32 // in the order in which they were heard of
+	// What is known as a steward, while this relay is alone.
+	kept      map[uint32]*pacer
+	keptOrder []uint32
+	asks      []*ask
+	again     time.Duration // there is more room then
+	since     time.Duration // there are asks
+	helloAt   time.Duration // those that come before this relay were last greeted
+	listed    bool          // among the desks with asks
 }
 
 // ask is what one relay wants of a destination.
@@ -40,15 +43,20 @@
 
 // know has a route among those that are kept. What a relay heard of it counts if it is not: it came from a steward
 // before this one.
-func (k *desk) know(rules choice.Rules, share float64, now time.Duration, x rumour) {
+func (k *desk) know(rules choice.Rules, share float64, now time.Duration, from int, x rumour) {
 	p := k.routes[x.route]
 	if p == nil {
 		p = newPacer(rules, now)
 		p.hear(now, x)
+		if share < 1 && p.state == open {
+			p.tokens = 1 // what has been waiting since the cut began is less than what the route takes at once
+		}
 		k.routes[x.route] = p
 		k.order = append(k.order, x.route)
 	}
-	p.share = share
+	if p.share = share; x.saw {
+		p.vote(now, from, x.state)
+	}
 }
 
 // put takes in an ask, in the place of that relay's last one.
@@ -67,17 +75,20 @@
 	a := k.asks[i]
 	a.calls, a.value, a.at, a.told, a.routes = r.calls, r.value, now, false, a.routes[:0]
 	for _, x := range r.routes {
-		k.know(rules, share, now, x)
+		k.know(rules, share, now, from, x)
 		a.routes = append(a.routes, x.route)
 	}
+	if share < 1 {
+		k.spread(from, a.routes)
+	}
 }
 
 // serve gives the room that there is to the calls that are worth most, each on the route that its relay likes best of
 // those with room, and notes when there will be more.
-func (k *desk) serve(now time.Duration, give func(a *ask, route uint32, p *pacer)) {
+func (k *desk) serve(now time.Duration, heard func(relay int) time.Duration, give func(a *ask, route uint32, p *pacer)) {
 	k.asks = slices.DeleteFunc(k.asks, func(a *ask) bool { return now-a.at > askLife })
 	for _, id := range k.order {
-		k.routes[id].settle(now, slices.ContainsFunc(k.asks, func(a *ask) bool { return slices.Contains(a.routes, id) }))
+		k.routes[id].settle(now, heard, slices.ContainsFunc(k.asks, func(a *ask) bool { return slices.Contains(a.routes, id) }))
 	}
 	slices.SortStableFunc(k.asks, func(a, b *ask) int {
 		return cmp.Or(cmp.Compare(b.value, a.value), cmp.Compare(a.since, b.since), cmp.Compare(a.relay, b.relay))
--- a/internal/grants/view.go
+++ b/internal/grants/view.go
@@ -13,6 +13,7 @@
 	Out   int           // calls whose end has not been told
 	Asks  int           // relays that wait for leave at its destination
 	Calls int           // that they wait for
+	Share float64       // of the rate that is granted here: 1, or less where this relay hears nobody and grants to itself alone
 }
 
 var stateNames = [...]string{open: "open", down: "down", cold: "cold"}
@@ -27,7 +28,7 @@
 		for _, id := range k.order {
 			p := k.routes[id]
 			all = append(all, RouteView{Dest: k.dest, Route: f.errand(k.dest).names[id], State: stateNames[p.state], For: f.now - p.since,
-				Rate: p.allowed(f.now), Used: p.use, Out: len(p.out), Asks: len(k.asks), Calls: calls})
+				Rate: p.allowed(f.now), Used: p.use, Out: len(p.out), Asks: len(k.asks), Calls: calls, Share: p.share})
 		}
 	}
 	return all
--- a/internal/lab/days.go
+++ b/internal/lab/days.go
@@ -74,3 +74,9 @@
 	d.Troubles = append(d.Troubles, Trouble{From: 8 * time.Second, To: 8600 * time.Millisecond, Kill: n})
 	return d
 }
+
+// Cut has notes lost for 6 s from the eighth second on; which ones is told by the numbers of sender and receiver.
+func (d Day) Cut(mute func(from, to int) bool) Day {
+	d.Troubles = append(d.Troubles, Trouble{From: 8 * time.Second, To: 14 * time.Second, Mute: mute})
+	return d
+}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -126,3 +126,37 @@
 		t.Errorf("%v\n%v", a, b)
 	}
 }
+
+// Guards against a fleet that starves while its relays do not hear each other, and floods when they do again.
+func TestCutFleet(t *testing.T) {
+	all := func(int, int) bool { return true }
+	each(t, "nobody hears anybody", func(s uint64) Day { return Campus(300, 0.5, s).Cut(all) }, share(0.9, 0.08))
+	each(t, "and routes come back cold", func(s uint64) Day {
+		d := Campus(300, 0.5, s).Cut(all)
+		d.Troubles = append(d.Troubles, Trouble{From: 9 * time.Second, To: 13 * time.Second, Dests: []int{0, 3}, Down: true})
+		return d
+	}, share(0.8, 0.1))
+	each(t, "halves", func(s uint64) Day {
+		return Campus(300, 0.5, s).Cut(func(a, b int) bool { return a%2 != b%2 })
+	}, share(0.9, 0.08))
+	each(t, "a third", func(s uint64) Day {
+		return Campus(300, 0.5, s).Cut(func(a, b int) bool { return (a%3 == 0) != (b%3 == 0) })
+	}, share(0.9, 0.08))
+	each(t, "one alone", func(s uint64) Day {
+		return Campus(300, 0.5, s).Cut(func(a, b int) bool { return a == 7 || b == 7 })
+	}, share(0.9, 0.08))
+	each(t, "one way", func(s uint64) Day {
+		return Campus(300, 0.5, s).Cut(func(a, b int) bool { return a < 100 && b >= 100 })
+	}, share(0.85, 0.08))
+	each(t, "twice", func(s uint64) Day {
+		d := Campus(300, 0.5, s).Cut(all)
+		d.Troubles[0].To = 10 * time.Second
+		d.Troubles = append(d.Troubles, Trouble{From: 11 * time.Second, To: 14 * time.Second, Mute: all})
+		return d
+	}, share(0.9, 0.08))
+	each(t, "limits fall as it heals", func(s uint64) Day {
+		d := Campus(300, 0.5, s).Cut(all)
+		d.Troubles = append(d.Troubles, Trouble{From: 13 * time.Second, To: 20 * time.Second, Dests: []int{0, 1, 2, 3, 4, 5, 6}, Limit: 0.5})
+		return d
+	}, share(0.8, 0.12))
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"larchrouter/choice"
@@ -42,6 +43,8 @@
 	Shut     bool    // new connections are refused at once
 	Limit    float64 // share of the limit that is left; 0 for all
 	Kill     int     // so many relays end at From, and start with nothing at To
+	// Mute tells which notes are lost from From to To, by the numbers of sender and receiver; nil for none.
+	Mute func(from, to int) bool
 }
 
 // Day is what is played.
@@ -380,7 +383,7 @@
 		w.err = fmt.Errorf("lab: a note of %d bytes", len(t.Note))
 	}
 	for copies := 1; copies > 0; copies-- {
-		if w.rand.Float64() < w.day.Lose || t.To >= len(w.relays) {
+		if w.rand.Float64() < w.day.Lose || t.To >= len(w.relays) || w.muted(r.index, t.To) {
 			return
 		}
 		if w.rand.Float64() < w.day.Double {
@@ -400,6 +403,13 @@
 	}
 }
 
+// muted tells whether a trouble keeps a note from its receiver.
+func (w *world) muted(from, to int) bool {
+	return slices.ContainsFunc(w.day.Troubles, func(t Trouble) bool {
+		return t.Mute != nil && t.From <= w.now && w.now < t.To && t.Mute(from, to)
+	})
+}
+
 // end ends a message undelivered.
 func (w *world) end(id string, count *int) {
 	if m := w.msgs[id]; m != nil && !m.over {
--- a/internal/relay/trace.go
+++ b/internal/relay/trace.go
@@ -40,7 +40,7 @@
 	r.tracedAt = now
 	for _, v := range r.chooser.Routes() {
 		slog.Debug("steward", "dest", v.Dest, "route", v.Route, "state", v.State, "for", v.For.Milliseconds(), "rate", v.Rate, "used", v.Used,
-			"out", v.Out, "asks", v.Asks, "calls", v.Calls)
+			"out", v.Out, "asks", v.Asks, "calls", v.Calls, "share", v.Share)
 	}
 }
 
