--- a/internal/grants/cut.go
+++ b/internal/grants/cut.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -75,6 +76,7 @@
 	h := &f.hearing
 	if h.doubtAt >= 0 && !h.cut && f.now-h.doubtAt >= answerIn {
 		h.cut, h.since, h.callAt = true, f.now, f.now+callEvery
+		f.acts = append(f.acts, choice.Log{Text: fmt.Sprintf("no other relay is heard for %v: calls go out on this one's own share", f.now-h.at)})
 		for _, k := range f.desks {
 			k.part(f.set.Rules, f.now)
 		}
@@ -102,6 +104,7 @@
 // healed takes up the fleet again: relays that did not answer in the cut have done nothing wrong.
 func (f *Fleet) healed() {
 	h := &f.hearing
+	f.acts = append(f.acts, choice.Log{Text: fmt.Sprintf("other relays are heard again after %v", f.now-h.since)})
 	for i := range h.missed {
 		f.silent[i], f.misses[i] = 0, 0
 	}
--- a/internal/grants/cut_test.go
+++ b/internal/grants/cut_test.go
@@ -200,3 +200,29 @@
 		}
 	}
 }
+
+// A steward that was started anew learns the rate from whichever relay knows it, however many that do not asked first.
+// What comes once it has met the limit itself is its own word, and old.
+func TestNewStewardLearns(t *testing.T) {
+	k := &desk{dest: 5, routes: map[uint32]*pacer{}}
+	ask := func(from int, x rumour) {
+		x.route = 9
+		k.put(rules(), 1, time.Second, from, record{kind: askKind, dest: 5, calls: 1, value: 1, routes: []rumour{x}})
+	}
+	for from := range 20 {
+		ask(from, rumour{})
+	}
+	if p := k.routes[9]; p.rate != firstRate || p.found {
+		t.Fatalf("rate %v from relays that know nothing", p.rate)
+	}
+	ask(20, rumour{rate: 200, saw: true, found: true, state: down})
+	ask(21, rumour{rate: 150})
+	if p := k.routes[9]; p.rate != firstRate || p.state != open {
+		t.Errorf("rate %v, state %d by what one relay saw alone, or others began with", p.rate, p.state)
+	}
+	ask(22, rumour{rate: 80, found: true})
+	ask(23, rumour{rate: 90, found: true})
+	if p := k.routes[9]; p.rate != 80 || !p.found {
+		t.Errorf("rate %v, want 80", p.rate)
+	}
+}
--- a/internal/grants/fleet.go
+++ b/internal/grants/fleet.go
@@ -34,7 +34,9 @@
 	matters    = 1.1 // a value that changes by this factor is told
 	sweepEvery = 10 * time.Second
 	seenLife   = 2 * time.Second
-	givenLife  = time.Minute // of a grant of which nothing is heard any more
+	// hearsayLife is how long what a steward told of a route is passed on: limits change.
+	hearsayLife = 15 * time.Second
+	givenLife   = time.Minute // of a grant of which nothing is heard any more
 )
 
 // Settings of one relay's part.
@@ -249,7 +251,7 @@
 	r := record{kind: askKind, dest: e.dest, calls: e.want.Calls, value: e.want.Value}
 	for _, name := range e.want.Routes {
 		x := rumour{route: routeOf(name)}
-		if h, ok := e.heardOf[x.route]; ok {
+		if h, ok := e.heardOf[x.route]; ok && f.now-h.at < hearsayLife {
 			x = h.rumour
 			x.span += f.now - h.at
 			x.saw = x.saw && f.now-h.at < witnessFor
--- a/internal/grants/pacer.go
+++ b/internal/grants/pacer.go
@@ -102,6 +102,14 @@
 	}
 }
 
+// learn takes in what a steward before this one had found, where this one began at a guess and has not met the limit yet.
+// Once it has, what comes may be its own word, and old.
+func (p *pacer) learn(now time.Duration, x rumour) {
+	if !p.found && x.found && !x.saw && p.state == open {
+		p.hear(now, x)
+	}
+}
+
 // rumour is what is told of a route.
 func (p *pacer) rumour(now time.Duration, route uint32) rumour {
 	x := rumour{route: route, rate: p.rate, found: p.found, state: p.state, span: now - p.since}
--- a/internal/grants/steward.go
+++ b/internal/grants/steward.go
@@ -41,8 +41,8 @@
 	told   bool          // it has been answered since
 }
 
-// know has a route among those that are kept. What a relay heard of it counts if it is not: it came from a steward
-// before this one.
+// know has a route among those that are kept. What a relay heard of it counts if it is not, or nothing is known yet: it came
+// from a steward before this one. The first that ask may have been started anew, and have heard nothing.
 func (k *desk) know(rules choice.Rules, share float64, now time.Duration, from int, x rumour) {
 	p := k.routes[x.route]
 	if p == nil {
@@ -53,6 +53,8 @@
 		}
 		k.routes[x.route] = p
 		k.order = append(k.order, x.route)
+	} else if share == 1 {
+		p.learn(now, x)
 	}
 	if p.share = share; x.saw {
 		p.vote(now, from, x.state)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -160,3 +160,15 @@
 		return d
 	}, share(0.8, 0.12))
 }
+
+// Guards against a fleet that forgets what its destinations take when most of its stewards are killed at one instant,
+// and again soon after.
+func TestHerd(t *testing.T) {
+	each(t, "seven in ten", func(s uint64) Day { return Campus(300, 0.7, s).Killed(210) }, share(0.95, 0.08))
+	each(t, "and three in ten again", func(s uint64) Day {
+		d := Campus(300, 0.7, s).Killed(210).Killed(90)
+		d.Troubles[1].From, d.Troubles[1].To = 14*time.Second, 14600*time.Millisecond
+		return d
+	}, share(0.95, 0.08))
+	each(t, "limits lowered", func(s uint64) Day { return Campus(300, 0.8, s).Lowered().Killed(210) }, share(0.8, 0.12))
+}
