--- a/choice/granted.go
+++ b/choice/granted.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -57,7 +58,8 @@
 		return
 	}
 	c.lapseAt = never
-	for _, d := range c.inOrder() {
+	for _, id := range slices.Sorted(maps.Keys(c.dests)) { // the same events give the same actions
+		d := c.dests[id]
 		for _, u := range d.units {
 			u.grants = slices.DeleteFunc(u.grants, func(g grant) bool {
 				if c.now < g.until {
@@ -72,16 +74,6 @@
 	}
 }
 
-// inOrder are the destinations by number: the same events give the same actions.
-func (c *Chooser) inOrder() []*dest {
-	all := make([]*dest, 0, len(c.dests))
-	for _, d := range c.dests {
-		all = append(all, d)
-	}
-	slices.SortFunc(all, func(a, b *dest) int { return cmp.Compare(a.id, b.id) })
-	return all
-}
-
 // spend has a call go on the grant that lapses first.
 func (c *Chooser) spend(k *call) {
 	if u := k.host.unit; len(u.grants) > 0 {
--- a/internal/grants/cut.go
+++ b/internal/grants/cut.go
@@ -22,7 +22,6 @@
 
 const (
 	doubtCalls = 6
-	callEvery  = 400 * time.Millisecond
 	witnessFor = 3 * time.Second // after it heals
 	leastVotes = 3
 	// lonelyBack is what is left of a rate after a refusal to a relay that is alone: it sees too few to measure.
@@ -31,21 +30,20 @@
 
 // hearing is whether this relay hears any other.
 type hearing struct {
-	fleet, self int
-	rand        *rand.Rand
-	at          time.Duration // something was last heard
-	missed      map[int]bool  // relays that did not answer since
-	doubtAt     time.Duration // others were called, and nothing heard since; below 0 if they were not
-	cut         bool
-	since       time.Duration // cut
-	callAt      time.Duration
+	rand    *rand.Rand
+	at      time.Duration // something was last heard
+	missed  map[int]bool  // relays that did not answer since
+	doubtAt time.Duration // others were called, and nothing heard since; below 0 if they were not
+	cut     bool
+	since   time.Duration // cut
+	callAt  time.Duration
 }
 
-func newHearing(s Settings) hearing {
-	return hearing{fleet: s.Fleet, self: s.Index, rand: rand.New(rand.NewPCG(s.Seed, 5)), missed: map[int]bool{}, doubtAt: -1}
+func newHearing(seed uint64) hearing {
+	return hearing{rand: rand.New(rand.NewPCG(seed, 5)), missed: map[int]bool{}, doubtAt: -1}
 }
 
-// heard notes that something came, and gives back which relays did not answer in a cut that ends with it.
+// heard notes that something came, and tells whether that ends a cut. Who did not answer in one is kept for healed.
 func (h *hearing) heard(now time.Duration) (healed bool) {
 	healed = h.cut
 	h.at, h.doubtAt, h.cut = now, -1, false
@@ -55,19 +53,28 @@
 	return healed
 }
 
-// anyone draws another relay.
-func (h *hearing) anyone() int { return (h.self + 1 + h.rand.IntN(h.fleet-1)) % h.fleet }
+// greet calls another relay, drawn by chance.
+func (f *Fleet) greet() {
+	f.send((f.set.Index+1+f.hearing.rand.IntN(f.set.Fleet-1))%f.set.Fleet, record{kind: helloKind})
+}
+
+// askAnew has all that is wanted asked for at once, of whoever is steward now.
+func (f *Fleet) askAnew() {
+	for _, e := range f.active {
+		e.saidAt, e.tries = f.now-refresh, 0
+	}
+}
 
 // missing notes that a relay did not answer an ask.
 func (f *Fleet) missing(relay int) {
 	h := &f.hearing
 	h.missed[relay] = true
-	if h.cut || h.doubtAt >= 0 || h.fleet <= 2 || f.now-h.at < askTries*answerIn {
+	if h.cut || h.doubtAt >= 0 || f.set.Fleet <= 2 || f.now-h.at < askTries*answerIn {
 		return
 	}
 	h.doubtAt = f.now
 	for range doubtCalls {
-		f.send(h.anyone(), record{kind: helloKind})
+		f.greet()
 	}
 }
 
@@ -75,18 +82,16 @@
 func (f *Fleet) listen() {
 	h := &f.hearing
 	if h.doubtAt >= 0 && !h.cut && f.now-h.doubtAt >= answerIn {
-		h.cut, h.since, h.callAt = true, f.now, f.now+callEvery
+		h.cut, h.since, h.callAt = true, f.now, f.now+helloEvery
 		f.acts = append(f.acts, choice.Log{Text: fmt.Sprintf("no other relay is heard for %v: calls go out on this one's own share", f.now-h.at)})
 		for _, k := range f.desks {
 			k.part(f.set.Rules, f.now)
 		}
-		for _, e := range f.active { // all is asked for anew, here
-			e.saidAt, e.tries = f.now-refresh, 0
-		}
+		f.askAnew()
 	}
 	if h.cut && f.now >= h.callAt {
-		h.callAt = f.now + callEvery
-		f.send(h.anyone(), record{kind: helloKind})
+		h.callAt = f.now + helloEvery
+		f.greet()
 	}
 }
 
@@ -113,9 +118,7 @@
 		f.witness(k)
 		k.join(f.now)
 	}
-	for _, e := range f.active {
-		e.saidAt, e.tries = f.now-refresh, 0
-	}
+	f.askAnew()
 }
 
 // witness turns what this relay saw of a destination while it was alone into what it tells with its asks: not of the
--- a/internal/grants/fleet.go
+++ b/internal/grants/fleet.go
@@ -109,7 +109,7 @@
 		return nil, fmt.Errorf("grants: this relay has number %d in a fleet of %d; numbers begin at 0", s.Index, s.Fleet)
 	}
 	return &Fleet{set: s, number: uint32(s.Seed), errands: map[int]*errand{}, desks: map[int]*desk{}, silent: make([]time.Duration, s.Fleet), misses: make([]int, s.Fleet),
-		heardAt: slices.Repeat([]time.Duration{-1}, s.Fleet), hearing: newHearing(s), notes: map[int][]byte{}}, nil
+		heardAt: slices.Repeat([]time.Duration{-1}, s.Fleet), hearing: newHearing(s.Seed), notes: map[int][]byte{}}, nil
 }
 
 // Step takes in the notes that came and what the Chooser said (its choice.Want and choice.Spent), and decides once.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -31,14 +31,16 @@
 
 	// told is the time after which all that discovery has to tell counts as told.
 	told = 6 * time.Second
-	// listFor is how long a relay that does not look waits for a whole list.
+	// WatchFor is how long a watch waits: a silent agent is noticed soon after, well within the time of told.
+	WatchFor = 2 * time.Second
+	// listFor is how long a relay that does not look waits for a whole list, and a watch's answer may be late.
 	listFor = 500 * time.Millisecond
-	// A look is answered within LookFor or not at all, and the next begins lookEvery later.
+	// A look is answered within lookFor or not at all, and the next begins lookEvery later.
 	lookEvery = 100 * time.Millisecond
-	LookFor   = 100 * time.Millisecond
-	// Blind is the longest that a relay without a watch goes on what an earlier look told: of the 250 ms that a drain
-	// allows (DRAIN grace, without the 50 ms more that sockets are given) it leaves a fifth to the relay's own work.
-	Blind = lookEvery + LookFor
+	lookFor   = 100 * time.Millisecond
+	// Blind is the longest that a relay that looks goes on what an earlier look told: of the 250 ms that a drain allows,
+	// without the 50 ms more that sockets are given, it leaves a fifth to the relay's own work.
+	Blind = lookEvery + lookFor
 )
 
 // Settings of a relay.
@@ -54,20 +56,19 @@
 	Whole  bool  // a look; else a watch
 	Since  int64 // where Whole is not set
 	At     time.Duration
-	Within time.Duration // where Whole is set: later answers count as none
+	Within time.Duration // later answers count as none
 }
 
 // Follower follows the list. It is not safe for concurrent use.
 type Follower struct {
-	set      Settings
-	rand     *rand.Rand
-	version  int64 // of the list that the relay goes by
-	strange  bool  // the next list is taken whatever its version says: it may be of another history
-	watching bool  // the last answer was a watch's, or a small fleet's first look
-	lookAt   time.Duration
-	watchAt  time.Duration
-	pause    time.Duration // after the next watch that fails, drawn about this
-	rest     time.Duration // after the next look
+	set     Settings
+	rand    *rand.Rand
+	version int64 // of the list that the relay goes by
+	strange bool  // the next list is taken whatever its version says: it may be of another history
+	lookAt  time.Duration
+	watchAt time.Duration
+	pause   time.Duration // after the next watch that fails, drawn about this
+	rest    time.Duration // after the next look
 }
 
 // New begins to follow at a time.
@@ -89,7 +90,7 @@
 
 // Moved begins anew with another discovery, which may have another history.
 func (f *Follower) Moved(now time.Duration) {
-	f.strange, f.watching, f.pause, f.rest = true, false, f.first(), lookEvery
+	f.strange, f.pause, f.rest = true, f.first(), lookEvery
 	f.lookAt, f.watchAt = now, now
 	if f.looks() { // all relays are moved within moments, or started
 		f.watchAt += f.mine()
@@ -115,14 +116,14 @@
 	return min(all, largeLongest)
 }
 
-// Next is the next question. A watch that goes on is asked for at once; a first look goes before any watch, which
-// then has the least to tell.
+// Next is the next question. A watch that goes on is due at once, and so before any look; a first look goes before any
+// watch, which then has the least to tell.
 func (f *Follower) Next() Question {
 	switch {
-	case !f.strange && (!f.looks() || f.watching || f.watchAt <= f.lookAt):
-		return Question{Since: f.version, At: f.watchAt}
+	case !f.strange && (!f.looks() || f.watchAt <= f.lookAt):
+		return Question{Since: f.version, At: f.watchAt, Within: WatchFor + listFor}
 	case f.looks():
-		return Question{Whole: true, At: f.lookAt, Within: LookFor}
+		return Question{Whole: true, At: f.lookAt, Within: lookFor}
 	}
 	return Question{Whole: true, At: f.lookAt, Within: listFor}
 }
@@ -132,7 +133,7 @@
 func (f *Follower) Answered(now time.Duration, q Question, version int64, whole bool) (counts bool) {
 	f.lookAt, f.rest = now+lookEvery, lookEvery
 	if !q.Whole {
-		f.watching, f.watchAt, f.pause = true, now, f.first()
+		f.watchAt, f.pause = now, f.first()
 		if !whole && version < f.version {
 			f.strange, f.lookAt = true, now
 			return false
@@ -165,6 +166,6 @@
 		f.lookAt = at
 		return
 	}
-	f.watching, f.watchAt = false, at
+	f.watchAt = at
 	f.lookAt = now + f.rest - lookEvery // at once, unless looks are turned away
 }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -104,7 +104,7 @@
 			}
 			switch {
 			case a.silent && q.Whole:
-				now += LookFor
+				now += lookFor
 				asked = now // it may answer again from now on only
 				f.Failed(now, q, false)
 			case a.silent:
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -12,6 +12,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"larchrouter/choice"
 	"larchrouter/internal/journal"
 	"larchrouter/internal/membership"
@@ -54,8 +56,6 @@
 }
 
 const (
-	watchFor    = 2 * time.Second // a silent agent is noticed soon after, well within the 6 s after which news counts as told
-	watchSlack  = 500 * time.Millisecond
 	firstPause  = 50 * time.Millisecond
 	longPause   = time.Second
 	forgetDest  = time.Minute // one without hosts for so long is unknown again
@@ -70,7 +70,7 @@
 
 func (r *Relay) newAgent(addrs []string) *agent {
 	a := &agent{addrs: addrs, client: &http.Client{Transport: &http.Transport{DisableCompression: true,
-		MaxResponseHeaderBytes: maxHead, MaxConnsPerHost: 4, IdleConnTimeout: 5 * watchFor}}}
+		MaxResponseHeaderBytes: maxHead, MaxConnsPerHost: 4, IdleConnTimeout: 5 * membership.WatchFor}}}
 	a.life, a.leave = context.WithCancel(r.life)
 	return a
 }
@@ -103,6 +103,7 @@
 func (r *Relay) follow(ctx context.Context, at membership.Settings) {
 	a := r.agent.Load()
 	f := membership.New(at, r.now())
+	silence := rate.Sometimes{Interval: time.Second} // a silent agent is asked several times in one
 	for ctx.Err() == nil {
 		if now := r.agent.Load(); now != a {
 			a = now
@@ -122,7 +123,7 @@
 		switch {
 		case a.life.Err() != nil:
 		case err != nil:
-			r.unanswered(err)
+			silence.Do(func() { slog.Warn("discovery does not answer", "err", err) })
 			f.Failed(r.now(), q, errors.Is(err, errAway))
 			r.unreachable(a, err)
 		case f.Answered(r.now(), q, l.Version, l.Full):
@@ -134,22 +135,12 @@
 	}
 }
 
-// unanswered logs that discovery does not answer, at most once a second: a silent one is asked several times in one.
-func (r *Relay) unanswered(err error) {
-	if now := r.now(); now >= r.unansweredAt {
-		slog.Warn("discovery does not answer", "err", err)
-		r.unansweredAt = now + time.Second
-	}
-}
-
 func (r *Relay) ask(a *agent, q membership.Question) (l list, err error) {
 	url := "http://" + a.addrs[0] + "/discovery/hosts"
-	limit := q.Within
 	if !q.Whole {
-		url = fmt.Sprintf("%s?since=%d&timeout_ms=%d", url, q.Since, watchFor.Milliseconds())
-		limit = watchFor + watchSlack
+		url = fmt.Sprintf("%s?since=%d&timeout_ms=%d", url, q.Since, membership.WatchFor.Milliseconds())
 	}
-	ctx, cancel := context.WithTimeout(a.life, limit)
+	ctx, cancel := context.WithTimeout(a.life, q.Within)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,8 +115,6 @@
 	owed      int  // notices
 	stopped   bool // no more decisions; outcomes are still recorded
 
-	unansweredAt time.Duration // of the goroutine that follows discovery: no line in the log before
-
 	tracedAt   time.Duration
 	unrecorded int // failures to record since the last line in the log
 	complainAt time.Duration
