Pass a dead steward over also while what is wanted keeps changing

With 24 relays under load and a destination's steward stopped, nothing was granted for as long as it was stopped. Fleet.ask set the time from which an answer is awaited (saidAt) with every ask, and an ask goes out whenever what is wanted differs from what was said: under load more often than every 150 ms, so the wait never ended. The time is kept apart now (since) and begins with the first ask that awaits an answer; saying more does not move it.

Ruled out: the finding of a cut (others are heard, so none is declared) and the hand-back to earlier ranks (the steward says nothing). The new test has a want that changes every 50 ms: nothing granted in 2 s before, 450 ms at most now.

--- a/internal/grants/cut_test.go
+++ b/internal/grants/cut_test.go
@@ -126,6 +126,27 @@
 	}
 }
 
+// Guards against a dead steward that is asked anew for ever: under load what is wanted changes more often than an answer
+// may take, and each ask that says so must not begin the wait for it again.
+func TestBusyRelayPassesADeadStewardOver(t *testing.T) {
+	w := newWanting(t, 5)
+	w.play(time.Second)
+	w.silent = func(i int) bool { return i == w.rank[0] }
+	w.play(10 * ms) // what was under way comes
+	died := w.now
+	w.granted = 0
+	for n := range 40 { // 2 s
+		w.play(50*ms, choice.Want{Dest: 5, Calls: 1 + n%3, Value: 1, Routes: []string{"a", "b"}})
+		if granted := w.now - died; w.granted > 0 {
+			if limit := (askTries + 1) * answerIn; granted > limit {
+				t.Errorf("the next steward granted %v after the first had died, %v at most", granted, limit)
+			}
+			return
+		}
+	}
+	t.Error("nothing granted in two seconds")
+}
+
 // What a steward knew is where it was after a cut, whatever it saw alone meanwhile.
 func TestStewardAfterACut(t *testing.T) {
 	k := &desk{dest: 5, routes: map[uint32]*pacer{}}
--- a/internal/grants/fleet.go
+++ b/internal/grants/fleet.go
@@ -76,8 +76,9 @@
 	said    choice.Want // last told, less what was granted since
 	asked   int         // whom it was told; -1 for nobody
 	saidAt  time.Duration
-	heard   bool // an answer came since
-	tries   int  // without an answer
+	since   time.Duration // an answer is awaited; what is said anew meanwhile does not change it
+	heard   bool          // an answer came since
+	tries   int           // without an answer
 	names   map[uint32]string
 	heardOf map[uint32]hearsay      // by route
 	held    map[uint32]held         // grants that this relay has, by the number that the Chooser knows
@@ -230,8 +231,9 @@
 // ask tells a steward what is wanted, if that has changed, is not answered or has to be said again.
 func (f *Fleet) ask(e *errand) {
 	due := f.now-e.saidAt >= refresh
-	if e.said.Calls > 0 && !e.heard && f.now-e.saidAt >= answerIn {
-		due = true
+	awaits := e.said.Calls > 0 && !e.heard
+	if awaits && f.now-e.since >= answerIn {
+		due, awaits = true, false
 		if e.tries++; e.tries >= askTries && e.asked != f.set.Index {
 			f.pass(e.asked)
 		}
@@ -244,7 +246,10 @@
 		f.send(e.asked, record{kind: askKind, dest: e.dest})
 	}
 	if e.asked != to {
-		e.tries = 0
+		e.tries, awaits = 0, false
+	}
+	if !awaits {
+		e.since = f.now
 	}
 	e.asked, e.saidAt, e.heard = to, f.now, false
 	e.said = e.want
@@ -478,7 +483,7 @@
 	at := never
 	for _, e := range f.active {
 		if e.said.Calls > 0 && !e.heard {
-			at = min(at, e.saidAt+answerIn)
+			at = min(at, e.since+answerIn)
 		}
 		at = min(at, e.saidAt+refresh)
 	}
