Move the reading of operators' files out of internal/config, for scenarios to share

A scenario of faults is a file that people write, too, and has to tell what is wrong with it in the same way: all faults at once, with line, column and what is allowed. internal/config/read.go becomes internal/hclfile with exported names; the check of names (Label) goes with it. Nothing else changes; the tests of config pass as they were.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,13 @@
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
 	"larchrouter/choice"
+	"larchrouter/internal/hclfile"
+)
+
+// Fault and Faults are what is wrong with a file.
+type (
+	Fault  = hclfile.Fault
+	Faults = hclfile.Faults
 )
 
 // File is a file that was read without a fault, with the defaults filled in.
@@ -96,7 +103,6 @@
 // The bounds of what a file may say.
 const (
 	maxFile    = 4 << 20 // bytes
-	maxName    = 100     // bytes of a name
 	maxSocket  = 107     // bytes of a Unix socket's path, after unix(7)
 	maxHeld    = 1_000_000
 	maxSlots   = 10_000
@@ -163,32 +169,32 @@
 
 // Parse checks what a file holds. Path is for the diagnostics; dir is the folder that paths in it are relative to.
 func Parse(data []byte, path, dir string) (*File, error) {
-	r := &reader{}
+	r := &hclfile.Reader{}
 	parsed, diags := hclsyntax.ParseConfig(data, path, hcl.InitialPos)
-	if r.diags(diags, ""); diags.HasErrors() {
-		return nil, r.sorted()
+	if r.Diags(diags, ""); diags.HasErrors() {
+		return nil, r.Sorted()
 	}
-	top := r.open(parsed.Body, hcl.Range{Filename: path, Start: hcl.Pos{Line: 1, Column: 1}},
+	top := r.Open(parsed.Body, hcl.Range{Filename: path, Start: hcl.Pos{Line: 1, Column: 1}},
 		[]string{"listen", "state", "stop_within"},
 		map[string]string{"limits": "", "ends": "", "journal": "", "control": "", "rules": "", "class": "name", "zone": "name", "kind": "name",
 			"partner": "name"})
-	f := &File{Path: path, Listen: top.text("listen", ""), StopWithin: top.span("stop_within", 10*time.Second, time.Second, time.Hour)}
-	top.need("listen", `where clients connect, such as listen = "127.0.0.1:8080"`)
-	if top.has("listen") && f.Listen != "" {
+	f := &File{Path: path, Listen: top.Text("listen", ""), StopWithin: top.Span("stop_within", 10*time.Second, time.Second, time.Hour)}
+	top.Need("listen", `where clients connect, such as listen = "127.0.0.1:8080"`)
+	if top.Has("listen") && f.Listen != "" {
 		address(top, "listen", f.Listen, 0)
 	}
-	f.State = under(dir, top.text("state", "larchrouter-state"))
+	f.State = under(dir, top.Text("state", "larchrouter-state"))
 	f.limits(top)
-	j, _ := top.one("journal", "durability")
-	f.Journal.Power = j.choose("durability", "process", "process", "power") == "power"
+	j, _ := top.One("journal", "durability")
+	f.Journal.Power = j.Choose("durability", "process", "process", "power") == "power"
 	f.control(top)
 	f.rules(top)
 	f.classes(top)
 	f.zones(top)
 	f.kinds(top)
 	f.partners(top)
-	if len(r.faults) > 0 {
-		return nil, r.sorted()
+	if r.Any() {
+		return nil, r.Sorted()
 	}
 	return f, nil
 }
@@ -201,99 +207,82 @@
 }
 
 // address faults what is no host:port.
-func address(b block, name, addr string, leastPort int) {
+func address(b hclfile.Block, name, addr string, leastPort int) {
 	host, port, err := net.SplitHostPort(addr)
 	n, perr := strconv.Atoi(port)
 	if err != nil || host == "" || perr != nil || n < leastPort || n > 65535 || strings.ContainsAny(host, " /\\") {
-		b.fault(b.where(name), `%s is %q, must be host:port with a port from %d to 65535, such as "127.0.0.1:8080" or "[::1]:8080"`,
+		b.Fault(b.Where(name), `%s is %q, must be host:port with a port from %d to 65535, such as "127.0.0.1:8080" or "[::1]:8080"`,
 			name, addr, leastPort)
 	}
 }
 
-func (f *File) limits(top block) {
-	b, _ := top.one("limits", "held", "slots", "attempts", "descriptors", "memory_mb", "disk_mb", "cores")
+func (f *File) limits(top hclfile.Block) {
+	b, _ := top.One("limits", "held", "slots", "attempts", "descriptors", "memory_mb", "disk_mb", "cores")
 	f.Limits = Limits{
-		Held: b.whole("held", 2000, 1, maxHeld), Slots: b.whole("slots", 32, 1, maxSlots), Attempts: b.whole("attempts", 6, 1, 100),
-		Descriptors: b.whole("descriptors", 1024, leastFiles, 1_000_000), MemoryMB: b.number("memory_mb", 256, 32, 1<<20),
-		DiskMB: b.number("disk_mb", 256, 1, 1<<20), Cores: b.whole("cores", 0, 0, 1024)}
+		Held: b.Whole("held", 2000, 1, maxHeld), Slots: b.Whole("slots", 32, 1, maxSlots), Attempts: b.Whole("attempts", 6, 1, 100),
+		Descriptors: b.Whole("descriptors", 1024, leastFiles, 1_000_000), MemoryMB: b.Number("memory_mb", 256, 32, 1<<20),
+		DiskMB: b.Number("disk_mb", 256, 1, 1<<20), Cores: b.Whole("cores", 0, 0, 1024)}
 	if l, least := f.Limits, 2*(f.Limits.Slots+keptBack); l.Descriptors < least {
-		b.fault(b.where("descriptors"), "descriptors is %d, must be at least %d for %d slots: half are for clients, %d are kept back, and each call out takes one",
+		b.Fault(b.Where("descriptors"), "descriptors is %d, must be at least %d for %d slots: half are for clients, %d are kept back, and each call out takes one",
 			l.Descriptors, least, l.Slots, keptBack)
 	}
-	e, _ := top.one("ends", "keep", "for")
-	f.Ends = Ends{Keep: e.whole("keep", 10_000, 0, maxHeld), For: e.span("for", 24*time.Hour, time.Second, 30*24*time.Hour)}
+	e, _ := top.One("ends", "keep", "for")
+	f.Ends = Ends{Keep: e.Whole("keep", 10_000, 0, maxHeld), For: e.Span("for", 24*time.Hour, time.Second, 30*24*time.Hour)}
 	least := 2 * (float64(f.Limits.Held)*perHeld + float64(f.Ends.Keep)*perEnd) / 1e6
 	if f.Limits.DiskMB < least {
-		b.fault(b.where("disk_mb"), "disk_mb is %s, must be at least %.0f for %d messages held and %d ends kept: what is live may take half of it, so that the rest can be compacted",
-			show(f.Limits.DiskMB), least+0.5, f.Limits.Held, f.Ends.Keep)
+		b.Fault(b.Where("disk_mb"), "disk_mb is %s, must be at least %.0f for %d messages held and %d ends kept: what is live may take half of it, so that the rest can be compacted",
+			hclfile.Show(f.Limits.DiskMB), least+0.5, f.Limits.Held, f.Ends.Keep)
 	}
 }
 
-func (f *File) control(top block) {
-	b, _ := top.one("control", "enabled", "socket")
-	f.Control = Control{Enabled: b.truth("enabled", true), Socket: under(f.State, b.text("socket", "control.sock"))}
+func (f *File) control(top hclfile.Block) {
+	b, _ := top.One("control", "enabled", "socket")
+	f.Control = Control{Enabled: b.Truth("enabled", true), Socket: under(f.State, b.Text("socket", "control.sock"))}
 	if n := len(f.Control.Socket); f.Control.Enabled && n > maxSocket {
-		b.fault(b.where("socket"), "the control socket's path %q has %d bytes, a Unix socket's may have %d: choose a shorter state folder or socket",
+		b.Fault(b.Where("socket"), "the control socket's path %q has %d bytes, a Unix socket's may have %d: choose a shorter state folder or socket",
 			f.Control.Socket, n, maxSocket)
 	}
 }
 
-func (f *File) rules(top block) {
-	b, _ := top.one("rules", "overload_factor", "fall", "cold_from", "cold")
+func (f *File) rules(top hclfile.Block) {
+	b, _ := top.One("rules", "overload_factor", "fall", "cold_from", "cold")
 	f.Rules = DefaultRules()
-	f.Rules.OverloadFactor = b.number("overload_factor", f.Rules.OverloadFactor, 1, 100)
-	f.Rules.Fall = b.span("fall", f.Rules.Fall, 100*time.Millisecond, time.Minute)
-	f.Rules.ColdFrom = b.number("cold_from", f.Rules.ColdFrom, 0.01, 1)
-	f.Rules.Cold = b.span("cold", f.Rules.Cold, time.Second, time.Hour)
-}
-
-// name checks a block's label, and faults it where it was used before.
-func name(b block, what string, c *hcl.Block, seen map[string]hcl.Range) (string, bool) {
-	n, at := c.Labels[0], c.LabelRanges[0]
-	if n == "" || len(n) > maxName || strings.IndexFunc(n, func(r rune) bool {
-		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("-_.", r))
-	}) >= 0 {
-		b.fault(at, "%s %q: a name has 1 to %d letters, digits, '-', '_' or '.'", what, n, maxName)
-		return n, false
-	}
-	if first, ok := seen[n]; ok {
-		b.fault(at, "%s %q is there twice, first in line %d", what, n, first.Start.Line)
-		return n, false
-	}
-	seen[n] = at
-	return n, true
+	f.Rules.OverloadFactor = b.Number("overload_factor", f.Rules.OverloadFactor, 1, 100)
+	f.Rules.Fall = b.Span("fall", f.Rules.Fall, 100*time.Millisecond, time.Minute)
+	f.Rules.ColdFrom = b.Number("cold_from", f.Rules.ColdFrom, 0.01, 1)
+	f.Rules.Cold = b.Span("cold", f.Rules.Cold, time.Second, time.Hour)
 }
 
-func (f *File) classes(top block) {
+func (f *File) classes(top hclfile.Block) {
 	seen := map[string]hcl.Range{}
 	any := false
-	for _, c := range top.blocks {
+	for _, c := range top.Blocks {
 		if c.Type != "class" {
 			continue
 		}
 		any = true
-		n, ok := name(top, "class", c, seen)
-		b := top.open(c.Body, c.DefRange, []string{"effect", "aim", "deadline", "worth", "late_share", "window", "same_zone"}, nil)
-		b.need("effect", "safe (a repeat does no harm), keyed (the partner drops repeats for the window) or unsafe (a repeat must never happen)")
-		b.need("deadline", "when a message is given up, such as \"20s\"")
-		effect := effects[b.choose("effect", "unsafe", "safe", "keyed", "unsafe")]
-		k := choice.Class{Name: n, Effect: effect, Deadline: b.span("deadline", 20*time.Second, 10*time.Millisecond, 24*time.Hour),
-			Worth: b.number("worth", 1, 0, 1e6), LateShare: b.number("late_share", 0.3, 0, 1)}
-		k.Aim = b.span("aim", min(k.Deadline, 2*time.Second), 10*time.Millisecond, 24*time.Hour)
+		n, ok := top.Label("class", c, seen)
+		b := top.Open(c.Body, c.DefRange, []string{"effect", "aim", "deadline", "worth", "late_share", "window", "same_zone"}, nil)
+		b.Need("effect", "safe (a repeat does no harm), keyed (the partner drops repeats for the window) or unsafe (a repeat must never happen)")
+		b.Need("deadline", "when a message is given up, such as \"20s\"")
+		effect := effects[b.Choose("effect", "unsafe", "safe", "keyed", "unsafe")]
+		k := choice.Class{Name: n, Effect: effect, Deadline: b.Span("deadline", 20*time.Second, 10*time.Millisecond, 24*time.Hour),
+			Worth: b.Number("worth", 1, 0, 1e6), LateShare: b.Number("late_share", 0.3, 0, 1)}
+		k.Aim = b.Span("aim", min(k.Deadline, 2*time.Second), 10*time.Millisecond, 24*time.Hour)
 		if k.Aim > k.Deadline {
-			b.fault(b.where("aim"), "aim is %v, must be at most the deadline, %v", k.Aim, k.Deadline)
+			b.Fault(b.Where("aim"), "aim is %v, must be at most the deadline, %v", k.Aim, k.Deadline)
 		}
 		if effect == choice.Keyed {
-			b.need("window", "how long partners remember a key, such as \"15s\"")
+			b.Need("window", "how long partners remember a key, such as \"15s\"")
 		} else {
 			for _, a := range []string{"window", "same_zone"} {
-				if b.has(a) {
-					b.fault(b.attrs[a].NameRange, "%s is for classes with effect = \"keyed\" alone", a)
+				if b.Has(a) {
+					b.Fault(b.Attrs[a].NameRange, "%s is for classes with effect = \"keyed\" alone", a)
 				}
 			}
 		}
-		k.Window = b.span("window", 0, 0, 24*time.Hour)
-		k.SameZone = b.truth("same_zone", false)
+		k.Window = b.Span("window", 0, 0, 24*time.Hour)
+		k.SameZone = b.Truth("same_zone", false)
 		if ok {
 			f.Classes = append(f.Classes, k)
 		}
@@ -303,34 +292,34 @@
 	}
 }
 
-func (f *File) zones(top block) {
+func (f *File) zones(top hclfile.Block) {
 	seen := map[string]hcl.Range{}
-	for _, c := range top.blocks {
+	for _, c := range top.Blocks {
 		if c.Type != "zone" {
 			continue
 		}
-		n, ok := name(top, "zone", c, seen)
-		b := top.open(c.Body, c.DefRange, []string{"fee"}, nil)
-		if fee := b.number("fee", 0, 0, 1); ok {
+		n, ok := top.Label("zone", c, seen)
+		b := top.Open(c.Body, c.DefRange, []string{"fee"}, nil)
+		if fee := b.Number("fee", 0, 0, 1); ok {
 			f.Zones = append(f.Zones, Zone{n, fee})
 		}
 	}
 }
 
-func (f *File) kinds(top block) {
+func (f *File) kinds(top hclfile.Block) {
 	seen := map[string]hcl.Range{}
 	for _, k := range builtinKinds {
 		f.Kinds = append(f.Kinds, k)
 	}
-	for _, c := range top.blocks {
+	for _, c := range top.Blocks {
 		if c.Type != "kind" {
 			continue
 		}
-		n, ok := name(top, "kind", c, seen)
-		b := top.open(c.Body, c.DefRange, []string{"separate_limits", "per_call"}, nil)
-		k := Kind{n, choice.Kind{Apart: b.truth("separate_limits", true), PerCall: b.whole("per_call", 1, 1, 100)}}
+		n, ok := top.Label("kind", c, seen)
+		b := top.Open(c.Body, c.DefRange, []string{"separate_limits", "per_call"}, nil)
+		k := Kind{n, choice.Kind{Apart: b.Truth("separate_limits", true), PerCall: b.Whole("per_call", 1, 1, 100)}}
 		if slices.ContainsFunc(builtinKinds, func(o Kind) bool { return o.Name == n }) {
-			b.fault(c.LabelRanges[0], "kind %q is built in; give yours another name", n)
+			b.Fault(c.LabelRanges[0], "kind %q is built in; give yours another name", n)
 		} else if ok {
 			f.Kinds = append(f.Kinds, k)
 		}
@@ -345,40 +334,40 @@
 	return out
 }
 
-func (f *File) partners(top block) {
+func (f *File) partners(top hclfile.Block) {
 	classes := names(f.Classes, func(c choice.Class) string { return c.Name })
 	kinds := names(f.Kinds, func(k Kind) string { return k.Name })
 	zones := names(f.Zones, func(z Zone) string { return z.Name })
 	seen, ids, addrs, numbers := map[string]hcl.Range{}, map[string]hcl.Range{}, map[string]string{}, map[int]string{}
 	taken := map[string]bool{}
 	any := false
-	for _, c := range top.blocks {
+	for _, c := range top.Blocks {
 		if c.Type != "partner" {
 			continue
 		}
 		any = true
-		n, ok := name(top, "partner", c, seen)
-		b := top.open(c.Body, c.DefRange, []string{"kind", "classes"}, map[string]string{"endpoint": "id"})
-		p := Partner{Name: n, Number: Number(n), Kind: b.choose("kind", builtinKinds[0].Name, kinds...), Classes: b.texts("classes")}
+		n, ok := top.Label("partner", c, seen)
+		b := top.Open(c.Body, c.DefRange, []string{"kind", "classes"}, map[string]string{"endpoint": "id"})
+		p := Partner{Name: n, Number: Number(n), Kind: b.Choose("kind", builtinKinds[0].Name, kinds...), Classes: b.Texts("classes")}
 		if other, used := numbers[p.Number]; used && ok {
-			b.fault(c.LabelRanges[0], "partner %q has the number of partner %q, %d: rename one", n, other, p.Number)
+			b.Fault(c.LabelRanges[0], "partner %q has the number of partner %q, %d: rename one", n, other, p.Number)
 		}
 		numbers[p.Number] = n
 		for _, k := range p.Classes {
 			if !slices.Contains(classes, k) {
-				b.fault(b.where("classes"), "class %q is unknown; allowed: %s", k, strings.Join(classes, ", "))
+				b.Fault(b.Where("classes"), "class %q is unknown; allowed: %s", k, strings.Join(classes, ", "))
 			}
 		}
-		if !b.has("classes") {
+		if !b.Has("classes") {
 			p.Classes = classes
 		} else if len(p.Classes) == 0 {
-			b.fault(b.where("classes"), "classes is empty: leave it out for all, or name some of %s", strings.Join(classes, ", "))
+			b.Fault(b.Where("classes"), "classes is empty: leave it out for all, or name some of %s", strings.Join(classes, ", "))
 		}
-		for _, e := range b.blocks {
+		for _, e := range b.Blocks {
 			p.Endpoints = append(p.Endpoints, f.endpoint(b, n, e, ids, addrs, zones))
 		}
 		if len(p.Endpoints) == 0 {
-			b.fault(c.DefRange, "partner %q has no endpoint: add endpoint \"%s-1\" { address = \"host:port\" }", n, n)
+			b.Fault(c.DefRange, "partner %q has no endpoint: add endpoint \"%s-1\" { address = \"host:port\" }", n, n)
 		}
 		for _, k := range p.Classes {
 			taken[k] = true
@@ -386,12 +375,12 @@
 		f.Partners = append(f.Partners, p)
 	}
 	if !any {
-		top.fault(top.at, `no partner: add partner "NAME" { endpoint "ID" { address = "host:port" } }`)
+		top.Fault(top.At, `no partner: add partner "NAME" { endpoint "ID" { address = "host:port" } }`)
 		return
 	}
-	for _, c := range top.blocks {
+	for _, c := range top.Blocks {
 		if c.Type == "class" && !taken[c.Labels[0]] {
-			top.fault(c.LabelRanges[0], "no partner takes class %q: add it to the classes of one, or take the class out", c.Labels[0])
+			top.Fault(c.LabelRanges[0], "no partner takes class %q: add it to the classes of one, or take the class out", c.Labels[0])
 		}
 	}
 	if len(f.Zones) == 0 { // none declared: those that are used
@@ -406,17 +395,17 @@
 	}
 }
 
-func (f *File) endpoint(b block, partner string, c *hcl.Block, ids map[string]hcl.Range, addrs map[string]string, zones []string) Endpoint {
-	id, _ := name(b, "endpoint", c, ids)
-	e := b.open(c.Body, c.DefRange, []string{"address", "zone"}, nil)
+func (f *File) endpoint(b hclfile.Block, partner string, c *hcl.Block, ids map[string]hcl.Range, addrs map[string]string, zones []string) Endpoint {
+	id, _ := b.Label("endpoint", c, ids)
+	e := b.Open(c.Body, c.DefRange, []string{"address", "zone"}, nil)
 	or := defaultZone
 	if len(zones) > 0 {
 		or = zones[0]
 	}
-	end := Endpoint{ID: id, Address: e.text("address", ""), Zone: e.text("zone", or)}
-	e.need("address", `where it takes messages, such as address = "127.0.0.1:9001"`)
+	end := Endpoint{ID: id, Address: e.Text("address", ""), Zone: e.Text("zone", or)}
+	e.Need("address", `where it takes messages, such as address = "127.0.0.1:9001"`)
 	if len(zones) > 0 && !slices.Contains(zones, end.Zone) {
-		e.fault(e.where("zone"), "zone %q is unknown; allowed: %s", end.Zone, strings.Join(zones, ", "))
+		e.Fault(e.Where("zone"), "zone %q is unknown; allowed: %s", end.Zone, strings.Join(zones, ", "))
 	}
 	if end.Address != "" {
 		address(e, "address", end.Address, 1)
@@ -426,7 +415,7 @@
 			if other != partner {
 				what = "an endpoint belongs to one partner"
 			}
-			e.fault(e.where("address"), "address %s is that of endpoint %s already: %s", end.Address, first, what)
+			e.Fault(e.Where("address"), "address %s is that of endpoint %s already: %s", end.Address, first, what)
 		} else {
 			addrs[end.Address] = partner + "/" + id
 		}
--- a/internal/config/read.go
+++ b/internal/hclfile/hclfile.go
@@ -1,4 +1,6 @@
-package config
+// Package hclfile reads the HCL files that operators write: each method reads one argument, and everything wrong with a
+// file is told at once, each fault with its file, line, column and what is allowed.
+package hclfile
 
 import (
 	"cmp"
@@ -38,14 +40,14 @@
 	return strings.Join(lines, "\n")
 }
 
-// reader collects the faults of one file.
-type reader struct{ faults Faults }
+// Reader collects the faults of one file.
+type Reader struct{ faults Faults }
 
-func (r *reader) fault(at hcl.Range, format string, args ...any) {
+func (r *Reader) Fault(at hcl.Range, format string, args ...any) {
 	r.faults = append(r.faults, Fault{at.Filename, at.Start.Line, at.Start.Column, fmt.Sprintf(format, args...)})
 }
 
-func (r *reader) diags(all hcl.Diagnostics, allowed string) {
+func (r *Reader) Diags(all hcl.Diagnostics, allowed string) {
 	for _, d := range all {
 		if d.Severity != hcl.DiagError {
 			continue
@@ -61,27 +63,30 @@
 		if d.Subject != nil {
 			at = *d.Subject
 		}
-		r.fault(at, "%s", text)
+		r.Fault(at, "%s", text)
 	}
 }
 
-// sorted returns the faults in the order of the file, each once.
-func (r *reader) sorted() Faults {
+// Any tells whether something is wrong so far.
+func (r *Reader) Any() bool { return len(r.faults) > 0 }
+
+// Sorted returns the faults in the order of the file, each once.
+func (r *Reader) Sorted() Faults {
 	slices.SortStableFunc(r.faults, func(a, b Fault) int { return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column)) })
 	return slices.Compact(r.faults)
 }
 
-// block is the content of a file or of a block in it. Its methods read one argument each: what is
+// Block is the content of a file or of a block in it. Its methods read one argument each: what is
 // missing has the value given, what is wrong is a fault and has it too.
-type block struct {
-	*reader
-	attrs  hcl.Attributes
-	blocks hcl.Blocks
-	at     hcl.Range
+type Block struct {
+	*Reader
+	Attrs  hcl.Attributes
+	Blocks hcl.Blocks
+	At     hcl.Range
 }
 
-// open reads a body that may have such arguments, and blocks with so many labels.
-func (r *reader) open(body hcl.Body, at hcl.Range, attrs []string, blocks map[string]string) block {
+// Open reads a body that may have such arguments, and blocks with so many labels.
+func (r *Reader) Open(body hcl.Body, at hcl.Range, attrs []string, blocks map[string]string) Block {
 	schema := &hcl.BodySchema{}
 	var allowed []string
 	for _, a := range attrs {
@@ -98,58 +103,77 @@
 	}
 	slices.Sort(allowed)
 	content, diags := body.Content(schema)
-	r.diags(diags, strings.Join(allowed, ", "))
-	return block{r, content.Attributes, content.Blocks, at}
+	r.Diags(diags, strings.Join(allowed, ", "))
+	return Block{r, content.Attributes, content.Blocks, at}
 }
 
-// one returns the only block of a type, which has no label, as far as it is there.
-func (b block) one(name string, attrs ...string) (block, bool) {
+// One returns the only block of a type, which has no label, as far as it is there.
+func (b Block) One(name string, attrs ...string) (Block, bool) {
 	var found *hcl.Block
-	for _, c := range b.blocks {
+	for _, c := range b.Blocks {
 		if c.Type != name {
 			continue
 		}
 		if found != nil {
-			b.fault(c.DefRange, "a second %s block; one is allowed, the first is in line %d", name, found.DefRange.Start.Line)
+			b.Fault(c.DefRange, "a second %s block; one is allowed, the first is in line %d", name, found.DefRange.Start.Line)
 			continue
 		}
 		found = c
 	}
 	if found == nil {
-		return block{reader: b.reader, at: b.at}, false
+		return Block{Reader: b.Reader, At: b.At}, false
+	}
+	return b.Open(found.Body, found.DefRange, attrs, nil), true
+}
+
+const maxName = 100 // bytes
+
+// Label checks a block's label, and faults it where it was used before.
+func (b Block) Label(what string, c *hcl.Block, seen map[string]hcl.Range) (string, bool) {
+	n, at := c.Labels[0], c.LabelRanges[0]
+	if n == "" || len(n) > maxName || strings.IndexFunc(n, func(r rune) bool {
+		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || strings.ContainsRune("-_.", r))
+	}) >= 0 {
+		b.Fault(at, "%s %q: a name has 1 to %d letters, digits, '-', '_' or '.'", what, n, maxName)
+		return n, false
+	}
+	if first, ok := seen[n]; ok {
+		b.Fault(at, "%s %q is there twice, first in line %d", what, n, first.Start.Line)
+		return n, false
 	}
-	return b.open(found.Body, found.DefRange, attrs, nil), true
+	seen[n] = at
+	return n, true
 }
 
-// where is the place of an argument, or of the block that lacks it.
-func (b block) where(name string) hcl.Range {
-	if a := b.attrs[name]; a != nil {
+// Where is the place of an argument, or of the block that lacks it.
+func (b Block) Where(name string) hcl.Range {
+	if a := b.Attrs[name]; a != nil {
 		return a.Expr.Range()
 	}
-	return b.at
+	return b.At
 }
 
-func (b block) has(name string) bool { return b.attrs[name] != nil }
+func (b Block) Has(name string) bool { return b.Attrs[name] != nil }
 
-// need faults an argument that is not there.
-func (b block) need(name, what string) {
-	if !b.has(name) {
-		b.fault(b.at, "%s is missing: %s", name, what)
+// Need faults an argument that is not there.
+func (b Block) Need(name, what string) {
+	if !b.Has(name) {
+		b.Fault(b.At, "%s is missing: %s", name, what)
 	}
 }
 
-func (b block) value(name string, want cty.Type, into any, what string) bool {
-	a := b.attrs[name]
+func (b Block) value(name string, want cty.Type, into any, what string) bool {
+	a := b.Attrs[name]
 	if a == nil {
 		return false
 	}
 	v, diags := a.Expr.Value(nil)
 	if diags.HasErrors() {
-		b.diags(diags, "")
+		b.Diags(diags, "")
 		return false
 	}
 	if v.IsNull() || !v.IsWhollyKnown() || v.Type() != want && !(want == cty.List(cty.String) && listOfText(v)) {
-		b.fault(a.Expr.Range(), "%s must be %s", name, what)
+		b.Fault(a.Expr.Range(), "%s must be %s", name, what)
 		return false
 	}
 	if want == cty.List(cty.String) {
@@ -162,7 +186,7 @@
 		return true
 	}
 	if err := gocty.FromCtyValue(v, into); err != nil {
-		b.fault(a.Expr.Range(), "%s must be %s", name, what)
+		b.Fault(a.Expr.Range(), "%s must be %s", name, what)
 		return false
 	}
 	return true
@@ -185,77 +209,77 @@
 	return true
 }
 
-func (b block) text(name, or string) string {
+func (b Block) Text(name, or string) string {
 	s := or
 	if b.value(name, cty.String, &s, "a text in quotes") && s == "" {
-		b.fault(b.where(name), "%s must not be empty", name)
+		b.Fault(b.Where(name), "%s must not be empty", name)
 		return or
 	}
 	return s
 }
 
-func (b block) texts(name string) (all []string) {
+func (b Block) Texts(name string) (all []string) {
 	b.value(name, cty.List(cty.String), &all, "a list of texts, such as [\"a\", \"b\"]")
 	return all
 }
 
-func (b block) truth(name string, or bool) bool {
+func (b Block) Truth(name string, or bool) bool {
 	b.value(name, cty.Bool, &or, "true or false")
 	return or
 }
 
-// number reads one from least to most.
-func (b block) number(name string, or, least, most float64) float64 {
+// Number reads one from least to most.
+func (b Block) Number(name string, or, least, most float64) float64 {
 	n := or
 	if !b.value(name, cty.Number, &n, "a number") {
 		return or
 	}
 	if n < least || n > most {
-		b.fault(b.where(name), "%s is %s, must be from %s to %s", name, show(n), show(least), show(most))
+		b.Fault(b.Where(name), "%s is %s, must be from %s to %s", name, Show(n), Show(least), Show(most))
 		return or
 	}
 	return n
 }
 
-func show(n float64) string {
+func Show(n float64) string {
 	if n == math.Trunc(n) && math.Abs(n) < 1e15 {
 		return fmt.Sprintf("%.0f", n)
 	}
 	return fmt.Sprintf("%g", n)
 }
 
-func (b block) whole(name string, or, least, most int) int {
-	n := b.number(name, float64(or), float64(least), float64(most))
+func (b Block) Whole(name string, or, least, most int) int {
+	n := b.Number(name, float64(or), float64(least), float64(most))
 	if n != math.Trunc(n) {
-		b.fault(b.where(name), "%s is %g, must be a whole number from %d to %d", name, n, least, most)
+		b.Fault(b.Where(name), "%s is %g, must be a whole number from %d to %d", name, n, least, most)
 		return or
 	}
 	return int(n)
 }
 
-// span reads a time from least to most.
-func (b block) span(name string, or, least, most time.Duration) time.Duration {
+// Span reads a time from least to most.
+func (b Block) Span(name string, or, least, most time.Duration) time.Duration {
 	var s string
 	if !b.value(name, cty.String, &s, `a time in quotes, such as "250ms", "15s" or "24h"`) {
 		return or
 	}
 	d, err := time.ParseDuration(s)
 	if err != nil {
-		b.fault(b.where(name), `%s is %q, must be a time such as "250ms", "15s" or "24h"`, name, s)
+		b.Fault(b.Where(name), `%s is %q, must be a time such as "250ms", "15s" or "24h"`, name, s)
 		return or
 	}
 	if d < least || d > most {
-		b.fault(b.where(name), "%s is %v, must be from %v to %v", name, d, least, most)
+		b.Fault(b.Where(name), "%s is %v, must be from %v to %v", name, d, least, most)
 		return or
 	}
 	return d
 }
 
-// choose reads a text that must be one of some.
-func (b block) choose(name, or string, among ...string) string {
-	s := b.text(name, or)
-	if b.has(name) && !slices.Contains(among, s) {
-		b.fault(b.where(name), "%s is %q, must be one of %s", name, s, strings.Join(among, ", "))
+// Choose reads a text that must be one of some.
+func (b Block) Choose(name, or string, among ...string) string {
+	s := b.Text(name, or)
+	if b.Has(name) && !slices.Contains(among, s) {
+		b.Fault(b.Where(name), "%s is %q, must be one of %s", name, s, strings.Join(among, ", "))
 		return or
 	}
 	return s
