Have a relay that stood still take nothing from the time between

The steward's own lines have its rate at 47 a second for hosts that take 100: its first refusal was measured over the time that it stood still (epoch in pacer.refused), and stewards that had not answered its own asks were passed over, as were calls counted that nobody told the end of. Ruled out: a route held to be down or cold (state=open in all lines), and the stand-in (it hands back within a second).

A wake that is 250 ms late is an absence now (away.go): asks, grants that are out and notes of that time are void, what is measured begins anew, what was found out meanwhile is learnt from the first asks.

--- a/internal/grants/cut.go
+++ b/internal/grants/cut.go
@@ -142,7 +142,7 @@
 	}
 }
 
-// join takes it up again. Calls that were under way have ended, whatever became of them.
+// join takes it up again.
 func (k *desk) join(now time.Duration) {
 	k.asks = nil
 	if k.routes, k.order = k.kept, k.keptOrder; k.routes == nil {
@@ -150,8 +150,7 @@
 	}
 	k.kept, k.keptOrder = nil, nil
 	for _, p := range k.routes {
-		p.out, p.epoch, p.calls, p.votes = nil, -1, 0, nil
-		p.at, p.served, p.tokens = now, now, min(p.tokens, 0)
+		p.resume(now)
 	}
 }
 
--- a/internal/grants/cut_test.go
+++ b/internal/grants/cut_test.go
@@ -247,3 +247,64 @@
 		t.Errorf("rate %v, want 80", p.rate)
 	}
 }
+
+// Guards against a steward that takes its own absence for an outage or for a low limit, and against notes of that time:
+// what it granted and was asked before it stood still is void, and it learns what was found out meanwhile.
+func TestStewardThatStoodStill(t *testing.T) {
+	f, err := New(Settings{Index: 0, Fleet: 300, Seed: 7, Rules: rules()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask := func(from int, x rumour) choice.Heard {
+		x.route = 9
+		r := record{kind: askKind, dest: 5, calls: 200, value: 1, routes: []rumour{x}}
+		return choice.Heard{From: from, Note: seal(r.append([]byte{version}))}
+	}
+	step := func(at time.Duration, heard ...choice.Heard) (granted int) {
+		acts, _ := f.Step(at, heard, nil)
+		for _, a := range acts {
+			n, ok := a.(choice.Tell)
+			if !ok {
+				continue
+			}
+			all, _ := read(n.Note)
+			for _, r := range all {
+				if r.kind == grantKind {
+					granted++
+				}
+			}
+		}
+		return granted
+	}
+	granted := 0
+	for at := time.Duration(0); at < 600*ms; at += 10 * ms { // ends are not awaited yet
+		granted += step(at, ask(17, rumour{rate: 100, found: true}))
+	}
+	p := f.desks[5].routes[9]
+	if granted < 30 || len(p.out) != granted {
+		t.Fatalf("%d granted, %d out", granted, len(p.out))
+	}
+	p.epoch, p.calls = 500*ms, 3
+	// It stands still for 10 s: what lay in the socket comes first.
+	if n := step(11*time.Second, ask(17, rumour{rate: 100, found: true}), ask(18, rumour{})); n > 0 || len(f.desks[5].asks) > 0 {
+		t.Errorf("%d granted to asks of the time between, %d kept", n, len(f.desks[5].asks))
+	}
+	if len(p.out) > 0 || p.state != open || p.rate < 95 {
+		t.Errorf("%d out, state %d, rate %v", len(p.out), p.state, p.rate)
+	}
+	step(11*time.Second+drainFor, ask(17, rumour{rate: 60, found: true}))
+	if p.rate > 70 || !p.found {
+		t.Errorf("rate %v, which the one that stood in had found to be 60", p.rate)
+	}
+	p.grant(11100*ms, 17, 1)
+	p.ended(11200*ms, 17, 1, choice.Refused, 20*ms, 0)
+	if p.rate < 0.6*60 {
+		t.Errorf("rate %v after a refusal: measured over the time that it stood still", p.rate)
+	}
+	// A wake that is late by less is what a busy machine makes of it.
+	before := len(f.desks[5].routes[9].out)
+	f.wakeAt = f.now + 10*ms
+	if f.away(f.wakeAt + awayFor - ms); f.deafUntil > 11*time.Second+drainFor || len(f.desks[5].routes[9].out) != before {
+		t.Error("a wake that is a little late is taken for an absence")
+	}
+}
--- a/internal/grants/fleet.go
+++ b/internal/grants/fleet.go
@@ -66,6 +66,8 @@
 	given   []choice.Event // grants for this relay
 	wakeAt  time.Duration
 	sweepAt time.Duration
+	// Notes that come until then may be as old as this relay's absence.
+	deafUntil time.Duration
 }
 
 // errand is what this relay wants of one destination.
@@ -116,9 +118,13 @@
 // Step takes in the notes that came and what the Chooser said (its choice.Want and choice.Spent), and decides once.
 // Actions are choice.Tell and choice.Wake; what is given are grants for the Chooser.
 func (f *Fleet) Step(now time.Duration, heard []choice.Heard, said []choice.Action) (acts []choice.Action, given []choice.Event) {
-	f.now, f.acts, f.given = max(f.now, now), nil, nil
-	for _, h := range heard {
-		f.hear(h)
+	f.acts, f.given = nil, nil
+	f.away(now)
+	f.now = max(f.now, now)
+	if f.now >= f.deafUntil {
+		for _, h := range heard {
+			f.hear(h)
+		}
 	}
 	for _, a := range said {
 		switch a := a.(type) {
@@ -190,14 +196,16 @@
 	return k
 }
 
-// rank orders the relays for a destination. All relays have the same order, and one more or less in the fleet changes
-// it for few destinations.
-func (f *Fleet) rank(dest int) (first []int) {
+func (f *Fleet) rank(dest int) []int { return Stewards(dest, f.set.Fleet) }
+
+// Stewards are the relays of a fleet that may be steward of a destination, the first first. All relays have the same
+// order, and one more or less in the fleet changes it for few destinations.
+func Stewards(dest, fleet int) (first []int) {
 	type scored struct {
 		relay int
 		score uint32
 	}
-	all := make([]scored, f.set.Fleet)
+	all := make([]scored, fleet)
 	for i := range all {
 		all[i] = scored{i, crc32.Checksum(fmt.Appendf(nil, "%d of %d", i, dest), castagnoli)}
 	}
