--- a/cmd/larchrouter/command.go
+++ b/cmd/larchrouter/command.go
@@ -6,12 +6,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"log/slog"
 	"os"
 	"os/user"
 	"path/filepath"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -60,7 +62,7 @@
 		return c
 	}
 	root.AddGroup(&cobra.Group{ID: "relay", Title: "Running a relay:"}, &cobra.Group{ID: "ask", Title: "Asking a relay that runs:"})
-	root.AddCommand(a.runCommand(), a.checkCommand(), a.demoCommand(), a.journalCommand(), a.versionCommand(),
+	root.AddCommand(a.runCommand(), a.checkCommand(), a.demoCommand(), a.journalCommand(), a.trialCommand(), a.versionCommand(),
 		client(a.consoleCommand()), client(a.statusCommand()), client(a.partnersCommand()), client(a.messagesCommand()),
 		client(a.drainCommand()), client(a.undrainCommand()), client(a.stopCommand()))
 	return root
@@ -227,6 +229,24 @@
 	return c
 }
 
+// trialCommand hands over to larchrouter-trial, which stands beside this program: what draws the plots of a trial has no
+// place in a relay's process.
+func (a *app) trialCommand() *cobra.Command {
+	return &cobra.Command{Use: "trial list|show|check|run ...", Short: "Play scenarios of load and faults with several real relays", GroupID: "relay",
+		DisableFlagParsing: true, RunE: func(_ *cobra.Command, args []string) error {
+			self, err := os.Executable()
+			if err != nil {
+				return coded{err, exitFailed}
+			}
+			path := filepath.Join(filepath.Dir(self), "larchrouter-trial")
+			if err := syscall.Exec(path, append([]string{"larchrouter trial"}, args...), os.Environ()); errors.Is(err, fs.ErrNotExist) {
+				return coded{fmt.Errorf("%s is not there: build it with go build -o %s ./cmd/larchrouter-trial", path, filepath.Dir(self)), exitFailed}
+			} else {
+				return coded{fmt.Errorf("%s: %w", path, err), exitFailed}
+			}
+		}}
+}
+
 // endOnSignal ends what runs on a terminal: by a signal, or when the terminal goes away, which is SIGHUP.
 func (a *app) endOnSignal(ctx context.Context, cancel context.CancelFunc) {
 	select {
--- /dev/null
+++ b/internal/scenario/scenario.go
@@ -0,0 +1,409 @@
+// Package scenario reads a scenario of load and faults, an HCL file that people write, and works out from it what
+// happens when: to which link, relay, agent and host. It decides nothing about relays and does no I/O, so the same file
+// can be played with real processes (internal/trial) and in virtual time.
+package scenario
+
+import (
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+
+	"larchrouter/choice"
+	"larchrouter/internal/config"
+	"larchrouter/internal/hclfile"
+)
+
+// The bounds of a scenario: a trial ends by itself, on a machine that has other things to do.
+const (
+	MostRelays = 64
+	mostSpan   = 15 * time.Minute
+	mostRate   = 2000 // messages a second
+	mostPhases = 200
+)
+
+// Scenario is a file that was read without a fault, with the defaults filled in.
+type Scenario struct {
+	Title, About string
+	Seed         uint64
+	Relays       int
+	Slots        int // calls out at once, for each relay
+	Held         int // messages that each relay holds at most
+	Attempts     int // for one message
+	Rules        choice.Rules
+	Classes      []choice.Class
+	Partners     []Partner
+	Phases       []Phase
+	Draw         *Draw // further phases, drawn by the seed; nil for none
+	Expect       []Expect
+}
+
+// Partner is one destination and the messages that clients have for it.
+type Partner struct {
+	Name  string
+	Hosts []Host
+	Loads []Load
+}
+
+// Host is one endpoint, with a limit of its own.
+type Host struct {
+	Name    string
+	Rate    float64       // calls a second, from all relays
+	Burst   float64       // calls that it takes at once after a rest
+	Debt    float64       // refused calls use the limit up, to so many below none
+	AtOnce  int           // calls that it works on at once; 0 for any number
+	Wait    time.Duration // told with a refusal; 0 for none
+	Latency time.Duration
+	Cold    bool // it comes back with the rules' share of its rate, and falls over when it is pushed
+}
+
+// Load are messages that clients hand in, at times by chance.
+type Load struct {
+	Class    string
+	Rate     float64       // a second, of all clients
+	Within   time.Duration // how long a message may be delivered
+	Hot      int           // so many relays get ...
+	HotTimes float64       // ... so many times what the others get
+}
+
+// Phase is a span of the scenario in which the same faults hold.
+type Phase struct {
+	Name   string
+	For    time.Duration
+	Cuts   []Cut
+	Links  Links
+	Stops  []Stop
+	Kills  []Kill
+	Agents []Agent
+	Hosts  []Change
+	Expect []Expect
+}
+
+// Shape is how a cut parts the fleet.
+type Shape string
+
+const (
+	Sides  Shape = "sides"  // so many, relay by relay in turn; a relay hears its own side
+	Alone  Shape = "alone"  // so many relays hear nobody and are heard by nobody
+	Nobody Shape = "nobody" // hears anybody
+	Chain  Shape = "chain"  // each hears the relays before and after it in number
+)
+
+// Cut loses all notes between some relays.
+type Cut struct {
+	Shape  Shape
+	Number int           // of sides, or of relays that are alone
+	OneWay bool          // relays of odd sides, or those that are alone, still hear the others and are not heard
+	Flap   time.Duration // the cut comes and goes, so long each; 0 for a cut that stays
+}
+
+// Links is what becomes of notes that are not cut off.
+type Links struct {
+	Lose, Double, Reorder float64 // share of the notes; a reordered one comes after Late
+	Delay, Jitter, Late   time.Duration
+}
+
+// Whom selects relays: by number or share, drawn by the seed, with or without a partner's steward.
+type Whom struct {
+	Number  int     // 0 for Share
+	Share   float64 // of the fleet
+	Steward string  // the steward of this partner's destination is the first of them
+	Spare   string  // the steward of this partner's destination is not one of them
+}
+
+// Stop has relays stand still (SIGSTOP) and go on (SIGCONT) without knowing it.
+type Stop struct {
+	Whom
+	At, For time.Duration
+}
+
+// Kill ends relays.
+type Kill struct {
+	Whom
+	At    time.Duration
+	Again time.Duration // until they start again; 0 for never
+	Empty bool          // with an empty folder
+	Term  bool          // SIGTERM, and SIGKILL 3.7 s later, in place of SIGKILL
+}
+
+// Agent has the platform's agents of relays be silent for the phase.
+type Agent struct{ Whom }
+
+// Change is what becomes of a partner's hosts for a time.
+type Change struct {
+	Partner string
+	Hosts   []string // empty for all
+	At, For time.Duration
+	Factor  float64       // of the rate
+	Down    bool          // no connection
+	Hang    bool          // no answer
+	Wait    time.Duration // every call is turned away and told to wait so long; 0 for no such thing
+}
+
+// Draw is a course of faults drawn by the seed: so many phases, each with a fault and a calm one after it.
+type Draw struct {
+	Phases    int
+	For, Calm time.Duration
+}
+
+// Expect is a bound on a part of a phase, or of the whole scenario.
+type Expect struct {
+	From, To  time.Duration // of the phase; To is 0 for its end
+	Delivered float64       // at least, of what could be: what hosts take, or what is handed in if that is less
+	Offered   float64       // at most, calls of any one second over what hosts take in it, less their bursts; 0 for no bound
+	Refused   float64       // at most, of the calls; 0 for no bound
+}
+
+// Span is how long messages are handed in.
+func (s *Scenario) Span() (d time.Duration) {
+	for _, p := range s.Phases {
+		d += p.For
+	}
+	if s.Draw != nil {
+		d += time.Duration(s.Draw.Phases) * (s.Draw.For + s.Draw.Calm)
+	}
+	return d
+}
+
+// Class is the class of a name.
+func (s *Scenario) Class(name string) (choice.Class, int) {
+	for i, c := range s.Classes {
+		if c.Name == name {
+			return c, i
+		}
+	}
+	return choice.Class{}, -1
+}
+
+// Parse reads a scenario. What is wrong with it are hclfile.Faults.
+func Parse(data []byte, path string) (*Scenario, error) {
+	r := &hclfile.Reader{}
+	parsed, diags := hclsyntax.ParseConfig(data, path, hcl.InitialPos)
+	if r.Diags(diags, ""); diags.HasErrors() {
+		return nil, r.Sorted()
+	}
+	top := r.Open(parsed.Body, hcl.Range{Filename: path, Start: hcl.Pos{Line: 1, Column: 1}},
+		[]string{"title", "about", "seed", "relays", "slots", "held", "attempts"},
+		map[string]string{"partner": "name", "phase": "name", "draw": "", "expect": "", "rules": ""})
+	s := &Scenario{Title: top.Text("title", path), About: top.Text("about", " "), Seed: uint64(top.Whole("seed", 1, 0, 1<<31)),
+		Relays: top.Whole("relays", 8, 1, MostRelays), Slots: top.Whole("slots", 32, 1, 1000), Held: top.Whole("held", 256, 1, 100_000),
+		Attempts: top.Whole("attempts", 6, 1, 100), Classes: config.DefaultClasses(), Rules: config.DefaultRules()}
+	f := &file{Scenario: s, names: map[string]Partner{}}
+	b, _ := top.One("rules", "overload_factor", "cold_from", "cold", "fall")
+	s.Rules.OverloadFactor = b.Number("overload_factor", s.Rules.OverloadFactor, 1, 100)
+	s.Rules.ColdFrom, s.Rules.Cold = b.Number("cold_from", s.Rules.ColdFrom, 0.01, 1), b.Span("cold", s.Rules.Cold, time.Second, time.Minute)
+	s.Rules.Fall = b.Span("fall", s.Rules.Fall, 100*time.Millisecond, time.Minute)
+	f.partners(top)
+	f.phases(top)
+	s.Expect = expects(top, mostSpan)
+	if !r.Any() && s.Span() > mostSpan {
+		top.Fault(top.At, "the phases take %v together, %v at most", s.Span(), mostSpan)
+	}
+	if r.Any() {
+		return nil, r.Sorted()
+	}
+	return s, nil
+}
+
+// file is a scenario while it is read.
+type file struct {
+	*Scenario
+	names map[string]Partner
+}
+
+func (f *file) partners(top hclfile.Block) {
+	seen, rate := map[string]hcl.Range{}, 0.0
+	for _, c := range top.Blocks {
+		if c.Type != "partner" {
+			continue
+		}
+		n, _ := top.Label("partner", c, seen)
+		b := top.Open(c.Body, c.DefRange, nil, map[string]string{"host": "name", "load": "class"})
+		p := Partner{Name: n}
+		hosts := map[string]hcl.Range{}
+		for _, c := range b.Blocks {
+			if c.Type == "host" {
+				p.Hosts = append(p.Hosts, host(b, c, hosts))
+				continue
+			}
+			l := f.load(b, c)
+			rate += l.Rate
+			p.Loads = append(p.Loads, l)
+		}
+		if len(p.Hosts) == 0 {
+			top.Fault(c.DefRange, `partner %q has no host: add host "a" { rate = 100 }`, n)
+		}
+		f.Partners = append(f.Partners, p)
+		f.names[n] = p
+	}
+	if len(f.Partners) == 0 {
+		top.Fault(top.At, `no partner: add partner "NAME" { host "a" { rate = 100 }  load "job-order" { rate = 50 } }`)
+	} else if rate <= 0 || rate > mostRate {
+		top.Fault(top.At, "the loads come to %s messages a second, must be above 0 and at most %d", hclfile.Show(rate), mostRate)
+	}
+}
+
+func host(b hclfile.Block, c *hcl.Block, seen map[string]hcl.Range) Host {
+	n, _ := b.Label("host", c, seen)
+	h := b.Open(c.Body, c.DefRange, []string{"rate", "burst", "debt", "at_once", "wait", "latency", "cold"}, nil)
+	h.Need("rate", "calls a second that it takes, such as rate = 100")
+	out := Host{Name: n, Rate: h.Number("rate", 1, 0.1, 1e5)}
+	out.Burst, out.Debt = h.Number("burst", max(1, out.Rate/4), 1, 1e5), h.Number("debt", 0, 0, 1e5)
+	out.AtOnce, out.Wait = h.Whole("at_once", 0, 0, 1e5), h.Span("wait", 0, 0, time.Minute)
+	out.Latency, out.Cold = h.Span("latency", 20*time.Millisecond, 0, 10*time.Second), h.Truth("cold", false)
+	return out
+}
+
+func (f *file) load(b hclfile.Block, c *hcl.Block) Load {
+	var names []string
+	for _, k := range f.Classes {
+		names = append(names, k.Name)
+	}
+	k, at := f.Class(c.Labels[0])
+	if at < 0 {
+		b.Fault(c.LabelRanges[0], "class %q is unknown; allowed: %v", c.Labels[0], names)
+		k.Deadline = time.Second
+	}
+	l := b.Open(c.Body, c.DefRange, []string{"rate", "within", "hot", "hot_times"}, nil)
+	l.Need("rate", "messages a second of all clients, such as rate = 50")
+	return Load{Class: c.Labels[0], Rate: l.Number("rate", 1, 0.1, mostRate), Within: l.Span("within", min(3*time.Second, k.Deadline), 100*time.Millisecond, k.Deadline),
+		Hot: l.Whole("hot", 0, 0, MostRelays), HotTimes: l.Number("hot_times", 10, 1, 1000)}
+}
+
+func (f *file) phases(top hclfile.Block) {
+	seen := map[string]hcl.Range{}
+	for _, c := range top.Blocks {
+		switch c.Type {
+		case "phase":
+			n, _ := top.Label("phase", c, seen)
+			f.Phases = append(f.Phases, f.phase(top, n, c))
+		case "draw":
+			b := top.Open(c.Body, c.DefRange, []string{"phases", "for", "calm"}, nil)
+			f.Draw = &Draw{Phases: b.Whole("phases", 6, 1, mostPhases), For: b.Span("for", 5*time.Second, time.Second, time.Minute),
+				Calm: b.Span("calm", 6*time.Second, time.Second, time.Minute)}
+		}
+	}
+	if len(f.Phases) == 0 || len(f.Phases) > mostPhases {
+		top.Fault(top.At, `%d phases, must be from 1 to %d: add phase "whole" { for = "10s" }`, len(f.Phases), mostPhases)
+	}
+}
+
+func (f *file) phase(top hclfile.Block, name string, c *hcl.Block) Phase {
+	b := top.Open(c.Body, c.DefRange, []string{"for"}, map[string]string{"cut": "shape", "links": "", "stop": "", "kill": "", "agents": "",
+		"partner": "name", "expect": ""})
+	b.Need("for", `how long it lasts, such as for = "8s"`)
+	p := Phase{Name: name, For: b.Span("for", time.Second, 100*time.Millisecond, mostSpan), Expect: expects(b, mostSpan)}
+	l, _ := b.One("links", "lose", "double", "reorder", "delay", "jitter", "late")
+	p.Links = Links{Lose: l.Number("lose", 0, 0, 1), Double: l.Number("double", 0, 0, 1), Reorder: l.Number("reorder", 0, 0, 1),
+		Delay: l.Span("delay", 0, 0, time.Minute), Jitter: l.Span("jitter", 0, 0, time.Minute), Late: l.Span("late", 50*time.Millisecond, 0, time.Minute)}
+	for _, c := range b.Blocks {
+		switch c.Type {
+		case "cut":
+			p.Cuts = append(p.Cuts, cut(b, c))
+		case "stop":
+			k := b.Open(c.Body, c.DefRange, append([]string{"at", "for"}, whomAttrs...), nil)
+			at := k.Span("at", 0, 0, p.For)
+			p.Stops = append(p.Stops, Stop{Whom: f.whom(k), At: at, For: k.Span("for", p.For-at, 10*time.Millisecond, mostSpan)})
+		case "kill":
+			k := b.Open(c.Body, c.DefRange, append([]string{"at", "again", "empty", "term"}, whomAttrs...), nil)
+			p.Kills = append(p.Kills, Kill{Whom: f.whom(k), At: k.Span("at", 0, 0, p.For), Again: k.Span("again", 0, 0, mostSpan),
+				Empty: k.Truth("empty", false), Term: k.Truth("term", false)})
+		case "agents":
+			k := b.Open(c.Body, c.DefRange, append([]string{"silent"}, whomAttrs...), nil)
+			if k.Truth("silent", true) {
+				p.Agents = append(p.Agents, Agent{f.whom(k)})
+			}
+		case "partner":
+			p.Hosts = append(p.Hosts, f.change(b, c, p.For))
+		}
+	}
+	return p
+}
+
+func cut(b hclfile.Block, c *hcl.Block) Cut {
+	shape := Shape(c.Labels[0])
+	k := b.Open(c.Body, c.DefRange, []string{"number", "one_way", "flap"}, nil)
+	out := Cut{Shape: shape, OneWay: k.Truth("one_way", false), Flap: k.Span("flap", 0, 10*time.Millisecond, time.Minute)}
+	switch shape {
+	case Sides:
+		out.Number = k.Whole("number", 2, 2, MostRelays)
+	case Alone:
+		out.Number = k.Whole("number", 1, 1, MostRelays)
+	case Nobody, Chain:
+		if k.Has("number") || out.OneWay {
+			b.Fault(c.DefRange, "cut %q takes neither number nor one_way", shape)
+		}
+	default:
+		b.Fault(c.LabelRanges[0], "cut %q is unknown; allowed: %s, %s, %s, %s", shape, Sides, Alone, Nobody, Chain)
+	}
+	return out
+}
+
+var whomAttrs = []string{"relays", "share", "steward_of", "spare_steward_of"}
+
+func (f *file) whom(b hclfile.Block) Whom {
+	w := Whom{Number: b.Whole("relays", 0, 1, MostRelays), Share: b.Number("share", 0, 0, 1),
+		Steward: b.Text("steward_of", ""), Spare: b.Text("spare_steward_of", "")}
+	if b.Has("relays") == b.Has("share") {
+		b.Fault(b.At, "say which: relays = NUMBER, or share = PART of the fleet")
+	}
+	for _, a := range []string{"steward_of", "spare_steward_of"} {
+		if b.Has(a) {
+			f.partner(b, a, b.Text(a, ""))
+		}
+	}
+	return w
+}
+
+func (f *file) partner(b hclfile.Block, attr, name string) Partner {
+	p, ok := f.names[name]
+	if !ok {
+		b.Fault(b.Where(attr), "partner %q is unknown", name)
+	}
+	return p
+}
+
+func (f *file) change(b hclfile.Block, c *hcl.Block, most time.Duration) Change {
+	k := b.Open(c.Body, c.DefRange, []string{"hosts", "at", "for", "factor", "down", "hang", "wait"}, nil)
+	at := k.Span("at", 0, 0, most)
+	h := Change{Partner: c.Labels[0], Hosts: k.Texts("hosts"), At: at, For: k.Span("for", most-at, 10*time.Millisecond, mostSpan),
+		Factor: k.Number("factor", 1, 0.001, 1000), Down: k.Truth("down", false), Hang: k.Truth("hang", false), Wait: k.Span("wait", 0, 0, time.Minute)}
+	p, ok := f.names[h.Partner]
+	if !ok {
+		b.Fault(c.LabelRanges[0], "partner %q is unknown", h.Partner)
+	}
+	for _, n := range h.Hosts {
+		if !hasHost(p, n) {
+			k.Fault(k.Where("hosts"), "partner %q has no host %q", p.Name, n)
+		}
+	}
+	return h
+}
+
+func hasHost(p Partner, name string) bool {
+	for _, h := range p.Hosts {
+		if h.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func expects(b hclfile.Block, most time.Duration) (all []Expect) {
+	for _, c := range b.Blocks {
+		if c.Type != "expect" {
+			continue
+		}
+		k := b.Open(c.Body, c.DefRange, []string{"from", "to", "delivered", "offered", "refused"}, nil)
+		e := Expect{From: k.Span("from", 0, 0, most), To: k.Span("to", 0, 0, most), Delivered: k.Number("delivered", 0, 0, 1),
+			Offered: k.Number("offered", 0, 0, 100), Refused: k.Number("refused", 0, 0, 1)}
+		if e.To > 0 && e.To <= e.From {
+			k.Fault(k.Where("to"), "to is %v, must be after from, %v", e.To, e.From)
+		}
+		if e.Delivered == 0 && e.Offered == 0 && e.Refused == 0 {
+			k.Fault(k.At, "expect says nothing: give delivered, offered or refused")
+		}
+		all = append(all, e)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,202 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const site = `
+relays = 6
+partner "pay" {
+  host "a" { rate = 100 }
+  host "b" { rate = 50 }
+  load "payment" { rate = 60 }
+}
+`
+
+func parse(t testing.TB, text string) *Scenario {
+	t.Helper()
+	s, err := Parse([]byte(text), "s.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// All that is wrong is told at once, with its line.
+func TestFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		`phase "a" { for = "1s" }`:         "s.hcl:1:1: no partner",
+		site:                               "s.hcl:1:1: 0 phases",
+		site + `phase "a" {}`:              `for is missing`,
+		site + `phase "a" { for = "16m" }`: "for is 16m0s, must be from 100ms to 15m0s",
+		site + "phase \"a\" { for = \"10m\" }\nphase \"b\" { for = \"10m\" }":                                "the phases take 20m0s together",
+		site + "phase \"a\" {\n for = \"1s\"\n cut \"ring\" {}\n}":                                           `s.hcl:10:6: cut "ring" is unknown; allowed: sides, alone, nobody, chain`,
+		site + "phase \"a\" {\n for = \"1s\"\n cut \"nobody\" { number = 2 }\n}":                             `takes neither number nor one_way`,
+		site + "phase \"a\" {\n for = \"1s\"\n stop {}\n}":                                                   "say which: relays = NUMBER, or share = PART",
+		site + "phase \"a\" {\n for = \"1s\"\n stop {\n relays = 1\n steward_of = \"x\"\n}\n}":               `partner "x" is unknown`,
+		site + "phase \"a\" {\n for = \"1s\"\n partner \"pay\" { hosts = [\"c\"] }\n}":                       `partner "pay" has no host "c"`,
+		site + "phase \"a\" {\n for = \"1s\"\n expect {}\n}":                                                 "expect says nothing",
+		site + "phase \"a\" {\n for = \"1s\"\n expect {\n from = \"1s\"\n to = \"1s\"\n delivered = 1\n}\n}": "to is 1s, must be after from",
+		strings.Replace(site, "60", "6000", 1) + `phase "a" { for = "1s" }`:                                  "rate is 6000, must be from 0.1 to 2000",
+		strings.Replace(site, `"payment"`, `"bill"`, 1) + `phase "a" { for = "1s" }`:                         `class "bill" is unknown; allowed: [job-order status-update payment]`,
+	} {
+		_, err := Parse([]byte(text), "s.hcl")
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s\ngives %v\nwant %s", text, err, want)
+		}
+	}
+	_, err := Parse([]byte(site+"slots = 0\nphase \"a\" {\n for = \"x\"\n kill { share = 2 }\n}"), "s.hcl")
+	if err == nil || len(strings.Split(err.Error(), "\n")) < 3 {
+		t.Errorf("three faults give %v", err)
+	}
+}
+
+// Who hears whom.
+func TestCuts(t *testing.T) {
+	for _, c := range []struct {
+		cut   string
+		after time.Duration
+		want  string // by sender, then receiver: 1 if it is heard
+	}{
+		{`"sides" {}`, 0, "1010 0101 1010 0101"},
+		{`"sides" { number = 3 }`, 0, "1001 0100 0010 1001"},
+		{`"sides" { one_way = true }`, 0, "1111 0101 1111 0101"},
+		{`"alone" { number = 2 }`, 0, "0000 0000 0011 0011"},
+		{`"alone" { one_way = true }`, 0, "1000 1111 1111 1111"},
+		{`"nobody" {}`, 0, "0000 0000 0000 0000"},
+		{`"chain" {}`, 0, "0100 1010 0101 0010"},
+		{`"nobody" { flap = "300ms" }`, 299 * time.Millisecond, "0000 0000 0000 0000"},
+		{`"nobody" { flap = "300ms" }`, 300 * time.Millisecond, "1111 1111 1111 1111"},
+		{`"nobody" { flap = "300ms" }`, 600 * time.Millisecond, "0000 0000 0000 0000"},
+	} {
+		s := parse(t, site+"phase \"a\" {\n for = \"1s\"\n cut "+c.cut+"\n}")
+		n := Network{Cuts: s.Phases[0].Cuts, Relays: 4, Since: time.Hour}
+		var got []string
+		for from := range 4 {
+			row := ""
+			for to := range 4 {
+				row += fmt.Sprint(len(n.Carry(from, to, time.Hour+c.after, nil)))
+			}
+			got = append(got, row)
+		}
+		// A relay sends itself nothing: what the diagonal says counts for nothing.
+		for i := range got {
+			got[i] = got[i][:i] + c.want[5*i+i:5*i+i+1] + got[i][i+1:]
+		}
+		if g := strings.Join(got, " "); g != c.want {
+			t.Errorf("cut %s after %v: %s, want %s", c.cut, c.after, g, c.want)
+		}
+	}
+}
+
+// Notes are lost, doubled and late as often as it says.
+func TestLinks(t *testing.T) {
+	n := Network{Links: Links{Lose: 0.3, Double: 0.2, Reorder: 0.5, Delay: 10 * time.Millisecond, Jitter: 5 * time.Millisecond, Late: time.Second}}
+	draw := rand.New(rand.NewPCG(1, 1))
+	lost, twice, late := 0, 0, 0
+	for range 10_000 {
+		after := n.Carry(0, 1, 0, draw)
+		if len(after) == 0 {
+			lost++
+			continue
+		}
+		twice += len(after) - 1
+		for _, d := range after {
+			if d < 10*time.Millisecond || d > 1015*time.Millisecond || d > 15*time.Millisecond && d < 1010*time.Millisecond {
+				t.Fatalf("late by %v", d)
+			}
+			if d > time.Second {
+				late++
+			}
+		}
+	}
+	if lost < 2800 || lost > 3200 || twice < 1250 || twice > 1550 || late < 3900 || late > 4500 {
+		t.Errorf("of 10000: %d lost, %d twice, %d late", lost, twice, late)
+	}
+}
+
+// Whom faults befall: the steward first, or never.
+func TestWhom(t *testing.T) {
+	s := parse(t, site+`
+phase "a" {
+  for = "1s"
+  stop {
+    relays     = 2
+    steward_of = "pay"
+  }
+  kill {
+    share            = 1
+    spare_steward_of = "pay"
+  }
+}`)
+	for seed := range uint64(20) {
+		p := NewPlan(s, 6, seed, func(int) int { return 4 })
+		var stopped, killed []int
+		for _, st := range p.Steps {
+			switch do := st.Do.(type) {
+			case Stopped:
+				if do.On {
+					stopped = append(stopped, do.Relay)
+				}
+			case Killed:
+				killed = append(killed, do.Relay)
+			}
+		}
+		if len(stopped) != 2 || !slices.Contains(stopped, 4) || len(killed) != 5 || slices.Contains(killed, 4) {
+			t.Fatalf("seed %d: stopped %v, killed %v", seed, stopped, killed)
+		}
+	}
+}
+
+// A drawn plan is the same for the same seed, in order and in bounds, and leaves everything well at its end.
+func TestDrawnPlans(t *testing.T) {
+	s := parse(t, site+"phase \"a\" { for = \"1s\" }\ndraw {\n phases = 8\n for = \"4s\"\n calm = \"2s\"\n}")
+	rapid.Check(t, func(t *rapid.T) {
+		relays, seed := rapid.IntRange(1, MostRelays).Draw(t, "relays"), rapid.Uint64().Draw(t, "seed")
+		first := func(int) int { return 0 }
+		p := NewPlan(s, relays, seed, first)
+		if !reflect.DeepEqual(p, NewPlan(s, relays, seed, first)) {
+			t.Fatal("two plans of one seed differ")
+		}
+		if len(p.Phases) != 17 || p.Span() != 1*time.Second+8*6*time.Second {
+			t.Fatalf("%d phases, %v", len(p.Phases), p.Span())
+		}
+		still, dead, last := map[int]int{}, map[int]bool{}, time.Duration(0)
+		for _, st := range p.Steps {
+			if st.At < last || st.At > p.Span() {
+				t.Fatalf("a step at %v after one at %v", st.At, last)
+			}
+			last = st.At
+			switch do := st.Do.(type) {
+			case Stopped:
+				if still[do.Relay]++; !do.On {
+					still[do.Relay] -= 2
+				}
+			case Killed:
+				dead[do.Relay] = true
+			case Started:
+				delete(dead, do.Relay)
+			case Network:
+				if st.At == p.Span() && len(do.Cuts) > 0 {
+					t.Fatal("the last network is cut")
+				}
+			}
+		}
+		for r, n := range still {
+			if n != 0 {
+				t.Fatalf("relay %d stands still at the end", r)
+			}
+		}
+		if len(dead) > 0 {
+			t.Fatalf("%v are dead at the end", dead)
+		}
+	})
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -33,15 +33,20 @@
 	servers []Server
 	changed chan struct{}  // closed when the list changes
 	notices map[string]int // by status
+	told    func(id, status string)
+	silent  chan struct{} // closed when it answers again; nil while it answers
 }
 
 // NewPlatform starts one on a loopback port of its own.
-func NewPlatform(servers []Server) (*Platform, error) {
+func NewPlatform(servers []Server) (*Platform, error) { return NewAgent(servers, nil) }
+
+// NewAgent starts one that also hands each notice on, unless told is nil.
+func NewAgent(servers []Server, told func(id, status string)) (*Platform, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Platform{addr: l.Addr().String(), version: 1, servers: servers, changed: make(chan struct{}), notices: map[string]int{}}
+	p := &Platform{told: told, addr: l.Addr().String(), version: 1, servers: servers, changed: make(chan struct{}), notices: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /discovery/hosts", p.hosts)
 	mux.HandleFunc("POST /status", p.status)
@@ -66,6 +71,36 @@
 	p.changed = make(chan struct{})
 }
 
+// Silence has it answer no question about discovery, or go on; what was asked meanwhile is answered then. Notices are
+// taken throughout.
+func (p *Platform) Silence(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case on && p.silent == nil:
+		p.silent = make(chan struct{})
+	case !on && p.silent != nil:
+		close(p.silent)
+		p.silent = nil
+	}
+}
+
+// answers waits while it is silent, and tells whether the question still waits.
+func (p *Platform) answers(req *http.Request) bool {
+	p.mu.Lock()
+	silent := p.silent
+	p.mu.Unlock()
+	if silent == nil {
+		return true
+	}
+	select {
+	case <-silent:
+		return true
+	case <-req.Context().Done():
+		return false
+	}
+}
+
 // Notices counts what relays told, by status.
 func (p *Platform) Notices() map[string]int {
 	p.mu.Lock()
@@ -80,6 +115,9 @@
 func (p *Platform) hosts(w http.ResponseWriter, req *http.Request) {
 	since, _ := strconv.ParseInt(req.URL.Query().Get("since"), 10, 64)
 	wait, _ := strconv.Atoi(req.URL.Query().Get("timeout_ms"))
+	if !p.answers(req) {
+		return
+	}
 	p.mu.Lock()
 	changed := p.changed
 	if since > 0 && since >= p.version {
@@ -104,19 +142,24 @@
 }
 
 func (p *Platform) status(w http.ResponseWriter, req *http.Request) {
-	var all []string
+	var all []struct{ ID, Status string }
 	for lines := bufio.NewScanner(req.Body); lines.Scan(); {
 		var n struct{ ID, Status string }
 		if err := json.Unmarshal(lines.Bytes(), &n); err != nil || n.ID == "" {
 			http.Error(w, fmt.Sprintf("a notice cannot be read: %v", err), http.StatusBadRequest)
 			return
 		}
-		all = append(all, n.Status)
+		all = append(all, n)
 	}
 	p.mu.Lock()
-	for _, s := range all {
-		p.notices[s]++
+	for _, n := range all {
+		p.notices[n.Status]++
 	}
 	p.mu.Unlock()
+	for _, n := range all {
+		if p.told != nil {
+			p.told(n.ID, n.Status)
+		}
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -36,6 +36,7 @@
 	Last    time.Time // its last byte came
 	Status  int       // answered; 0 for none
 	Applied bool
+	Wait    time.Duration // told
 }
 
 // Host is one endpoint of a partner. Its methods are safe for concurrent use.
@@ -48,9 +49,11 @@
 	how     Behaviour
 	changed chan struct{} // closed when how changes
 	l       net.Listener
+	downs   int // how often it was closed
 	conns   map[net.Conn]bool
 	second  int64
-	count   int // of calls in that second
+	count   int      // of calls in that second
+	limit   *limiter // nil for none
 	keep    bool
 	calls   []Call
 	wg      sync.WaitGroup
@@ -86,6 +89,7 @@
 	h.mu.Lock()
 	l := h.l
 	h.l = nil
+	h.downs++
 	for c := range h.conns {
 		c.Close()
 	}
@@ -105,6 +109,11 @@
 	}
 	l, err := net.Listen("tcp", h.addr)
 	if err == nil {
+		h.mu.Lock()
+		if h.limit != nil {
+			h.limit.returned(time.Now())
+		}
+		h.mu.Unlock()
 		h.serve(l)
 	}
 	return err
@@ -213,6 +222,17 @@
 	if !how.Refuse {
 		h.count++
 	}
+	if h.limit != nil && !how.Refuse {
+		ok, fell := h.limit.admit(last)
+		if ok {
+			defer h.leave()
+		} else {
+			how.Refuse, wait = true, h.limit.Wait
+		}
+		if fell {
+			h.wg.Go(h.fall)
+		}
+	}
 	h.mu.Unlock()
 	status := http.StatusOK
 	switch {
@@ -225,12 +245,15 @@
 	case how.Hang, how.Break:
 		status = 0
 	}
+	if status != http.StatusTooManyRequests {
+		wait = 0
+	}
 	var told bytes.Buffer
 	for _, p := range batch {
 		if !how.Refuse {
 			h.ledger.apply(p, h)
 		}
-		h.remember(Call{h.Name, p.id, p.key, first, last, status, !how.Refuse})
+		h.remember(Call{h.Name, p.id, p.key, first, last, status, !how.Refuse, wait})
 		fmt.Fprintf(&told, "%s ok\r\n", p.id)
 	}
 	if !many {
--- a/internal/testbin/testbin.go
+++ b/internal/testbin/testbin.go
@@ -7,7 +7,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"testing"
 )
 
 // Path is the program, built once for the tests of a package.
@@ -24,8 +23,8 @@
 	return path, err
 })
 
-// Main runs a package's tests, and removes the program after them.
-func Main(m *testing.M) {
+// Main runs a package's tests (a *testing.M, or what checks more after it), and removes the program after them.
+func Main(m interface{ Run() int }) {
 	code := m.Run()
 	if path, err := Path(); err == nil {
 		os.RemoveAll(filepath.Dir(path))
--- /dev/null
+++ b/internal/trial/links.go
@@ -0,0 +1,107 @@
+package trial
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"larchrouter/internal/scenario"
+)
+
+// links carry notes between relays, as the plan has it. For each relay there is one address that all others know it by:
+// what comes to it is passed on to the relay, from the address that its sender is known by. So each relay knows its
+// peers by the same addresses, and all that it hears went through here.
+type links struct {
+	at      []*net.UDPConn // by relay: the address that the others know
+	relays  []netip.AddrPort
+	number  map[netip.AddrPort]int
+	network atomic.Pointer[scenario.Network]
+	now     func() time.Duration
+	draw    []*rand.Rand // by sender and receiver
+	mu      []sync.Mutex // of draw
+	wg      sync.WaitGroup
+	notes   atomic.Int64
+	bytes   atomic.Int64
+	lost    atomic.Int64
+}
+
+// newLinks opens an address for each relay; relays are where these listen themselves.
+func newLinks(relays []netip.AddrPort, seed uint64, now func() time.Duration) (*links, error) {
+	n := len(relays)
+	l := &links{relays: relays, number: map[netip.AddrPort]int{}, now: now, draw: make([]*rand.Rand, n*n), mu: make([]sync.Mutex, n)}
+	l.network.Store(&scenario.Network{Relays: n})
+	for i := range l.draw {
+		l.draw[i] = rand.New(rand.NewPCG(seed, 1<<32+uint64(i)))
+	}
+	for i, a := range relays {
+		c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)))
+		if err != nil {
+			l.close()
+			return nil, fmt.Errorf("a link of relay %d: %w", i, err)
+		}
+		l.at, l.number[a] = append(l.at, c), i
+	}
+	for to := range l.at {
+		l.wg.Go(func() { l.receive(to) })
+	}
+	return l, nil
+}
+
+// peers are the addresses that relays know one another by.
+func (l *links) peers() (all []string) {
+	for _, c := range l.at {
+		all = append(all, c.LocalAddr().String())
+	}
+	return all
+}
+
+// receive takes what comes for a relay.
+func (l *links) receive(to int) {
+	room := make([]byte, 1500)
+	for {
+		n, at, err := l.at[to].ReadFromUDPAddrPort(room)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		from, ok := l.number[netip.AddrPortFrom(at.Addr().Unmap(), at.Port())]
+		if err != nil || !ok {
+			continue
+		}
+		l.notes.Add(1)
+		l.bytes.Add(int64(n))
+		l.mu[to].Lock()
+		after := l.network.Load().Carry(from, to, l.now(), l.draw[to*len(l.at)+from])
+		l.mu[to].Unlock()
+		if len(after) == 0 {
+			l.lost.Add(1)
+		}
+		for _, d := range after {
+			if d == 0 {
+				l.pass(from, to, room[:n])
+				continue
+			}
+			note := slices.Clone(room[:n])
+			time.AfterFunc(d, func() { l.pass(from, to, note) })
+		}
+	}
+}
+
+func (l *links) pass(from, to int, note []byte) {
+	if _, err := l.at[from].WriteToUDPAddrPort(note, l.relays[to]); err != nil && !errors.Is(err, net.ErrClosed) {
+		l.lost.Add(1)
+	}
+}
+
+// close ends the links; what is still on its way is lost.
+func (l *links) close() {
+	for _, c := range l.at {
+		c.Close()
+	}
+	l.wg.Wait()
+}
--- /dev/null
+++ b/internal/trial/page.go
@@ -0,0 +1,145 @@
+package trial
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	vgdraw "gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"larchrouter/internal/scenario"
+)
+
+var page = template.Must(template.New("report").Funcs(template.FuncMap{
+	"part":   part,
+	"float":  func(n int) float64 { return float64(n) },
+	"counts": counts,
+}).Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Title}}</title><style>
+body { font: 15px/1.5 system-ui, sans-serif; margin: 2em auto; max-width: 72em; padding: 0 1em; color: #222 }
+table { border-collapse: collapse; margin: 1em 0 } th, td { padding: .15em .8em; text-align: right; border-bottom: 1px solid #ddd }
+th:first-child, td:first-child { text-align: left } pre { background: #f6f6f6; padding: 1em; overflow: auto }
+.bad { color: #a00 } .good { color: #070 } svg { max-width: 100%; height: auto }
+</style></head><body>
+<h1>{{.Title}}</h1><p>{{.About}}</p>
+{{range .Runs}}
+<h2>{{.Report.Program}}: {{.Report.Relays}} relays, seed {{.Report.Seed}}</h2>
+{{if .Report.Findings}}<ul class="bad">{{range .Report.Findings}}<li><b>{{.Rule}}</b>: {{.Text}}</li>{{end}}</ul>
+{{else}}<p class="good">Every bound held.</p>{{end}}
+{{.Plot}}
+<table><tr><th>phase</th><th>from</th><th>to</th><th>handed in</th><th>hosts take</th><th>offered</th><th>peak</th><th>refused</th><th>delivered</th><th>of possible</th></tr>
+{{range .Report.Phases}}<tr><td>{{.Name}}</td><td>{{.From}}</td><td>{{.To}}</td><td>{{.Handed}}</td><td>{{printf "%.0f" .Takes}}</td>
+<td>{{printf "%.2f" .Offered}}</td><td>{{printf "%.2f" .Peak}}</td><td>{{.Refused}}</td><td>{{printf "%.2f" .Served}}</td><td>{{printf "%.2f" .Possible}}</td></tr>
+{{end}}</table>
+<p>{{counts .Report.Clients}}. Notes for each first try {{printf "%.1f" (part (float .Report.Notes) (float .Report.Tries))}},
+bytes {{printf "%.0f" (part (float .Report.Bytes) (float .Report.Tries))}}.</p>
+<details><summary>Second by second</summary><table>
+<tr><th>second</th><th>phase</th><th>handed in</th><th>hosts take</th><th>calls</th><th>refused</th><th>delivered</th></tr>
+{{range .Report.Seconds}}<tr><td>{{.From}}</td><td>{{.Name}}</td><td>{{.Handed}}</td><td>{{printf "%.0f" .Takes}}</td><td>{{.Calls}}</td><td>{{.Refused}}</td><td>{{.Delivered}}</td></tr>
+{{end}}</table></details>
+{{end}}
+<h2>What was done</h2><table><tr><th>at</th><th>what</th></tr>{{range .Steps}}<tr><td>{{.At}}</td><td style="text-align:left">{{.What}}</td></tr>{{end}}</table>
+<h2>The scenario</h2><pre>{{.Source}}</pre>
+</body></html>
+`))
+
+// Page writes reports of one scenario as an HTML file that needs nothing else. Source is the scenario's text.
+func Page(w io.Writer, s *scenario.Scenario, plan scenario.Plan, source []byte, reports ...Report) error {
+	type run struct {
+		Report Report
+		Plot   template.HTML
+	}
+	type step struct{ At, What string }
+	data := struct {
+		Title, About, Source string
+		Runs                 []run
+		Steps                []step
+	}{Title: s.Title, About: s.About, Source: string(source)}
+	for _, r := range reports {
+		svg, err := draw(r)
+		if err != nil {
+			return err
+		}
+		data.Runs = append(data.Runs, run{r, template.HTML(svg)}) // made here, of numbers and of the scenario's checked names
+	}
+	for _, st := range plan.Steps {
+		data.Steps = append(data.Steps, step{st.At.String(), fmt.Sprintf("%T %+v", st.Do, st.Do)})
+	}
+	return page.Execute(w, data)
+}
+
+// draw plots what was seen of each second.
+func draw(r Report) ([]byte, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text, p.Y.Min = "second", "a second", 0
+	p.Legend.Top = true
+	line := func(name string, c color.Color, dashed bool, of func(Share) float64) error {
+		var all plotter.XYs
+		for _, s := range r.Seconds {
+			all = append(all, plotter.XY{X: (s.From + s.To).Seconds() / 2, Y: of(s) / (s.To - s.From).Seconds()})
+		}
+		l, err := plotter.NewLine(all)
+		if err != nil {
+			return err
+		}
+		l.Color, l.Width = c, vg.Points(1.5)
+		if dashed {
+			l.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+		}
+		p.Add(l)
+		p.Legend.Add(name, l)
+		return nil
+	}
+	for _, one := range []struct {
+		name   string
+		c      color.Color
+		dashed bool
+		of     func(Share) float64
+	}{
+		{"handed in", color.Gray{170}, false, func(s Share) float64 { return float64(s.Handed) }},
+		{"hosts take", color.Gray{60}, true, func(s Share) float64 { return s.Takes }},
+		{"calls offered", color.RGBA{200, 80, 0, 255}, false, func(s Share) float64 { return float64(s.Calls) }},
+		{"delivered", color.RGBA{0, 90, 160, 255}, false, func(s Share) float64 { return float64(s.Delivered) }},
+	} {
+		if err := line(one.name, one.c, one.dashed, one.of); err != nil {
+			return nil, err
+		}
+	}
+	top := p.Y.Max
+	var labels plotter.XYLabels
+	for _, w := range r.Phases {
+		l, err := plotter.NewLine(plotter.XYs{{X: w.From.Seconds(), Y: 0}, {X: w.From.Seconds(), Y: top}})
+		if err != nil {
+			return nil, err
+		}
+		l.Color = color.Gray{200}
+		p.Add(l)
+		labels.XYs, labels.Labels = append(labels.XYs, plotter.XY{X: w.From.Seconds(), Y: top * 1.02}), append(labels.Labels, w.Name)
+	}
+	names, err := plotter.NewLabels(labels)
+	if err != nil {
+		return nil, err
+	}
+	for i := range names.TextStyle {
+		names.TextStyle[i].Rotation = 0.4
+	}
+	p.Add(names)
+	p.Y.Max = top * 1.25
+	c := vgsvg.New(28*vg.Centimeter, 11*vg.Centimeter)
+	p.Draw(vgdraw.New(c))
+	var b bytes.Buffer
+	if _, err := c.WriteTo(&b); err != nil {
+		return nil, err
+	}
+	svg := b.Bytes()
+	if i := bytes.Index(svg, []byte("<svg")); i > 0 { // the XML head has no place in a page
+		svg = svg[i:]
+	}
+	return svg, nil
+}
--- /dev/null
+++ b/internal/trial/report.go
@@ -0,0 +1,106 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Text writes a report as people read it on a terminal. Others are the same scenario with other programs, for comparison.
+func Text(w io.Writer, r Report, others ...Report) {
+	fmt.Fprintf(w, "%s: %d relays, seed %d\n\n", r.Scenario, r.Relays, r.Seed)
+	all := append(slices.Clone(others), r)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprint(t, "phase\tfrom\tfor\ttakes/s\thanded/s\t")
+	for i := range all {
+		fmt.Fprintf(t, "offered%s\tpeak\trefused\tdelivered\tof possible\t", mark(i, len(all)))
+	}
+	fmt.Fprintln(t)
+	for n, p := range r.Phases {
+		span := (p.To - p.From).Seconds()
+		fmt.Fprintf(t, "%s\t%v\t%v\t%.0f\t%.0f\t", p.Name, p.From, p.To-p.From, p.Takes/span, float64(p.Handed)/span)
+		for _, x := range all {
+			s := x.Phases[n]
+			fmt.Fprintf(t, "%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t", s.Offered(), s.Peak, part(float64(s.Refused), s.Takes), s.Served(), s.Possible())
+		}
+		fmt.Fprintln(t)
+	}
+	t.Flush()
+	for i, x := range all {
+		fmt.Fprintf(w, "\ndelivered of what hosts take, second by second%s\n", mark(i, len(all)))
+		for _, p := range x.Phases {
+			fmt.Fprintf(w, "  %-18s %s\n", p.Name, strings.Join(seconds(x, p, Share.Served), " "))
+		}
+	}
+	for i, x := range all {
+		fmt.Fprintf(w, "\n%s: %s\n", x.name(), counts(x.Clients))
+		fmt.Fprintf(w, "notes for each first try %.1f, bytes %.0f, lost %d; CPU %.2f ms a first try\n", part(float64(x.Notes), float64(x.Tries)),
+			part(float64(x.Bytes), float64(x.Tries)), x.Lost, part(x.CPU.Seconds()*1000, float64(x.Tries)))
+		switch {
+		case len(x.Findings) == 0:
+			fmt.Fprintln(w, "every bound held")
+		case i < len(all)-1:
+			fmt.Fprintf(w, "%d findings\n", len(x.Findings))
+		default:
+			for _, f := range x.Findings {
+				fmt.Fprintln(w, "!", f)
+			}
+		}
+	}
+}
+
+// name is the program that was played.
+func (r Report) name() string {
+	if r.Program == "" {
+		return "the program"
+	}
+	return r.Program
+}
+
+// mark tells columns of several programs apart.
+func mark(i, n int) string {
+	if n == 1 {
+		return ""
+	}
+	return fmt.Sprintf(" [%d]", i+1)
+}
+
+// seconds are a figure of each second of a phase.
+func seconds(r Report, p Share, of func(Share) float64) (all []string) {
+	for _, s := range r.Seconds {
+		if p.From <= s.From && s.From < p.To {
+			all = append(all, fmt.Sprintf("%.2f", of(s)))
+		}
+	}
+	return all
+}
+
+// counts tells how many there are of each kind, in the order of their names.
+func counts(n map[string]int) string {
+	var all []string
+	for _, k := range slices.Sorted(maps.Keys(n)) {
+		all = append(all, fmt.Sprintf("%s %d", k, n[k]))
+	}
+	return strings.Join(all, ", ")
+}
+
+// Settled is the time from which on every window of a second of a report was delivered to a share at least, counted from
+// its beginning; below 0 if there is none.
+func (r Report) Settled(share float64, until time.Duration) time.Duration {
+	at := time.Duration(-1)
+	for _, s := range r.Seconds {
+		if s.To > until {
+			break
+		}
+		if s.Possible() < share {
+			at = -1
+		} else if at < 0 {
+			at = s.From
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/internal/trial/trial_test.go
@@ -0,0 +1,200 @@
+package trial
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"larchrouter/internal/scenario"
+	"larchrouter/internal/testbin"
+)
+
+var (
+	seeds = flag.Uint64("trial.seeds", 1, "plays of each trial, from seed 1")
+	nodes = flag.Int("trial.nodes", 0, "relays; 0 for the test's")
+)
+
+func TestMain(m *testing.M) { testbin.Main(leakless{m}) }
+
+// leakless finds goroutines that tests left behind.
+type leakless struct{ m *testing.M }
+
+func (l leakless) Run() int {
+	code := l.m.Run()
+	if err := goleak.Find(); err != nil && code == 0 {
+		fmt.Fprintln(os.Stderr, err)
+		code = 1
+	}
+	return code
+}
+
+// play plays a scenario with real processes, and logs what was seen.
+func play(t *testing.T, text string, check func(t *testing.T, r Report)) {
+	s, err := scenario.Parse([]byte(text), t.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	program, err := testbin.Path()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed := range *seeds {
+		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
+			b, err := Run(t.Context(), s, Options{Program: program, Relays: *nodes, Seed: seed + 1, Dir: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := Check(b)
+			var table strings.Builder
+			Text(&table, r)
+			t.Log(table.String())
+			for _, f := range r.Findings {
+				t.Error(f)
+			}
+			if check != nil {
+				check(t, r)
+			}
+		})
+	}
+}
+
+const load = `
+relays = 16
+slots  = 200
+partner "pay" {
+  host "a" { rate = 50 }
+  host "b" { rate = 50 }
+  load "job-order" {
+    rate   = 120
+    within = "2s"
+  }
+  load "payment" {
+    rate   = 30
+    within = "2s"
+  }
+}
+`
+
+// Guards against a fleet that waits for a steward that stands still, and against one that goes on as if no time had
+// passed. What is wanted changes more often than a steward may take to answer. Bounds are wide: sixteen processes may
+// share two cores with other tests.
+func TestStewardStandsStill(t *testing.T) {
+	play(t, strings.NewReplacer("rate   = 120", "rate   = 480", "rate   = 30", "rate   = 80").Replace(load)+`
+phase "whole" { for = "3s" }
+phase "steward-stands-still" {
+  for = "3s"
+  stop {
+    relays     = 4
+    steward_of = "pay"
+  }
+  expect {
+    from      = "1500ms"
+    delivered = 0.5
+  }
+}
+phase "goes-on" {
+  for = "2s"
+  expect { delivered = 0.6 }
+}`, func(t *testing.T, r Report) {
+		if r.Notes == 0 || r.Clients["delivered in time"] < 200 {
+			t.Errorf("%d notes, %v", r.Notes, r.Clients)
+		}
+	})
+}
+
+// Relays that are killed, emptied and cut off, with agents that are silent, lose and repeat nothing.
+func TestFaultsLoseNothing(t *testing.T) {
+	play(t, load+`
+phase "whole" { for = "1s" }
+phase "cut" {
+  for = "1500ms"
+  cut "sides" {}
+  agents { share = 0.5 }
+  kill {
+    relays = 4
+    again  = "300ms"
+  }
+}
+phase "lossy" {
+  for = "1500ms"
+  links {
+    lose    = 0.3
+    double  = 0.2
+    reorder = 0.2
+    delay   = "5ms"
+    late    = "300ms"
+  }
+  partner "pay" {
+    hosts = ["a"]
+    down  = true
+    for   = "800ms"
+  }
+  kill {
+    relays = 2
+    again  = "500ms"
+    term   = true
+  }
+}
+phase "healed" { for = "1s" }`, func(t *testing.T, r Report) {
+		if r.Lost == 0 || r.Lost >= r.Notes || r.Clients["delivered in time"] == 0 {
+			t.Errorf("%d of %d notes lost, %v", r.Lost, r.Notes, r.Clients)
+		}
+	})
+}
+
+// Without notes to lose there is nothing to share: each relay sees its own calls, and the rules hold.
+func TestThreeRelays(t *testing.T) {
+	play(t, strings.Replace(load, "relays = 16", "relays = 3", 1)+`phase "whole" { for = "1s" }`, nil)
+}
+
+// A trial that is interrupted leaves no process behind, and says so.
+func TestInterrupted(t *testing.T) {
+	s, err := scenario.Parse([]byte(strings.Replace(load, "relays = 16", "relays = 3", 1)+"phase \"whole\" {\n for = \"1m\"\n stop { relays = 1 }\n}"), "s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	program, err := testbin.Path()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	began, dir := time.Now(), t.TempDir()
+	b, err := Run(ctx, s, Options{Program: program, Dir: dir, Progress: func(string) { cancel() }})
+	if !errors.Is(err, context.Canceled) || time.Since(began) > 20*time.Second || b == nil || len(b.Messages) == 0 {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+	all, _ := filepath.Glob("/proc/[0-9]*/environ")
+	for _, path := range all {
+		if env, err := os.ReadFile(path); err == nil && strings.Contains(string(env), dir) {
+			t.Errorf("%s is still there", filepath.Dir(path))
+		}
+	}
+}
+
+// What cannot be played says why, and leaves nothing.
+func TestCannotBePlayed(t *testing.T) {
+	s, err := scenario.Parse([]byte(load+`phase "whole" { for = "1s" }`), "s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Program(t.TempDir()); err == nil {
+		t.Error("a folder is no program")
+	}
+	for want, o := range map[string]Options{
+		"must be from 1 to 64":   {Relays: 65},
+		"ended before it served": {Program: "/bin/false", Relays: 2, Dir: t.TempDir()},
+		"no such file":           {Program: "/nowhere", Relays: 1, Dir: t.TempDir()},
+	} {
+		if _, err := Run(t.Context(), s, o); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+}
