Tell a steward's lives apart: one that was restarted was not pledged to any more

The steward held 8 of 24 parts: the others took its calls for old ones. A stamp's life was made of the configured seed, which a relay keeps across starts, while its clock begins anew. Settings.Life is drawn at each start now. It also keeps a pledge of an earlier life from counting.

--- a/internal/grants/fleet.go
+++ b/internal/grants/fleet.go
@@ -45,7 +45,8 @@
 	Index, Fleet int
 	Seed         uint64 // new with each start
 	Rules        choice.Rules
-	Rights       bool // limits are held as rights, which are conserved whoever hears whom
+	Life         uint32 // differs from that of any start before
+	Rights       bool   // limits are held as rights, which are conserved whoever hears whom
 }
 
 // Fleet is one relay's part: it asks for what it wants, and is steward of some destinations. It is not safe for
@@ -194,7 +195,7 @@
 	if k == nil {
 		ranked := f.errand(dest).ranked // none are before one that grants to itself alone
 		k = &desk{dest: dest, routes: map[uint32]*pacer{}, again: never, helloAt: -helloEvery, rights: f.set.Rights,
-			pool: share.NewPool(terms, uint32(f.set.Seed)), before: ranked[:max(0, slices.Index(ranked, f.set.Index))]}
+			pool: share.NewPool(terms, f.set.Life), before: ranked[:max(0, slices.Index(ranked, f.set.Index))]}
 		f.desks[dest] = k
 	}
 	if !k.listed {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"runtime"
 	"sync"
@@ -145,6 +146,7 @@
 	r.calls, r.endCalls = context.WithCancelCause(context.Background())
 	r.classes.Store(newClasses(set.Classes))
 	var err error
+	set.Life = rand.Uint32()
 	if r.chooser, err = core.New(set, conf.Seed); err != nil {
 		return nil, err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 	DialTimeout   time.Duration // a connection that is not up by then has failed
 	MaxRetryAfter time.Duration // clients heed no longer advice
 	Peers         bool          // relays may send one another notes
+	Life          uint32        // drawn anew at each start: what others hold of an earlier one is told apart by it
 }
 
 func seconds(f float64) time.Duration { return time.Duration(math.Round(f*1e6)) * time.Microsecond }
--- a/internal/trial/book.go
+++ b/internal/trial/book.go
@@ -69,6 +69,7 @@
 type Life struct {
 	Relay    int
 	From, To time.Duration
+	Empty    bool // it began with an empty folder: what was held before is lost with that, as it may be
 }
 
 // ledger is a Book that is being written.
--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -310,6 +310,8 @@
 	for _, l := range c.Lives { // in the order in which they began
 		switch {
 		case l.Relay != m.Relay || l.To < m.Answered:
+		case l.From > m.Answered && l.Empty:
+			return c.End, ""
 		case l.From <= m.Answered && max(at, l.From+m.Within+afterEnd) <= l.To:
 			return max(at, l.From+m.Within+afterEnd), ""
 		case l.From > m.Answered && l.To > max(at, l.From+readyIn):
--- a/internal/trial/report.go
+++ b/internal/trial/report.go
@@ -40,6 +40,9 @@
 		fmt.Fprintf(w, "\n%s: %s\n", x.name(), counts(x.Clients))
 		fmt.Fprintf(w, "notes for each first try %.1f, bytes %.0f, lost %d; CPU %.2f ms a first try\n", part(float64(x.Notes), float64(x.Tries)),
 			part(float64(x.Bytes), float64(x.Tries)), x.Lost, part(x.CPU.Seconds()*1000, float64(x.Tries)))
+		if at := x.Settled(0.95, x.Phases[0].To); at >= 0 {
+			fmt.Fprintf(w, "0.95 of what could be is delivered from %v on in phase %s\n", at, x.Phases[0].Name)
+		}
 		switch {
 		case len(x.Findings) == 0:
 			fmt.Fprintln(w, "every bound held")
@@ -88,8 +91,8 @@
 	return strings.Join(all, ", ")
 }
 
-// Settled is the time from which on every window of a second of a report was delivered to a share at least, counted from
-// its beginning; below 0 if there is none.
+// Settled is when the first second began from which on, until a time, each had a share at least of what could be delivered
+// in it; below 0 if there is none.
 func (r Report) Settled(share float64, until time.Duration) time.Duration {
 	at := time.Duration(-1)
 	for _, s := range r.Seconds {
