Take out a field of the network's plan that nothing reads

Network.Relays was written in three places and read in none: who hears whom goes by the two numbers alone. No behaviour changes; the tests of scenario and trial pass with their assertions as they were.

--- a/internal/scenario/plan.go
+++ b/internal/scenario/plan.go
@@ -78,7 +78,7 @@
 	for n, ph := range s.all(draw, relays) {
 		w := Window{ph, at, at + ph.For}
 		p.Phases = append(p.Phases, w)
-		p.add(at, Network{Cuts: ph.Cuts, Links: ph.Links, Relays: relays, Since: at})
+		p.add(at, Network{Cuts: ph.Cuts, Links: ph.Links, Since: at})
 		pick := func(who Whom) []int { return p.pick(who, rand.New(rand.NewPCG(seed, 100+uint64(n))), steward) }
 		for _, k := range ph.Stops {
 			for _, r := range pick(k.Whom) {
@@ -106,7 +106,7 @@
 		at = w.To
 	}
 	// At its end everything is well: what is still held has until its time is up.
-	p.add(at, Network{Relays: relays, Since: at})
+	p.add(at, Network{Since: at})
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return p
 }
@@ -213,10 +213,9 @@
 
 // Network is what becomes of notes from a time on.
 type Network struct {
-	Cuts   []Cut
-	Links  Links
-	Relays int
-	Since  time.Duration
+	Cuts  []Cut
+	Links Links
+	Since time.Duration
 }
 
 // Carry says when a note comes, counted from now: once for each copy, and not at all if it is lost. Draw is of the link.
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -78,7 +78,7 @@
 		{`"nobody" { flap = "300ms" }`, 600 * time.Millisecond, "0000 0000 0000 0000"},
 	} {
 		s := parse(t, site+"phase \"a\" {\n for = \"1s\"\n cut "+c.cut+"\n}")
-		n := Network{Cuts: s.Phases[0].Cuts, Relays: 4, Since: time.Hour}
+		n := Network{Cuts: s.Phases[0].Cuts, Since: time.Hour}
 		var got []string
 		for from := range 4 {
 			row := ""
--- a/internal/trial/links.go
+++ b/internal/trial/links.go
@@ -35,7 +35,7 @@
 func newLinks(relays []netip.AddrPort, seed uint64, now func() time.Duration) (*links, error) {
 	n := len(relays)
 	l := &links{relays: relays, number: map[netip.AddrPort]int{}, now: now, draw: make([]*rand.Rand, n*n), mu: make([]sync.Mutex, n)}
-	l.network.Store(&scenario.Network{Relays: n})
+	l.network.Store(&scenario.Network{})
 	for i := range l.draw {
 		l.draw[i] = rand.New(rand.NewPCG(seed, 1<<32+uint64(i)))
 	}
