Let messages whose time is up leave their call; the one with most time begins it

Ruled out: torn answers (all 105 bytes had come), how late the answer was (0.09 to 0.6 s after the end; 0.45 s is fine elsewhere), process restarts.

Change: httpcall.Call holds its messages, and one may leave until the first byte; what is written is made then. One that leaves in time is "not sent", so a payment is not held for possibly run. A call begins with the message that has most time left: while it is out, that one's end is never told.

Tests on real sockets, with the connection and the write held at the instant: TestMessageLeavesACallThatWaits, TestMessageLeavesAsItsCallBegins, TestTimeIsUpInACall. Each fails with the body made beforehand, or without the order.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"larchrouter/choice"
@@ -16,8 +18,6 @@
 	host    *host
 	members []*message
 	sends   []choice.Send
-	body    []byte
-	key     string
 	size    int           // of its members' frames
 	timeout time.Duration // the longest of its members'
 	cancel  context.CancelCauseFunc
@@ -26,40 +26,32 @@
 // start builds the call here in the loop, so that its goroutine shares nothing with it.
 func (r *Relay) start(c *call) {
 	now := r.now()
+	c.arrange()
+	messages := make([]httpcall.Message, len(c.members))
 	for i, m := range c.members {
 		m.call = c
 		c.timeout = max(c.timeout, c.sends[i].Timeout)
+		messages[i] = httpcall.Message{ID: m.ID, Key: m.Key, Body: m.Body}
 	}
-	if len(c.members) == 1 {
-		c.body, c.key = c.members[0].Body, c.members[0].Key
-	} else {
-		for _, m := range c.members {
-			c.body = append(c.body, frameOf(m)...)
-		}
-		// The members share one connection until the longest of their time-outs. One whose own time
-		// is up before that gets its end then; before it, a restart would be a second copy.
-		for _, m := range c.members {
+	out := httpcall.NewCall(&c.host.Host, c.timeout, messages...)
+	if len(c.members) > 1 {
+		// The members share one connection, and one time-out. One whose own time is up before that gets its end
+		// then; before it, a restart would be a second copy. It must not go out after its end.
+		for i, m := range c.members {
 			if left := m.due - now; left < c.timeout {
-				time.AfterFunc(left, func() {
-					r.post(func() { r.ended(c, m, httpcall.End{Outcome: choice.Timeout}, left, 0) })
-				})
+				time.AfterFunc(left, func() { r.post(func() { r.leave(out, c, i, left) }) })
 			}
 		}
 	}
-	decided := time.Now()
 	ctx, cancel := context.WithCancelCause(r.calls)
 	c.cancel = cancel
 	r.out++
 	if r.alone != nil {
 		r.alone.count.totals.calls++
 	}
-	ids := make([]string, len(c.members))
-	for i, m := range c.members {
-		ids[i] = m.ID
-	}
 	go func() {
 		defer cancel(nil)
-		ends, took, wait := r.conns.Exchange(ctx, httpcall.Call{Host: &c.host.Host, IDs: ids, Key: c.key, Body: c.body, Timeout: c.timeout, Decided: decided})
+		ends, took, wait := r.conns.Exchange(ctx, out)
 		if errors.Is(context.Cause(ctx), errStopping) {
 			r.post(func() { r.out-- }) // no outcome: the journal has it as one that may have run
 			return
@@ -73,4 +65,35 @@
 	}()
 }
 
+// arrange puts the message with most time left first: the others may end while the call is out, it may not. Where a
+// host hung and the first message of a call had been given up meanwhile, the host's answer, complete and with an `ok`
+// for each, was not counted as the delivery of any of the others; where another than the first had, it was.
+func (c *call) arrange() {
+	type part struct {
+		m *message
+		s choice.Send
+	}
+	parts := make([]part, len(c.members))
+	for i, m := range c.members {
+		parts[i] = part{m, c.sends[i]}
+	}
+	slices.SortStableFunc(parts, func(a, b part) int { return cmp.Compare(b.m.due, a.m.due) })
+	for i, p := range parts {
+		c.members[i], c.sends[i] = p.m, p.s
+	}
+}
+
+// leave ends the attempt of a message whose time is up while its call is out.
+func (r *Relay) leave(out *httpcall.Call, c *call, i int, took time.Duration) {
+	m := c.members[i]
+	if m.call != c {
+		return
+	}
+	e := httpcall.End{Outcome: choice.Timeout}
+	if out.Leave(i) {
+		e.Outcome = choice.NotSent
+	}
+	r.ended(c, m, e, took, 0)
+}
+
 func frameOf(m *message) []byte { return httpcall.Frame(m.ID, m.Key, m.Body) }
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -51,6 +51,40 @@
 	want(t, "end of the fifth", r.events[4].(choice.Result).Done, false)
 }
 
+// A call with several messages begins with the one that has most time left, so that its first is the last whose time is
+// up; and one whose time is up before the call has its connection is neither sent nor taken for one that may have run.
+func TestTimeIsUpInACall(t *testing.T) {
+	bodies := make(chan string, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		b, _ := io.ReadAll(req.Body)
+		bodies <- string(b)
+		<-req.Context().Done()
+	}))
+	defer s.Close()
+	r := &Relay{conns: httpcall.NewPool(time.Second, time.Minute, 64), began: time.Now(), inbox: make(chan func(), 10)}
+	ctx, end := context.WithCancel(t.Context())
+	r.calls = ctx
+	c := &call{host: &host{Host: httpcall.Host{Addr: s.Listener.Addr().String()}}}
+	for id, due := range map[string]time.Duration{"a": 2 * time.Hour, "b": time.Hour, "c": 4 * time.Hour, "d": 3 * time.Hour} {
+		c.members = append(c.members, &message{Entry: &journal.Entry{ID: id}, due: due})
+		c.sends = append(c.sends, choice.Send{ID: id, Timeout: due})
+	}
+	r.start(c)
+	want(t, "request", wait(t, bodies, "call"), "c - 0\r\n\r\nd - 0\r\n\r\na - 0\r\n\r\nb - 0\r\n\r\n")
+	for i, m := range c.members {
+		want(t, "send beside its message", c.sends[i].ID, m.ID)
+	}
+
+	waits := httpcall.NewCall(&c.host.Host, time.Hour, make([]httpcall.Message, 4)...)
+	r.leave(waits, c, 3, time.Hour)
+	want(t, "outcome before the first byte", r.events[0].(choice.Result).Outcome, choice.NotSent)
+	want(t, "possibly run", c.members[3].ran, false)
+	r.leave(waits, c, 3, time.Hour) // it has no call any more
+	want(t, "outcomes", len(r.events), 1)
+	end()
+	wait(t, r.inbox, "end of the call")
+}
+
 // Guards against a body over 64 KiB, which a host need not take: sends that do not fit one call go in another.
 func TestLargeMessagesDoNotShareACall(t *testing.T) {
 	r := &Relay{conns: httpcall.NewPool(time.Second, time.Minute, 64)}
@@ -91,7 +125,7 @@
 		journal: &journal.Journal{}}
 	for version, id := range []string{"s-1", "s-2"} {
 		r.listed(list{int64(version), true, []server{at(id, addr, "taller")}})
-		got, _, _ := r.conns.Exchange(t.Context(), httpcall.Call{Host: &r.hosts[id].Host, IDs: []string{"m1"}, Timeout: 20 * time.Second})
+		got, _, _ := r.conns.Exchange(t.Context(), httpcall.NewCall(&r.hosts[id].Host, 20*time.Second, httpcall.Message{ID: "m1"}))
 		want(t, "outcome", got[0].Outcome, choice.Served)
 		want(t, "connections open", r.conns.Open(), 1)
 	}
--- a/internal/transport/httpcall/httpcall.go
+++ b/internal/transport/httpcall/httpcall.go
@@ -8,11 +8,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +25,7 @@
 	errTimeout = errors.New("time-out")
 	errGated   = errors.New("host drains or is gone")
 	errTold    = errors.New("host told to wait meanwhile")
+	errLeft    = errors.New("its messages have left the call")
 )
 
 // ErrCalledOff is the cause of a context that ends because the attempt is called off.
@@ -54,14 +57,50 @@
 // out. A call that comes within 100 ms of the answer that told to wait is let through.
 const staleAfter = 20 * time.Millisecond
 
+// Message is one that a call carries.
+type Message struct {
+	ID   string
+	Key  string // empty for none
+	Body []byte // with those of the others, as Frames, 64 KiB at most
+}
+
 // Call is one attempt, with one message or several.
 type Call struct {
-	Host    *Host
-	IDs     []string // of its messages
-	Key     string   // of a single message; empty for none
-	Body    []byte   // of a single message, or the Frames of several; 64 KiB at most
-	Timeout time.Duration
-	Decided time.Time // zero for now
+	Host     *Host
+	Messages []Message
+	Timeout  time.Duration
+	Decided  time.Time
+
+	left  []atomic.Bool
+	mu    sync.Mutex // held from the look at left until the request is written, or not
+	begun bool
+}
+
+// NewCall is a call that is decided now.
+func NewCall(h *Host, timeout time.Duration, messages ...Message) *Call {
+	return &Call{Host: h, Messages: messages, Timeout: timeout, Decided: time.Now(), left: make([]atomic.Bool, len(messages))}
+}
+
+// Leave takes a message, by its place, out of a call that has not begun. It tells whether that was in time: its
+// attempt then has no first byte, and the call goes without it. Otherwise the call goes on with it. It never waits,
+// and is safe for concurrent use with Exchange.
+func (c *Call) Leave(i int) (unsent bool) {
+	c.left[i].Store(true)
+	if !c.mu.TryLock() { // it is being written
+		return false
+	}
+	defer c.mu.Unlock()
+	return !c.begun
+}
+
+// staying are the places of the messages that have not left.
+func (c *Call) staying() (in []int) {
+	for i := range c.Messages {
+		if !c.left[i].Load() {
+			in = append(in, i)
+		}
+	}
+	return in
 }
 
 // End is what a call tells of one message.
@@ -80,31 +119,30 @@
 }
 
 // Exchange makes one call and tells each message's end, the time that it took, and a wait that the host told.
-// It ends with the context; a cause of ErrCalledOff makes the ends Cancelled, or NotSent if nothing had gone. Took is taken here, so
-// that no delay of the loop is learnt as latency.
-func (p *Pool) Exchange(ctx context.Context, c Call) (ends []End, took, wait time.Duration) {
-	ids := c.IDs
+// It ends with the context; a cause of ErrCalledOff makes the ends Cancelled, or NotSent if nothing had gone. A message
+// that left in time is NotSent. Took is taken here, so that no delay of the loop is learnt as latency.
+func (p *Pool) Exchange(ctx context.Context, c *Call) (ends []End, took, wait time.Duration) {
 	ctx, stop := context.WithTimeoutCause(ctx, c.Timeout, errTimeout)
 	defer stop()
-	all := func(e End) []End { return slices.Repeat([]End{e}, len(ids)) }
 	begin := time.Now()
-	if c.Decided.IsZero() {
-		c.Decided = begin
-	}
-	conn, err := p.send(ctx, c)
+	conn, in, err := p.send(ctx, c)
 	if err != nil {
 		o := choice.NoConnection
-		if err == errGated || err == errTold || err == errNoDescriptor || context.Cause(ctx) == ErrCalledOff {
+		if err == errGated || err == errTold || err == errLeft || err == errNoDescriptor || context.Cause(ctx) == ErrCalledOff {
 			o = choice.NotSent // nothing that the host did
 		}
-		return all(End{Outcome: o, Dialled: o == choice.NoConnection}), time.Since(begin), c.Host.waits().Left()
+		return slices.Repeat([]End{{Outcome: o, Dialled: o == choice.NoConnection}}, len(c.Messages)), time.Since(begin), c.Host.waits().Left()
 	}
 	dialled := !conn.kept // read now: once it is put back, another call may have it
 	defer func() {
-		for i := range ends {
+		told := ends
+		ends = slices.Repeat([]End{{Outcome: choice.NotSent}}, len(c.Messages)) // of those that left
+		for n, i := range in {
+			ends[i] = told[n]
 			ends[i].Dialled = dialled
 		}
 	}()
+	all := func(e End) []End { return slices.Repeat([]End{e}, len(in)) }
 	a := conn.reply()
 	took = time.Since(begin)
 	if a.begun { // before another call can have the connection
@@ -120,7 +158,11 @@
 		if a.status != 0 {
 			took = a.at.Sub(begin)
 		}
-		if ends = all(single(a, len(ids) > 1)); len(ids) > 1 && a.status == http.StatusOK {
+		if ends = all(single(a, len(in) > 1)); len(in) > 1 && a.status == http.StatusOK {
+			ids := make([]string, len(in))
+			for n, i := range in {
+				ids[n] = c.Messages[i].ID
+			}
 			ends = batchEnds(a, ids)
 		}
 		return ends, took, a.wait
@@ -136,24 +178,35 @@
 	return all(End{Outcome: choice.Reset}), took, 0
 }
 
-// send writes one request. On an error its last byte was not written, so that it has not run.
-func (p *Pool) send(ctx context.Context, c Call) (*hostConn, error) {
-	ids := c.IDs
+// request is what a call with some of its messages, by their places, sends.
+func (c *Call) request(in []int) []byte {
 	var b bytes.Buffer
-	if len(ids) > 1 {
+	body := c.Messages[in[0]].Body
+	if len(in) > 1 {
+		body = nil
+		for _, i := range in {
+			m := &c.Messages[i]
+			body = append(body, Frame(m.ID, m.Key, m.Body)...)
+		}
 		fmt.Fprintf(&b, "POST /receive-many HTTP/1.1\r\nHost: %s\r\n", c.Host.Addr)
 	} else {
-		fmt.Fprintf(&b, "POST /receive HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n", c.Host.Addr, ids[0])
-		if c.Key != "" {
-			fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", c.Key)
+		m := &c.Messages[in[0]]
+		fmt.Fprintf(&b, "POST /receive HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n", c.Host.Addr, m.ID)
+		if m.Key != "" {
+			fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", m.Key)
 		}
 	}
-	fmt.Fprintf(&b, "X-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", max(1, c.Timeout.Milliseconds()), len(c.Body))
-	b.Write(c.Body)
+	fmt.Fprintf(&b, "X-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", max(1, c.Timeout.Milliseconds()), len(body))
+	b.Write(body)
+	return b.Bytes()
+}
+
+// send writes one request, with the messages that have not left by then, and tells their places. On an error its last
+// byte was not written, so that it has not run.
+func (p *Pool) send(ctx context.Context, c *Call) (conn *hostConn, in []int, err error) {
 	for {
-		conn, err := p.get(ctx, c.Host)
-		if err != nil {
-			return nil, err
+		if conn, err = p.get(ctx, c.Host); err != nil {
+			return nil, nil, err
 		}
 		// It may have taken long to come up: nothing new goes to a host that drains by now, or that told
 		// to wait. Where this process got no time, that answer may lie unread.
@@ -162,23 +215,41 @@
 		}
 		if c.Host.closed.Load() {
 			conn.Close()
-			return nil, errGated
+			return nil, nil, errGated
 		}
 		if c.Host.waits().Left() > 0 {
 			p.put(conn)
-			return nil, errTold
+			return nil, nil, errTold
 		}
-		if _, err = conn.Write(b.Bytes()); err == nil {
-			return conn, nil
+		if in, err = c.write(conn); err == nil {
+			return conn, in, nil
+		}
+		if err == errLeft {
+			p.put(conn)
+			return nil, nil, err
 		}
 		conn.Close()
 		// A kept connection that had ended before is no call yet: once more on another.
 		if !conn.kept || ctx.Err() != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
 }
 
+// write begins the call. One whose write fails has not begun: its messages may leave.
+func (c *Call) write(to io.Writer) (in []int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if in = c.staying(); len(in) == 0 {
+		return nil, errLeft
+	}
+	c.begun = true
+	if _, err = to.Write(c.request(in)); err != nil {
+		c.begun = false
+	}
+	return in, err
+}
+
 // single reads an answer that holds for the whole call. A spoilt one proves nothing but that
 // of 200 to a single message: the call may have run.
 func single(a reply, many bool) End {
--- a/internal/transport/httpcall/httpcall_test.go
+++ b/internal/transport/httpcall/httpcall_test.go
@@ -20,11 +20,11 @@
 func caller() *Pool { return NewPool(time.Second, time.Minute, 64) }
 
 func oneCall(addr, body string) *Call {
-	return &Call{Host: &Host{Addr: addr}, IDs: []string{"m1"}, Key: "k", Body: []byte(body), Timeout: 20 * time.Second}
+	return NewCall(&Host{Addr: addr}, 20*time.Second, Message{ID: "m1", Key: "k", Body: []byte(body)})
 }
 
 func outcome(p *Pool, ctx context.Context, c *Call) choice.Outcome {
-	ends, _, _ := p.Exchange(ctx, *c)
+	ends, _, _ := p.Exchange(ctx, c)
 	return ends[0].Outcome
 }
 
@@ -412,7 +412,7 @@
 	ends := make(chan End, 2)
 	for _, c := range []*Call{late, sharing} {
 		go func() {
-			e, _, left := p.Exchange(t.Context(), *c)
+			e, _, left := p.Exchange(t.Context(), c)
 			if left <= 0 {
 				t.Error("the wait is not told with a call that it held back")
 			}
--- /dev/null
+++ b/internal/transport/httpcall/leave_test.go
@@ -0,0 +1,138 @@
+package httpcall
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"larchrouter/choice"
+)
+
+// A message whose time is up while its call waits for a connection is not in what goes out on it. It guards against
+// sending a message on after its end was told.
+func TestMessageLeavesACallThatWaits(t *testing.T) {
+	for name, c := range map[string]struct {
+		leave []int
+		path  string // of what the host gets; empty for nothing
+		body  string
+		ends  []choice.Outcome
+	}{
+		"the first":       {[]int{0}, "/receive-many", "b - 1\r\n2\r\nc k 1\r\n3\r\n", []choice.Outcome{choice.NotSent, choice.Served, choice.Served}},
+		"the last":        {[]int{2}, "/receive-many", "a - 1\r\n1\r\nb - 1\r\n2\r\n", []choice.Outcome{choice.Served, choice.Served, choice.NotSent}},
+		"all but one":     {[]int{0, 1}, "/receive", "3", []choice.Outcome{choice.NotSent, choice.NotSent, choice.Served}},
+		"all of them":     {[]int{2, 0, 1}, "", "", []choice.Outcome{choice.NotSent, choice.NotSent, choice.NotSent}},
+		"nobody, as ever": {nil, "/receive-many", "a - 1\r\n1\r\nb - 1\r\n2\r\nc k 1\r\n3\r\n", []choice.Outcome{choice.Served, choice.Served, choice.Served}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := make(chan string, 10)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				b, _ := io.ReadAll(req.Body)
+				got <- req.URL.Path + " " + req.Header.Get("X-Request-Id") + " " + req.Header.Get("Idempotency-Key") + "\n" + string(b)
+				for line := range strings.SplitSeq(string(b), "\r\n") {
+					if id, _, framed := strings.Cut(line, " "); framed {
+						fmt.Fprintf(w, "%s ok\r\n", id)
+					}
+				}
+			}))
+			defer s.Close()
+			p := caller()
+			defer p.CloseIdle()
+			asked, up := make(chan bool), make(chan bool)
+			dial := p.dial
+			p.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				close(asked)
+				<-up
+				return dial(ctx, network, addr)
+			}
+			out := NewCall(&Host{Addr: s.Listener.Addr().String()}, 20*time.Second,
+				Message{ID: "a", Body: []byte("1")}, Message{ID: "b", Body: []byte("2")}, Message{ID: "c", Key: "k", Body: []byte("3")})
+			ends := make(chan []End, 1)
+			go func() { e, _, _ := p.Exchange(t.Context(), out); ends <- e }()
+			wait(t, asked, "connection that is asked for")
+			for _, i := range c.leave {
+				want(t, "left in time", out.Leave(i), true)
+			}
+			close(up)
+			var outcomes []choice.Outcome
+			for _, e := range wait(t, ends, "ends") {
+				outcomes = append(outcomes, e.Outcome)
+			}
+			if !slices.Equal(outcomes, c.ends) {
+				t.Errorf("outcomes are %v, want %v", outcomes, c.ends)
+			}
+			switch c.path {
+			case "":
+				want(t, "calls", len(got), 0)
+				want(t, "connections kept", p.Open(), 1)
+			case "/receive":
+				want(t, "call", wait(t, got, "call"), "/receive c k\n"+c.body)
+			default:
+				want(t, "call", wait(t, got, "call"), c.path+"  \n"+c.body)
+			}
+			want(t, "further calls", len(got), 0)
+		})
+	}
+}
+
+// onWrite is a connection that does something right before each write, and may have it fail.
+type onWrite struct {
+	*net.TCPConn
+	do func() error
+}
+
+func (c onWrite) Write(b []byte) (int, error) {
+	if err := c.do(); err != nil {
+		return 0, err
+	}
+	return c.TCPConn.Write(b)
+}
+
+// A message that leaves while its call is being written counts as sent, and Leave does not wait for the write. Where
+// that write fails on a kept connection that had ended, the call goes out again on another, without it.
+func TestMessageLeavesAsItsCallBegins(t *testing.T) {
+	for name, fails := range map[string]bool{"written": false, "written again": true} {
+		t.Run(name, func(t *testing.T) {
+			got := make(chan string, 10)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				b, _ := io.ReadAll(req.Body)
+				got <- string(b)
+				io.WriteString(w, "a ok\r\nb ok\r\n")
+			}))
+			defer s.Close()
+			p := caller()
+			defer p.CloseIdle()
+			host := &Host{Addr: s.Listener.Addr().String()}
+			want(t, "outcome of the first", outcome(p, t.Context(), NewCall(host, 20*time.Second, Message{ID: "m0"})), choice.Served)
+			wait(t, got, "first call")
+			out := NewCall(host, 20*time.Second, Message{ID: "a", Body: []byte("1")}, Message{ID: "b", Body: []byte("2")})
+			p.mu.Lock()
+			kept := p.idle[host][0]
+			kept.Conn = onWrite{kept.Conn.(*net.TCPConn), func() error {
+				want(t, "left in time", out.Leave(0), false)
+				if fails {
+					return errors.New("broken before its first byte")
+				}
+				return nil
+			}}
+			p.mu.Unlock()
+			ends, _, _ := p.Exchange(t.Context(), out)
+			if fails {
+				want(t, "call on the second connection", wait(t, got, "call"), "2")
+				want(t, "end of who left", ends[0].Outcome, choice.NotSent)
+			} else {
+				want(t, "call", wait(t, got, "call"), "a - 1\r\n1\r\nb - 1\r\n2\r\n")
+				want(t, "end of who left too late", ends[0].Outcome, choice.Served)
+			}
+			want(t, "end of who stayed", ends[1].Outcome, choice.Served)
+			want(t, "further calls", len(got), 0)
+		})
+	}
+}
