Try first what a restart finds taken on and untried

Cause: a restored message waits like any other. Past its aim it loses little by waiting (choice.loss), so that what comes in fresh goes first until its time is up; and a crowded room turned the oldest away.

Change: one found untried (no attempt, none that may have run) gains the greatest worth of any class on the others of its destination, in the choice of the next message and in the worth of a want that asks for grants, and is not turned away for want of room, until its first attempt. Nothing else changes: waits, cold returns, limits and what may not run again bind as before.

Test: TestFoundUntriedIsTried (each effect, within and past its aim, three times more coming in than can be sent, in a room that is full); with the gain taken out it fails.

--- a/choice/admit.go
+++ b/choice/admit.go
@@ -136,8 +136,8 @@
 	return at
 }
 
-// mayShed tells whether a message that waits may be turned away: it has not run, or a repeat does no harm.
-func (m *message) mayShed() bool { return !m.ran || m.class.Effect == Safe }
+// mayShed tells whether a message that waits may be turned away: with no harm, and with no first try owed.
+func (m *message) mayShed() bool { return !m.owed() && (!m.ran || m.class.Effect == Safe) }
 
 // tied tells whether a message may go to the zone of its last attempt only.
 func (m *message) tied() bool { return m.ran && m.class.Effect == Keyed && m.class.SameZone }
--- a/choice/granted.go
+++ b/choice/granted.go
@@ -128,7 +128,7 @@
 			}
 			w.Calls = max(0, min(c.set.Workers, (d.waits+d.kind.PerCall-1)/d.kind.PerCall)-live)
 			// Between worth and one for each message: the worst-served class counts for itself as well.
-			w.Value = math.Sqrt(c.worth(m.class, c.now-m.born)) * float64(min(d.waits, d.kind.PerCall))
+			w.Value = math.Sqrt(c.worth(m.class, c.now-m.born)+c.ahead(m)) * float64(min(d.waits, d.kind.PerCall))
 		}
 	}
 	if w.Calls == 0 {
--- a/choice/internal/scanning/choice.go
+++ b/choice/internal/scanning/choice.go
@@ -707,7 +707,7 @@
 			}
 			var first *message
 			for _, m := range d.waiting {
-				if m.Class == k && (!m.ran || m.class.Effect == Safe) && (first == nil || m.due < first.due) {
+				if m.Class == k && !m.owed() && (!m.ran || m.class.Effect == Safe) && (first == nil || m.due < first.due) {
 					first = m
 				}
 			}
@@ -900,6 +900,9 @@
 	return proven || m.class.Effect != Unsafe || m.due-c.now < m.class.Deadline/4
 }
 
+// owed tells whether a message is still owed its first try from before a restart.
+func (m *message) owed() bool { return m.found && m.attempts == 0 }
+
 // best is the message that loses most by waiting, among those that a test lets through.
 func (c *Chooser) best(d *dest, test func(*message) bool) *message {
 	rate := 0.0
@@ -921,6 +924,9 @@
 		if k, age := m.class, c.now-m.born; !c.set.Halving && age > k.Aim && age+wait < k.Deadline {
 			loss = k.Worth * (1 - k.LateShare) * wait.Seconds() / (k.Deadline - k.Aim).Seconds()
 		}
+		if m.owed() {
+			loss += slices.MaxFunc(c.set.Classes, func(a, b Class) int { return cmp.Compare(a.Worth, b.Worth) }).Worth
+		}
 		if best == nil || loss > most || loss == most && m.due < best.due {
 			best, most = m, loss
 		}
--- a/choice/internal/scanning/restore.go
+++ b/choice/internal/scanning/restore.go
@@ -7,7 +7,7 @@
 func (c *Chooser) restore(e Restored) {
 	c.arrive(e.Arrival, true)
 	m := c.msgs[e.ID]
-	m.attempts, m.timeout = e.Attempts, e.Timeout
+	m.attempts, m.timeout, m.found = e.Attempts, e.Timeout, e.Attempts == 0 && !e.Ran
 	if m.ran = e.Ran; e.Ran {
 		m.ranAt, m.ranZone, m.unsure = c.now-e.RanAgo, e.RanZone, c.now
 	}
--- a/choice/internal/scanning/state.go
+++ b/choice/internal/scanning/state.go
@@ -16,6 +16,7 @@
 	due      time.Duration // deadline
 	born     time.Duration // due less the class's deadline: first handed in
 	attempts int
+	found    bool          // by a restart, untried
 	timeout  time.Duration // of the last try
 	call     *call         // out now
 	ran      bool          // an attempt may have run
--- a/choice/restore.go
+++ b/choice/restore.go
@@ -18,7 +18,7 @@
 // its attempts bind as if no restart had been; what may not go again is answered now.
 func (c *Chooser) restore(e Restored) {
 	m := c.message(e.Arrival)
-	m.attempts, m.timeout = e.Attempts, e.Timeout
+	m.attempts, m.timeout, m.found = e.Attempts, e.Timeout, e.Attempts == 0 && !e.Ran
 	if m.ran = e.Ran; e.Ran {
 		m.ranAt, m.ranZone, m.unsure = c.now-e.RanAgo, e.RanZone, c.now
 	}
--- a/choice/restore_test.go
+++ b/choice/restore_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -60,6 +61,49 @@
 	}
 }
 
+// What a restart finds untried gets its try, whatever comes in and whatever that is worth: it guards against giving it up
+// with no call, first when it waits behind what is fresh, then when the room is crowded.
+func TestFoundUntriedIsTried(t *testing.T) {
+	for name, left := range map[string]time.Duration{"within the aim": 9 * time.Second, "long past it": 3 * time.Second} {
+		for class := range 3 { // safe, keyed, unsafe
+			set := settings()
+			set.Workers, set.MaxHeld, set.Classes[0].LateShare = 1, 24, 0
+			set.Classes = append(set.Classes, Class{Name: "dear", Aim: time.Second, Deadline: 10 * time.Second, Worth: 100, Effect: Safe})
+			r := newRig(t, set, ready("a", 1, 0, 0))
+			next, untried := 0, map[string]bool{}
+			var events []Event
+			for i := range 12 {
+				id := fmt.Sprint("found", i)
+				untried[id] = true
+				events = append(events, Restored{Arrival: Arrival{ID: id, Class: class, Dest: 1, Left: left}})
+				events = append(events, Restored{Arrival: Arrival{ID: fmt.Sprint("tried", i), Class: class, Dest: 1, Left: left}, Attempts: 1})
+			}
+			for calls := 0; len(untried) > 0; calls++ {
+				for range 3 { // three times what can be sent
+					events = append(events, arrival(fmt.Sprint("fresh", next), 4))
+					next++
+				}
+				acts := r.step(events...)
+				for _, a := range acts {
+					if a, gone := a.(Refuse); gone && untried[a.ID] {
+						t.Fatalf("%s, class %d: %s given up with no call: %v", name, class, a.ID, a.Why)
+					}
+				}
+				for got := sends(acts); len(got) == 0; got = sends(acts) {
+					acts = r.after(5 * ms)
+				}
+				s := sends(acts)[0]
+				if !untried[s.ID] {
+					t.Fatalf("%s, class %d: call %d is of %s, with %d found untried", name, class, calls, s.ID, len(untried))
+				}
+				delete(untried, s.ID)
+				r.now += 20 * ms
+				events = []Event{r.end(s.ID, s.Host, Served)}
+			}
+		}
+	}
+}
+
 // A restart must not make a relay forget that a destination is cold.
 func TestUnwellIsTriedOneByOne(t *testing.T) {
 	hosts := []Host{{Addr: "a", Dest: 1, State: Ready}}
--- a/choice/state.go
+++ b/choice/state.go
@@ -24,6 +24,7 @@
 	due      time.Duration // deadline
 	born     time.Duration // due less the class's deadline: first handed in
 	attempts int
+	found    bool          // by a restart, untried
 	timeout  time.Duration // of the last try
 	call     *call         // out now
 	ran      bool          // an attempt may have run
@@ -52,6 +53,7 @@
 	zone  int  // that repeats are bound to, or anyZone
 	ran   bool // an attempt may have run
 	turn  bool // the order of keys lets them go
+	owed  bool // a restart found them untried, and they still are
 }
 
 const anyZone = -1
--- a/choice/turn.go
+++ b/choice/turn.go
@@ -247,7 +247,7 @@
 		if c.now-m.born <= from {
 			return
 		}
-		loss := c.loss(m.class, c.now-m.born, wait)
+		loss := c.loss(m.class, c.now-m.born, wait) + c.ahead(m)
 		if best == nil || loss > most || loss == most && byDue(m, best) {
 			best, most = m, loss
 		}
--- a/choice/waiting.go
+++ b/choice/waiting.go
@@ -74,7 +74,7 @@
 func (c *Chooser) oldest(d *dest, class int) *message {
 	var first *message
 	for _, g := range d.groups {
-		if g.class != class || g.ran && c.set.Classes[class].Effect != Safe {
+		if g.class != class || g.owed || g.ran && c.set.Classes[class].Effect != Safe {
 			continue
 		}
 		if m, ok := g.messages.Min(); ok && (first == nil || byDue(m, first)) {
@@ -141,6 +141,19 @@
 	}
 }
 
+// owed tells whether a message is still owed its first try from before a restart.
+func (m *message) owed() bool { return m.found && m.attempts == 0 }
+
+// ahead is what a message gains on others of its destination: those owed a try from before a restart go first. They have
+// waited while nobody could send them, and by the loss of waiting alone, which is little once the aim has passed,
+// most of them would wait behind what comes in until their time is up.
+func (c *Chooser) ahead(m *message) float64 {
+	if m.owed() {
+		return c.mostWorth
+	}
+	return 0
+}
+
 // sooner is how many messages have to be answered before their time is up, as more fall due together than can be
 // told at once.
 func (c *Chooser) sooner() (must int) {
@@ -152,7 +165,7 @@
 
 // join puts a message that waits into its group.
 func (c *Chooser) join(m *message) {
-	d, of := m.dest, groupKey{class: m.Class, zone: anyZone, ran: m.ran, turn: c.hasTurn(m)}
+	d, of := m.dest, groupKey{class: m.Class, zone: anyZone, ran: m.ran, turn: c.hasTurn(m), owed: m.owed()}
 	if m.tied() {
 		of.zone = m.ranZone
 	}
