Answer every request that was read before the process ends; tell a relay of signals from its start

SetKeepAlivesEnabled(false) and Shutdown, at 0.5 s and from 0.8 s on, closed connections of which a part of a request had been read. Shutdown also closed the listener, and with it what was in the kernel's queue, while clients send on until SIGKILL. - A second SIGTERM ran a second Terminate. A SIGTERM or SIGHUP while a relay was made (a start, or taken up again after its heir died) was for nobody: it ran on until SIGKILL, or went by the old discovery.

Change: a handler takes a decided answer before the end; Terminate stops deciding, sends clients away, waits until each that has asked is answered, and only then ends the loop. Connections are closed by the listener, on which no byte of a request has been read since the last answer; clients are accepted to the end. A seat tells its relay what it missed. What remains: bytes in the kernel of an idle connection at the close. They are unread, and sent once more by the client.

--- a/internal/front/httpapi/doors.go
+++ b/internal/front/httpapi/doors.go
@@ -9,47 +9,65 @@
 
 // Doors send a relay's clients away while the process keeps running, and let them in again. Closed, /up says no,
 // so that the front sends nobody new; messages are still taken on, since the front needs a while to notice; each
-// answer ends its connection; and after the grace the connections on which no request is open are closed.
+// answer ends its connection; and after the grace the connections on which no request has begun are closed.
 type Doors struct {
-	server *http.Server
-	grace  time.Duration
-	closed atomic.Bool
+	clients *Listener
+	grace   time.Duration
+	closed  atomic.Bool
 
 	mu    sync.Mutex
 	timer *time.Timer // closes idle connections
 }
 
-// NewDoors are open doors of a server. The grace is how long idle connections stay once the doors are closed:
-// longer than the front goes on sending clients, so that few meet a connection that closes under them.
-func NewDoors(server *http.Server, grace time.Duration) *Doors {
-	return &Doors{server: server, grace: grace}
+// again is how soon it is looked anew for idle connections: an answer under way when the doors were closed keeps its own.
+const again = 100 * time.Millisecond
+
+// NewDoors are open doors of a listener's clients. The grace is how long idle connections stay once the doors are
+// closed: longer than the front goes on sending clients, so that few meet a connection that closes under them.
+func NewDoors(clients *Listener, grace time.Duration) *Doors {
+	return &Doors{clients: clients, grace: grace}
 }
 
 // Close sends clients away. Closing closed doors changes nothing.
 func (d *Doors) Close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.closed.Swap(true) {
-		return
+	if !d.closed.Swap(true) {
+		d.timer = time.AfterFunc(d.grace, d.sendAway)
+	}
+}
+
+// Shut sends clients away with no grace, for good: the doors do not open again.
+func (d *Doors) Shut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed.Store(true)
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	d.timer = nil
+	d.clients.SendAway(false)
+}
+
+func (d *Doors) sendAway() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed.Load() && d.timer != nil {
+		d.clients.SendAway(false)
+		d.timer.Reset(again)
 	}
-	d.timer = time.AfterFunc(d.grace, func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if d.closed.Load() {
-			d.server.SetKeepAlivesEnabled(false) // also closes those that are idle now
-		}
-	})
 }
 
 // Open lets clients in again, at once.
 func (d *Doors) Open() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.closed.Swap(false) {
+	if d.timer == nil {
 		return
 	}
+	d.closed.Store(false)
 	d.timer.Stop()
-	d.server.SetKeepAlivesEnabled(true)
+	d.timer = nil
 }
 
 // Closed tells whether clients are being sent away.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -43,8 +43,12 @@
 		slog.Info("second address", "at", second.Addr()) // not "addr", which is the clients'
 	}
 	go at.heed(conf, env, stop, reload)
-	for {
-		switch again, err := serve(conf, at); {
+	for first := conf; ; {
+		heard := at.conf.Load()
+		if conf = first; heard != nil {
+			conf = *heard
+		}
+		switch again, err := serve(conf, heard, at); {
 		case err != nil:
 			return err
 		case !again || at.stopping.Load():
@@ -52,12 +56,12 @@
 			return nil
 		}
 		slog.Warn("the process that took this one's place has gone; taking the relay up again")
-		conf = at.now(conf)
 	}
 }
 
-// serve runs one relay from its start to its end, and tells whether it is wanted again.
-func serve(conf relay.Config, at *seat) (again bool, err error) {
+// serve runs one relay from its start to its end, and tells whether it is wanted again. Heard is what was read again
+// before, and stands in conf.
+func serve(conf relay.Config, heard *relay.Config, at *seat) (again bool, err error) {
 	heir, lock, err := take(conf.State)
 	if err != nil {
 		return false, err
@@ -74,7 +78,7 @@
 		return false, err
 	}
 	defer next.Close()
-	at.relay.Store(r)
+	at.occupy(r, heard)
 	slog.Info("serving", "addr", r.Addr())
 	if heir != nil {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -120,12 +124,21 @@
 	stopping atomic.Bool
 }
 
-// now is the configuration that a relay starts with which takes this one's place in the process.
-func (s *seat) now(first relay.Config) relay.Config {
-	if c := s.conf.Load(); c != nil {
-		return *c
+// occupy makes a relay the one that signals are for. Those that came while it was made were for nobody, or for the one
+// before it: it is told of what it was not made with. Either this sees a signal, or the signal sees the relay.
+func (s *seat) occupy(r *relay.Relay, heard *relay.Config) {
+	s.relay.Store(r)
+	if c := s.conf.Load(); c != heard {
+		s.retell(r, c)
+	}
+	if s.stopping.Load() {
+		go r.Terminate()
 	}
-	return first
+}
+
+func (s *seat) retell(r *relay.Relay, c *relay.Config) {
+	r.Rediscover(c.Discovery)
+	r.Retune(c.Settings)
 }
 
 // heed carries signals out.
@@ -149,8 +162,7 @@
 			s.conf.Store(&again)
 			slog.Info("configuration read again", "discovery", again.Discovery[0])
 			if r := s.relay.Load(); r != nil {
-				r.Rediscover(again.Discovery)
-				r.Retune(again.Settings)
+				s.retell(r, &again)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/relay/ending_test.go
@@ -0,0 +1,202 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"larchrouter/internal/journal"
+)
+
+// ending is a relay of the test's own, the loop of which the test holds where it wants.
+func ending(t *testing.T, change ...func(*Relay)) (r *Relay, calls chan *seen, ended chan struct{}) {
+	t.Helper()
+	calls = make(chan *seen, 10)
+	p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
+	conf, err := readTestConfig(t, testConfig(t, p), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, err = New(conf); err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range change {
+		f(r)
+	}
+	ended = make(chan struct{})
+	go func() { r.Serve(); close(ended) }()
+	t.Cleanup(func() { r.stop(); <-ended })
+	return r, calls, ended
+}
+
+// held are the ids that a state folder's journal holds.
+func heldIn(t *testing.T, dir string) (ids string) {
+	t.Helper()
+	j, err := journal.Open(dir, journal.Options{Budget: 3e6})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer j.Close()
+	for _, e := range j.InOrder() {
+		ids += e.ID + " "
+	}
+	return ids
+}
+
+// The loop has taken a message on and has ended before its handler looks for the answer: both are there at one instant. The
+// answer counts: before, one of the two was picked by chance, and a client told to come again handed in what the next
+// process delivers.
+func TestTakenOnAsTheLoopEnds(t *testing.T) {
+	r := &Relay{over: make(chan struct{})}
+	close(r.over)
+	for range 64 { // picked by chance, one of them is wrong
+		in := &intake{reply: make(chan answer, 1)}
+		in.reply <- answer{status: http.StatusAccepted}
+		want(t, "answer", r.await(in).status, http.StatusAccepted)
+	}
+}
+
+// slow holds the first status that a handler writes, once it is about to be.
+type slow struct {
+	http.Handler
+	written, free chan struct{}
+}
+
+type slowWriter struct {
+	http.ResponseWriter
+	slow
+}
+
+func (s slow) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	s.Handler.ServeHTTP(slowWriter{w, s}, req)
+}
+
+func (w slowWriter) WriteHeader(status int) {
+	close(w.written)
+	<-w.free
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// The end of the process crosses an answer that is decided and not yet written: a message that was taken on, and whose
+// client is cut off, is handed in again and delivered twice. The answer is held until all else has ended.
+func TestAnswerIsWrittenAsTheRelayEnds(t *testing.T) {
+	for name, end := range map[string]func(*Relay){"ended": (*Relay).stop, "told to end": func(r *Relay) { go r.Terminate() }} {
+		t.Run(name, func(t *testing.T) {
+			written, free := make(chan struct{}), make(chan struct{})
+			r, calls, ended := ending(t, func(r *Relay) {
+				r.last = 30 * time.Second
+				r.server.Handler = slow{r.server.Handler, written, free}
+			})
+			conn := dial(t, r.Addr())
+			conn.Write([]byte(request("m1", "Content-Length: 1\r\n", "x")))
+			wait(t, written, "answer")
+			wait(t, calls, "call").answer <- 200
+			end(r)
+			for !r.doors.Closed() { // then it waits for its clients, and for nothing else
+				select {
+				case <-ended:
+					t.Fatal("the relay ended with an answer unwritten")
+				case <-time.After(time.Millisecond):
+				}
+			}
+			close(free)
+			status, _, _ := answered(t, conn)
+			want(t, "status", status, http.StatusAccepted)
+			wait(t, ended, "end")
+		})
+	}
+}
+
+// The other way: a message that waits to be looked at as the loop ends is refused, and recorded nowhere.
+func TestNeverLookedAtAsTheLoopEnds(t *testing.T) {
+	r, _, ended := ending(t)
+	conn := dial(t, r.Addr())
+	release := hold(t, r)
+	conn.Write([]byte(request("m1", "Content-Length: 1\r\n", "x")))
+	for len(r.intakes) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	in := <-r.intakes // the loop does not get it
+	r.stop()
+	release()
+	status, header, _ := answered(t, conn)
+	want(t, "status", status, http.StatusServiceUnavailable)
+	want(t, "Retry-After", header.Get("Retry-After"), "1.000")
+	wait(t, ended, "end")
+	want(t, "answers of the loop", len(in.reply), 0)
+	want(t, "messages held", heldIn(t, r.conf.State), "")
+}
+
+// A request comes in pieces while clients are sent away: its head begins before its connection is looked at for being
+// idle, and ends after. It guards against closing a connection on which a request has been read in part, which
+// net/http takes for idle.
+func TestRequestBegunIsAnsweredWhileClientsAreSentAway(t *testing.T) {
+	r, calls, _ := ending(t)
+	kept, idle, fresh := dial(t, r.Addr()), dial(t, r.Addr()), dial(t, r.Addr())
+	up := "GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+	for _, c := range []interface{ Write([]byte) (int, error) }{kept, idle} {
+		c.Write([]byte(up))
+	}
+	answered(t, kept)
+	answered(t, idle)
+	waitBegun(t, r, 0) // both are between two requests
+	head, rest, _ := strings.Cut(request("m1", "Content-Length: 1\r\n", "x"), "X-Class")
+	for _, piece := range []string{"PO", head[2:]} { // less than net/http looks for, then a part of the head
+		kept.Write([]byte(piece))
+		waitBegun(t, r, 1)
+		r.doors.Shut()
+	}
+	if n, err := idle.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Fatalf("read %d bytes, %v on an idle connection, want its end", n, err)
+	}
+	kept.Write([]byte("X-Class" + rest))
+	status, _, closed := answered(t, kept)
+	want(t, "status", status, http.StatusAccepted)
+	want(t, "closed", closed, true)
+	wait(t, calls, "call").answer <- 200
+	fresh.Write([]byte(request("m2", "Content-Length: 1\r\n", "x"))) // it had not asked for anything
+	status, _, closed = answered(t, fresh)
+	want(t, "status", status, http.StatusAccepted)
+	want(t, "closed", closed, true)
+	wait(t, calls, "call").answer <- 200
+}
+
+// waitBegun waits until requests have begun on so many connections.
+func waitBegun(t *testing.T, r *Relay, n int) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); r.listener.Begun() != n; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("requests have begun on %d connections, want %d", r.listener.Begun(), n)
+		}
+	}
+}
+
+// A relay that is told to end answers clients as long as it runs: what comes on a connection that was accepted late, and
+// is sent late, is not left unread. It also guards against a second signal that ends it sooner or twice.
+func TestClientsAreAnsweredToTheEnd(t *testing.T) {
+	r, calls, ended := ending(t)
+	hand(t, r.Addr(), "m0", "payment")
+	out := wait(t, calls, "call") // keeps the relay from ending
+	http.DefaultClient.CloseIdleConnections()
+	begin := time.Now()
+	go r.Terminate()
+	for !r.doors.Closed() {
+		time.Sleep(time.Millisecond)
+	}
+	r.Terminate() // at once: the first goes on
+	for i, id := range []string{"m1", "m2"} {
+		if i == 1 {
+			time.Sleep(time.Until(begin.Add(stopTaking + 200*time.Millisecond))) // the relay's own time: nobody was accepted any more
+		}
+		conn := dial(t, r.Addr())
+		conn.Write([]byte(request(id, "Content-Length: 1\r\n", "x")))
+		status, _, closed := answered(t, conn)
+		want(t, "status of "+id, status, http.StatusAccepted)
+		want(t, "closed", closed, true)
+		wait(t, calls, "call").answer <- 200
+	}
+	out.answer <- 200
+	wait(t, ended, "end")
+	want(t, "messages held", heldIn(t, r.conf.State), "")
+}
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -94,11 +94,7 @@
 	var a answer
 	select {
 	case r.intakes <- in:
-		select {
-		case a = <-in.reply:
-		case <-r.quit:
-			a = answer{status: http.StatusServiceUnavailable, after: comeBack, text: "stopping"}
-		}
+		a = r.await(in)
 	default: // it would be looked at too late for its client
 		r.busy.Add(1)
 		a = answer{status: http.StatusServiceUnavailable, after: comeBack, text: "busy"}
@@ -122,6 +118,22 @@
 	http.Error(w, a.text, a.status)
 }
 
+// await is the loop's answer. What was decided before the loop's end counts, and may have been taken on; of what is
+// not decided by then nothing is known, and nothing will be.
+func (r *Relay) await(in *intake) answer {
+	select {
+	case a := <-in.reply:
+		return a
+	case <-r.over:
+	}
+	select {
+	case a := <-in.reply:
+		return a
+	default:
+		return answer{status: http.StatusServiceUnavailable, after: comeBack, text: "stopping"}
+	}
+}
+
 // unread answers a request that read or bodyOf did not take.
 func unread(w http.ResponseWriter, status int, err error) {
 	if err == errNoRoom {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,8 +85,11 @@
 	bodies   int64         // bytes that bodies may hold; those being read as many again
 	reading  atomic.Int64  // bytes of those
 	busy     atomic.Uint64 // messages refused as it was too late to look at them
-	quit     chan struct{}
+	quit     chan struct{} // closed to end the loop
 	once     sync.Once
+	over     chan struct{} // closed when it has ended, and answers nobody any more
+	ending   atomic.Bool   // Terminate was called
+	last     time.Duration // for answers that are decided to be written at the end
 	doors    *httpapi.Doors
 	heir     atomic.Pointer[heir] // who has taken this relay's place; stored by the loop
 	orphan   atomic.Bool
@@ -128,7 +131,7 @@
 	set.Life = rand.Uint32()
 	r := &Relay{conf: conf, set: set, began: time.Now(), held: map[string]*message{}, abroad: map[string]int{}, hosts: map[string]*host{},
 		dests: map[int]time.Duration{}, waits: map[int]*httpcall.Waits{}, inbox: make(chan func(), batchMost), intakes: make(chan *intake, intakeRoom), notices: newOutbox(),
-		quit: make(chan struct{}), wake: time.NewTimer(time.Hour), bodies: bodyBytes(conf.MemoryMB)}
+		quit: make(chan struct{}), over: make(chan struct{}), last: answerLast, wake: time.NewTimer(time.Hour), bodies: bodyBytes(conf.MemoryMB)}
 	r.past.most = pastMost
 	if conf.Alone != nil {
 		r.alone = newAlone(*conf.Alone)
@@ -183,7 +186,7 @@
 	r.restore()
 	r.server = &http.Server{ReadTimeout: requestIn, WriteTimeout: answerIn, IdleTimeout: idleIn, MaxHeaderBytes: 16 << 10,
 		ConnContext: httpapi.WithClient, ConnState: httpapi.ClientState}
-	r.doors = httpapi.NewDoors(r.server, stopKeeping)
+	r.doors = httpapi.NewDoors(r.listener, stopKeeping)
 	r.server.Handler = r.doors.Behind(r.handler())
 	return r, nil
 }
@@ -211,6 +214,8 @@
 	go r.server.Serve(r.listener)
 	r.loop()
 	r.end()
+	close(r.over)
+	r.clientsLeave(r.last)
 	r.server.Close()
 	r.endCalls(errStopping)
 	r.conns.CloseIdle()
@@ -220,47 +225,48 @@
 	}
 }
 
+// clientsLeave sends all clients away, those included that have not asked for anything yet, and waits for so long at
+// the most until each that has asked has its answer.
+func (r *Relay) clientsLeave(most time.Duration) {
+	r.doors.Shut()
+	for end := time.Now().Add(most); ; time.Sleep(leaveLook) {
+		if r.listener.SendAway(true); r.listener.Len() == 0 || !time.Now().Before(end) {
+			return
+		}
+	}
+}
+
 // The times of an orderly stop, from SIGTERM. New connections come for 0.4 s
 // more, SIGKILL after 3.7 s.
 const (
 	stopKeeping = 500 * time.Millisecond  // then connections end between requests
-	stopTaking  = 800 * time.Millisecond  // then none is accepted
-	stopSending = 2600 * time.Millisecond // then no more calls go out
+	stopTaking  = 800 * time.Millisecond  // a relay that holds nothing, and has no clients, ends from here on
+	stopSending = 2600 * time.Millisecond // then no more calls go out, and no message is taken on
 	stopAll     = 3300 * time.Millisecond // then calls still out are left to the journal
+	answerLast  = 250 * time.Millisecond  // for answers that are decided to be written
 )
 
 // Terminate stops the platform's relay in order: it takes on and delivers while clients still
-// come, lets calls out finish, and leaves the rest to the journal.
+// come, lets calls out finish, and leaves the rest to the journal. Clients are accepted, and answered, to the end: one
+// whose request nobody reads has lost it.
 func (r *Relay) Terminate() {
+	if r.ending.Swap(true) {
+		return // a second signal changes nothing
+	}
 	begin := time.Now()
-	rest := func(d time.Duration) time.Duration { return max(0, d-time.Since(begin)) }
-	time.Sleep(rest(stopKeeping))
-	r.server.SetKeepAlivesEnabled(false)
-	time.Sleep(rest(stopTaking))
-	ctx, cancel := context.WithTimeout(context.Background(), rest(stopSending))
-	r.server.Shutdown(ctx)
-	cancel()
-	idle := make(chan struct{}, 1)
-	for {
-		r.post(func() {
-			if r.stopped = r.stopped || time.Since(begin) >= stopSending; r.out == 0 &&
-				(r.stopped || r.heir.Load() != nil || len(r.held)+r.owed == 0) {
-				select {
-				case idle <- struct{}{}:
-				default:
-				}
-			}
+	time.Sleep(stopKeeping)
+	for idle := false; !idle && time.Since(begin) < stopAll; time.Sleep(leaveLook) {
+		r.doors.Shut() // again and again: an answer that was under way keeps its connection
+		sending := time.Since(begin) < stopSending
+		alone := time.Since(begin) >= stopTaking && r.listener.Len() == 0
+		idle, _ = inLoop(r.life, r, func() bool {
+			r.stopped = r.stopped || !sending
+			return r.out == 0 && (r.stopped || alone && (r.heir.Load() != nil || len(r.held)+r.owed == 0))
 		})
-		select {
-		case <-idle:
-		case <-time.After(rest(stopAll)):
-		case <-time.After(20 * time.Millisecond):
-			if time.Since(begin) < stopAll {
-				continue
-			}
-		}
-		break
 	}
+	// No more is taken on, and who was taken on hears so, before the loop ends.
+	inLoop(r.life, r, func() bool { r.stopped = true; return true })
+	r.clientsLeave(r.last)
 	r.stop()
 }
 
--- a/internal/relay/succession.go
+++ b/internal/relay/succession.go
@@ -122,9 +122,7 @@
 				if !over {
 					continue
 				}
-				ctx, cancel := context.WithTimeout(context.Background(), answerIn)
-				r.server.Shutdown(ctx)
-				cancel()
+				r.clientsLeave(answerIn)
 				r.stop()
 			case <-r.quit:
 			}
--- a/internal/transport/httpcall/leave_test.go
+++ b/internal/transport/httpcall/leave_test.go
@@ -104,7 +104,7 @@
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 				b, _ := io.ReadAll(req.Body)
 				got <- string(b)
-				io.WriteString(w, "a ok\r\nb ok\r\n")
+				io.WriteString(w, "a ok\r\nb ok\r\nc ok\r\n")
 			}))
 			defer s.Close()
 			p := caller()
@@ -112,7 +112,12 @@
 			host := &Host{Addr: s.Listener.Addr().String()}
 			want(t, "outcome of the first", outcome(p, t.Context(), NewCall(host, 20*time.Second, Message{ID: "m0"})), choice.Served)
 			wait(t, got, "first call")
-			out := NewCall(host, 20*time.Second, Message{ID: "a", Body: []byte("1")}, Message{ID: "b", Body: []byte("2")})
+			out := NewCall(host, 20*time.Second, Message{ID: "a", Body: []byte("1")}, Message{ID: "b", Body: []byte("2")}, Message{ID: "c", Body: []byte("3")})
+			dial := p.dial
+			p.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				want(t, "left in time between two writes", out.Leave(2), true)
+				return dial(ctx, network, addr)
+			}
 			p.mu.Lock()
 			kept := p.idle[host][0]
 			kept.Conn = onWrite{kept.Conn.(*net.TCPConn), func() error {
@@ -128,7 +133,7 @@
 				want(t, "call on the second connection", wait(t, got, "call"), "2")
 				want(t, "end of who left", ends[0].Outcome, choice.NotSent)
 			} else {
-				want(t, "call", wait(t, got, "call"), "a - 1\r\n1\r\nb - 1\r\n2\r\n")
+				want(t, "call", wait(t, got, "call"), "a - 1\r\n1\r\nb - 1\r\n2\r\nc - 1\r\n3\r\n")
 				want(t, "end of who left too late", ends[0].Outcome, choice.Served)
 			}
 			want(t, "end of who stayed", ends[1].Outcome, choice.Served)
