Name the request for unread bytes as Linux does in the listener's test

With the restored deadline taken out of client.Read the test fails (seen); 20 repetitions with -race pass.

--- a/internal/front/httpapi/listen_test.go
+++ b/internal/front/httpapi/listen_test.go
@@ -53,7 +53,7 @@
 		t.Fatal(err)
 	}
 	unread := func() (n int) {
-		raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.FIONREAD) })
+		raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
 		if err != nil {
 			t.Fatal(err)
 		}
