Keep the order of keys, and send no repeat whose key may be forgotten on its way

The relay never read the key of the order: choice.Arrival.Key stayed empty. Clients send it as the cookie `thread` (seen in a log of request heads; the protocol page does not name it, docs/questions.md). Nothing looked at the window again before the first byte.

Change: the key is read, journalled and handed to the decisions; a call behind an end that is not acknowledged waits; a call that carries one in order ends when that one's time is up. A repeat carries the time at which its key is forgotten, and is not sent if it would be there later, taking the way for as long as its connection took to come up. Not done: across a handover, a message of a key whose earlier one is out in the first process does not wait for it.

Tests: TestOrderIsKept, TestNextOfAnOrderWaitsForTheNotice (the acknowledgement held), TestRepeatDoesNotOutlastItsKey (the connection held), TestRepeatsHaveAnEnd.

--- a/internal/journal/codec.go
+++ b/internal/journal/codec.go
@@ -138,6 +138,7 @@
 	entBytes
 	entAttempt
 	entNumber
+	entOrder
 )
 
 func (e *Entry) encode(buf []byte) []byte {
@@ -145,6 +146,7 @@
 	buf = putText(buf, entClass, e.Class)
 	buf = putSigned(buf, entDest, int64(e.Dest))
 	buf = putText(buf, entKey, e.Key)
+	buf = putText(buf, entOrder, e.Order)
 	buf = putSigned(buf, entEffect, int64(e.Effect))
 	buf = putSigned(buf, entDue, e.Due)
 	buf = putSigned(buf, entTries, int64(e.Tries))
@@ -181,6 +183,8 @@
 			e.Dest = int(f.Signed())
 		case entKey:
 			e.Key = string(f.Bytes)
+		case entOrder:
+			e.Order = string(f.Bytes)
 		case entEffect:
 			e.Effect = int(f.Signed())
 		case entDue:
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -15,6 +15,7 @@
 	Class  string `json:"class"`
 	Dest   int    `json:"dest"`
 	Key    string `json:"key,omitempty"`
+	Order  string `json:"-"`             // key of the order, where its class keeps one; format 1 had none
 	Effect int    `json:"eff,omitempty"` // of its class as it was taken on: 1 + a choice.Effect; 0 if not known
 	Due    int64  `json:"due"`
 	Body   []byte `json:"body,omitempty"`
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -19,20 +20,24 @@
 	members []*message
 	sends   []choice.Send
 	size    int           // of its members' frames
-	timeout time.Duration // the longest of its members'
+	timeout time.Duration // the longest of its members', but no longer than one that keeps an order has left
 	cancel  context.CancelCauseFunc
 }
 
 // start builds the call here in the loop, so that its goroutine shares nothing with it.
 func (r *Relay) start(c *call) {
-	now := r.now()
+	now, first := r.now(), time.Duration(math.MaxInt64)
 	c.arrange()
 	messages := make([]httpcall.Message, len(c.members))
 	for i, m := range c.members {
 		m.call = c
 		c.timeout = max(c.timeout, c.sends[i].Timeout)
-		messages[i] = httpcall.Message{ID: m.ID, Key: m.Key, Body: m.Body}
+		if m.Order != "" { // once it is given up, those behind it may go: then no call of it may be out any more
+			first = min(first, m.due-now)
+		}
+		messages[i] = httpcall.Message{ID: m.ID, Key: m.Key, Body: m.Body, Until: r.until(m)}
 	}
+	c.timeout = min(c.timeout, first)
 	out := httpcall.NewCall(&c.host.Host, c.timeout, messages...)
 	if len(c.members) > 1 {
 		// The members share one connection, and one time-out. One whose own time is up before that gets its end
@@ -83,6 +88,15 @@
 	}
 }
 
+// until is when a message that may have run must be at a host again at the latest: while its key is remembered, counted from
+// when the first such attempt went out. Zero where that does not bind.
+func (r *Relay) until(m *message) (at time.Time) {
+	if all := r.classes.Load(); m.Ran && all.all[m.class].Effect == choice.Keyed {
+		at = time.Now().Add(time.Until(time.UnixMilli(m.RanAt)) + all.all[m.class].Window)
+	}
+	return at
+}
+
 // leave ends the attempt of a message whose time is up while its call is out.
 func (r *Relay) leave(out *httpcall.Call, c *call, i int, took time.Duration) {
 	m := c.members[i]
@@ -97,3 +111,41 @@
 }
 
 func frameOf(m *message) []byte { return httpcall.Frame(m.ID, m.Key, m.Body) }
+
+// mustWait tells whether a message of a call is in an order in which the end of one before it has been decided and not
+// been heard: until the platform has acknowledged it, that one is not over, and nothing is sent for the next.
+func (r *Relay) mustWait(c *call) bool {
+	return slices.ContainsFunc(c.members, func(m *message) bool { return m.Order != "" && r.telling[m.Order] > 0 })
+}
+
+// heard takes in that a message's notice was acknowledged, and lets go what waited for it. What may not go any more was
+// not sent.
+func (r *Relay) heard(id string) {
+	order, in := r.orders[id]
+	if !in {
+		return
+	}
+	delete(r.orders, id)
+	if r.telling[order]--; r.telling[order] == 0 {
+		delete(r.telling, order)
+	}
+	still := r.behind[:0]
+	for _, c := range r.behind {
+		late := r.stopped || r.heir.Load() != nil || c.host.Closed()
+		for _, m := range c.members {
+			late = late || m.over || m.due <= r.now()
+		}
+		switch {
+		case r.mustWait(c):
+			still = append(still, c)
+		case late:
+			for _, s := range c.sends {
+				r.notSent(s)
+			}
+		default:
+			r.start(c)
+		}
+	}
+	clear(r.behind[len(still):])
+	r.behind = still
+}
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -134,3 +134,18 @@
 	wait(t, ended, "close of the leaving one's connection")
 	want(t, "connections open", r.conns.Open(), 0)
 }
+
+// A keyed message that may have run goes again while its key is remembered, by what the journal says of its first such
+// attempt; others at any time.
+func TestRepeatsHaveAnEnd(t *testing.T) {
+	r := &Relay{}
+	r.classes.Store(newClasses([]choice.Class{{Name: "safe", Window: time.Second}, {Name: "keyed", Effect: choice.Keyed, Window: 6 * time.Second}}))
+	ran := time.Now().Add(-2 * time.Second)
+	for class, c := range []struct{ ran, bound bool }{{true, false}, {true, true}, {false, false}} {
+		at := r.until(&message{Entry: &journal.Entry{Ran: c.ran, RanAt: ran.UnixMilli()}, class: min(class, 1)})
+		want(t, "bound", !at.IsZero(), c.bound)
+		if left := time.Until(at); c.bound && (left > 4*time.Second || left < 3*time.Second) {
+			t.Fatalf("%v are left of 6 s, 2 s after the first attempt", left)
+		}
+	}
+}
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -165,6 +165,11 @@
 	if r.alone != nil {
 		return r.readAlone(req, e, class, came)
 	}
+	if classes.all[class].Ordered {
+		if e.Order = orderOf(req); e.Order != "" && !isName(e.Order) {
+			return bad("the key of the order is malformed")
+		}
+	}
 	ms, err := strconv.ParseInt(req.Header.Get("X-Deadline-Ms"), 10, 64)
 	if err != nil || ms <= 0 || ms > maxLeft.Milliseconds() {
 		return bad("X-Deadline-Ms is missing or malformed")
@@ -230,6 +235,18 @@
 	return s != "" && len(s) <= maxName && strings.IndexFunc(s, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
 }
 
+// orderCookie has the key of the order, as clients send it. The protocol page does not name it, as no class of that
+// deployment keeps one; it is what the platform's clients were seen to send (docs/questions.md).
+const orderCookie = "thread"
+
+// orderOf is the key of the order that a request names; empty for none.
+func orderOf(req *http.Request) string {
+	if c, err := req.Cookie(orderCookie); err == nil {
+		return c.Value
+	}
+	return ""
+}
+
 // destOf reads the number of the destination.
 func destOf(s string) (int, bool) {
 	for part := range strings.FieldsFuncSeq(s, func(c rune) bool { return c == ';' || c == ',' || c == ' ' }) {
@@ -283,7 +300,7 @@
 		m := &message{Entry: in.entry, class: in.class, due: in.due, fresh: []*intake{in}}
 		r.hold(m)
 		r.fresh = append(r.fresh, m)
-		r.events = append(r.events, choice.Arrival{ID: id, Class: in.class, Dest: in.entry.Dest, Left: in.due - r.now()})
+		r.events = append(r.events, choice.Arrival{ID: id, Class: in.class, Dest: in.entry.Dest, Left: in.due - r.now(), Key: in.entry.Order})
 	}
 }
 
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -99,6 +99,7 @@
 			r.post(func() {
 				for _, n := range some {
 					r.record(journal.Record{Op: journal.OpEnd, ID: n.ID})
+					r.heard(n.ID)
 				}
 				r.owed -= len(some)
 			})
--- /dev/null
+++ b/internal/relay/order_test.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// ordered has payments keep an order.
+func ordered(c *Config) {
+	for i := range c.Settings.Classes {
+		c.Settings.Classes[i].Ordered = c.Settings.Classes[i].Name == "payment"
+	}
+}
+
+// Messages of one key go one at a time, in the order in which they were taken on, also those that a restart finds: one with
+// another key, or of a class that keeps no order, does not wait. It guards against a relay that does not read the key.
+func TestOrderIsKept(t *testing.T) {
+	calls := make(chan *seen, 10)
+	p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
+	var conf Config
+	r := startRelay(t, p, func(c *Config) { ordered(c); conf = *c })
+	for _, m := range [][3]string{{"m1", "payment", "k1"}, {"m2", "payment", "k1"}, {"m3", "payment", "k1"}, {"m4", "payment", "k2"}, {"m5", "status-update", "k1"}} {
+		status, _ := hand(t, r.Addr(), m[0], m[1], "Cookie", "thread="+m[2]+"; other=x")
+		want(t, "status", status, http.StatusAccepted)
+	}
+	out := map[string]*seen{}
+	for range 3 {
+		c := wait(t, calls, "call")
+		out[c.id] = c
+	}
+	for _, id := range []string{"m1", "m4", "m5"} {
+		if out[id] == nil {
+			t.Fatalf("%s is not out, but %v", id, out)
+		}
+		if id != "m1" {
+			out[id].answer <- 200
+		}
+	}
+	want(t, "further calls", len(calls), 0)
+	out["m1"].answer <- 200
+	c := wait(t, calls, "call")
+	want(t, "second of the key", c.id, "m2")
+	r.stop() // with m2 out and m3 waiting
+	want(t, "further calls", len(calls), 0)
+	status, _ := hand(t, startRelay(t, p, func(c *Config) { ordered(c); c.State = conf.State }).Addr(), "m6", "payment", "Cookie", "thread=k1")
+	want(t, "status", status, http.StatusAccepted)
+	want(t, "end of the second, which may have run", wait(t, p.notices, "notice"), notice{"m2", undeliverable, 0})
+	for _, id := range []string{"m3", "m6"} {
+		c = wait(t, calls, "call")
+		want(t, "next of the key", c.id, id)
+		c.answer <- 200
+	}
+	status, _ = hand(t, r.Addr(), "m7", "payment", "Cookie", "thread="+strings.Repeat("x", maxName+1))
+	want(t, "status with a malformed key", status, http.StatusBadRequest)
+}
+
+// A message is given up while the next of its key waits: that one goes only once the platform has acknowledged the end, as
+// until then the first is not over. The acknowledgement is held; meanwhile the notice is repeated.
+func TestNextOfAnOrderWaitsForTheNotice(t *testing.T) {
+	calls := make(chan *seen, 10)
+	p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
+	posted, held := make(chan bool, 100), make(chan bool)
+	plain := p.Config.Handler
+	p.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/status" {
+			posted <- true
+			select {
+			case <-held:
+			case <-req.Context().Done():
+				return
+			}
+		}
+		plain.ServeHTTP(w, req)
+	})
+	r := startRelay(t, p, ordered)
+	for _, id := range []string{"m1", "m2"} {
+		status, _ := hand(t, r.Addr(), id, "payment", "Cookie", "thread=k1")
+		want(t, "status", status, http.StatusAccepted)
+	}
+	c := wait(t, calls, "call")
+	want(t, "first", c.id, "m1")
+	c.answer <- 500
+	for range 3 { // the notice, and again
+		wait(t, posted, "notice")
+	}
+	want(t, "calls before the end is heard", len(calls), 0)
+	close(held)
+	c = wait(t, calls, "call")
+	want(t, "second", c.id, "m2")
+	want(t, "end of the first", wait(t, p.notices, "notice"), notice{"m1", undeliverable, 0})
+	c.answer <- 200
+	left := make(chan int, 1)
+	r.post(func() { left <- len(r.orders) + len(r.telling) + len(r.behind) })
+	want(t, "orders remembered", wait(t, left, "count"), 0)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -116,9 +116,12 @@
 	wake      *time.Timer
 	wakeAt    time.Duration
 	woken     bool
-	out       int  // calls
-	owed      int  // notices
-	stopped   bool // no more decisions; outcomes are still recorded
+	out       int               // calls
+	owed      int               // notices
+	orders    map[string]string // of those, by id: the key of the order that the message was in
+	telling   map[string]int    // by that key, how many
+	behind    []*call           // wait until the end before them in their order is heard
+	stopped   bool              // no more decisions; outcomes are still recorded
 
 	tracedAt   time.Duration
 	unrecorded int // failures to record since the last line in the log
@@ -130,7 +133,7 @@
 	set := conf.Settings
 	set.Life = rand.Uint32()
 	r := &Relay{conf: conf, set: set, began: time.Now(), held: map[string]*message{}, abroad: map[string]int{}, hosts: map[string]*host{},
-		dests: map[int]time.Duration{}, waits: map[int]*httpcall.Waits{}, inbox: make(chan func(), batchMost), intakes: make(chan *intake, intakeRoom), notices: newOutbox(),
+		dests: map[int]time.Duration{}, orders: map[string]string{}, telling: map[string]int{}, waits: map[int]*httpcall.Waits{}, inbox: make(chan func(), batchMost), intakes: make(chan *intake, intakeRoom), notices: newOutbox(),
 		quit: make(chan struct{}), over: make(chan struct{}), last: answerLast, wake: time.NewTimer(time.Hour), bodies: bodyBytes(conf.MemoryMB)}
 	r.past.most = pastMost
 	if conf.Alone != nil {
@@ -361,7 +364,7 @@
 		}
 		if e.Status != "" {
 			r.past.add(e)
-			r.owe(notice{e.ID, e.Status, e.Again})
+			r.owe(notice{e.ID, e.Status, e.Again}, e.Order)
 			continue
 		}
 		if _, out := r.abroad[id]; e.Out && !out {
@@ -425,10 +428,14 @@
 	r.records = append(r.records, rec)
 }
 
-// owe has a notice told once what it says is recorded.
-func (r *Relay) owe(n notice) {
+// owe has a notice told once what it says is recorded. Order is the key of the order that its message was in.
+func (r *Relay) owe(n notice, order string) {
 	r.owed++
 	r.untold = append(r.untold, n)
+	if order != "" {
+		r.orders[n.ID] = order
+		r.telling[order]++
+	}
 }
 
 // give ends a message undelivered. Why is for people.
@@ -439,7 +446,7 @@
 		return
 	}
 	r.record(journal.Record{Op: journal.OpNotice, ID: m.ID, Status: n.Status, Again: n.Again})
-	r.owe(n)
+	r.owe(n, m.Order)
 	r.drop(m)
 }
 
@@ -582,7 +589,11 @@
 		r.notSent(s)
 	}
 	for _, c := range calls {
-		if err == nil || r.tried(c) {
+		switch {
+		case err != nil && !r.tried(c):
+		case r.mustWait(c):
+			r.behind = append(r.behind, c)
+		default:
 			r.start(c)
 		}
 	}
--- a/internal/relay/service_test.go
+++ b/internal/relay/service_test.go
@@ -214,7 +214,7 @@
 	r := startRelay(t, newPlatform(t), func(c *Config) { c.Discovery = []string{s.Listener.Addr().String()} })
 	r.post(func() {
 		for _, id := range []string{"a", "bad", "b"} {
-			r.owe(notice{id, undeliverable, 0})
+			r.owe(notice{id, undeliverable, 0}, "")
 		}
 	})
 	want(t, "first", wait(t, told, "notice"), "a")
--- a/internal/relay/succession.go
+++ b/internal/relay/succession.go
@@ -285,7 +285,7 @@
 func (r *Relay) takeUp(m *message, ran bool) {
 	e, wall := m.Entry, time.Now().UnixMilli()
 	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
-	ev := choice.Restored{Arrival: choice.Arrival{ID: e.ID, Class: m.class, Dest: e.Dest, Left: m.due - r.now()},
+	ev := choice.Restored{Arrival: choice.Arrival{ID: e.ID, Class: m.class, Dest: e.Dest, Left: m.due - r.now(), Key: e.Order},
 		Attempts: e.Tries, Timeout: ms(e.Wait), Ran: e.Ran, RanAgo: ms(wall - e.RanAt), RanZone: e.Zone}
 	if ran && !e.Ran {
 		ev.Ran, ev.RanAgo, ev.RanZone = true, ms(wall-e.OutAt), e.OutTo
--- a/internal/transport/httpcall/conns.go
+++ b/internal/transport/httpcall/conns.go
@@ -89,6 +89,7 @@
 	room   io.LimitedReader // bounds what in reads
 	in     *bufio.Reader
 	kept   bool          // from an earlier call
+	way    time.Duration // that it took to come up: a round trip at least
 	since  time.Time     // idle
 	stood  time.Duration // idle before its call
 	expiry *time.Timer   // while idle
@@ -115,6 +116,7 @@
 	if !s.reserve() {
 		return nil, errNoDescriptor
 	}
+	begin := time.Now()
 	conn, err := s.dial(ctx, "tcp", h.Addr)
 	if err != nil {
 		s.mu.Lock()
@@ -127,7 +129,7 @@
 		}
 		return nil, err
 	}
-	c := &hostConn{Conn: conn, set: s, host: h}
+	c := &hostConn{Conn: conn, set: s, host: h, way: time.Since(begin)}
 	c.room.R = conn
 	c.in = bufio.NewReader(&c.room)
 	c.bind(ctx)
--- a/internal/transport/httpcall/httpcall.go
+++ b/internal/transport/httpcall/httpcall.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"slices"
@@ -25,7 +24,7 @@
 	errTimeout = errors.New("time-out")
 	errGated   = errors.New("host drains or is gone")
 	errTold    = errors.New("host told to wait meanwhile")
-	errLeft    = errors.New("its messages have left the call")
+	errLeft    = errors.New("its messages have left the call, or would come too late")
 )
 
 // ErrCalledOff is the cause of a context that ends because the attempt is called off.
@@ -62,6 +61,9 @@
 	ID   string
 	Key  string // empty for none
 	Body []byte // with those of the others, as Frames, 64 KiB at most
+	// Until is when it must be at the host at the latest, by what its key allows; zero for any time. The connection may
+	// come up late: it is looked at right before the first byte, with the way there as long as the connection took.
+	Until time.Time
 }
 
 // Call is one attempt, with one message or several.
@@ -93,10 +95,11 @@
 	return !c.begun
 }
 
-// staying are the places of the messages that have not left.
-func (c *Call) staying() (in []int) {
-	for i := range c.Messages {
-		if !c.left[i].Load() {
+// staying are the places of the messages that have not left, and that come in time if the way takes so long.
+func (c *Call) staying(way time.Duration) (in []int) {
+	there := time.Now().Add(way)
+	for i, m := range c.Messages {
+		if !c.left[i].Load() && (m.Until.IsZero() || there.Before(m.Until)) {
 			in = append(in, i)
 		}
 	}
@@ -237,10 +240,10 @@
 }
 
 // write begins the call. One whose write fails has not begun: its messages may leave.
-func (c *Call) write(to io.Writer) (in []int, err error) {
+func (c *Call) write(to *hostConn) (in []int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if in = c.staying(); len(in) == 0 {
+	if in = c.staying(to.way); len(in) == 0 {
 		return nil, errLeft
 	}
 	c.begun = true
--- a/internal/transport/httpcall/leave_test.go
+++ b/internal/transport/httpcall/leave_test.go
@@ -141,3 +141,35 @@
 		})
 	}
 }
+
+// A key is forgotten while a repeat under it waits for its connection, or is on its way there: it is not sent. The connection
+// comes up only once the time has passed; another is kept, over which the way is known to be long.
+func TestRepeatDoesNotOutlastItsKey(t *testing.T) {
+	got := make(chan string, 10)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		got <- req.Header.Get("X-Request-Id")
+	}))
+	defer s.Close()
+	p := caller()
+	defer p.CloseIdle()
+	host := &Host{Addr: s.Listener.Addr().String()}
+	late := Message{ID: "late", Key: "k", Until: time.Now().Add(time.Millisecond)}
+	dial := p.dial
+	p.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		for time.Now().Before(late.Until) {
+			time.Sleep(time.Millisecond)
+		}
+		return dial(ctx, network, addr)
+	}
+	want(t, "outcome of one whose connection is late", outcome(p, t.Context(), NewCall(host, 20*time.Second, late)), choice.NotSent)
+	far := Message{ID: "far", Key: "k", Until: time.Now().Add(time.Hour)}
+	ends, _, _ := p.Exchange(t.Context(), NewCall(host, 20*time.Second, late, far))
+	want(t, "outcome of the late one", ends[0].Outcome, choice.NotSent)
+	want(t, "outcome of the one beside it", ends[1].Outcome, choice.Served)
+	want(t, "sent", wait(t, got, "call"), "far")
+	p.mu.Lock()
+	p.idle[host][0].way = 2 * time.Hour
+	p.mu.Unlock()
+	want(t, "outcome of one with a long way", outcome(p, t.Context(), NewCall(host, 20*time.Second, far)), choice.NotSent)
+	want(t, "further calls", len(got), 0)
+}
