--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -43,15 +43,21 @@
 	want(t, "second of the key", c.id, "m2")
 	r.stop() // with m2 out and m3 waiting
 	want(t, "further calls", len(calls), 0)
-	status, _ := hand(t, startRelay(t, p, func(c *Config) { ordered(c); c.State = conf.State }).Addr(), "m6", "payment", "Cookie", "thread=k1")
+	second := startRelay(t, p, func(c *Config) { ordered(c); c.State = conf.State })
+	status, _ := hand(t, second.Addr(), "m6", "payment", "Cookie", "thread=k1")
 	want(t, "status", status, http.StatusAccepted)
 	want(t, "end of the second, which may have run", wait(t, p.notices, "notice"), notice{"m2", undeliverable, 0})
-	for _, id := range []string{"m3", "m6"} {
-		c = wait(t, calls, "call")
-		want(t, "next of the key", c.id, id)
-		c.answer <- 200
-	}
-	status, _ = hand(t, r.Addr(), "m7", "payment", "Cookie", "thread="+strings.Repeat("x", maxName+1))
+	c = wait(t, calls, "call")
+	want(t, "next of the key", c.id, "m3")
+	hand(t, second.Addr(), "m8", "payment", "Cookie", "thread=k3") // once it is called, m6 would have been as well
+	other := wait(t, calls, "call")
+	want(t, "call beside it", other.id, "m8")
+	other.answer <- 200
+	c.answer <- 200
+	c = wait(t, calls, "call")
+	want(t, "last of the key", c.id, "m6")
+	c.answer <- 200
+	status, _ = hand(t, second.Addr(), "m7", "payment", "Cookie", "thread="+strings.Repeat("x", maxName+1))
 	want(t, "status with a malformed key", status, http.StatusBadRequest)
 }
 
