Tell an end of what may have been delivered after its time

A message's time runs from when its client sent it.

Change: a delivery within 400 ms of a message's time, or after the time of another in its call, is told of as undeliverable as well. A notice for a message that is over does no harm (protocol); without it a late one has no end.

Test: TestAnswerAsTheTimeIsUp; with doubtful false it fails.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -22,6 +22,7 @@
 	size    int           // of its members' frames
 	timeout time.Duration // the longest of its members', but no longer than one that keeps an order has left
 	cancel  context.CancelCauseFunc
+	overdue bool // the time of one of its messages was up after it went out
 }
 
 // start builds the call here in the loop, so that its goroutine shares nothing with it.
@@ -98,6 +99,16 @@
 	return at
 }
 
+// clientWaits is how long a client waits for the answer whether its message is taken on.
+const clientWaits = 400 * time.Millisecond
+
+// doubtful tells whether the answer that delivered a message may have come after its time, as the platform counts it. A
+// message's time runs from when its client sent it; that may be earlier than it came here, where it was sent once more after a
+// connection closed under it, by up to the time that clients wait. And an answer that comes after the time of another
+// message of its call may count as late for all. Such a message is told of as undeliverable as well: a notice for one that
+// is over does no harm, and without it one that was late would have no end.
+func (r *Relay) doubtful(c *call, m *message) bool { return c.overdue || r.now() > m.due-clientWaits }
+
 // leave ends the attempt of a message whose time is up while its call is out.
 func (r *Relay) leave(out *httpcall.Call, c *call, i int, took time.Duration) {
 	m := c.members[i]
@@ -107,6 +118,8 @@
 	e := httpcall.End{Outcome: choice.Timeout}
 	if out.Leave(i) {
 		e.Outcome = choice.NotSent
+	} else {
+		c.overdue = true
 	}
 	r.ended(c, m, e, took, 0)
 }
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -149,3 +149,34 @@
 		}
 	}
 }
+
+// An answer comes when its message's time may be up already, as its client may have sent it earlier than it came; or after
+// the time of another message of its call. It delivers, and an end is told all the same: one of the two counts.
+func TestAnswerAsTheTimeIsUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		left    time.Duration
+		overdue bool
+		notices int
+	}{"in time": {time.Hour, false, 0}, "late, perhaps": {clientWaits / 2, false, 1}, "after another's time": {time.Hour, true, 1}} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlatform(t, at("s-1", "127.0.0.1:1", "taller"))
+			r := startRelay(t, p, nil)
+			told := make(chan int, 1)
+			r.post(func() {
+				m := &message{Entry: &journal.Entry{ID: "m1", Class: "payment", Dest: 7}, class: 2, due: r.now() + c.left}
+				r.hold(m)
+				r.record(journal.Record{Op: journal.OpTaken, Entry: m.Entry})
+				m.call = &call{host: r.hosts["s-1"], members: []*message{m}, overdue: c.overdue}
+				r.ended(m.call, m, httpcall.End{Outcome: choice.Served}, time.Second, 0)
+				told <- r.owed
+			})
+			want(t, "notices", wait(t, told, "count"), c.notices)
+			if c.notices > 0 {
+				want(t, "notice", wait(t, p.notices, "notice"), notice{"m1", undeliverable, 0})
+			}
+			over := make(chan bool, 1)
+			r.post(func() { over <- r.held["m1"] == nil && r.past.has("m1") })
+			want(t, "over", wait(t, over, "end"), true)
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -741,6 +741,8 @@
 		out.Why, out.Wait = outcomeNames[e.Outcome], took.Milliseconds()
 	}
 	switch over := e.Done || e.Outcome == choice.Served; {
+	case r.alone == nil && e.Outcome == choice.Served && r.doubtful(c, m):
+		r.give(m, notice{m.ID, undeliverable, 0}, "delivered, perhaps after its time")
 	case r.alone == nil && over:
 		traceEnd(m, delivered, "")
 		r.record(journal.Record{Op: journal.OpEnd, ID: m.ID})
