Record as not run what waited for an end to be heard as the relay ends

Cause, by reading the change again: a call that waits for the acknowledgement of the end before it is recorded as out. As the relay ends, or gives way, it would count as possibly run, and a payment be given up with no call. Change: such calls are called off, and their messages recorded as not run, before the loop ends and before a handover. Test: TestNextOfAnOrderWaitsForTheNotice, "the relay ends meanwhile"; without the change it fails (seen).

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"larchrouter/choice"
+	"larchrouter/internal/journal"
 	"larchrouter/internal/transport/httpcall"
 )
 
@@ -153,9 +154,7 @@
 		case r.mustWait(c):
 			still = append(still, c)
 		case late:
-			for _, s := range c.sends {
-				r.notSent(s)
-			}
+			r.unsend(c)
 		default:
 			r.start(c)
 		}
@@ -163,3 +162,21 @@
 	clear(r.behind[len(still):])
 	r.behind = still
 }
+
+// unsend calls off a call that is recorded and has not begun: its messages have not run.
+func (r *Relay) unsend(c *call) {
+	for _, s := range c.sends {
+		if m := r.held[s.ID]; m != nil {
+			r.record(journal.Record{Op: journal.OpOutcome, ID: s.ID})
+		}
+		r.notSent(s)
+	}
+}
+
+// unsendAll calls off all that waits for an end to be heard, as the relay ends or gives way.
+func (r *Relay) unsendAll() {
+	for _, c := range r.behind {
+		r.unsend(c)
+	}
+	r.behind = nil
+}
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -64,6 +64,11 @@
 // A message is given up while the next of its key waits: that one goes only once the platform has acknowledged the end, as
 // until then the first is not over. The acknowledgement is held; meanwhile the notice is repeated.
 func TestNextOfAnOrderWaitsForTheNotice(t *testing.T) {
+	t.Run("it is heard", func(t *testing.T) { nextOfAnOrder(t, false) })
+	t.Run("the relay ends meanwhile", func(t *testing.T) { nextOfAnOrder(t, true) }) // the next has not run, and is sent by its successor
+}
+
+func nextOfAnOrder(t *testing.T, ends bool) {
 	calls := make(chan *seen, 10)
 	p := newPlatform(t, at("s-1", fakeHost(t, "a", calls), "taller"))
 	posted, held := make(chan bool, 100), make(chan bool)
@@ -79,7 +84,8 @@
 		}
 		plain.ServeHTTP(w, req)
 	})
-	r := startRelay(t, p, ordered)
+	var conf Config
+	r := startRelay(t, p, func(c *Config) { ordered(c); conf = *c })
 	for _, id := range []string{"m1", "m2"} {
 		status, _ := hand(t, r.Addr(), id, "payment", "Cookie", "thread=k1")
 		want(t, "status", status, http.StatusAccepted)
@@ -91,6 +97,11 @@
 		wait(t, posted, "notice")
 	}
 	want(t, "calls before the end is heard", len(calls), 0)
+	if ends {
+		r.stop()
+		wait(t, r.over, "end of the loop")
+		r = startRelay(t, p, func(c *Config) { ordered(c); c.State = conf.State })
+	}
 	close(held)
 	c = wait(t, calls, "call")
 	want(t, "second", c.id, "m2")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -316,6 +316,7 @@
 			r.woken = true
 		case <-again:
 		case <-r.quit:
+			r.unsendAll()
 			r.flush()
 			return
 		}
--- a/internal/relay/succession.go
+++ b/internal/relay/succession.go
@@ -52,6 +52,7 @@
 		return s, errors.New("it has given way already")
 	}
 	r.gather()
+	r.unsendAll()
 	for turns := 0; len(r.events) > 0 || len(r.records) > 0; turns++ {
 		if turns == 64 {
 			return s, errors.New("not all can be recorded")
