--- /dev/null
+++ b/internal/station/settings.go
@@ -0,0 +1,157 @@
+// Package station is the process shell of the serving tier: the checked settings file of a node, its log ring, and
+// the start and stop of a process. What every program of the tier is made of and no decision lives here.
+package station
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+)
+
+// SettingsVariable names the environment variable that holds the path of the settings file.
+const SettingsVariable = "LARCHROUTER_NODE_FILE"
+
+// ErrSettings marks settings that cannot be used; the message names field, value and remedy.
+var ErrSettings = errors.New("settings file")
+
+// Settings are those of one process, as the platform writes them. Unknown fields are ignored.
+type Settings struct {
+	NodeName     string            `yaml:"node_name"`
+	NodeRole     string            `yaml:"node_role"`
+	MachineClass string            `yaml:"machine_class"`
+	ServedRoles  []string          `yaml:"served_roles"`
+	IP           string            `yaml:"ip_addr"`
+	Zone         string            `yaml:"zone_name"`
+	Region       string            `yaml:"region_name"`
+	Zones        map[string]string `yaml:"zones"` // zone to region
+	Bind         struct {
+		Front   string `yaml:"front_addr"`
+		Ready   string `yaml:"ready_addr"`
+		Control string `yaml:"control_addr"`
+	} `yaml:"bind_addrs"`
+	PortRange   []int    `yaml:"port_range"`
+	Seeds       []string `yaml:"seed_nodes"` // control addresses
+	Bootstrap   bool     `yaml:"bootstrap"`
+	LossCounted bool     `yaml:"loss_counted"`
+	Limits      struct {
+		CPUShare float64 `yaml:"cpu_share"`
+		Cores    float64 `yaml:"core_count"`
+		MemoryMB float64 `yaml:"memory_mb"`
+		MaxFDs   int     `yaml:"max_fds"`
+		LinkMbps float64 `yaml:"link_mbps"`
+		DiskMB   float64 `yaml:"disk_mb"`
+	} `yaml:"limits"`
+	DataDir   string `yaml:"data_dir"`
+	Tolerance struct {
+		Machines int `yaml:"machine_losses"`
+		Zones    int `yaml:"zones"`
+		Regions  int `yaml:"region_losses"`
+	} `yaml:"fault_tolerance"`
+	Bounds   map[string]float64 `yaml:"timing_bounds"`
+	Platform struct {
+		Address  string  `yaml:"address"`
+		Rate     float64 `yaml:"rate_per_s"`
+		MaxLagMs float64 `yaml:"max_lag_ms"`
+	} `yaml:"cloud_api"`
+}
+
+// Port is the place of a program's peer address in the port range: two roles may share a machine.
+type Port int
+
+// The programs that take calls from other nodes of the tier.
+const (
+	CorePort Port = iota + 1
+	StorePort
+)
+
+// Load reads and checks the file that SettingsVariable names.
+func Load() (*Settings, error) {
+	path := os.Getenv(SettingsVariable)
+	if path == "" {
+		return nil, errors.Mark(errors.Newf("%s is not set: set it to the path of the node's settings file", SettingsVariable), ErrSettings)
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "settings file: make it readable, or correct %s", SettingsVariable), ErrSettings)
+	}
+	return Parse(b)
+}
+
+// Parse reads and checks settings.
+func Parse(b []byte) (*Settings, error) {
+	s := new(Settings)
+	if err := yaml.Unmarshal(b, s); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "settings file is not the YAML that a node needs: correct the line named"), ErrSettings)
+	}
+	if err := s.check(); err != nil {
+		return nil, errors.Mark(err, ErrSettings)
+	}
+	return s, nil
+}
+
+func (s *Settings) check() error {
+	bad := func(field string, value any, remedy string) error {
+		return errors.Newf("settings file: %s is %v: %s", field, value, remedy)
+	}
+	switch {
+	case s.NodeName == "":
+		return bad("node_name", `""`, "name the node")
+	case net.ParseIP(s.IP).To4() == nil:
+		return bad("ip_addr", strconv.Quote(s.IP), "give the machine's IPv4 address")
+	case len(s.PortRange) != 2 || s.PortRange[0] <= 0 || s.PortRange[1] < s.PortRange[0]+int(StorePort) || s.PortRange[1] > 65535:
+		return bad("port_range", s.PortRange, "give first and last of at least three free ports")
+	case len(s.Seeds) == 0:
+		return bad("seed_nodes", "[]", "give the control address of at least one core node")
+	case s.Tolerance.Machines < 0:
+		return bad("fault_tolerance.machine_losses", s.Tolerance.Machines, "give 0 or more")
+	case s.Limits.MemoryMB < 0 || s.Limits.MaxFDs < 0:
+		return bad("limits", s.Limits, "give memory_mb and max_fds of 0 (no limit) or more")
+	}
+	addrs := []struct{ field, value string }{{"bind_addrs.front_addr", s.Bind.Front}, {"bind_addrs.ready_addr", s.Bind.Ready},
+		{"bind_addrs.control_addr", s.Bind.Control}, {"cloud_api.address", s.Platform.Address}}
+	for _, seed := range s.Seeds {
+		addrs = append(addrs, struct{ field, value string }{"seed_nodes", seed})
+	}
+	for _, a := range addrs {
+		if a.value == "" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return bad(a.field, strconv.Quote(a.value), "give HOST:PORT")
+		}
+	}
+	return nil
+}
+
+// Peer is the address at which a program of the tier on the machine of an address takes calls of other nodes.
+func (s *Settings) Peer(ip string, p Port) string {
+	if host, _, err := net.SplitHostPort(ip); err == nil {
+		ip = host
+	}
+	return net.JoinHostPort(ip, strconv.Itoa(s.PortRange[0]+int(p)))
+}
+
+// Bound is a figure of the rules that is stated in milliseconds (name ends in _ms) or seconds (_s).
+func (s *Settings) Bound(name string, otherwise time.Duration) time.Duration {
+	v, ok := s.Bounds[name]
+	if !ok || v < 0 {
+		return otherwise
+	}
+	if len(name) > 3 && name[len(name)-3:] == "_ms" {
+		return time.Duration(v * float64(time.Millisecond))
+	}
+	return time.Duration(v * float64(time.Second))
+}
+
+// Copies is how many machines keep each thing: with as many lost as are tolerated, a majority is left.
+func (s *Settings) Copies() int { return 2*s.Tolerance.Machines + 1 }
+
+// Synced is how many machines must have a thing on disk before it is promised.
+func (s *Settings) Synced() int { return s.Tolerance.Machines + 1 }
+
+// SameRegion tells whether a zone lies in this node's region.
+func (s *Settings) SameRegion(zone string) bool { return s.Zones[zone] == s.Region }
