--- /dev/null
+++ b/internal/synop/state.go
@@ -0,0 +1,32 @@
+// Package synop is the change feed: relays follow the numbered entries of the committed control state from a place on,
+// starting from a snapshot, and swap immutable tables whole.
+package synop
+
+import (
+	"time"
+
+	"larchrouter/internal/almanac"
+	"larchrouter/internal/archive"
+	"larchrouter/internal/gazette"
+)
+
+// Keys of the control state.
+const (
+	ConfigKey    = "config"
+	PlacementKey = "placement"
+)
+
+// Tables is what a relay acts on. It is immutable and swapped whole; what is nil has not come yet.
+type Tables struct {
+	Place     int64
+	Config    *almanac.Config
+	Placement *archive.Placement
+	Hosts     *gazette.List
+	Heard     time.Time // when a source that hears a majority answered last
+}
+
+// Source is what the rest of a process knows of the feed.
+type Source interface {
+	Tables() *Tables          // never nil
+	Changed() <-chan struct{} // closed with the next change of Place or Hosts
+}
