datalogger: SQLite with group commit behind a key-value interface

Need: cores and stores must sync what they promise, with few syncs and without shared memory. Change: one writer takes all waiting writes into one transaction, then tells their callers; exclusive WAL file with a limit (ErrFull), a versioned schema (ErrNewer), pages given back after deletions, and a random identity made with the file.

--- /dev/null
+++ b/internal/datalogger/datalogger.go
@@ -0,0 +1,521 @@
+// Package datalogger is an embedded key-value store with group commit: SQLite under one writer that takes all writes that wait,
+// syncs once, and then tells all of their callers.
+package datalogger
+
+import (
+	"context"
+	"crypto/rand"
+	"database/sql/driver"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"path/filepath"
+	"regexp"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mattn/go-sqlite3"
+)
+
+// The kinds of errors.
+var (
+	// ErrFull marks a write that the file's limit, or the disk, has no room for. Nothing of it was written.
+	ErrFull = errors.New("data file is full")
+	// ErrNewer marks a file of a newer build.
+	ErrNewer = errors.New("data file is of a newer version")
+	// ErrClosed marks a call after Close.
+	ErrClosed = errors.New("data file is closed")
+	// ErrBroken marks a file whose disk failed a write or sync: what it holds is not known until it is opened again.
+	ErrBroken = errors.New("data file failed")
+	// ErrWrite marks a write that the file cannot take as it stands (an unknown table): nothing of it was written.
+	ErrWrite = errors.New("write refused")
+)
+
+const (
+	schemaVersion = 1
+	pageSize      = 4096
+	walPages      = 256            // checkpoint after that many
+	reserve       = 2 << 20        // of the limit, for the log of the writes
+	least         = reserve * 2    // limits below are raised to it
+	groupBytes    = 4 << 20        // of one transaction
+	groupRequests = 1024           // of one transaction
+	rangeRows     = 256            // read under one hold of the connection
+	rangeBytes    = 1 << 20        // read under one hold of the connection
+	vacuumPages   = 64             // given back with one commit
+	identityKey   = "\x00identity" // in the table of facts
+)
+
+// Write puts a value in place of what its key holds. A nil value deletes it.
+type Write struct {
+	Table      string
+	Key, Value []byte
+}
+
+// DB is one file. It is safe for concurrent use.
+type DB struct {
+	identity string
+	fresh    bool
+
+	requests chan *request
+	stop     chan struct{}
+	done     chan struct{}
+	closing  sync.Once
+	commits  atomic.Int64
+	broken   atomic.Pointer[error]
+
+	mu     sync.Mutex // held while the connection is used
+	conn   *sqlite3.SQLiteConn
+	begin  driver.Stmt
+	commit driver.Stmt
+	undo   driver.Stmt
+	tables map[string]*table
+	freed  int // deletions since free pages were looked for
+	closed bool
+}
+
+type table struct{ put, del, get, scan, tail driver.Stmt }
+
+type request struct {
+	writes []Write
+	bytes  int
+	err    chan error
+}
+
+var nameShape = regexp.MustCompile(`^[a-z][a-z0-9_]*$`)
+
+// Open opens or makes a file in a folder, with the named tables (lower case). The file and its log take at most limit
+// bytes together (0: as many as the disk has); a write beyond it ends in ErrFull.
+func Open(dir, file string, limit int64, tables ...string) (*DB, error) {
+	path, err := filepath.Abs(filepath.Join(dir, file))
+	if err != nil {
+		return nil, errors.Wrap(err, "data folder")
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, errors.Wrap(err, "data folder: make it writable")
+	}
+	// unix-excl keeps the index of the log in the process' own memory: there is no shared mapping.
+	dsn := (&url.URL{Scheme: "file", Path: path, RawQuery: "vfs=unix-excl"}).String()
+	c, err := (&sqlite3.SQLiteDriver{}).Open(dsn)
+	if err != nil {
+		return nil, errors.Wrapf(err, "open %s", file)
+	}
+	d := &DB{
+		conn:     c.(*sqlite3.SQLiteConn),
+		requests: make(chan *request, groupRequests),
+		stop:     make(chan struct{}),
+		done:     make(chan struct{}),
+		tables:   map[string]*table{},
+	}
+	if err := d.prepare(limit, tables); err != nil {
+		_ = d.conn.Close()
+		return nil, errors.Wrapf(err, "open %s", file)
+	}
+	go d.run()
+	return d, nil
+}
+
+func (d *DB) prepare(limit int64, tables []string) error {
+	for _, q := range []string{
+		"PRAGMA locking_mode=EXCLUSIVE",
+		"PRAGMA auto_vacuum=INCREMENTAL",
+		"PRAGMA journal_mode=WAL",
+		"PRAGMA synchronous=FULL",
+		fmt.Sprintf("PRAGMA wal_autocheckpoint=%d", walPages),
+		fmt.Sprintf("PRAGMA journal_size_limit=%d", reserve),
+		"PRAGMA cache_size=-1024",
+		"PRAGMA temp_store=MEMORY",
+	} {
+		if err := d.exec(q); err != nil {
+			return errors.Wrap(err, q)
+		}
+	}
+	version, err := d.number("PRAGMA user_version")
+	if err != nil {
+		return err
+	}
+	if version > schemaVersion {
+		return errors.Mark(errors.Newf("its schema has version %d, this build knows %d: run the build that wrote it, or a newer one", version, schemaVersion), ErrNewer)
+	}
+	id := make([]byte, 16)
+	if _, err := rand.Read(id); err != nil {
+		return err
+	}
+	statements := []string{"BEGIN IMMEDIATE",
+		fmt.Sprintf("PRAGMA user_version=%d", schemaVersion),
+		"CREATE TABLE IF NOT EXISTS datalogger_facts (k BLOB PRIMARY KEY NOT NULL, v BLOB NOT NULL) WITHOUT ROWID"}
+	for _, t := range tables {
+		if !nameShape.MatchString(t) {
+			return errors.Newf("table name %q: use lower-case letters, digits and _", t)
+		}
+		statements = append(statements, "CREATE TABLE IF NOT EXISTS t_"+t+" (k BLOB PRIMARY KEY NOT NULL, v BLOB NOT NULL) WITHOUT ROWID")
+	}
+	for _, q := range statements {
+		if err := d.exec(q); err != nil {
+			return errors.Wrap(err, q)
+		}
+	}
+	r, err := d.conn.Exec("INSERT OR IGNORE INTO datalogger_facts(k,v) VALUES(?,?)", []driver.Value{[]byte(identityKey), []byte(hex.EncodeToString(id))})
+	if err != nil {
+		return err
+	}
+	n, _ := r.RowsAffected()
+	d.fresh = n > 0
+	if err := d.exec("COMMIT"); err != nil { // synced
+		return err
+	}
+	if limit > 0 {
+		if err := d.exec(fmt.Sprintf("PRAGMA max_page_count=%d", (max(limit, least)-reserve)/pageSize)); err != nil {
+			return err
+		}
+	}
+	known, err := d.conn.Prepare("SELECT v FROM datalogger_facts WHERE k=?")
+	if err != nil {
+		return err
+	}
+	defer known.Close()
+	v, err := first(known, []byte(identityKey))
+	if err != nil {
+		return err
+	}
+	d.identity = string(v)
+	statement := func(q string) (s driver.Stmt) {
+		if err == nil {
+			s, err = d.conn.Prepare(q)
+		}
+		return s
+	}
+	d.begin, d.commit, d.undo = statement("BEGIN IMMEDIATE"), statement("COMMIT"), statement("ROLLBACK")
+	for _, t := range tables {
+		d.tables[t] = &table{
+			put:  statement("INSERT INTO t_" + t + "(k,v) VALUES(?,?) ON CONFLICT(k) DO UPDATE SET v=excluded.v"),
+			del:  statement("DELETE FROM t_" + t + " WHERE k=?"),
+			get:  statement("SELECT v FROM t_" + t + " WHERE k=?"),
+			scan: statement("SELECT k,v FROM t_" + t + " WHERE k>=? AND k<? ORDER BY k"),
+			tail: statement("SELECT k,v FROM t_" + t + " WHERE k>=? ORDER BY k"),
+		}
+	}
+	return err
+}
+
+func (d *DB) exec(q string) error { _, err := d.conn.Exec(q, nil); return err }
+
+func (d *DB) number(q string) (int64, error) {
+	rows, err := d.conn.Query(q, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer rows.Close()
+	one := make([]driver.Value, 1)
+	if err := rows.Next(one); err != nil {
+		return 0, err
+	}
+	n, _ := one[0].(int64)
+	return n, nil
+}
+
+// first gives the first column of the first row, nil if there is none.
+func first(s driver.Stmt, key []byte) ([]byte, error) {
+	rows, err := s.Query([]driver.Value{key}) //nolint:staticcheck // the driver's plain form: no goroutine for a context
+	if err != nil {
+		return nil, err
+	}
+	defer rows.Close()
+	one := make([]driver.Value, 1)
+	switch err := rows.Next(one); {
+	case err == io.EOF:
+		return nil, nil
+	case err != nil:
+		return nil, err
+	}
+	v, _ := one[0].([]byte)
+	if v == nil {
+		v = []byte{}
+	}
+	return v, nil
+}
+
+// Identity is random and as old as the file; fresh tells that this Open made it.
+func (d *DB) Identity() (id string, fresh bool) { return d.identity, d.fresh }
+
+// Commits is how many transactions have been synced.
+func (d *DB) Commits() int64 { return d.commits.Load() }
+
+// Commit writes all or nothing and returns after the sync. Writes are applied in the order in which Commit was called.
+// Should ctx end first, the writes may still be made.
+func (d *DB) Commit(ctx context.Context, writes []Write) error {
+	if len(writes) == 0 {
+		return nil
+	}
+	r := &request{writes: writes, err: make(chan error, 1)}
+	for _, w := range writes {
+		r.bytes += len(w.Key) + len(w.Value)
+	}
+	select {
+	case d.requests <- r:
+	case <-d.done:
+		return ErrClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-r.err:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-d.done:
+		select {
+		case err := <-r.err:
+			return err
+		default:
+			return ErrClosed
+		}
+	}
+}
+
+func (d *DB) run() {
+	defer close(d.done)
+	var next *request
+	for {
+		group := make([]*request, 0, 8)
+		if next != nil {
+			group, next = append(group, next), nil
+		} else {
+			select {
+			case r := <-d.requests:
+				group = append(group, r)
+			case <-d.stop:
+				return
+			}
+		}
+		size := group[0].bytes
+	gather:
+		for len(group) < groupRequests {
+			select {
+			case r := <-d.requests:
+				if size += r.bytes; size > groupBytes {
+					next = r
+					break gather
+				}
+				group = append(group, r)
+			default:
+				break gather
+			}
+		}
+		d.write(group)
+	}
+}
+
+// write makes one transaction of a group; one that is refused for the sake of some is made again one by one.
+func (d *DB) write(group []*request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	err := d.transact(group)
+	if err != nil && len(group) > 1 && !errors.Is(err, ErrBroken) {
+		for _, r := range group {
+			r.err <- d.transact([]*request{r})
+		}
+		return
+	}
+	for _, r := range group {
+		r.err <- err
+	}
+}
+
+func (d *DB) transact(group []*request) error {
+	if b := d.broken.Load(); b != nil {
+		return *b
+	}
+	if _, err := d.begin.Exec(nil); err != nil { //nolint:staticcheck // the driver's plain form
+		return d.failed(err)
+	}
+	if err := d.apply(group); err != nil {
+		return d.back(err)
+	}
+	if _, err := d.commit.Exec(nil); err != nil { //nolint:staticcheck // the driver's plain form
+		return d.back(err)
+	}
+	d.commits.Add(1)
+	if d.freed >= vacuumPages {
+		d.freed = 0
+		if err := d.vacuum(); err != nil {
+			return nil // what was asked for is synced
+		}
+	}
+	return nil
+}
+
+func (d *DB) apply(group []*request) error {
+	args := make([]driver.Value, 2)
+	for _, r := range group {
+		for _, w := range r.writes {
+			t := d.tables[w.Table]
+			if t == nil {
+				return errors.Mark(errors.Newf("table %q was not named when the file was opened", w.Table), ErrWrite)
+			}
+			var err error
+			args[0] = w.Key
+			if w.Value == nil {
+				_, err = t.del.Exec(args[:1]) //nolint:staticcheck // the driver's plain form
+				d.freed++
+			} else {
+				args[1] = w.Value
+				_, err = t.put.Exec(args) //nolint:staticcheck // the driver's plain form
+			}
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *DB) back(err error) error {
+	// A full disk has SQLite undo the transaction by itself; then there is none to undo.
+	_, _ = d.undo.Exec(nil) //nolint:staticcheck // the driver's plain form
+	return d.failed(err)
+}
+
+func (d *DB) failed(err error) error {
+	var s sqlite3.Error
+	switch {
+	case errors.Is(err, ErrWrite):
+		return err
+	case errors.As(err, &s) && s.Code == sqlite3.ErrFull:
+		return errors.Mark(errors.Wrap(err, "give the node more disk, or wait until old records expire"), ErrFull)
+	case errors.As(err, &s) && (s.Code == sqlite3.ErrTooBig || s.Code == sqlite3.ErrConstraint || s.Code == sqlite3.ErrMisuse):
+		return errors.Mark(err, ErrWrite)
+	}
+	err = errors.Mark(errors.Wrap(err, "disk failed: start the process again"), ErrBroken)
+	d.broken.CompareAndSwap(nil, &err)
+	return err
+}
+
+// vacuum gives back pages that are free once they are a quarter of the file.
+func (d *DB) vacuum() error {
+	free, err := d.number("PRAGMA freelist_count")
+	if err != nil || free < vacuumPages {
+		return err
+	}
+	pages, err := d.number("PRAGMA page_count")
+	if err != nil || free*4 < pages {
+		return err
+	}
+	rows, err := d.conn.Query(fmt.Sprintf("PRAGMA incremental_vacuum(%d)", free/2), nil)
+	if err != nil {
+		return err
+	}
+	defer rows.Close()
+	for one := make([]driver.Value, len(rows.Columns())); ; {
+		if err := rows.Next(one); err != nil {
+			return nil // io.EOF at its end
+		}
+	}
+}
+
+// Err tells why the file takes no writes any more: nil while it does.
+func (d *DB) Err() error {
+	if b := d.broken.Load(); b != nil {
+		return *b
+	}
+	return nil
+}
+
+// Get gives the value of a key, nil if it has none. A stored empty value is not nil.
+func (d *DB) Get(table string, key []byte) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil, ErrClosed
+	}
+	t := d.tables[table]
+	if t == nil {
+		return nil, errors.Mark(errors.Newf("table %q was not named when the file was opened", table), ErrWrite)
+	}
+	return first(t.get, key)
+}
+
+// Range calls f for each row from the key from on and before the key to (nil: to the end), in order. f may keep what it
+// is given and may call the DB. Writes made meanwhile may be seen or not.
+func (d *DB) Range(table string, from, to []byte, f func(key, value []byte) error) error {
+	if from == nil {
+		from = []byte{}
+	}
+	for {
+		keys, values, err := d.page(table, from, to)
+		if err != nil {
+			return err
+		}
+		if len(keys) == 0 {
+			return nil
+		}
+		for i, k := range keys {
+			if err := f(k, values[i]); err != nil {
+				return err
+			}
+		}
+		last := keys[len(keys)-1]
+		from = append(append(make([]byte, 0, len(last)+1), last...), 0)
+	}
+}
+
+func (d *DB) page(table string, from, to []byte) (keys, values [][]byte, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil, nil, ErrClosed
+	}
+	t := d.tables[table]
+	if t == nil {
+		return nil, nil, errors.Mark(errors.Newf("table %q was not named when the file was opened", table), ErrWrite)
+	}
+	s, args := t.tail, []driver.Value{from}
+	if to != nil {
+		s, args = t.scan, []driver.Value{from, to}
+	}
+	rows, err := s.Query(args) //nolint:staticcheck // the driver's plain form
+	if err != nil {
+		return nil, nil, err
+	}
+	defer rows.Close()
+	row := make([]driver.Value, 2)
+	for size := 0; len(keys) < rangeRows && size < rangeBytes; {
+		if err := rows.Next(row); err == io.EOF {
+			break
+		} else if err != nil {
+			return nil, nil, err
+		}
+		k, _ := row[0].([]byte)
+		v, _ := row[1].([]byte)
+		if v == nil {
+			v = []byte{}
+		}
+		keys, values = append(keys, k), append(values, v)
+		size += len(k) + len(v)
+	}
+	return keys, values, nil
+}
+
+// Close ends the writer after the transaction under way and closes the file.
+func (d *DB) Close() error {
+	var err error
+	d.closing.Do(func() {
+		close(d.stop)
+		<-d.done
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.closed = true
+		for _, s := range []driver.Stmt{d.begin, d.commit, d.undo} {
+			_ = s.Close()
+		}
+		for _, t := range d.tables {
+			for _, s := range []driver.Stmt{t.put, t.del, t.get, t.scan, t.tail} {
+				_ = s.Close()
+			}
+		}
+		err = d.conn.Close()
+	})
+	return err
+}
