--- /dev/null
+++ b/internal/sonde/sonde.go
@@ -0,0 +1,586 @@
+// Package sonde is the HTTP/1.1 client of the data plane: it makes calls to hosts over connections that it keeps for
+// each incarnation, and tells what the outcome of each proves. Which host, how long and whether again are told to it.
+// net/http's Transport is not used: it pools connections by address, hands what lies behind an answer to the next call,
+// and does not tell whether the last byte of a request was written.
+package sonde
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// The kinds of errors that calls end in.
+var (
+	ErrConnect = errors.New("no connection to the host")     // it never came up
+	ErrRoom    = errors.New("no connection is free")         // by the own bounds
+	ErrClosed  = errors.New("the host gets no calls")        // it drains or is gone
+	ErrWrite   = errors.New("the request was not sent whole") // so it has not run
+	ErrTime    = errors.New("the time for the call is up")
+	ErrGiven   = errors.New("the call was given up") // by Cancel
+	ErrBroken  = errors.New("the host broke off")    // closed, reset, or sent what is no answer
+)
+
+// Outcome is what the end of a call proves.
+type Outcome int
+
+// The outcomes.
+const (
+	NotRun    Outcome = iota // the host has not run the request and never will
+	MayHaveRun               // nothing is proven
+	Answered                 // it ran, and its answer stands
+)
+
+const (
+	maxHead      = 32 << 10 // of an answer
+	maxInterim   = 8        // 1xx answers ahead of one
+	maxSurplus   = 4        // answers of other requests ahead of one
+	surplusBytes = 1 << 20
+	dialTime     = 400 * time.Millisecond
+	deadAfter    = 2 * time.Second // unacknowledged bytes
+	untold       = 400 * time.Millisecond
+	untoldShy    = 150 * time.Millisecond
+	keptMost     = 10 * time.Second
+	joined       = 16 << 10 // bodies up to this size are written with the head
+)
+
+// Host is one incarnation. Its connections are its own: another at the same address gets none of them.
+type Host struct {
+	ID     string
+	Addr   string
+	limit  atomic.Int32
+	closed atomic.Bool
+
+	mu   sync.Mutex
+	open int
+	idle []*conn // the one used last at the end
+}
+
+// NewHost is a host with so many connections from here at most.
+func NewHost(id, addr string, limit int) *Host {
+	h := &Host{ID: id, Addr: addr}
+	h.SetLimit(limit)
+	return h
+}
+
+// SetLimit bounds the connections.
+func (h *Host) SetLimit(limit int) { h.limit.Store(int32(max(1, limit))) }
+
+// SetClosed has nothing new go there from now on, and closes the idle connections; or has it go again. It binds calls
+// that wait for their connection as well.
+func (h *Host) SetClosed(closed bool) {
+	h.closed.Store(closed)
+	if !closed {
+		return
+	}
+	for c := h.pop(); c != nil; c = h.pop() {
+		c.release()
+	}
+}
+
+// Sweep closes connections that have been idle for too long to be used.
+func (h *Host) Sweep(now time.Time) {
+	h.mu.Lock()
+	var old []*conn
+	keep := h.idle[:0]
+	for _, c := range h.idle {
+		if now.Sub(c.since) < c.life {
+			keep = append(keep, c)
+		} else {
+			old = append(old, c)
+		}
+	}
+	clear(h.idle[len(keep):])
+	h.idle = keep
+	h.mu.Unlock()
+	for _, c := range old {
+		c.release()
+	}
+}
+
+// Open is how many connections are open or coming up.
+func (h *Host) Open() int { h.mu.Lock(); defer h.mu.Unlock(); return h.open }
+
+func (h *Host) pop() *conn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := len(h.idle)
+	if n == 0 {
+		return nil
+	}
+	c := h.idle[n-1]
+	h.idle[n-1] = nil
+	h.idle = h.idle[:n-1]
+	return c
+}
+
+// conn is a connection to a host.
+type conn struct {
+	net.Conn
+	host  *Host
+	room  io.LimitedReader // bounds what in reads
+	in    *bufio.Reader
+	kept  bool // from an earlier call
+	since time.Time
+	life  time.Duration // that it may be idle
+	told  bool          // by its host
+	once  sync.Once
+}
+
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4<<10) }}
+
+func (c *conn) close() {
+	c.once.Do(func() {
+		_ = c.Conn.Close()
+		c.host.mu.Lock()
+		c.host.open--
+		c.host.mu.Unlock()
+	})
+}
+
+// release closes the connection; its reader is not used any more.
+func (c *conn) release() {
+	c.close()
+	if c.in != nil {
+		c.in.Reset(nil)
+		readers.Put(c.in)
+		c.in = nil
+	}
+}
+
+var dialer = net.Dialer{Timeout: dialTime, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+	Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadAfter.Milliseconds()))
+		})
+	}}
+
+// get returns a kept connection, or a new one.
+func (h *Host) get(shy bool, until time.Time) (*conn, error) {
+	for {
+		if h.closed.Load() {
+			return nil, ErrClosed
+		}
+		c := h.pop()
+		if c == nil {
+			break
+		}
+		age, life := time.Since(c.since), c.life
+		if shy {
+			if life /= 2; !c.told {
+				life = untoldShy
+			}
+		}
+		if age < life && c.quiet() {
+			c.kept = true
+			return c, nil
+		}
+		c.release()
+	}
+	h.mu.Lock()
+	if h.open >= int(h.limit.Load()) {
+		h.mu.Unlock()
+		return nil, ErrRoom
+	}
+	h.open++
+	h.mu.Unlock()
+	d := dialer
+	d.Timeout = min(dialTime, time.Until(until))
+	if d.Timeout <= 0 {
+		h.drop()
+		return nil, ErrTime
+	}
+	nc, err := d.Dial("tcp4", h.Addr)
+	if err != nil {
+		h.drop()
+		for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL} {
+			if errors.Is(err, own) {
+				return nil, errors.Mark(err, ErrRoom)
+			}
+		}
+		return nil, errors.Mark(err, ErrConnect)
+	}
+	c := &conn{Conn: nc, host: h}
+	c.room.R = nc
+	c.in = readers.Get().(*bufio.Reader)
+	c.in.Reset(&c.room)
+	return c, nil
+}
+
+func (h *Host) drop() { h.mu.Lock(); h.open--; h.mu.Unlock() }
+
+// put keeps a connection whose answer was read whole, with nothing behind it.
+func (h *Host) put(c *conn) {
+	if c.SetDeadline(time.Time{}) != nil || h.closed.Load() {
+		c.release()
+		return
+	}
+	c.since = time.Now()
+	h.mu.Lock()
+	h.idle = append(h.idle, c)
+	h.mu.Unlock()
+	if h.closed.Load() { // closed meanwhile
+		h.SetClosed(true)
+	}
+}
+
+// quiet tells whether nothing has come on an idle connection: neither its end, nor bytes that would pass for the next
+// answer.
+func (c *conn) quiet() bool {
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, err := syscall.Read(int(fd), one[:])
+		quiet = n < 0 && err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Request is what goes to a host.
+type Request struct {
+	Method string
+	URI    string // path and query as the client sent them
+	Host   string
+	ID     string // X-Attempt-Id
+	Header http.Header
+	Body   [][]byte
+	Left   time.Duration // told as X-Time-Left-Ms; from now on
+	Shy    bool          // prefers a new connection to one that may just be closing
+}
+
+// hop are the headers that concern one connection only, and those that a call sets by itself.
+var hop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Host": true,
+	"X-Target-Instance": true, "X-Time-Left-Ms": true}
+
+// Hop tells whether a header, by its canonical name, is not passed on. named is the client's own Connection header.
+func Hop(name string, named []string) bool {
+	if hop[name] {
+		return true
+	}
+	for _, list := range named {
+		for one := range strings.SplitSeq(list, ",") {
+			if http.CanonicalHeaderKey(strings.TrimSpace(one)) == name {
+				// The headers that decide what runs are never of one connection.
+				return name != "X-Attempt-Id" && name != "Program" && name != "Previous" && name != "Budget"
+			}
+		}
+	}
+	return false
+}
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 4<<10); return &b }}
+
+func (r *Request) head(b []byte, host string, size int) []byte {
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.URI...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
+	named := r.Header["Connection"]
+	for name, values := range r.Header {
+		if Hop(name, named) {
+			continue
+		}
+		for _, v := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	b = append(b, "X-Target-Instance: "...)
+	b = append(b, host...)
+	b = append(b, "\r\nX-Time-Left-Ms: "...)
+	b = strconv.AppendInt(b, max(1, r.Left.Milliseconds()), 10)
+	b = append(b, "\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(size), 10)
+	return append(b, "\r\n\r\n"...)
+}
+
+// write tells whether the last byte was handed to the connection. If not, the host has no whole request.
+func (r *Request) write(c *conn) error {
+	size := 0
+	for _, p := range r.Body {
+		size += len(p)
+	}
+	buf := buffers.Get().(*[]byte)
+	b := r.head((*buf)[:0], c.host.ID, size)
+	defer func() {
+		if cap(b) <= 64<<10 {
+			*buf = b[:0]
+			buffers.Put(buf)
+		}
+	}()
+	if size <= joined {
+		for _, p := range r.Body {
+			b = append(b, p...)
+		}
+		_, err := c.Write(b)
+		return err
+	}
+	all := append(net.Buffers{b}, r.Body...)
+	_, err := all.WriteTo(c.Conn)
+	return err
+}
+
+// Call is one call to a host. Cancel may come from another goroutine.
+type Call struct {
+	mu    sync.Mutex
+	conn  *conn
+	given bool
+}
+
+// Cancel gives the call up: its connection is closed, so that the host stops work.
+func (k *Call) Cancel() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.given = true; k.conn != nil {
+		k.conn.close()
+	}
+}
+
+func (k *Call) bind(c *conn) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.given && c != nil {
+		return false
+	}
+	k.conn = c
+	return true
+}
+
+func (k *Call) cancelled() bool { k.mu.Lock(); defer k.mu.Unlock(); return k.given }
+
+// Result is the end of a call, or the head of its answer.
+type Result struct {
+	Outcome Outcome
+	Err     error   // its kind; nil where there is an answer
+	Answer  *Answer // where Answered; with NotRun, what the host said instead, read whole, or nil
+	Begun   bool    // something of an answer came
+	Kept    bool    // the call went out on a kept connection
+}
+
+// Do makes a call. The whole answer is in by until or it is cut; more time may be given with Answer.Until.
+func (k *Call) Do(h *Host, r *Request, until time.Time) Result {
+	for {
+		c, err := h.get(r.Shy, until)
+		if err != nil {
+			return Result{Outcome: NotRun, Err: err}
+		}
+		if !k.bind(c) {
+			c.release()
+			return Result{Outcome: NotRun, Err: ErrGiven}
+		}
+		if h.closed.Load() { // while the connection came up
+			k.bind(nil)
+			c.release()
+			return Result{Outcome: NotRun, Err: ErrClosed}
+		}
+		_ = c.SetDeadline(until)
+		if err := r.write(c); err != nil {
+			k.bind(nil)
+			kept := c.kept
+			c.release()
+			switch {
+			case k.cancelled():
+				return Result{Outcome: NotRun, Err: ErrGiven}
+			case errors.Is(err, os.ErrDeadlineExceeded):
+				return Result{Outcome: NotRun, Err: ErrTime, Kept: kept}
+			case kept: // it had ended before: no call yet, once more on another
+				continue
+			}
+			return Result{Outcome: NotRun, Err: errors.Mark(err, ErrWrite)}
+		}
+		return k.answer(c, r)
+	}
+}
+
+func (k *Call) answer(c *conn, r *Request) Result {
+	a, begun, err := c.read(r)
+	if err != nil {
+		k.bind(nil)
+		res := Result{Outcome: MayHaveRun, Err: errors.Mark(err, ErrBroken), Begun: begun, Kept: c.kept}
+		if k.cancelled() {
+			res.Err = ErrGiven
+		} else if errors.Is(err, os.ErrDeadlineExceeded) {
+			res.Err = ErrTime
+		}
+		c.release()
+		return res
+	}
+	a.call = k
+	if a.Status == http.StatusMisdirectedRequest || a.Header.Get("X-Not-Executed") != "" {
+		// The head proves it. The body is short; where it breaks off, the proof stands.
+		a.Whole, _ = io.ReadAll(io.LimitReader(a, surplusBytes))
+		a.Finish()
+		return Result{Outcome: NotRun, Answer: a, Begun: true, Kept: c.kept}
+	}
+	return Result{Outcome: Answered, Answer: a, Begun: true, Kept: c.kept}
+}
+
+// read reads the head of the answer to a request, past interim answers and those of other requests.
+func (c *conn) read(r *Request) (a *Answer, begun bool, err error) {
+	surplus := 0
+	for interim := 0; interim < maxInterim; {
+		c.room.N = maxHead
+		if _, err := c.in.Peek(1); err != nil {
+			return nil, begun, err
+		}
+		begun = true
+		status := statusOf(c.firstLine())
+		if status == 0 {
+			return nil, true, errors.New("bytes that are no answer")
+		}
+		resp, err := http.ReadResponse(c.in, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, true, err
+		}
+		if status/100 == 1 {
+			if status == http.StatusSwitchingProtocols {
+				return nil, true, errors.New("the host switched protocols unasked")
+			}
+			interim++
+			continue
+		}
+		c.room.N = 1 << 62
+		if id := resp.Header.Get("X-Attempt-Id"); id != r.ID {
+			if surplus++; id == "" || surplus > maxSurplus || resp.ContentLength > surplusBytes {
+				return nil, true, errors.New("an answer to no request of ours")
+			}
+			if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, surplusBytes+1)); err != nil || n > surplusBytes || resp.Close {
+				return nil, true, errors.Newf("a surplus answer that does not end: %v", err)
+			}
+			continue
+		}
+		a = &Answer{Status: status, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, conn: c, close: resp.Close}
+		if bodiless := r.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified; bodiless {
+			a.Length, a.body = 0, http.NoBody
+		} else if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			return nil, true, errors.New("an answer whose end would not be known")
+		}
+		return a, true, nil
+	}
+	return nil, true, errors.New("interim answers without end")
+}
+
+// firstLine looks at the first line without reading it; nil if it does not end.
+func (c *conn) firstLine() []byte {
+	for {
+		seen, _ := c.in.Peek(c.in.Buffered())
+		if i := bytes.IndexByte(seen, '\n'); i >= 0 {
+			return seen[:i]
+		}
+		if _, err := c.in.Peek(len(seen) + 1); err != nil {
+			return nil
+		}
+	}
+}
+
+// statusOf reads a status line; 0 if it is none.
+func statusOf(line []byte) int {
+	proto, rest, _ := bytes.Cut(bytes.TrimRight(line, "\r"), []byte(" "))
+	code, _, _ := bytes.Cut(rest, []byte(" "))
+	n, err := strconv.Atoi(string(code))
+	if !bytes.HasPrefix(proto, []byte("HTTP/1.")) || err != nil || len(code) != 3 || n < 100 {
+		return 0
+	}
+	return n
+}
+
+// Answer is a host's answer. Read gives its body; io.EOF comes only where it is whole by its framing.
+type Answer struct {
+	Status int
+	Header http.Header
+	Length int64  // -1 where it comes in chunks
+	Whole  []byte // the body, where the call was not run
+	body   io.Reader
+	conn   *conn
+	call   *Call
+	close  bool
+	ended  bool
+	done   bool
+}
+
+// Read reads the body as it comes.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.body.Read(p)
+	switch {
+	case err == nil:
+	case err == io.EOF:
+		a.ended = true
+	case a.call.cancelled():
+		err = ErrGiven
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = ErrTime
+	default:
+		err = errors.Mark(err, ErrBroken)
+	}
+	return n, err
+}
+
+// Until moves the time at which the answer is cut.
+func (a *Answer) Until(t time.Time) { _ = a.conn.SetDeadline(t) }
+
+// Load is what the host told of its own load.
+func (a *Answer) Load() (running, waiting, slots int, ok bool) {
+	first, rest, _ := strings.Cut(a.Header.Get("X-Host-Load"), ",")
+	second, third, _ := strings.Cut(rest, ",")
+	var errs [3]error
+	running, errs[0] = strconv.Atoi(strings.TrimSpace(first))
+	waiting, errs[1] = strconv.Atoi(strings.TrimSpace(second))
+	slots, errs[2] = strconv.Atoi(strings.TrimSpace(third))
+	return running, waiting, slots, errs == [3]error{} && running >= 0 && waiting >= 0
+}
+
+// Finish ends the call: the connection is kept if the answer was read to its end with nothing behind it, else closed.
+func (a *Answer) Finish() {
+	if a.done {
+		return
+	}
+	a.done = true
+	c := a.conn
+	a.call.bind(nil)
+	if a.call.cancelled() || !a.ended || a.close || c.in.Buffered() > 0 {
+		c.release()
+		return
+	}
+	c.life, c.told = lifeOf(a.Header.Get("Keep-Alive"))
+	c.host.put(c)
+}
+
+// lifeOf is how long a connection may be idle and still be used: well before its host closes it.
+func lifeOf(keepAlive string) (d time.Duration, told bool) {
+	for part := range strings.SplitSeq(keepAlive, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if strings.EqualFold(name, "timeout") {
+			if s, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && s > 0 {
+				return min(keptMost, time.Duration(s)*time.Second*6/10), true
+			}
+			return 0, true
+		}
+	}
+	return untold, false
+}
