Take true and false among the timing bounds, and write each line of the log ring once

Need: DEPLOY.md says that figures in timing_bounds may be true or false; such a file was refused whole. In the ring a line that another goroutine logged could be written in place of the trouble, a line written at once came again with the next dump, a name that cannot be written panicked an empty ring, and a value that logs while it is formatted deadlocked. Change: Figures reads numbers and booleans and leaves the rest out; addresses need a port that is one, a seed's also a host; limits are named one by one. The ring formats outside its lock and marks what was written. Result: go test -race -count=3 ./internal/station passes.

--- a/internal/station/log.go
+++ b/internal/station/log.go
@@ -14,42 +14,44 @@
 // concurrent use.
 type Ring struct {
 	mu    sync.Mutex
-	lines [ringLines][]byte
+	lines [ringLines]line
 	next  int
 	out   io.Writer
+	now   func() time.Time
 	begin time.Time
 	last  time.Time // of the last dump
 }
 
+type line struct {
+	text    []byte
+	written bool // no dump writes it again
+}
+
 const (
 	ringLines = 256
 	dumpEvery = 2 * time.Second // trouble that repeats is told of once
 )
 
 // NewRing makes a ring that is written out to w.
-func NewRing(w io.Writer) *Ring { return &Ring{out: w, begin: time.Now()} }
+func NewRing(w io.Writer) *Ring { return &Ring{out: w, now: time.Now, begin: time.Now()} }
 
 // Log implements go-kit's log.Logger: the record stays in memory.
 func (r *Ring) Log(keyvals ...any) error {
+	text := r.format(keyvals)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var b lineBuffer
-	fmt.Fprintf(&b, "t=%.3f ", time.Since(r.begin).Seconds())
-	if err := log.NewLogfmtLogger(&b).Log(keyvals...); err != nil {
-		return err
-	}
-	r.lines[r.next%ringLines] = b
-	r.next++
+	r.add(text)
 	return nil
 }
 
-// Trouble records and writes out one line, with the ring behind it if that was not done of late.
+// Trouble records and writes out one line, with the ring before it if that was not done of late.
 func (r *Ring) Trouble(keyvals ...any) {
-	_ = r.Log(append([]any{"trouble", 1}, keyvals...)...)
+	text := r.format(append([]any{"trouble", 1}, keyvals...))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now := time.Now(); now.Sub(r.last) < dumpEvery {
-		_, _ = r.out.Write(r.lines[(r.next-1)%ringLines])
+	r.add(text)
+	if !r.last.IsZero() && r.now().Sub(r.last) < dumpEvery {
+		r.write(r.next - 1)
 		return
 	}
 	r.dump()
@@ -57,26 +59,47 @@
 
 // Say records one line and writes it out alone: a start, a stop, a change of what is in force.
 func (r *Ring) Say(keyvals ...any) {
-	_ = r.Log(keyvals...)
+	text := r.format(keyvals)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, _ = r.out.Write(r.lines[(r.next-1)%ringLines])
+	r.add(text)
+	r.write(r.next - 1)
 }
 
-// Dump writes out all that the ring holds.
+// Dump writes out all that the ring holds and that was not written yet.
 func (r *Ring) Dump() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.dump()
 }
 
+// format is done without the lock: a value may log itself while it is written down.
+func (r *Ring) format(keyvals []any) []byte {
+	var b lineBuffer
+	fmt.Fprintf(&b, "t=%.3f ", r.now().Sub(r.begin).Seconds())
+	if err := log.NewLogfmtLogger(&b).Log(keyvals...); err != nil {
+		fmt.Fprintf(&b, "unreadable=%q remedy=\"log names that are not empty\"\n", fmt.Sprint(keyvals...))
+	}
+	return b
+}
+
+func (r *Ring) add(text []byte) {
+	r.lines[r.next%ringLines] = line{text: text}
+	r.next++
+}
+
+func (r *Ring) write(i int) {
+	l := &r.lines[i%ringLines]
+	if !l.written {
+		l.written = true
+		_, _ = r.out.Write(l.text)
+	}
+}
+
 func (r *Ring) dump() {
-	r.last = time.Now()
+	r.last = r.now()
 	for i := max(0, r.next-ringLines); i < r.next; i++ {
-		if line := r.lines[i%ringLines]; line != nil {
-			_, _ = r.out.Write(line)
-			r.lines[i%ringLines] = nil
-		}
+		r.write(i)
 	}
 }
 
--- a/internal/station/settings.go
+++ b/internal/station/settings.go
@@ -51,7 +51,7 @@
 		Zones    int `yaml:"zones"`
 		Regions  int `yaml:"region_losses"`
 	} `yaml:"fault_tolerance"`
-	Bounds   map[string]float64 `yaml:"timing_bounds"`
+	Bounds   Figures `yaml:"timing_bounds"`
 	Platform struct {
 		Address  string  `yaml:"address"`
 		Rate     float64 `yaml:"rate_per_s"`
@@ -59,6 +59,34 @@
 	} `yaml:"cloud_api"`
 }
 
+// Figures are numbers by name; true is 1 and false is 0. What is neither a number nor one of those is left out, as
+// unknown fields are.
+type Figures map[string]float64
+
+// UnmarshalYAML implements yaml.BytesUnmarshaler.
+func (f *Figures) UnmarshalYAML(b []byte) error {
+	var all map[string]any
+	if err := yaml.Unmarshal(b, &all); err != nil {
+		return errors.Wrap(err, "timing_bounds: give figures by name")
+	}
+	*f = Figures{}
+	for name, value := range all {
+		switch v := value.(type) {
+		case bool:
+			if (*f)[name] = 0; v {
+				(*f)[name] = 1
+			}
+		case uint64:
+			(*f)[name] = float64(v)
+		case int64:
+			(*f)[name] = float64(v)
+		case float64:
+			(*f)[name] = v
+		}
+	}
+	return nil
+}
+
 // Port is the place of a program's peer address in the port range: two roles may share a machine.
 type Port int
 
@@ -108,19 +136,31 @@
 		return bad("seed_nodes", "[]", "give the control address of at least one core node")
 	case s.Tolerance.Machines < 0:
 		return bad("fault_tolerance.machine_losses", s.Tolerance.Machines, "give 0 or more")
-	case s.Limits.MemoryMB < 0 || s.Limits.MaxFDs < 0:
-		return bad("limits", s.Limits, "give memory_mb and max_fds of 0 (no limit) or more")
+	case s.Limits.MemoryMB < 0:
+		return bad("limits.memory_mb", s.Limits.MemoryMB, "give 0 (no limit) or more")
+	case s.Limits.MaxFDs < 0:
+		return bad("limits.max_fds", s.Limits.MaxFDs, "give 0 (no limit) or more")
 	}
-	addrs := []struct{ field, value string }{{"bind_addrs.front_addr", s.Bind.Front}, {"bind_addrs.ready_addr", s.Bind.Ready},
-		{"bind_addrs.control_addr", s.Bind.Control}, {"cloud_api.address", s.Platform.Address}}
-	for _, seed := range s.Seeds {
-		addrs = append(addrs, struct{ field, value string }{"seed_nodes", seed})
+	type addr struct {
+		field, value string
+		called       bool // by this node, so that it must be whole
+	}
+	addrs := []addr{{"bind_addrs.front_addr", s.Bind.Front, false}, {"bind_addrs.ready_addr", s.Bind.Ready, false},
+		{"bind_addrs.control_addr", s.Bind.Control, false}, {"cloud_api.address", s.Platform.Address, true}}
+	for i, seed := range s.Seeds {
+		field := "seed_nodes." + strconv.Itoa(i)
+		if seed == "" {
+			return bad(field, `""`, "give HOST:PORT")
+		}
+		addrs = append(addrs, addr{field, seed, true})
 	}
 	for _, a := range addrs {
 		if a.value == "" {
 			continue
 		}
-		if _, _, err := net.SplitHostPort(a.value); err != nil {
+		host, port, err := net.SplitHostPort(a.value)
+		n, wrong := strconv.ParseUint(port, 10, 16)
+		if err != nil || wrong != nil || a.called && (host == "" || n == 0) {
 			return bad(a.field, strconv.Quote(a.value), "give HOST:PORT")
 		}
 	}
