Keep control state on a chain with an agreed view; feed, platform's list, operators' API

Need: a configuration has to be on more disks than may be lost before it is acknowledged, and reach every relay.

--- /dev/null
+++ b/cmd/barograph/main.go
@@ -0,0 +1,66 @@
+// Command barograph is the control plane of the serving tier: core nodes, which keep the control state, stores, which
+// keep turns and budgets, and the operators' client.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"larchrouter/internal/barometer"
+	"larchrouter/internal/station"
+)
+
+type program struct {
+	Core  coreCommand  `cmd:"" help:"Run a core node: control state, operators' API, the platform's list."`
+	Store storeCommand `cmd:"" help:"Run a store: turns with their histories, budgets of programs."`
+	clientCommands
+}
+
+type coreCommand struct{}
+
+func (coreCommand) Run() error {
+	s, log, err := start()
+	if err != nil {
+		return err
+	}
+	c, err := barometer.Open(s, log)
+	if err != nil {
+		return err
+	}
+	return untilTold(log, c.Run)
+}
+
+// start reads the settings that every node has.
+func start() (*station.Settings, *station.Ring, error) {
+	s, err := station.Load()
+	if err != nil {
+		return nil, nil, err
+	}
+	s.TuneRuntime()
+	return s, station.Stderr(), nil
+}
+
+// untilTold runs a node until SIGTERM or SIGINT.
+func untilTold(log *station.Ring, run func(context.Context) error) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	signal.Ignore(syscall.SIGPIPE)
+	defer log.DumpOn(syscall.SIGUSR1)()
+	return run(ctx)
+}
+
+func main() {
+	var p program
+	k := kong.Must(&p, kong.Name("barograph"), kong.Description("The control plane of the serving tier, and its operators' client."), kong.UsageOnError())
+	ctx, err := k.Parse(os.Args[1:])
+	k.FatalIfErrorf(err)
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "barograph:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/barometer/node.go
@@ -0,0 +1,784 @@
+// Package barometer is a core node of the control plane: it joins the agreement on views (isobar) with the chain of the
+// control state (chart), and carries both out. Node is pure; Core drives it.
+package barometer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"larchrouter/internal/chart"
+	"larchrouter/internal/gazette"
+	"larchrouter/internal/isobar"
+)
+
+// Kinds of messages between core nodes.
+const (
+	beat = iota
+	prepare
+	promise
+	accept
+	accepted
+	decide
+	update
+	ack
+	confirm
+	confirmed
+	soft
+)
+
+// Message passes between core nodes. Which fields count depends on Kind.
+type Message struct {
+	Kind       int
+	From       isobar.Member
+	Epoch      int64 // of the sender's view; for prepare to accepted the one to be decided
+	Leaving    bool  // the sender is about to stop
+	Ballot     isobar.Ballot
+	AcceptedAt isobar.Ballot
+	View       isobar.View // Epoch 0 for none
+	Activated  int64
+	Update     chart.Update
+	Ack        chart.Ack
+	Nonce      int64
+	OK         bool
+	Hosts      []gazette.List // at most one
+	Term       int64          // of the sender's list of hosts
+	Number     int64
+}
+
+// Envelope is a message with where it goes.
+type Envelope struct {
+	To string // address
+	Message
+}
+
+// Timings of a node.
+type Timings struct {
+	Beat    time.Duration // between heartbeats
+	Suspect time.Duration // silence after which a member is taken out of the chain
+	Gone    time.Duration // silence after which a voter may be taken off the list
+	Resend  time.Duration
+	Stall   time.Duration // a pause of one's own after which silence of others is no evidence
+}
+
+// DefaultTimings suit links of some milliseconds and syncs of some more.
+func DefaultTimings() Timings {
+	return Timings{Beat: 200 * time.Millisecond, Suspect: 750 * time.Millisecond, Gone: 2 * time.Second, Resend: 150 * time.Millisecond, Stall: 400 * time.Millisecond}
+}
+
+// Durable is what a node has on disk.
+type Durable struct {
+	Acceptor isobar.Acceptor
+	State    chart.State
+}
+
+// NodeSettings make a Node.
+type NodeSettings struct {
+	Self    isobar.Member
+	Seeds   []string // addresses, for a node that knows no view
+	Losses  int
+	Timings Timings
+}
+
+// Done is the end of a write or a read that was asked of the node.
+type Done struct {
+	Token int64
+	Kind  Outcome
+	Place int64
+	To    string // with Elsewhere: the address of the node to ask, empty where none is known
+}
+
+// Outcome of a write or a read.
+type Outcome int
+
+// The outcomes. Unclear proves nothing: the write may be in force, now or later.
+const (
+	Committed Outcome = iota
+	Elsewhere
+	Unclear
+)
+
+// Output is what a step asks for, in this order: Save on disk if Dirty, then Send and Done.
+type Output struct {
+	Dirty bool // Durable has changed
+	Send  []Envelope
+	Done  []Done
+}
+
+type peer struct {
+	member  isobar.Member
+	heard   time.Duration
+	ever    bool
+	leaving bool
+	epoch   int64
+	commit  int64
+	term    int64
+	number  int64
+}
+
+type proposal struct {
+	epoch    int64
+	ballot   isobar.Ballot
+	began    time.Duration
+	promises map[string]isobar.Promise
+	view     isobar.View // once chosen
+	accepts  map[string]bool
+}
+
+type read struct {
+	token int64
+	epoch int64
+	began time.Duration
+	yes   map[string]bool
+	place int64
+}
+
+type write struct {
+	token int64
+	place int64
+}
+
+// Node is a core node's decisions. It is not safe for concurrent use.
+type Node struct {
+	set      NodeSettings
+	vote     isobar.Acceptor
+	chain    *chart.Chain
+	peers    map[string]*peer // by id
+	now      time.Duration
+	beatAt   time.Duration
+	resendAt time.Duration
+	tryAt    time.Duration // no proposal before it
+	sealedAt time.Duration
+	round    int64
+	trying   *proposal
+	writes   []write
+	reads    map[int64]*read
+	nonce    int64
+	leaving  bool
+	hosts    *gazette.List
+	out      Output
+}
+
+// NewNode makes a node from what its disk has. A founding one has a View of epoch 1 there.
+func NewNode(s NodeSettings, d Durable, now time.Duration) *Node {
+	n := &Node{set: s, vote: d.Acceptor, chain: chart.New(s.Self.ID, d.State), peers: map[string]*peer{}, now: now, reads: map[int64]*read{}}
+	n.round = d.Acceptor.Promised.Round
+	n.sealedAt = now
+	if n.vote.View.Epoch > 0 {
+		if n.chain.Adopt(n.vote.View) {
+			n.out.Dirty = true
+		}
+	}
+	for _, m := range n.vote.View.Voters {
+		n.meet(m)
+	}
+	return n
+}
+
+// Founding is what a founding seed begins with: the seeds are the voters of epoch 1, by address.
+func Founding(seeds []isobar.Member) Durable {
+	v := isobar.View{Epoch: 1, Voters: slices.Clone(seeds)}
+	slices.SortFunc(v.Voters, func(a, b isobar.Member) int { return cmp.Compare(a.ID, b.ID) })
+	for _, m := range v.Voters {
+		v.Chain = append(v.Chain, isobar.Link{ID: m.ID, Since: 1})
+	}
+	return Durable{Acceptor: isobar.Acceptor{View: v}, State: chart.State{Activated: 1}}
+}
+
+// Durable is what has to be on disk.
+func (n *Node) Durable() Durable { return Durable{Acceptor: n.vote, State: *n.chain.State()} }
+
+// View is the newest decided view that the node knows.
+func (n *Node) View() isobar.View { return n.vote.View }
+
+// Chain is the node's part of the chain, to be read only.
+func (n *Node) Chain() *chart.Chain { return n.chain }
+
+// Hosts is the newest list of hosts, nil for none.
+func (n *Node) Hosts() *gazette.List { return n.hosts }
+
+// Head tells whether this node holds the duties: it is the head of its view's chain, takes part, has heard a majority
+// lately and has not promised to the next view.
+func (n *Node) Head() bool {
+	return n.vote.View.Head() == n.set.Self.ID && n.chain.Active() && !n.vote.Sealed() && n.Age() < n.set.Timings.Suspect
+}
+
+// HeadAddr is the address of the head, empty where none is known.
+func (n *Node) HeadAddr() string { return n.addr(n.vote.View.Head()) }
+
+func (n *Node) addr(id string) string {
+	if p := n.peers[id]; p != nil && p.ever {
+		return p.member.Addr
+	}
+	if m, ok := n.vote.View.Member(id); ok {
+		return m.Addr
+	}
+	return ""
+}
+
+// Age is how long ago the node heard a majority of the voters, itself among them.
+func (n *Node) Age() time.Duration {
+	var ages []time.Duration
+	for _, m := range n.vote.View.Voters {
+		if m.ID == n.set.Self.ID {
+			ages = append(ages, 0)
+		} else if p := n.peers[m.ID]; p != nil && p.ever {
+			ages = append(ages, n.now-p.heard)
+		}
+	}
+	if most := n.vote.View.Majority(); most > 0 && len(ages) >= most {
+		slices.Sort(ages)
+		return ages[most-1]
+	}
+	return time.Hour
+}
+
+// Fresh tells whether followers may rely on this node: it takes part, hears a majority, and has all that others are
+// known to have committed.
+func (n *Node) Fresh() bool {
+	if !n.chain.Active() || n.Age() >= n.set.Timings.Suspect {
+		return false
+	}
+	for _, p := range n.peers {
+		if n.now-p.heard < n.set.Timings.Suspect && p.ever && (p.epoch > n.vote.View.Epoch || p.commit > n.chain.State().Commit) {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) meet(m isobar.Member) *peer {
+	p := n.peers[m.ID]
+	if p == nil {
+		p = &peer{member: m, heard: n.now}
+		n.peers[m.ID] = p
+	}
+	return p
+}
+
+func (n *Node) send(to string, m Message) {
+	if to == "" || to == n.set.Self.Addr {
+		return
+	}
+	m.From = n.set.Self
+	if m.Epoch == 0 {
+		m.Epoch = n.vote.View.Epoch
+	}
+	n.out.Send = append(n.out.Send, Envelope{To: to, Message: m})
+}
+
+func (n *Node) sendAll(m Message) {
+	for _, v := range n.vote.View.Voters {
+		if v.ID != n.set.Self.ID {
+			n.send(n.addr(v.ID), m)
+		}
+	}
+}
+
+// step brackets one event; what it asks for comes back.
+func (n *Node) step(now time.Duration, event func()) Output {
+	n.clock(now)
+	event()
+	n.forward()
+	out := n.out
+	n.out = Output{}
+	return out
+}
+
+// clock moves on. After a pause of its own (it was frozen, or got no processor) what it has not heard meanwhile is no
+// sign of others' health.
+func (n *Node) clock(now time.Duration) {
+	if gap := now - n.now; gap > n.set.Timings.Stall {
+		for _, p := range n.peers {
+			p.heard += gap
+		}
+		n.trying = nil
+		n.tryAt = now + n.set.Timings.Suspect/2
+	}
+	n.now = max(n.now, now)
+}
+
+// Tick is to be called several times in Timings.Beat.
+func (n *Node) Tick(now time.Duration) Output {
+	return n.step(now, func() {
+		if n.now >= n.beatAt {
+			n.beatAt = n.now + n.set.Timings.Beat
+			n.beat()
+		}
+		if n.now >= n.resendAt {
+			n.resendAt = n.now + n.set.Timings.Resend
+			n.resend()
+		}
+		n.propose()
+		for nonce, r := range n.reads {
+			if n.now-r.began > 2*n.set.Timings.Suspect || r.epoch != n.vote.View.Epoch {
+				delete(n.reads, nonce)
+				n.done(Done{Token: r.token, Kind: Unclear})
+			}
+		}
+	})
+}
+
+func (n *Node) done(d Done) { n.out.Done = append(n.out.Done, d) }
+
+func (n *Node) beat() {
+	m := Message{Kind: beat, Activated: n.chain.State().Activated, Leaving: n.leaving, Ack: chart.Ack{Commit: n.chain.State().Commit}}
+	if n.hosts != nil {
+		m.Term, m.Number = n.hosts.Term, n.hosts.Number
+	}
+	n.sendAll(m)
+	if !n.vote.View.Voter(n.set.Self.ID) { // to be admitted
+		known := map[string]bool{}
+		for _, v := range n.vote.View.Voters {
+			known[v.Addr] = true
+		}
+		for _, s := range n.set.Seeds {
+			if !known[s] {
+				n.send(s, m)
+			}
+		}
+	}
+}
+
+// resend repeats what is under way: its messages, or the answers to them, may be lost.
+func (n *Node) resend() {
+	if to, u, some := n.chain.Next(); some && !n.vote.Sealed() {
+		n.send(n.addr(to), Message{Kind: update, Update: u})
+	}
+	if p := n.trying; p != nil {
+		if p.view.Epoch > 0 {
+			n.sendAll(Message{Kind: accept, Epoch: p.epoch, Ballot: p.ballot, View: p.view})
+		} else {
+			n.sendAll(Message{Kind: prepare, Epoch: p.epoch, Ballot: p.ballot})
+		}
+	}
+	for nonce := range n.reads {
+		n.sendAll(Message{Kind: confirm, Nonce: nonce})
+	}
+}
+
+// forward passes on what the successor lacks, and settles writes that are committed.
+func (n *Node) forward() {
+	commit := n.chain.State().Commit
+	n.writes = slices.DeleteFunc(n.writes, func(w write) bool {
+		if w.place <= commit {
+			n.done(Done{Token: w.token, Kind: Committed, Place: w.place})
+			return true
+		}
+		return false
+	})
+}
+
+func (n *Node) pass() {
+	if n.vote.Sealed() {
+		return
+	}
+	if to, u, some := n.chain.Next(); some {
+		n.send(n.addr(to), Message{Kind: update, Update: u})
+	}
+}
+
+func (n *Node) acknowledge() {
+	if to, a, ok := n.chain.Ack(); ok {
+		n.send(n.addr(to), Message{Kind: ack, Ack: a})
+	}
+}
+
+// Write asks for an entry at the head. It ends in a Done with the token.
+func (n *Node) Write(now time.Duration, token int64, key string, value []byte) Output {
+	return n.step(now, func() {
+		if n.vote.Sealed() && n.vote.View.Head() == n.set.Self.ID {
+			n.done(Done{Token: token, Kind: Elsewhere})
+			return
+		}
+		e, ok := n.chain.Append(key, value)
+		if !ok {
+			n.done(Done{Token: token, Kind: Elsewhere, To: n.HeadAddr()})
+			return
+		}
+		n.out.Dirty = true
+		n.chain.Synced() // Done goes out after the sync that Dirty asks for
+		n.writes = append(n.writes, write{token, e.Place})
+		n.pass()
+	})
+}
+
+// WaitCommitted ends in a Done with the token once a place is committed.
+func (n *Node) WaitCommitted(now time.Duration, token, place int64) Output {
+	return n.step(now, func() { n.writes = append(n.writes, write{token, place}) })
+}
+
+// Read ends in a Done with the token whose Place is committed and not older than anything acknowledged before the call.
+func (n *Node) Read(now time.Duration, token int64) Output {
+	return n.step(now, func() {
+		if n.vote.View.Tail() != n.set.Self.ID || !n.chain.Active() || n.vote.Sealed() {
+			n.done(Done{Token: token, Kind: Elsewhere, To: n.addr(n.vote.View.Tail())})
+			return
+		}
+		n.nonce++
+		r := &read{token: token, epoch: n.vote.View.Epoch, began: n.now, yes: map[string]bool{n.set.Self.ID: true}, place: n.chain.State().Commit}
+		n.reads[n.nonce] = r
+		n.sendAll(Message{Kind: confirm, Nonce: n.nonce})
+		n.settle(n.nonce, r)
+	})
+}
+
+func (n *Node) settle(nonce int64, r *read) {
+	if len(r.yes) >= n.vote.View.Majority() {
+		delete(n.reads, nonce)
+		n.done(Done{Token: r.token, Kind: Committed, Place: r.place})
+	}
+}
+
+// Publish has a list of hosts spread; it is soft state.
+func (n *Node) Publish(now time.Duration, l *gazette.List) Output {
+	return n.step(now, func() {
+		if l.Newer(n.hosts) {
+			n.hosts = l
+			n.sendAll(Message{Kind: soft, Hosts: []gazette.List{*l}})
+		}
+	})
+}
+
+// Leave says that this node is about to stop: its duties go to a successor at once.
+func (n *Node) Leave(now time.Duration) Output {
+	return n.step(now, func() {
+		n.leaving = true
+		n.beat()
+		n.tryAt = 0
+		n.propose()
+	})
+}
+
+// Left tells whether the node has no place in the chain any more.
+func (n *Node) Left() bool { return n.vote.View.Position(n.set.Self.ID) < 0 }
+
+// Receive takes a message of another node.
+func (n *Node) Receive(now time.Duration, m Message) Output {
+	return n.step(now, func() {
+		if m.From.ID == n.set.Self.ID || m.From.ID == "" {
+			return
+		}
+		p := n.meet(m.From)
+		p.member, p.heard, p.ever = m.From, n.now, true
+		switch m.Kind {
+		case beat:
+			n.takeBeat(p, m)
+		case prepare:
+			n.takePrepare(m)
+		case promise:
+			n.takePromise(m)
+		case accept:
+			if n.vote.Accept(m.Ballot, m.View) {
+				n.out.Dirty = true
+				n.send(m.From.Addr, Message{Kind: accepted, Epoch: m.Epoch, Ballot: m.Ballot})
+			} else {
+				n.teach(m)
+			}
+		case accepted:
+			n.takeAccepted(m)
+		case decide:
+			n.adopt(m.View)
+		case update:
+			n.takeUpdate(m)
+		case ack:
+			if n.chain.Acked(m.From.ID, m.Ack) {
+				n.acknowledge() // what is committed is told upstream
+			}
+			n.pass()
+		case confirm:
+			n.send(m.From.Addr, Message{Kind: confirmed, Nonce: m.Nonce, OK: m.Epoch == n.vote.View.Epoch && !n.vote.Sealed()})
+		case confirmed:
+			if r := n.reads[m.Nonce]; r != nil && m.OK && r.epoch == n.vote.View.Epoch && m.Epoch == r.epoch && !n.vote.Sealed() && n.vote.View.Voter(m.From.ID) {
+				r.yes[m.From.ID] = true
+				n.settle(m.Nonce, r)
+			}
+		case soft:
+			if len(m.Hosts) == 1 && m.Hosts[0].Newer(n.hosts) {
+				n.hosts = &m.Hosts[0]
+			}
+		}
+	})
+}
+
+func (n *Node) takeBeat(p *peer, m Message) {
+	p.leaving, p.epoch, p.commit, p.term, p.number = m.Leaving, m.Epoch, m.Ack.Commit, m.Term, m.Number
+	if m.Epoch < n.vote.View.Epoch {
+		n.teach(m)
+	}
+	if n.hosts != nil && (m.Term < n.hosts.Term || m.Term == n.hosts.Term && m.Number < n.hosts.Number) && n.vote.View.Voter(m.From.ID) &&
+		n.vote.View.Head() == n.set.Self.ID {
+		n.send(m.From.Addr, Message{Kind: soft, Hosts: []gazette.List{*n.hosts}})
+	}
+}
+
+// teach sends the newest view to one that does not have it.
+func (n *Node) teach(m Message) {
+	if n.vote.View.Epoch > 0 && m.Epoch <= n.vote.View.Epoch {
+		n.send(m.From.Addr, Message{Kind: decide, View: n.vote.View})
+	}
+}
+
+func (n *Node) takePrepare(m Message) {
+	if n.vote.View.Epoch == 0 {
+		return // it votes on nothing before it knows a view
+	}
+	fresh := !n.vote.Sealed()
+	if !n.vote.Prepare(m.Epoch, m.Ballot) {
+		n.round = max(n.round, n.vote.Promised.Round)
+		n.teach(m)
+		return
+	}
+	if fresh {
+		n.sealedAt = n.now
+	}
+	if n.trying != nil && n.trying.ballot.Less(m.Ballot) {
+		n.trying = nil
+	}
+	n.round = max(n.round, m.Ballot.Round)
+	n.out.Dirty = true
+	n.send(m.From.Addr, Message{Kind: promise, Epoch: m.Epoch, Ballot: m.Ballot, AcceptedAt: n.vote.AcceptedAt, View: n.vote.Accepted, Activated: n.chain.State().Activated})
+}
+
+func (n *Node) takePromise(m Message) {
+	p := n.trying
+	if p == nil || m.Epoch != p.epoch || m.Ballot != p.ballot || p.view.Epoch > 0 || !n.vote.View.Voter(m.From.ID) {
+		return
+	}
+	p.promises[m.From.ID] = isobar.Promise{From: m.From, AcceptedAt: m.AcceptedAt, Accepted: m.View, Activated: m.Activated}
+	n.choose()
+}
+
+// choose proposes once all that are alive have promised, or a majority has and the others take long.
+func (n *Node) choose() {
+	p := n.trying
+	w := n.wishes()
+	for _, v := range n.vote.View.Voters {
+		if _, has := p.promises[v.ID]; !has && w.Alive[v.ID] && n.now-p.began < n.set.Timings.Beat {
+			return
+		}
+	}
+	var promises []isobar.Promise
+	for _, v := range n.vote.View.Voters {
+		if one, has := p.promises[v.ID]; has {
+			promises = append(promises, one)
+		}
+	}
+	next, ok := isobar.Choose(&n.vote.View, promises, w)
+	if !ok || !n.vote.Accept(p.ballot, next) {
+		return
+	}
+	n.out.Dirty = true
+	p.view, p.accepts = next, map[string]bool{n.set.Self.ID: true}
+	n.sendAll(Message{Kind: accept, Epoch: p.epoch, Ballot: p.ballot, View: next})
+	n.decided()
+}
+
+func (n *Node) takeAccepted(m Message) {
+	if p := n.trying; p != nil && p.view.Epoch > 0 && m.Epoch == p.epoch && m.Ballot == p.ballot && n.vote.View.Voter(m.From.ID) {
+		p.accepts[m.From.ID] = true
+		n.decided()
+	}
+}
+
+func (n *Node) decided() {
+	p := n.trying
+	if len(p.accepts) < n.vote.View.Majority() {
+		return
+	}
+	before := n.vote.View
+	v := p.view
+	n.adopt(v)
+	for _, m := range before.Voters { // those that left the list hear of it as well
+		if m.ID != n.set.Self.ID {
+			n.send(n.addr(m.ID), Message{Kind: decide, View: v})
+		}
+	}
+	for _, m := range v.Voters {
+		if !before.Voter(m.ID) {
+			n.send(m.Addr, Message{Kind: decide, View: v})
+		}
+	}
+}
+
+func (n *Node) adopt(v isobar.View) {
+	if !n.vote.Adopt(v) {
+		return
+	}
+	n.out.Dirty = true
+	n.trying = nil
+	n.chain.Adopt(v)
+	for _, m := range v.Voters {
+		n.meet(m)
+	}
+	for id, p := range n.peers {
+		if !v.Voter(id) && n.now-p.heard > 10*n.set.Timings.Gone {
+			delete(n.peers, id)
+		}
+	}
+	if v.Head() != n.set.Self.ID {
+		for _, w := range n.writes {
+			n.done(Done{Token: w.token, Kind: Unclear})
+		}
+		n.writes = nil
+	}
+	n.pass()
+}
+
+func (n *Node) takeUpdate(m Message) {
+	if n.vote.Sealed() {
+		return
+	}
+	if m.Update.Epoch < n.vote.View.Epoch {
+		n.teach(Message{Epoch: m.Update.Epoch, From: m.From})
+		return
+	}
+	whole, added, ok := n.chain.Take(m.From.ID, m.Update)
+	if !ok {
+		return
+	}
+	n.out.Dirty = n.out.Dirty || whole || len(added) > 0
+	n.chain.Synced()
+	n.acknowledge()
+	n.pass()
+}
+
+// wishes are what this node would have the next view be.
+func (n *Node) wishes() isobar.Wishes {
+	w := isobar.Wishes{Alive: map[string]bool{n.set.Self.ID: true}, Gone: map[string]bool{}, Leaving: map[string]bool{}, Losses: n.set.Losses}
+	if n.leaving {
+		w.Leaving[n.set.Self.ID] = true
+	}
+	ids := make([]string, 0, len(n.peers))
+	for id := range n.peers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if id == n.set.Self.ID {
+			continue
+		}
+		p := n.peers[id]
+		silent := n.now - p.heard
+		voter := n.vote.View.Voter(id)
+		if p.ever && silent < n.set.Timings.Suspect {
+			w.Alive[id] = true
+			if !voter && !p.leaving {
+				w.Applicants = append(w.Applicants, p.member)
+			}
+			if p.leaving {
+				w.Leaving[id] = true
+			}
+		}
+		if voter && silent > n.set.Timings.Gone {
+			w.Gone[id] = true
+		}
+	}
+	return w
+}
+
+// propose begins a new view if one is wanted, this node's turn has come, and a majority is alive.
+func (n *Node) propose() {
+	if p := n.trying; p != nil {
+		switch {
+		case p.epoch != n.vote.View.Epoch+1 || n.now-p.began > 3*n.set.Timings.Beat:
+			n.trying = nil
+			n.tryAt = n.now + n.set.Timings.Beat
+		case p.view.Epoch == 0:
+			n.choose()
+		}
+		return
+	}
+	v := &n.vote.View
+	if v.Epoch == 0 || !v.Voter(n.set.Self.ID) || n.now < n.tryAt {
+		return
+	}
+	w := n.wishes()
+	alive := 0
+	for _, m := range v.Voters {
+		if w.Alive[m.ID] {
+			alive++
+		}
+	}
+	if alive < v.Majority() || !n.wanted(w) {
+		return
+	}
+	rank := n.rank(w)
+	if rank > 0 && !n.late(rank) {
+		return
+	}
+	n.round++
+	b := isobar.Ballot{Round: n.round, By: n.set.Self.ID}
+	fresh := !n.vote.Sealed()
+	if !n.vote.Prepare(v.Epoch+1, b) {
+		return
+	}
+	if fresh {
+		n.sealedAt = n.now
+	}
+	n.out.Dirty = true
+	n.trying = &proposal{epoch: v.Epoch + 1, ballot: b, began: n.now, promises: map[string]isobar.Promise{
+		n.set.Self.ID: {From: n.set.Self, AcceptedAt: n.vote.AcceptedAt, Accepted: n.vote.Accepted, Activated: n.chain.State().Activated}}}
+	n.sendAll(Message{Kind: prepare, Epoch: v.Epoch + 1, Ballot: b})
+	n.choose()
+}
+
+// wanted tells whether the view should change.
+func (n *Node) wanted(w isobar.Wishes) bool {
+	v := &n.vote.View
+	if n.vote.Sealed() && n.now-n.sealedAt > 2*n.set.Timings.Beat {
+		return true // somebody began one and did not end it
+	}
+	for _, l := range v.Chain {
+		if !w.Alive[l.ID] {
+			return true
+		}
+		if w.Leaving[l.ID] && len(v.Chain) > n.set.Losses+1 {
+			return true
+		}
+	}
+	for _, m := range v.Voters {
+		if v.Position(m.ID) < 0 && w.Alive[m.ID] && !w.Leaving[m.ID] {
+			return true
+		}
+	}
+	if len(w.Applicants) > 0 {
+		return true
+	}
+	return len(w.Gone) > 0 && len(v.Voters) > 2*n.set.Losses+1
+}
+
+// rank is this node's turn among those that could propose: members of the chain first.
+func (n *Node) rank(w isobar.Wishes) int {
+	rank := 0
+	for _, l := range n.vote.View.Chain {
+		if l.ID == n.set.Self.ID {
+			return rank
+		}
+		if w.Alive[l.ID] && !w.Leaving[l.ID] {
+			rank++
+		}
+	}
+	for _, m := range n.vote.View.Voters {
+		if m.ID == n.set.Self.ID {
+			return rank
+		}
+		if n.vote.View.Position(m.ID) < 0 && w.Alive[m.ID] {
+			rank++
+		}
+	}
+	return rank
+}
+
+// late tells whether those with an earlier turn have let it pass: each wish is remembered since when it stands.
+func (n *Node) late(rank int) bool {
+	wait := time.Duration(rank) * 2 * n.set.Timings.Beat
+	if n.vote.Sealed() {
+		return n.now-n.sealedAt > 2*n.set.Timings.Beat+wait
+	}
+	if n.tryAt == 0 || n.tryAt+wait+n.set.Timings.Suspect < n.now {
+		n.tryAt = n.now + wait
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/barometer/status.go
@@ -0,0 +1,126 @@
+package barometer
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"larchrouter/internal/archive"
+	"larchrouter/internal/synop"
+	"larchrouter/internal/teletype"
+)
+
+// Status is what one core node knows, for operators.
+type Status struct {
+	Node      string           `json:"node"`
+	Epoch     int64            `json:"epoch"`
+	Head      string           `json:"head"`
+	Tail      string           `json:"tail"`
+	Chain     []string         `json:"chain"`
+	Voters    []Voter          `json:"voters"`
+	Sealed    bool             `json:"sealed"`
+	Fresh     bool             `json:"fresh"`
+	Place     int64            `json:"place"`
+	Commit    int64            `json:"commit"`
+	Version   int64            `json:"config_version"`
+	Hosts     int              `json:"hosts"`
+	Gen       int64            `json:"placement_gen"`
+	Joint     bool             `json:"placement_joint"`
+	Stores    []archive.Store  `json:"stores"`
+	Followers []FollowerStatus `json:"followers"`
+}
+
+// Voter is a core node as another sees it.
+type Voter struct {
+	ID       string `json:"id"`
+	Name     string `json:"name"`
+	Addr     string `json:"addr"`
+	SilentMs int64  `json:"silent_ms"`
+}
+
+// FollowerStatus is a follower of this node's feed.
+type FollowerStatus struct {
+	Name     string `json:"name"`
+	Class    string `json:"class"`
+	Version  int64  `json:"config_version"`
+	Place    int64  `json:"place"`
+	SilentMs int64  `json:"silent_ms"`
+}
+
+func (c *Core) status() *Status {
+	s := &Status{Node: c.self.Name}
+	c.do(func() {
+		v := c.node.View()
+		s.Epoch, s.Chain, s.Sealed, s.Fresh = v.Epoch, chainNames(v), c.node.vote.Sealed(), c.node.Fresh()
+		if len(s.Chain) > 0 {
+			s.Head, s.Tail = s.Chain[0], s.Chain[len(s.Chain)-1]
+		}
+		for _, m := range v.Voters {
+			one := Voter{ID: m.ID, Name: m.Name, Addr: c.node.addr(m.ID)}
+			if p := c.node.peers[m.ID]; p != nil && m.ID != c.self.ID {
+				one.Name, one.SilentMs = cmp.Or(p.member.Name, m.Name), (c.now() - p.heard).Milliseconds()
+			} else if m.ID == c.self.ID {
+				one.Name = c.self.Name
+			}
+			s.Voters = append(s.Voters, one)
+		}
+		s.Place, s.Commit = c.node.Chain().State().Place, c.node.Chain().State().Commit
+		if h := c.node.Hosts(); h != nil {
+			s.Hosts = len(h.Hosts)
+		}
+		for _, e := range c.node.Chain().Committed(0) {
+			var now synop.ConfigEntry
+			if e.Key == synop.ConfigKey && teletype.Decode(e.Value, &now) == nil {
+				s.Version = now.Version
+			}
+		}
+		if p, _ := c.orders(); p != nil {
+			s.Gen, s.Joint, s.Stores = p.Gen, len(p.New) > 0, p.Stores()
+		}
+	})
+	c.followers.Range(func(_, v any) bool {
+		f := v.(*Following)
+		s.Followers = append(s.Followers, FollowerStatus{Name: f.Name, Class: f.Class, Version: f.Acting, Place: f.Place, SilentMs: time.Since(f.Seen).Milliseconds()})
+		return true
+	})
+	slices.SortFunc(s.Followers, func(a, b FollowerStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return s
+}
+
+func (c *Core) getStatus(w http.ResponseWriter, _ *http.Request) {
+	b, err := json.Marshal(c.status())
+	if err != nil {
+		tell(w, &synop.Reply{Status: http.StatusInternalServerError, Text: err.Error()})
+		return
+	}
+	tell(w, &synop.Reply{Status: http.StatusOK, Body: b})
+}
+
+// Trouble names the one thing that is wrong, as far as this node can tell.
+func (s *Status) Trouble() string {
+	silent := 0
+	for _, v := range s.Voters {
+		if v.SilentMs > 1000 {
+			silent++
+		}
+	}
+	switch {
+	case s.Epoch == 0:
+		return "it knows no view: no core node that has one answers it"
+	case len(s.Voters)-silent < len(s.Voters)/2+1:
+		return "it hears no majority of the core nodes: what it tells may be old"
+	case s.Sealed:
+		return "the view changes"
+	case !s.Fresh:
+		return "it is behind the others, or has no place in the chain"
+	case silent > 0:
+		return "some core nodes are silent; a majority goes on"
+	case s.Version == 0:
+		return "no configuration was taken yet"
+	case s.Joint:
+		return "the placement of stores changes"
+	}
+	return "all is well"
+}
--- a/internal/station/log.go
+++ b/internal/station/log.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"sync"
 	"time"
 
@@ -109,3 +110,21 @@
 
 // Stderr is the ring of a program.
 func Stderr() *Ring { return NewRing(os.Stderr) }
+
+// DumpOn has a signal write the ring out, until the function that it gives is called.
+func (r *Ring) DumpOn(s os.Signal) (stop func()) {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, s)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-ch:
+				r.Dump()
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() { signal.Stop(ch); close(done) }
+}
--- a/internal/station/settings.go
+++ b/internal/station/settings.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"os"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -195,3 +196,10 @@
 
 // SameRegion tells whether a zone lies in this node's region.
 func (s *Settings) SameRegion(zone string) bool { return s.Zones[zone] == s.Region }
+
+// TuneRuntime keeps the heap within what the machine gives: the collector works harder before the limit is met.
+func (s *Settings) TuneRuntime() {
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.Limits.MemoryMB * 0.6 * (1 << 20)))
+	}
+}
