Play drawn courses of the core in virtual time, with eight planted faults that are found

Need: view, chain and reads have to hold under cuts (also one way), kills, lost disks, freezes and power that fails before a sync. Change: a harness that drives Node as the driver does; checkers for what was acknowledged, reads and one value a place.

--- /dev/null
+++ b/internal/barometer/course_test.go
@@ -0,0 +1,462 @@
+package barometer
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"larchrouter/internal/isobar"
+)
+
+// A course is a drawn day of a core in virtual time: machines that die, lose power or disks, freeze, are cut off (also
+// one way) and replaced, while an operator writes and reads through any of them. Nothing here sleeps.
+
+var courses = flag.Int("courses", 300, "drawn courses to play")
+
+// planted is a fault that the harness makes; each must be found by the checkers.
+type planted struct {
+	unsynced     bool // what a step changed is on disk only with the next one's
+	early        bool // messages go out before the sync
+	keepsID      bool // a machine whose disk was lost comes back as the one it was
+	forgetsVote  bool // promises and acceptances are not on disk
+	oldTail      bool // reads are answered without asking a majority
+	forgetsState bool // the entries are not on disk, the rest is
+	anyHead      bool // whoever was activated once may head a chain
+	shortWrite   bool // a write is acknowledged when the head has it
+}
+
+type machine struct {
+	addr   string
+	name   string
+	node   *Node
+	disk   Durable
+	id     string
+	up     bool
+	frozen bool
+	late   *Durable // planted: not yet on disk
+	inbox  []Message
+}
+
+type packet struct {
+	at   time.Duration
+	to   string
+	from string
+	m    Message
+	seq  int
+}
+
+type course struct {
+	t        testing.TB
+	seed     uint64
+	rng      *rand.Rand
+	now      time.Duration
+	machines map[string]*machine
+	order    []string
+	queue    []packet
+	seq      int
+	cut      map[[2]string]bool // from, to
+	fault    planted
+	log      []string
+	ids      int
+	losses   int
+
+	token    int64
+	asked    map[int64]request
+	acked    int64            // the highest place that was acknowledged
+	values   map[int64]string // acknowledged, by place
+	followed map[string]int64 // place of a follower at each machine's life
+	reads    int
+	writes   int
+	failure  string
+}
+
+type request struct {
+	write bool
+	value string
+	at    int64 // acked when it was asked
+	by    string
+}
+
+func newCourse(t testing.TB, seed uint64, n int, f planted) *course {
+	c := &course{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), machines: map[string]*machine{}, cut: map[[2]string]bool{}, fault: f,
+		asked: map[int64]request{}, values: map[int64]string{}, losses: 1}
+	var seeds []isobar.Member
+	for i := range n {
+		addr := fmt.Sprintf("m%d", i)
+		c.machines[addr] = &machine{addr: addr, name: addr}
+		c.order = append(c.order, addr)
+		if i < 3 {
+			seeds = append(seeds, isobar.Member{ID: "seed-" + addr, Addr: addr})
+		}
+	}
+	for i, addr := range c.order {
+		m := c.machines[addr]
+		if i < 3 {
+			m.id, m.disk = "seed-"+addr, Founding(seeds)
+		} else {
+			m.id = c.newID()
+		}
+		c.start(m)
+	}
+	return c
+}
+
+func (c *course) newID() string { c.ids++; return fmt.Sprintf("id%d", c.ids) }
+
+func (c *course) note(format string, args ...any) {
+	c.log = append(c.log, fmt.Sprintf("%8.3f ", c.now.Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (c *course) fail(format string, args ...any) {
+	if c.failure == "" {
+		c.failure = fmt.Sprintf(format, args...)
+		c.note("FAIL %s", c.failure)
+	}
+}
+
+func (c *course) start(m *machine) {
+	m.up, m.frozen, m.late, m.inbox = true, false, nil, nil
+	d := m.disk
+	d.State.Entries = slices.Clone(d.State.Entries)
+	seeds := []string{}
+	for i, a := range c.order {
+		if i < 3 {
+			seeds = append(seeds, a)
+		}
+	}
+	m.node = NewNode(NodeSettings{Self: isobar.Member{ID: m.id, Name: m.name, Addr: m.addr}, Seeds: seeds, Losses: c.losses, Timings: DefaultTimings()}, d, c.now)
+	if c.fault.anyHead {
+		m.node.chain.State().Activated = max(m.node.chain.State().Activated, m.node.vote.View.Epoch)
+	}
+}
+
+func (c *course) stop(m *machine) {
+	m.up, m.node = false, nil
+	for token, r := range c.asked {
+		if r.by == m.addr {
+			delete(c.asked, token)
+		}
+	}
+}
+
+func (c *course) save(m *machine, d Durable) {
+	d.State.Entries = slices.Clone(d.State.Entries)
+	if c.fault.forgetsVote {
+		d.Acceptor.Promised, d.Acceptor.AcceptedAt, d.Acceptor.Accepted = isobar.Ballot{}, isobar.Ballot{}, isobar.View{}
+	}
+	if c.fault.forgetsState {
+		d.State.Entries, d.State.Place, d.State.Commit = nil, 0, 0
+	}
+	if c.fault.unsynced {
+		if m.late != nil {
+			m.disk = *m.late
+		}
+		m.late = &d
+		return
+	}
+	m.disk = d
+}
+
+// carry does with an output what the driver does. Between changing and syncing the power may fail.
+func (c *course) carry(m *machine, o Output) {
+	if o.Dirty {
+		if c.rng.IntN(400) == 0 && !c.fault.early {
+			c.note("%s loses power before its sync", m.addr)
+			c.stop(m)
+			return
+		}
+		if c.fault.early && c.rng.IntN(60) == 0 {
+			c.emit(m, o)
+			c.note("%s loses power before its sync", m.addr)
+			c.stop(m)
+			return
+		}
+		c.save(m, m.node.Durable())
+	}
+	c.emit(m, o)
+}
+
+func (c *course) emit(m *machine, o Output) {
+	for _, e := range o.Send {
+		if c.rng.IntN(50) == 0 {
+			continue // lost
+		}
+		c.seq++
+		delay := time.Duration(1+c.rng.IntN(6)) * time.Millisecond
+		if c.rng.IntN(100) == 0 {
+			delay *= 60
+		}
+		c.queue = append(c.queue, packet{at: c.now + delay, to: e.To, from: m.addr, m: e.Message, seq: c.seq})
+	}
+	for _, d := range o.Done {
+		r, ok := c.asked[d.Token]
+		if !ok {
+			continue
+		}
+		delete(c.asked, d.Token)
+		if d.Kind != Committed {
+			continue
+		}
+		if r.write {
+			c.acknowledge(d.Place, r.value)
+			continue
+		}
+		c.reads++
+		if d.Place < r.at {
+			c.fail("a read at %s gave place %d, %d was acknowledged before", m.addr, d.Place, r.at)
+		}
+		c.check(m, d.Place)
+	}
+}
+
+func (c *course) acknowledge(place int64, value string) {
+	c.writes++
+	if old, ok := c.values[place]; ok && old != value {
+		c.fail("place %d was acknowledged with %s and with %s", place, old, value)
+	}
+	c.values[place] = value
+	c.acked = max(c.acked, place)
+	c.note("place %d acknowledged: %s", place, value)
+}
+
+// check holds what a node has committed against what was acknowledged.
+func (c *course) check(m *machine, to int64) {
+	for _, e := range m.node.Chain().Committed(0) {
+		if v, ok := c.values[e.Place]; ok && v != string(e.Value) {
+			c.fail("%s has %s at place %d, %s was acknowledged", m.addr, e.Value, e.Place, v)
+		}
+	}
+	if e, ok := m.node.Chain().Last("config"); c.acked > 0 && to >= c.acked && (!ok || e.Place < c.acked) {
+		c.fail("%s tells place %d without what was acknowledged at %d", m.addr, to, c.acked)
+	}
+}
+
+func (c *course) write(m *machine) {
+	c.token++
+	value := fmt.Sprintf("v%d", c.token)
+	c.asked[c.token] = request{write: true, value: value, by: m.addr}
+	o := m.node.Write(c.now, c.token, "config", []byte(value))
+	if c.fault.shortWrite && o.Dirty {
+		if r, ok := c.asked[c.token]; ok {
+			delete(c.asked, c.token)
+			c.acknowledge(m.node.Chain().State().Place, r.value)
+		}
+	}
+	c.carry(m, o)
+}
+
+func (c *course) read(m *machine) {
+	c.token++
+	if v := m.node.View(); c.fault.oldTail && v.Tail() == m.id && m.node.Chain().Active() {
+		c.asked[c.token] = request{at: c.acked, by: m.addr}
+		c.emit(m, Output{Done: []Done{{Token: c.token, Kind: Committed, Place: m.node.Chain().State().Commit}}})
+		return
+	}
+	c.asked[c.token] = request{at: c.acked, by: m.addr}
+	c.carry(m, m.node.Read(c.now, c.token))
+}
+
+func (c *course) reach(from, to string) bool { return !c.cut[[2]string{from, to}] }
+
+// step moves time by 5 ms: what has arrived is received, clocks tick, operators ask.
+func (c *course) step() {
+	c.now += 5 * time.Millisecond
+	slices.SortStableFunc(c.queue, func(a, b packet) int { return int(a.at - b.at) })
+	for len(c.queue) > 0 && c.queue[0].at <= c.now {
+		p := c.queue[0]
+		c.queue = c.queue[1:]
+		m := c.machines[p.to]
+		if m == nil || !m.up || !c.reach(p.from, p.to) {
+			continue
+		}
+		if m.frozen {
+			m.inbox = append(m.inbox, p.m)
+			continue
+		}
+		c.carry(m, m.node.Receive(c.now, p.m))
+	}
+	for _, a := range c.order {
+		m := c.machines[a]
+		if m == nil || !m.up || m.frozen {
+			continue
+		}
+		if c.now%(50*time.Millisecond) == 0 {
+			c.carry(m, m.node.Tick(c.now))
+		}
+		if m.up && c.rng.IntN(30) == 0 {
+			c.write(m)
+		}
+		if m.up && c.rng.IntN(30) == 0 {
+			c.read(m)
+		}
+		if m.up && m.node.Fresh() {
+			c.check(m, 0)
+		}
+	}
+}
+
+// troubled is how many machines may be counted as lost now.
+func (c *course) calm() bool {
+	for _, a := range c.order {
+		if m := c.machines[a]; !m.up || m.frozen {
+			return false
+		}
+	}
+	return len(c.cut) == 0
+}
+
+func (c *course) run(d time.Duration) {
+	for end := c.now + d; c.now < end && c.failure == ""; {
+		c.step()
+	}
+}
+
+// play draws troubles, one machine at a time and what may come to all, with time to catch up between.
+func (c *course) play(rounds int) {
+	c.run(800 * time.Millisecond)
+	for range rounds {
+		if c.failure != "" {
+			return
+		}
+		a := c.order[c.rng.IntN(len(c.order))]
+		m := c.machines[a]
+		span := time.Duration(100+c.rng.IntN(3500)) * time.Millisecond
+		switch k := c.rng.IntN(9); k {
+		case 0, 1:
+			c.note("%s is killed", a)
+			if m.up {
+				c.stop(m)
+			}
+			c.run(span)
+		case 2:
+			c.note("%s loses its disk", a)
+			if m.up {
+				c.stop(m)
+			}
+			m.disk = Durable{}
+			if !c.fault.keepsID {
+				m.id = c.newID()
+			}
+			c.run(span)
+		case 3:
+			c.note("%s freezes", a)
+			m.frozen = true
+			c.run(span)
+			m.frozen = false
+			c.note("%s wakes", a)
+			in := m.inbox
+			m.inbox = nil
+			for _, one := range in {
+				if m.up {
+					c.carry(m, m.node.Receive(c.now, one))
+				}
+			}
+		case 4, 5, 6:
+			way := c.rng.IntN(3) // both, in, out
+			c.note("%s is cut off, way %d", a, way)
+			for _, b := range c.order {
+				if b != a && way != 1 {
+					c.cut[[2]string{a, b}] = true
+				}
+				if b != a && way != 2 {
+					c.cut[[2]string{b, a}] = true
+				}
+			}
+			c.run(span)
+			c.cut = map[[2]string]bool{}
+		case 7:
+			c.note("all lose power")
+			for _, b := range c.order {
+				if c.machines[b].up {
+					c.stop(c.machines[b])
+				}
+			}
+			if c.rng.IntN(2) == 0 {
+				c.note("%s loses its disk", a)
+				m.disk = Durable{}
+				if !c.fault.keepsID {
+					m.id = c.newID()
+				}
+			}
+		case 8:
+			c.note("%s leaves in order", a)
+			if m.up {
+				c.carry(m, m.node.Leave(c.now))
+				c.run(300 * time.Millisecond)
+				if m.up {
+					c.stop(m)
+				}
+			}
+			c.run(span)
+		}
+		for _, b := range c.order {
+			if one := c.machines[b]; !one.up {
+				c.start(one)
+			}
+		}
+		c.run(4200 * time.Millisecond)
+		for _, b := range c.order { // power that failed before a sync
+			if one := c.machines[b]; !one.up {
+				c.start(one)
+			}
+		}
+		if c.failure == "" && c.calm() && c.rng.IntN(3) == 0 {
+			before := c.writes
+			c.run(2500 * time.Millisecond)
+			if c.failure == "" && c.calm() && c.writes == before {
+				c.fail("nothing was written in 2.5 calm seconds")
+			}
+		}
+	}
+}
+
+func (c *course) story() string { return strings.Join(c.log, "\n") }
+
+func TestDrawnCoursesLoseNothing(t *testing.T) {
+	t.Parallel()
+	base := uint64(time.Now().UnixNano())
+	t.Logf("seeds from %d", base)
+	writes, reads := 0, 0
+	for i := range *courses {
+		c := newCourse(t, base+uint64(i), 3+i%3, planted{})
+		c.play(6)
+		if c.failure != "" {
+			t.Fatalf("seed %d, %d machines: %s\n%s", c.seed, len(c.order), c.failure, c.story())
+		}
+		writes, reads = writes+c.writes, reads+c.reads
+	}
+	t.Logf("%d courses: %d writes and %d reads acknowledged", *courses, writes, reads)
+	if writes < *courses || reads < *courses {
+		t.Fatalf("only %d writes and %d reads in %d courses: the courses show nothing", writes, reads, *courses)
+	}
+}
+
+func TestPlantedFaultsAreFound(t *testing.T) {
+	t.Parallel()
+	for name, f := range map[string]planted{
+		"a sync left out":                              {unsynced: true},
+		"messages before the sync":                     {early: true},
+		"a lost disk that comes back under its old id": {keepsID: true},
+		"votes not on disk":                            {forgetsVote: true},
+		"a read from an old tail":                      {oldTail: true},
+		"entries not on disk":                          {forgetsState: true},
+		"acknowledged by the head alone":               {shortWrite: true},
+		"a head that never had the state of its chain": {anyHead: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(600) {
+				c := newCourse(t, seed+1, 3+int(seed%3), f)
+				c.play(8)
+				if c.failure != "" {
+					return
+				}
+			}
+			t.Fatal("not found in 600 courses")
+		})
+	}
+}
