Add mast, the front's reverse proxy: requests in, host calls, streams and turns out

Change: own strict HTTP/1.1 head check and connection loop, dispatch of vane and screen, offers of a request to hosts in turn, streams whose end waits for the ledger, drain.

--- /dev/null
+++ b/internal/mast/answer.go
@@ -0,0 +1,231 @@
+package mast
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"larchrouter/internal/sonde"
+	"larchrouter/internal/vane"
+)
+
+const keptBody = 256 << 10 // of an answer that can still be replaced by another host's
+
+var bodies = sync.Pool{New: func() any { b := make([]byte, 0, 8<<10); return &b }}
+
+func giveBack(p *[]byte, b []byte) {
+	if cap(b) <= keptBody {
+		*p = b[:0]
+		bodies.Put(p)
+	}
+}
+
+func is(err, kind error) bool { return errors.Is(err, kind) }
+
+// connectProof tells a host that refused from one that says nothing.
+func connectProof(err error) vane.Proof {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+		return vane.Refused
+	}
+	return vane.Silent
+}
+
+// status is what a client may be told of an answer of a host that did run the request: some statuses would be a promise
+// that it did not.
+func status(of int) int {
+	switch of {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusPaymentRequired:
+		return http.StatusBadGateway
+	}
+	return of
+}
+
+// tail ends the head of an answer.
+func (r *request) tail(b []byte) []byte {
+	if r.last = r.last || r.client.closing(); r.last {
+		return append(b, "Connection: close\r\n\r\n"...)
+	}
+	b = append(b, "Keep-Alive: timeout="...)
+	b = strconv.AppendInt(b, max(1, int64(r.idle/time.Second)), 10)
+	return append(b, "\r\n\r\n"...)
+}
+
+func appendHeader(b []byte, h http.Header) []byte {
+	named := h["Connection"]
+	for name, values := range h {
+		if sonde.Hop(name, named) {
+			continue
+		}
+		for _, v := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	return b
+}
+
+// send writes the bytes that end an answer.
+func (r *request) send(b []byte) {
+	_, err := r.client.Write(b)
+	r.keep = err == nil && !r.last
+}
+
+// fail answers by ourselves.
+func (r *request) fail(status int, wait time.Duration, text string) {
+	p := bodies.Get().(*[]byte)
+	b := startHead((*p)[:0], status)
+	if r.head != nil {
+		if id := r.get("X-Attempt-Id"); id != "" {
+			b = append(append(append(b, "X-Attempt-Id: "...), id...), "\r\n"...)
+		}
+	}
+	if wait > 0 {
+		b = append(b, "Retry-After: "...)
+		b = strconv.AppendFloat(b, wait.Seconds(), 'f', 3, 64)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "Content-Type: text/plain\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(text)+1), 10)
+	b = append(b, "\r\n"...)
+	b = r.tail(b)
+	if r.head == nil || r.method != http.MethodHead {
+		b = append(append(b, text...), '\n')
+	}
+	if r.until.IsZero() {
+		_ = r.client.SetWriteDeadline(time.Now().Add(writeGrace))
+	}
+	r.send(b)
+	giveBack(p, b)
+}
+
+// headOf is the head of an answer with a length, -1 for one in chunks.
+func (r *request) headOf(b []byte, a *sonde.Answer, length int64) []byte {
+	b = startHead(b, status(a.Status))
+	b = appendHeader(b, a.Header)
+	switch {
+	case r.method == http.MethodHead:
+		if v := a.Header.Get("Content-Length"); v != "" {
+			b = append(append(append(b, "Content-Length: "...), v...), "\r\n"...)
+		}
+	case a.Status == http.StatusNoContent || a.Status == http.StatusNotModified:
+	case length < 0:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	default:
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, length, 10)
+		b = append(b, "\r\n"...)
+	}
+	return r.tail(b)
+}
+
+// whole passes an answer on that is in whole.
+func (r *request) whole(a *sonde.Answer, body []byte) {
+	p := bodies.Get().(*[]byte)
+	b := r.headOf((*p)[:0], a, int64(len(body)))
+	b = append(b, body...)
+	r.send(b)
+	giveBack(p, b)
+}
+
+// plain serves a request whose answer is no stream.
+func (r *request) plain() {
+	o := &offer{request: r, query: r.query(), again: r.route.Kind == "idempotent"}
+	if len(r.body) > 0 {
+		o.body = [][]byte{r.body}
+	}
+	p := bodies.Get().(*[]byte)
+	b := (*p)[:0]
+	defer func() { giveBack(p, b) }()
+	for t := o.next(); t != nil; t = o.next() {
+		a := t.Answer
+		var err error
+		for b = b[:0]; len(b) <= keptBody && err == nil; {
+			if len(b) == cap(b) {
+				b = append(b, 0)[:len(b)]
+			}
+			var n int
+			n, err = a.Read(b[len(b):cap(b)])
+			b = b[:len(b)+n]
+		}
+		switch {
+		case err == io.EOF:
+			r.served(t)
+			r.whole(a, b)
+			return
+		case err == nil:
+			a.Until(r.until)
+			r.pass(t, b)
+			return
+		}
+		// It broke off before anything was passed on.
+		o.ran, o.err = true, err
+		r.broke(t, err)
+		if !o.again {
+			o.giveUp(0)
+			return
+		}
+	}
+}
+
+// pass sends on a long answer as it comes. One that breaks off does not look complete.
+func (r *request) pass(t *try, begun []byte) {
+	a := t.Answer
+	p := bodies.Get().(*[]byte)
+	out := r.headOf((*p)[:0], a, a.Length)
+	write := func(b []byte) error {
+		if a.Length < 0 {
+			out = strconv.AppendInt(out, int64(len(b)), 16)
+			out = append(out, "\r\n"...)
+			out = append(out, b...)
+			out = append(out, "\r\n"...)
+		} else {
+			out = append(out, b...)
+		}
+		_, err := r.client.Write(out)
+		out = out[:0]
+		return err
+	}
+	defer func() { giveBack(p, out) }()
+	buf := begun
+	for {
+		if err := write(buf); err != nil {
+			r.broke(t, sonde.ErrGiven)
+			r.client.abort()
+			return
+		}
+		n, err := a.Read(buf[:cap(buf)])
+		switch {
+		case n > 0 && (err == nil || err == io.EOF):
+			buf = buf[:n]
+			if err == nil {
+				continue
+			}
+			if write(buf) != nil {
+				r.broke(t, sonde.ErrGiven)
+				r.client.abort()
+				return
+			}
+			fallthrough
+		case err == io.EOF:
+			r.served(t)
+			if a.Length < 0 {
+				r.send([]byte("0\r\n\r\n"))
+			} else {
+				r.keep = !r.last
+			}
+			return
+		case err != nil:
+			r.broke(t, err)
+			r.client.abort()
+			return
+		}
+		buf = buf[:0]
+	}
+}
--- /dev/null
+++ b/internal/mast/client.go
@@ -0,0 +1,305 @@
+package mast
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"larchrouter/internal/almanac"
+)
+
+// client is one connection of a client: requests on it are served one after the other.
+type client struct {
+	server *Server
+	net.Conn
+	in    *bufio.Reader
+	ready chan error // that the next request has begun, or that the client has gone
+
+	mu      sync.Mutex
+	idle    bool
+	since   time.Time // idle
+	onGone  func()    // of the request under way
+	hasGone bool
+}
+
+const (
+	readSize  = 4 << 10
+	lingerFor = 300 * time.Millisecond
+)
+
+var clientReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readSize) }}
+
+func newClient(s *Server, nc net.Conn) *client {
+	c := &client{server: s, Conn: nc, in: clientReaders.Get().(*bufio.Reader), ready: make(chan error, 1)}
+	c.in.Reset(nc)
+	return c
+}
+
+func (s *Server) limits() almanac.Limits {
+	l := defaultLimits
+	if t := s.cfg.Source.Tables(); t.Config != nil {
+		for _, one := range []struct{ to, from *int }{{&l.MaxHeader, &t.Config.Limits.MaxHeader}, {&l.MaxBody, &t.Config.Limits.MaxBody}} {
+			if *one.from > 0 {
+				*one.to = *one.from
+			}
+		}
+		if d := t.Config.Limits.HeaderTimeout; d > 0 {
+			l.HeaderTimeout = d
+		}
+		if d := t.Config.Limits.IdleTimeout; d > 0 {
+			l.IdleTimeout = d
+		}
+	}
+	return l
+}
+
+// await has the next byte of the client waited for, beside whatever this connection does: its coming is the next
+// request, an error says that the client has gone.
+func (c *client) await() {
+	c.server.wg.Go(func() {
+		_, err := c.in.Peek(1)
+		if err != nil {
+			c.mu.Lock()
+			c.hasGone = true
+			f := c.onGone
+			c.mu.Unlock()
+			if f != nil {
+				f()
+			}
+		}
+		c.ready <- err
+	})
+}
+
+// during has f called when the client goes while a request is under way; nil ends that.
+func (c *client) during(f func()) {
+	c.mu.Lock()
+	c.onGone = f
+	gone := c.hasGone
+	c.mu.Unlock()
+	if gone && f != nil {
+		f()
+	}
+}
+
+// drain closes a connection that has been idle for a while; others at their next answer.
+func (c *client) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		_ = c.SetReadDeadline(c.since.Add(drainIdle))
+	}
+}
+
+// abort ends the connection at once, so that nothing on it looks complete.
+func (c *client) abort() { c.Conn.Close() }
+
+func (c *client) rest(l almanac.Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.since = true, time.Now()
+	d := l.IdleTimeout
+	if c.server.draining.Load() {
+		d = min(d, drainIdle)
+	}
+	_ = c.SetReadDeadline(c.since.Add(d))
+}
+
+func (c *client) work(l almanac.Limits) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = false
+	now := time.Now()
+	_ = c.SetReadDeadline(now.Add(l.HeaderTimeout))
+	return now
+}
+
+func (c *client) serve() {
+	waiting := false
+	defer func() {
+		c.Conn.Close()
+		if waiting {
+			<-c.ready
+		}
+		c.server.gone(c)
+		c.in.Reset(nil)
+		if c.in.Size() == readSize {
+			clientReaders.Put(c.in)
+		}
+	}()
+	for {
+		l := c.server.limits()
+		c.rest(l)
+		if waiting {
+			waiting = false
+			if <-c.ready != nil {
+				return
+			}
+		} else if _, err := c.in.Peek(1); err != nil {
+			return
+		}
+		arrived := c.work(l)
+		b, err := c.readHead(l.MaxHeader)
+		rq := &request{client: c, arrived: arrived}
+		switch {
+		case errors.Is(err, errLarge):
+			c.refuse(rq, http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("the header is over %d bytes: send less", l.MaxHeader))
+			return
+		case isTimeout(err):
+			c.refuse(rq, http.StatusRequestTimeout, fmt.Sprintf("the header was not in after %v: send it at once", l.HeaderTimeout))
+			return
+		case err != nil:
+			return
+		}
+		rq.head, err = parseHead(b)
+		if err != nil {
+			status := http.StatusBadRequest
+			if errors.Is(err, errVersion) {
+				status = http.StatusHTTPVersionNotSupported
+			}
+			rq.head = nil
+			c.refuse(rq, status, err.Error())
+			return
+		}
+		_, _ = c.in.Discard(len(b))
+		_ = c.SetReadDeadline(arrived.Add(max(l.HeaderTimeout, 10*time.Second)))
+		rq.body, err = c.readBody(rq.head, l.MaxBody)
+		switch {
+		case errors.Is(err, errLarge):
+			c.refuse(rq, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d bytes: send less", l.MaxBody))
+			return
+		case errors.Is(err, errChunks):
+			c.refuse(rq, http.StatusBadRequest, err.Error())
+			return
+		case isTimeout(err):
+			c.refuse(rq, http.StatusRequestTimeout, "the body did not come: send it at once")
+			return
+		case err != nil:
+			return
+		}
+		_ = c.SetReadDeadline(time.Time{})
+		rq.idle = l.IdleTimeout
+		if c.in.Buffered() == 0 {
+			waiting = true
+			c.await()
+		}
+		rq.handle()
+		c.during(nil)
+		if !rq.keep {
+			return
+		}
+	}
+}
+
+var (
+	errLarge  = errors.New("too large")
+	errChunks = errors.New("the body's chunks cannot be read: send them as HTTP/1.1 has them")
+)
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+var blank = []byte("\r\n\r\n")
+
+// readHead looks at the next head, with its blank line, and leaves it in the reader.
+func (c *client) readHead(most int) ([]byte, error) {
+	for old := 0; ; {
+		seen, _ := c.in.Peek(c.in.Buffered())
+		from := max(0, old-len(blank)+1)
+		if i := bytes.Index(seen[from:], blank); i >= 0 {
+			if n := from + i + len(blank); n <= most {
+				return seen[:n], nil
+			}
+			return nil, errLarge
+		}
+		if old = len(seen); old > most {
+			return nil, errLarge
+		}
+		if old == c.in.Size() { // seldom: a larger reader, with what the old one holds
+			c.in = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(seen)), c.Conn), most+readSize)
+			if _, err := c.in.Peek(old); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if _, err := c.in.Peek(old + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// readBody reads the whole body.
+func (c *client) readBody(h *head, most int) ([]byte, error) {
+	if h.length == 0 {
+		return nil, nil
+	}
+	if h.length > int64(most) {
+		return nil, errLarge
+	}
+	if h.expects && c.in.Buffered() == 0 {
+		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, err
+		}
+	}
+	if h.length > 0 {
+		b := make([]byte, h.length)
+		_, err := io.ReadFull(c.in, b)
+		return b, err
+	}
+	b, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.in), int64(most)+1))
+	switch {
+	case len(b) > most:
+		return nil, errLarge
+	case err != nil && !isTimeout(err) && !errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, errors.Mark(err, errChunks)
+	case err != nil:
+		return nil, err
+	}
+	for n := 0; ; { // trailers concern this connection only
+		line, err := c.in.ReadSlice('\n')
+		if err != nil {
+			return nil, err
+		}
+		if len(line) == 2 && line[0] == '\r' {
+			return b, nil
+		}
+		if n += len(line); n > readSize || len(line) < 2 || line[len(line)-2] != '\r' {
+			return nil, errChunks
+		}
+	}
+}
+
+// refuse answers a request that was not read whole, and ends the connection. Closing with unread bytes would reset it
+// and could take the answer away, so that what still comes is read for a moment.
+func (c *client) refuse(rq *request, status int, text string) {
+	rq.last = true
+	rq.fail(status, 0, text)
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lingerFor))
+	_, _ = io.CopyN(io.Discard, c.in, 1<<20)
+}
+
+// closing tells whether this connection ends with the answer under way.
+func (c *client) closing() bool { return c.server.draining.Load() }
+
+// startHead begins an answer.
+func startHead(b []byte, status int) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(b, ' ')
+	b = append(b, http.StatusText(status)...)
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/internal/mast/dispatch.go
@@ -0,0 +1,284 @@
+package mast
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"larchrouter/internal/almanac"
+	"larchrouter/internal/gazette"
+	"larchrouter/internal/screen"
+	"larchrouter/internal/sonde"
+	"larchrouter/internal/synop"
+	"larchrouter/internal/vane"
+)
+
+// dispatch gives calls their hosts: the driver of vane and screen.
+type dispatch struct {
+	share     int
+	newOracle func(time.Duration) vane.Oracle
+
+	mu      sync.Mutex
+	vane    *vane.Vane
+	hosts   *gazette.List
+	config  *almanac.Config
+	dests   map[string]*dest // by host id
+	tables  map[place]*table
+	queues  map[string]*screen.Queue
+	waiting int
+	again   *time.Timer // while calls wait
+	closed  bool
+}
+
+type place struct{ service, addr string }
+
+// table is the latency table of a destination, one for each deadline of its routes.
+type table struct {
+	mu  sync.Mutex
+	by  map[time.Duration]vane.Oracle
+	gen int64 // of the list that named it last
+}
+
+// dest is a host as a call has it.
+type dest struct {
+	host  *vane.Host
+	calls *sonde.Host
+	table *table
+}
+
+// pumpEvery is how often calls that wait are looked at though no call ended: loads fade.
+const pumpEvery = 10 * time.Millisecond
+
+func newDispatch(c Config) *dispatch {
+	return &dispatch{share: c.ConnShare, newOracle: c.NewOracle, vane: vane.New(c.Zone, c.Slots, c.Seed), dests: map[string]*dest{},
+		tables: map[place]*table{}, queues: map[string]*screen.Queue{}}
+}
+
+// update takes in new tables.
+func (d *dispatch) update(t *synop.Tables, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t.Hosts == d.hosts && t.Config == d.config || t.Hosts == nil {
+		return
+	}
+	d.hosts, d.config = t.Hosts, t.Config
+	for _, h := range d.vane.Hosts(t.Hosts.Hosts, now) {
+		if e := d.dests[h.ID]; e != nil {
+			e.calls.SetClosed(true)
+		}
+	}
+	seen := make(map[place]bool, len(t.Hosts.Hosts))
+	for _, g := range t.Hosts.Hosts {
+		h, at := d.vane.Of(g.ID), place{g.Service, g.Addr}
+		seen[at] = true
+		if d.tables[at] == nil {
+			d.tables[at] = &table{by: map[time.Duration]vane.Oracle{}}
+		}
+		limit := 64
+		if t.Config != nil && t.Config.Services[g.Service].ConnLimit > 0 {
+			limit = max(4, t.Config.Services[g.Service].ConnLimit/d.share)
+		}
+		e := d.dests[g.ID]
+		if e == nil || e.host != h {
+			e = &dest{host: h, calls: sonde.NewHost(g.ID, g.Addr, limit), table: d.tables[at]}
+			d.dests[g.ID] = e
+		}
+		e.calls.SetLimit(limit)
+		if h.Usable() {
+			e.calls.SetClosed(false)
+		}
+	}
+	for id, e := range d.dests {
+		if d.vane.Of(id) != e.host {
+			e.calls.SetClosed(true)
+			delete(d.dests, id)
+		}
+	}
+	for at := range d.tables {
+		if !seen[at] {
+			delete(d.tables, at)
+		}
+	}
+	for service := range d.queues {
+		d.pump(service, now)
+	}
+}
+
+func (d *dispatch) sweep(now time.Time) {
+	d.mu.Lock()
+	all := make([]*sonde.Host, 0, len(d.dests))
+	for _, e := range d.dests {
+		all = append(all, e.calls)
+	}
+	d.mu.Unlock()
+	for _, h := range all {
+		h.Sweep(now)
+	}
+}
+
+func (d *dispatch) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	if d.again != nil {
+		d.again.Stop()
+	}
+	for _, e := range d.dests {
+		e.calls.SetClosed(true)
+	}
+}
+
+// oracle is the latency table for calls of a deadline.
+func (d *dispatch) oracle(e *dest, deadline time.Duration) vane.Oracle {
+	e.table.mu.Lock()
+	defer e.table.mu.Unlock()
+	o := e.table.by[deadline]
+	if o == nil {
+		o = &guarded{o: d.newOracle(deadline)}
+		e.table.by[deadline] = o
+	}
+	return o
+}
+
+// guarded is an Oracle for concurrent use.
+type guarded struct {
+	mu sync.Mutex
+	o  vane.Oracle
+}
+
+func (g *guarded) Timeout(left, lastTry time.Duration, canRestart bool) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.o.Timeout(left, lastTry, canRestart)
+}
+func (g *guarded) Served(took time.Duration) { g.mu.Lock(); defer g.mu.Unlock(); g.o.Served(took) }
+func (g *guarded) Cut()                      { g.mu.Lock(); defer g.mu.Unlock(); g.o.Cut() }
+
+type waiter struct {
+	query vane.Query
+	got   chan *dest
+}
+
+// acquire takes a slot at a host, and waits for one for so long. It gives nil when none is to be had; wait then says
+// when to come back.
+func (d *dispatch) acquire(q vane.Query, rank int, finish time.Time, objective, patience time.Duration, gone <-chan struct{}) (e *dest, wait time.Duration) {
+	now := time.Now()
+	d.mu.Lock()
+	queue := d.queues[q.Service]
+	if queue == nil {
+		queue = screen.NewQueue()
+		d.queues[q.Service] = queue
+	}
+	if queue.Len() == 0 {
+		if e := d.pick(q, now); e != nil {
+			d.mu.Unlock()
+			return e, 0
+		}
+	}
+	w := &waiter{query: q, got: make(chan *dest, 1)}
+	call := &screen.Call{Rank: rank, Finish: finish, Until: now.Add(patience), Tag: w}
+	queue.Push(call)
+	d.pump(q.Service, now)
+	d.arm()
+	d.mu.Unlock()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case e := <-w.got:
+		return e, 0
+	case <-timer.C:
+	case <-gone:
+	}
+	now = time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	queue.Leave(call)
+	select {
+	case e := <-w.got: // just now
+		return e, 0
+	default:
+	}
+	select {
+	case <-gone:
+		return nil, 0
+	default:
+	}
+	q.Over = true // it was not offered yet: to the queue of a host
+	if e := d.pick(q, now); e != nil {
+		return e, 0
+	}
+	places, _ := d.vane.Places(q.Service, now)
+	return nil, screen.RetryAfter(objective, queue.Len(), places, rand.Float64())
+}
+
+// pick takes a slot now. The lock is held.
+func (d *dispatch) pick(q vane.Query, now time.Time) *dest {
+	h := d.vane.Pick(q, now)
+	if h == nil || d.dests[h.ID] == nil {
+		return nil
+	}
+	d.vane.Begin(h)
+	return d.dests[h.ID]
+}
+
+// pump gives free slots to calls that wait, in their turn. The lock is held.
+func (d *dispatch) pump(service string, now time.Time) {
+	queue := d.queues[service]
+	if queue == nil {
+		return
+	}
+	for c := queue.Next(now); c != nil; c = queue.Next(now) {
+		w := c.Tag.(*waiter)
+		q := w.query
+		q.Waiting = queue.Len() > 1
+		e := d.pick(q, now)
+		if e == nil {
+			return
+		}
+		queue.Take(c)
+		w.got <- e
+	}
+}
+
+// arm has the queues looked at again while calls wait. The lock is held.
+func (d *dispatch) arm() {
+	if d.again != nil || d.closed {
+		return
+	}
+	d.again = time.AfterFunc(pumpEvery, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.again = nil
+		now, left := time.Now(), 0
+		for service, q := range d.queues {
+			d.pump(service, now)
+			left += q.Len()
+		}
+		if left > 0 {
+			d.arm()
+		}
+	})
+}
+
+// release gives a slot back, with what the call proved.
+func (d *dispatch) release(e *dest, p vane.Proof) {
+	if p == vane.Elsewhere {
+		e.calls.SetClosed(true)
+	}
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.vane.End(e.host, p, now)
+	d.pump(e.host.Service, now)
+}
+
+// report takes in the load that an answer told.
+func (d *dispatch) report(e *dest, a *sonde.Answer) {
+	running, waiting, _, ok := a.Load()
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.vane.Report(e.host, running, waiting, time.Now())
+}
--- /dev/null
+++ b/internal/mast/mast.go
@@ -0,0 +1,249 @@
+// Package mast is the front's reverse proxy: it takes requests of clients, has the pure modules decide, calls hosts and
+// streams their answers back. It holds the sockets, clocks and goroutines of the data plane.
+package mast
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"larchrouter/internal/almanac"
+	"larchrouter/internal/station"
+	"larchrouter/internal/synop"
+	"larchrouter/internal/vane"
+)
+
+// The kinds of errors of a Ledger.
+var (
+	ErrBudget = errors.New("the budget is spent")
+	ErrNoTurn = errors.New("no such turn")
+	ErrUnsure = errors.New("the stores cannot be sure")
+)
+
+// Opening asks for the history of a turn and reserves its tokens.
+type Opening struct {
+	Program, Turn, Previous string
+	Need, Budget            int // the most tokens of the turn, and of the program
+}
+
+// Opened is a turn that may run.
+type Opened struct {
+	Key     string // of its tree of turns
+	History []byte // of the chain before it
+	Base    bool   // the record must hold the whole history
+}
+
+// Turn is one that was answered whole.
+type Turn struct {
+	Key, Program, ID, Previous string
+	Input, Output, Base        []byte
+	Used                       int
+	RetainMs                   int64
+}
+
+// Ledger is the store of turns and budgets. Its errors are marked with the kinds above.
+type Ledger interface {
+	Open(ctx context.Context, o Opening) (*Opened, error)
+	Close(ctx context.Context, t *Turn) error
+	Settle(program, turn string, used int) // does not wait
+}
+
+// Unlimited is the budget of a program that names none.
+const Unlimited = 1 << 50
+
+// Config is what a Server is made of.
+type Config struct {
+	Zone      string
+	Source    synop.Source
+	Ledger    Ledger
+	NewOracle func(deadline time.Duration) vane.Oracle
+	Log       *station.Ring
+	Grace     time.Duration // between SIGTERM and SIGKILL
+	Slots     int           // calls to hosts at once
+	MaxConns  int           // of clients
+	ConnShare int           // this relay takes one in so many of a host's connections
+	Seed      uint64
+}
+
+// Server serves clients.
+type Server struct {
+	cfg      Config
+	dispatch *dispatch
+	draining atomic.Bool
+	stop     context.CancelFunc
+	ctx      context.Context
+	wg       sync.WaitGroup
+
+	mu      sync.Mutex
+	clients map[*client]bool
+	closed  bool
+	quiet   chan struct{} // closed when the last client has gone; made once that ends a drain
+}
+
+const (
+	sweepEvery  = 250 * time.Millisecond
+	drainIdle   = 500 * time.Millisecond // a kept connection is closed so long after its last answer
+	drainMargin = time.Second            // of the grace period that is not used
+)
+
+var defaultLimits = almanac.Limits{MaxHeader: 16 << 10, MaxBody: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
+// New makes a server.
+func New(c Config) *Server {
+	if c.Slots <= 0 {
+		c.Slots = 768
+	}
+	if c.MaxConns <= 0 {
+		c.MaxConns = 2000
+	}
+	if c.ConnShare <= 0 {
+		c.ConnShare = 4
+	}
+	if c.Grace <= 0 {
+		c.Grace = 8 * time.Second
+	}
+	s := &Server{cfg: c, dispatch: newDispatch(c), clients: map[*client]bool{}}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	return s
+}
+
+// Ready tells whether this relay should get new connections.
+func (s *Server) Ready() bool {
+	t := s.cfg.Source.Tables()
+	if s.draining.Load() || t.Config == nil || t.Hosts == nil {
+		return false
+	}
+	if t.Placement != nil {
+		return true
+	}
+	for i := range t.Config.Routes {
+		if t.Config.Routes[i].Retained {
+			return false
+		}
+	}
+	return true
+}
+
+// Serve takes connections until Close. ready may be nil.
+func (s *Server) Serve(front, ready net.Listener) {
+	s.wg.Go(s.follow)
+	s.wg.Go(func() { <-s.ctx.Done(); front.Close() })
+	if ready != nil {
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET /api/readiness", func(w http.ResponseWriter, _ *http.Request) {
+			if !s.Ready() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		})
+		h := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+		s.wg.Go(func() { _ = h.Serve(ready) })
+		s.wg.Go(func() { <-s.ctx.Done(); _ = h.Close() })
+	}
+	for {
+		nc, err := front.Accept()
+		if err != nil {
+			if s.ctx.Err() != nil {
+				return
+			}
+			time.Sleep(5 * time.Millisecond) // descriptors ran out for a moment
+			continue
+		}
+		c := newClient(s, nc)
+		s.mu.Lock()
+		if s.closed || len(s.clients) >= s.cfg.MaxConns {
+			s.mu.Unlock()
+			nc.Close() // unread: the client may go elsewhere
+			continue
+		}
+		s.clients[c] = true
+		s.wg.Go(c.serve)
+		s.mu.Unlock()
+	}
+}
+
+// follow brings the hosts up to date, and closes connections that have been idle for too long.
+func (s *Server) follow() {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		changed := s.cfg.Source.Changed()
+		s.dispatch.update(s.cfg.Source.Tables(), time.Now())
+		for again := false; !again; {
+			select {
+			case <-s.ctx.Done():
+				return
+			case <-changed:
+				again = true
+			case now := <-tick.C:
+				s.dispatch.sweep(now)
+			}
+		}
+	}
+}
+
+func (s *Server) gone(c *client) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.clients, c)
+	s.last()
+}
+
+// last tells Drain that nothing is left. The lock is held.
+func (s *Server) last() {
+	if s.quiet != nil && len(s.clients) == 0 {
+		close(s.quiet)
+		s.quiet = nil
+	}
+}
+
+// Drain serves on what comes, but is not ready any more and keeps no connection. It returns when the grace period is
+// nearly over, when ctx ends, or when no client was left for long enough that the platform sends no more.
+func (s *Server) Drain(ctx context.Context) {
+	s.draining.Store(true)
+	s.mu.Lock()
+	for c := range s.clients {
+		c.drain()
+	}
+	s.mu.Unlock()
+	end := time.NewTimer(max(0, s.cfg.Grace-drainMargin))
+	defer end.Stop()
+	unlisted := time.NewTimer(min(unlistedAfter, max(0, s.cfg.Grace-drainMargin)))
+	defer unlisted.Stop()
+	select { // two misses of the platform's question, a second apart, and what they take to be heeded
+	case <-unlisted.C:
+	case <-end.C:
+		return
+	case <-ctx.Done():
+		return
+	}
+	quiet := make(chan struct{})
+	s.mu.Lock()
+	s.quiet = quiet
+	s.last()
+	s.mu.Unlock()
+	select {
+	case <-quiet:
+	case <-end.C:
+	case <-ctx.Done():
+	}
+}
+
+const unlistedAfter = 3500 * time.Millisecond
+
+// Close ends all connections and waits for what runs.
+func (s *Server) Close() {
+	s.stop()
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.clients {
+		c.abort()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+	s.dispatch.close()
+}
--- a/internal/sonde/sonde.go
+++ b/internal/sonde/sonde.go
@@ -24,9 +24,9 @@
 
 // The kinds of errors that calls end in.
 var (
-	ErrConnect = errors.New("no connection to the host")     // it never came up
-	ErrRoom    = errors.New("no connection is free")         // by the own bounds
-	ErrClosed  = errors.New("the host gets no calls")        // it drains or is gone
+	ErrConnect = errors.New("no connection to the host")      // it never came up
+	ErrRoom    = errors.New("no connection is free")          // by the own bounds
+	ErrClosed  = errors.New("the host gets no calls")         // it drains or is gone
 	ErrWrite   = errors.New("the request was not sent whole") // so it has not run
 	ErrTime    = errors.New("the time for the call is up")
 	ErrGiven   = errors.New("the call was given up") // by Cancel
@@ -38,9 +38,9 @@
 
 // The outcomes.
 const (
-	NotRun    Outcome = iota // the host has not run the request and never will
-	MayHaveRun               // nothing is proven
-	Answered                 // it ran, and its answer stands
+	NotRun     Outcome = iota // the host has not run the request and never will
+	MayHaveRun                // nothing is proven
+	Answered                  // it ran, and its answer stands
 )
 
 const (
@@ -584,3 +584,6 @@
 	}
 	return untold, false
 }
+
+// Drain reads away a short body, so that the connection may be kept.
+func (a *Answer) Drain() { _, _ = io.Copy(io.Discard, io.LimitReader(a, joined)) }
