Carry values over 1 MiB, keep appends to decoded bytes apart, and tell unsent calls surely

Need: tests of the calls between processes found that Avro refuses bytes over 1 MiB (a large configuration, a long turn), takes a form that is cut off as if it were whole, and cuts short byte slices from a common buffer, so that an append to one writes over the next; int32 and smaller had a schema that Avro does not encode; a handler without an answer panicked; a call waited for another's blocked write past its own context; a context that was over was sent all the same; an oversize frame broke the connection for all; a closed client dialled again and left its reader behind; a closed listener had Serve spin; Close of a server raced with a connection just accepted. Change: a frozen Avro configuration bounded by the frame, a decoder that wants the whole form and clips capacities, smaller integers as "int"; callers queue for the write under their context and end in ErrUnsent where nothing has gone; oversize bodies are refused before they are sent; Close is for good and waits.

--- a/internal/teletype/codec.go
+++ b/internal/teletype/codec.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hamba/avro/v2"
 )
 
@@ -21,7 +22,10 @@
 	}
 	var b strings.Builder
 	describe(&b, t, map[reflect.Type]bool{})
-	s := avro.MustParse(b.String())
+	s, err := avro.ParseWithCache(b.String(), "", new(avro.SchemaCache))
+	if err != nil {
+		panic(fmt.Sprintf("teletype: no Avro schema for %s: %v", t, err))
+	}
 	schemas.Store(t, s)
 	return s
 }
@@ -32,8 +36,10 @@
 		b.WriteString(`"boolean"`)
 	case reflect.String:
 		b.WriteString(`"string"`)
-	case reflect.Int, reflect.Int64, reflect.Int32, reflect.Uint32, reflect.Int16, reflect.Uint16, reflect.Uint8:
+	case reflect.Int, reflect.Int64, reflect.Uint32:
 		b.WriteString(`"long"`)
+	case reflect.Int32, reflect.Int16, reflect.Uint16, reflect.Int8, reflect.Uint8:
+		b.WriteString(`"int"`)
 	case reflect.Float64:
 		b.WriteString(`"double"`)
 	case reflect.Slice:
@@ -45,6 +51,9 @@
 		describe(b, t.Elem(), seen)
 		b.WriteString(`}`)
 	case reflect.Map:
+		if t.Key().Kind() != reflect.String {
+			panic("teletype: no Avro schema for the keys of " + t.String())
+		}
 		b.WriteString(`{"type":"map","values":`)
 		describe(b, t.Elem(), seen)
 		b.WriteString(`}`)
@@ -71,20 +80,108 @@
 	}
 }
 
-// Encode gives the Avro form of a struct. All integers are int, int32, int64 or uint32, all fields exported.
+// wire has Avro's own bounds out of the way: a frame's is the one that counts.
+var wire = avro.Config{MaxByteSliceSize: MaxFrame, MaxSliceAllocSize: MaxFrame}.Freeze()
+
+// Encode gives the Avro form of a struct with exported fields: booleans, strings, numbers but uint, uint64 and float32,
+// slices, maps from strings, and structs of these. The form of nil is empty.
 func Encode(v any) []byte {
+	if v == nil {
+		return nil
+	}
 	t := reflect.TypeOf(v)
 	if t.Kind() == reflect.Pointer {
 		t = t.Elem()
 	}
-	b, err := avro.Marshal(schemaOf(t), v)
+	b, err := wire.Marshal(schemaOf(t), v)
 	if err != nil {
 		panic(fmt.Sprintf("teletype: %s: %v", t, err)) // a type that schemaOf took and Avro does not: found by any test
 	}
 	return b
 }
 
-// Decode reads the Avro form into the struct that v points to.
+var readers = sync.Pool{New: func() any { return avro.NewReader(nil, 0, avro.WithReaderConfig(wire)) }}
+
+// Decode reads the whole Avro form into the struct that v points to. The struct shares nothing with the form.
 func Decode(b []byte, v any) error {
-	return avro.Unmarshal(schemaOf(reflect.TypeOf(v).Elem()), b, v)
+	t := reflect.TypeOf(v).Elem()
+	r := readers.Get().(*avro.Reader)
+	defer readers.Put(r)
+	r.Reset(b).ReadVal(schemaOf(t), v)
+	err := r.Error
+	if r.Error = nil; err == nil {
+		if r.Peek(); r.Error == nil {
+			err = errors.New("bytes are left over")
+		}
+	}
+	r.Error = nil
+	r.Reset(nil)
+	if err != nil {
+		return errors.Wrapf(err, "%s cannot be read, the two sides differ in version", t)
+	}
+	clip(reflect.ValueOf(v).Elem())
+	return nil
+}
+
+var bytesIn sync.Map // reflect.Type to whether it has byte slices
+
+func hasBytes(t reflect.Type, seen map[reflect.Type]bool) bool {
+	if seen[t] {
+		return false
+	}
+	seen[t] = true
+	switch t.Kind() {
+	case reflect.Slice:
+		return t.Elem().Kind() == reflect.Uint8 || hasBytes(t.Elem(), seen)
+	case reflect.Map:
+		return hasBytes(t.Elem(), seen)
+	case reflect.Struct:
+		for i := range t.NumField() {
+			if hasBytes(t.Field(i).Type, seen) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// clip ends the capacity of byte slices with their length: Avro's reader cuts short ones from a common buffer, and an
+// append to one would write over the next.
+func clip(v reflect.Value) {
+	t := v.Type()
+	switch t.Kind() {
+	case reflect.Slice:
+		if t.Elem().Kind() == reflect.Uint8 {
+			v.SetCap(v.Len())
+			return
+		}
+	case reflect.Map, reflect.Struct:
+	default:
+		return
+	}
+	has, known := bytesIn.Load(t)
+	if !known {
+		has = hasBytes(t, map[reflect.Type]bool{})
+		bytesIn.Store(t, has)
+	}
+	if !has.(bool) {
+		return
+	}
+	switch t.Kind() {
+	case reflect.Slice:
+		for i := range v.Len() {
+			clip(v.Index(i))
+		}
+	case reflect.Map:
+		for _, k := range v.MapKeys() {
+			one := reflect.New(t.Elem()).Elem()
+			one.Set(v.MapIndex(k))
+			clip(one)
+			v.SetMapIndex(k, one)
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			clip(v.Field(i))
+		}
+	}
 }
--- a/internal/teletype/conn.go
+++ b/internal/teletype/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -36,7 +37,9 @@
 	dialTime    = 600 * time.Millisecond
 	deadAfter   = 1500 * time.Millisecond // unacknowledged bytes
 	writeTime   = 2 * time.Second
+	writeGrace  = 100 * time.Millisecond // past the deadline of the call that writes: it ends the connection for all
 	redialPause = 50 * time.Millisecond
+	acceptPause = 10 * time.Millisecond
 )
 
 // Method numbers a call.
@@ -62,7 +65,7 @@
 	}
 	n := int(binary.BigEndian.Uint32(h[:])) - (headerSize - 4)
 	if n < 0 || n > MaxFrame {
-		err = errors.Newf("a frame of %d bytes: the other side speaks something else", n)
+		err = errors.Newf("a frame of %d bytes: call an address that speaks as this program does", n)
 		return
 	}
 	body = make([]byte, n)
@@ -102,28 +105,44 @@
 	return s
 }
 
-// Serve takes connections until Close.
+// Serve takes connections until Close, or until the listener is closed.
 func (s *Server) Serve(l net.Listener) {
-	s.wg.Go(func() { <-s.ctx.Done(); l.Close() })
+	defer l.Close()
+	if !s.begin(func() { <-s.ctx.Done(); l.Close() }, nil) {
+		return
+	}
 	for {
 		c, err := l.Accept()
-		if err != nil {
-			if s.ctx.Err() != nil {
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // descriptors ran out for a moment
+			select {
+			case <-time.After(acceptPause):
+				continue
+			case <-s.ctx.Done():
 				return
 			}
-			time.Sleep(10 * time.Millisecond) // descriptors ran out for a moment
-			continue
 		}
-		s.mu.Lock()
-		if s.closed {
-			s.mu.Unlock()
+		if !s.begin(func() { s.serve(c) }, c) {
 			c.Close()
 			return
 		}
+	}
+}
+
+// begin runs a goroutine that Close waits for, for a connection or none; false once Close was called.
+func (s *Server) begin(run func(), c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	if c != nil {
 		s.open[c] = true
-		s.mu.Unlock()
-		s.wg.Go(func() { s.serve(c) })
 	}
+	s.wg.Go(run)
+	return true
 }
 
 // Close ends all connections and waits for the handlers.
@@ -168,8 +187,10 @@
 				out = frame(kindError, m, number, []byte("unknown call: the two sides differ in version"))
 			} else if answer, err := h(ctx, body); err != nil {
 				out = frame(kindError, m, number, []byte(err.Error()))
+			} else if body := Encode(answer); len(body) > MaxFrame {
+				out = frame(kindError, m, number, fmt.Appendf(nil, "answer of %d bytes: ask for less than %d", len(body), MaxFrame))
 			} else {
-				out = frame(kindAnswer, m, number, Encode(answer))
+				out = frame(kindAnswer, m, number, body)
 			}
 			writes.Lock()
 			defer writes.Unlock()
@@ -183,16 +204,19 @@
 
 // Client makes calls to one address, over one connection that it keeps.
 type Client struct {
-	addr string
-	mu   sync.Mutex
-	link *link
-	next time.Time // no dial before it
-	dial chan struct{}
+	addr   string
+	mu     sync.Mutex
+	link   *link
+	next   time.Time // no dial before it
+	dial   chan struct{}
+	closed context.Context
+	close  context.CancelFunc
+	wg     sync.WaitGroup
 }
 
 type link struct {
 	c      net.Conn
-	writes sync.Mutex
+	writes chan struct{} // held by the one that writes
 	mu     sync.Mutex
 	calls  map[uint64]chan result
 	number uint64
@@ -205,18 +229,27 @@
 }
 
 // NewClient makes calls to an address.
-func NewClient(addr string) *Client { return &Client{addr: addr, dial: make(chan struct{}, 1)} }
+func NewClient(addr string) *Client {
+	c := &Client{addr: addr, dial: make(chan struct{}, 1)}
+	c.closed, c.close = context.WithCancel(context.Background())
+	return c
+}
 
-// Close ends the connection; calls under way end in ErrLost.
+// Close ends the connection for good; calls under way end in ErrLost, later ones in ErrUnsent.
 func (c *Client) Close() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.close()
 	if c.link != nil {
 		c.link.c.Close()
 	}
+	c.mu.Unlock()
+	c.wg.Wait()
 }
 
 func (c *Client) get(ctx context.Context) (*link, error) {
+	if ctx.Err() != nil {
+		return nil, errors.Mark(ctx.Err(), ErrUnsent)
+	}
 	select { // one dials, the others wait
 	case c.dial <- struct{}{}:
 		defer func() { <-c.dial }()
@@ -235,20 +268,30 @@
 		}
 	}
 	if time.Now().Before(next) {
-		return nil, errors.Mark(errors.Newf("%s did not answer a moment ago", c.addr), ErrUnsent)
+		return nil, errors.Mark(errors.Newf("%s did not answer a moment ago: try again in %v", c.addr, redialPause), ErrUnsent)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(c.closed, cancel)()
 	d := net.Dialer{Timeout: dialTime}
 	nc, err := d.DialContext(ctx, "tcp4", c.addr)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed.Err() != nil {
+		if err == nil {
+			nc.Close()
+		}
+		return nil, errors.Mark(errors.Newf("the client of %s is closed: make another one", c.addr), ErrUnsent)
+	}
 	if err != nil {
 		c.next = time.Now().Add(redialPause)
 		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrUnsent)
 	}
 	tune(nc)
-	c.link = &link{c: nc, calls: map[uint64]chan result{}}
-	go c.link.read()
-	return c.link, nil
+	l = &link{c: nc, writes: make(chan struct{}, 1), calls: map[uint64]chan result{}}
+	c.link = l
+	c.wg.Go(l.read)
+	return l, nil
 }
 
 func (l *link) read() {
@@ -287,19 +330,31 @@
 	}
 }
 
-func (l *link) write(kind byte, m Method, number uint64, body []byte, until time.Time) error {
-	l.writes.Lock()
-	defer l.writes.Unlock()
-	most := time.Now().Add(writeTime)
-	if !until.IsZero() && until.Before(most) {
-		most = until.Add(100 * time.Millisecond)
+// write sends one frame. Its error is ErrUnsent if nothing of it has gone, else ErrLost.
+func (l *link) write(ctx context.Context, kind byte, m Method, number uint64, body []byte) error {
+	if len(body) > MaxFrame {
+		return errors.Mark(errors.Newf("a call of %d bytes: send at most %d", len(body), MaxFrame), ErrUnsent)
 	}
-	_ = l.c.SetWriteDeadline(most)
-	_, err := l.c.Write(frame(kind, m, number, body))
-	if err != nil {
-		l.fail(err) // part of it may have gone: the connection is of no use
+	select {
+	case l.writes <- struct{}{}:
+		defer func() { <-l.writes }()
+	case <-ctx.Done():
+		return errors.Mark(ctx.Err(), ErrUnsent)
 	}
-	return err
+	until := time.Now().Add(writeTime)
+	if d, ok := ctx.Deadline(); ok && d.Before(until) {
+		until = d.Add(writeGrace)
+	}
+	_ = l.c.SetWriteDeadline(until)
+	n, err := l.c.Write(frame(kind, m, number, body))
+	if err == nil {
+		return nil
+	}
+	l.fail(err) // part of it may have gone: the connection is of no use
+	if n == 0 {
+		return errors.Mark(err, ErrUnsent)
+	}
+	return errors.Mark(err, ErrLost)
 }
 
 // Call makes one call and reads its answer into answer (a pointer to a struct, or nil).
@@ -318,38 +373,45 @@
 	number := l.number
 	l.calls[number] = ch
 	l.mu.Unlock()
-	until, _ := ctx.Deadline()
-	if err := l.write(kindCall, m, number, Encode(body), until); err != nil {
-		return errors.Mark(err, ErrLost)
+	if err := l.write(ctx, kindCall, m, number, Encode(body)); err != nil {
+		l.forget(number)
+		return err
 	}
 	select {
 	case r := <-ch:
 		if r.err != nil || answer == nil {
 			return r.err
 		}
-		return Decode(r.body, answer)
+		if err := Decode(r.body, answer); err != nil {
+			return errors.Mark(err, ErrLost)
+		}
+		return nil
 	case <-ctx.Done():
-		l.mu.Lock()
-		delete(l.calls, number)
-		l.mu.Unlock()
+		l.forget(number)
 		return errors.Mark(ctx.Err(), ErrLost)
 	}
 }
 
+func (l *link) forget(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.calls, number)
+}
+
 // Notify sends a notice. It may be lost; notices that arrive are handled in their order.
 func (c *Client) Notify(ctx context.Context, m Method, body any) error {
 	l, err := c.get(ctx)
 	if err != nil {
 		return err
 	}
-	until, _ := ctx.Deadline()
-	return l.write(kindNotice, m, 0, Encode(body), until)
+	return l.write(ctx, kindNotice, m, 0, Encode(body))
 }
 
-// Clients keeps one Client for each address.
+// Clients keeps one Client for each address. Its zero value is ready for use.
 type Clients struct {
-	mu  sync.Mutex
-	all map[string]*Client
+	mu     sync.Mutex
+	all    map[string]*Client
+	closed bool
 }
 
 // To gives the client of an address.
@@ -361,14 +423,18 @@
 	}
 	if c.all[addr] == nil {
 		c.all[addr] = NewClient(addr)
+		if c.closed {
+			c.all[addr].Close()
+		}
 	}
 	return c.all[addr]
 }
 
-// Close ends all connections.
+// Close ends all connections for good.
 func (c *Clients) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	for _, one := range c.all {
 		one.Close()
 	}
