Eject hosts by kind of proof, give freed slots to services in turns; first test of the front

Need: a cut at the edge proves less than a refused connection; slots must go to the service with the fewest calls out.

--- a/internal/mast/answer.go
+++ b/internal/mast/answer.go
@@ -5,13 +5,11 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"larchrouter/internal/sonde"
-	"larchrouter/internal/vane"
 )
 
 const keptBody = 256 << 10 // of an answer that can still be replaced by another host's
@@ -27,14 +25,6 @@
 
 func is(err, kind error) bool { return errors.Is(err, kind) }
 
-// connectProof tells a host that refused from one that says nothing.
-func connectProof(err error) vane.Proof {
-	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
-		return vane.Refused
-	}
-	return vane.Silent
-}
-
 // status is what a client may be told of an answer of a host that did run the request: some statuses would be a promise
 // that it did not.
 func status(of int) int {
--- a/internal/mast/dispatch.go
+++ b/internal/mast/dispatch.go
@@ -1,7 +1,9 @@
 package mast
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,7 +27,7 @@
 	dests   map[string]*dest // by host id
 	tables  map[place]*table
 	queues  map[string]*screen.Queue
-	waiting int
+	waiting []string    // services that calls wait for
 	again   *time.Timer // while calls wait
 	closed  bool
 }
@@ -99,9 +101,7 @@
 			delete(d.tables, at)
 		}
 	}
-	for service := range d.queues {
-		d.pump(service, now)
-	}
+	d.pumpAll(now)
 }
 
 func (d *dispatch) sweep(now time.Time) {
@@ -178,7 +178,10 @@
 	w := &waiter{query: q, got: make(chan *dest, 1)}
 	call := &screen.Call{Rank: rank, Finish: finish, Until: now.Add(patience), Tag: w}
 	queue.Push(call)
-	d.pump(q.Service, now)
+	if !slices.Contains(d.waiting, q.Service) {
+		d.waiting = append(d.waiting, q.Service)
+	}
+	d.pumpAll(now)
 	d.arm()
 	d.mu.Unlock()
 	timer := time.NewTimer(patience)
@@ -221,12 +224,21 @@
 	return d.dests[h.ID]
 }
 
+// pumpAll gives free slots to the services that calls wait for, in turns: the one with the fewest calls out first. The
+// lock is held.
+func (d *dispatch) pumpAll(now time.Time) {
+	slices.SortFunc(d.waiting, func(a, b string) int {
+		return cmp.Or(cmp.Compare(d.vane.Out(a), d.vane.Out(b)), cmp.Compare(a, b))
+	})
+	for _, service := range d.waiting {
+		d.pump(service, now)
+	}
+	d.waiting = slices.DeleteFunc(d.waiting, func(service string) bool { return d.queues[service].Len() == 0 })
+}
+
 // pump gives free slots to calls that wait, in their turn. The lock is held.
 func (d *dispatch) pump(service string, now time.Time) {
 	queue := d.queues[service]
-	if queue == nil {
-		return
-	}
 	for c := queue.Next(now); c != nil; c = queue.Next(now) {
 		w := c.Tag.(*waiter)
 		q := w.query
@@ -249,12 +261,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.again = nil
-		now, left := time.Now(), 0
-		for service, q := range d.queues {
-			d.pump(service, now)
-			left += q.Len()
-		}
-		if left > 0 {
+		if d.pumpAll(time.Now()); len(d.waiting) > 0 {
 			d.arm()
 		}
 	})
@@ -263,13 +270,13 @@
 // release gives a slot back, with what the call proved.
 func (d *dispatch) release(e *dest, p vane.Proof) {
 	if p == vane.Elsewhere {
-		e.calls.SetClosed(true)
+		e.calls.CloseIdle()
 	}
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.vane.End(e.host, p, now)
-	d.pump(e.host.Service, now)
+	d.pumpAll(now)
 }
 
 // report takes in the load that an answer told.
--- /dev/null
+++ b/internal/mast/mast_test.go
@@ -0,0 +1,386 @@
+package mast
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"larchrouter/internal/almanac"
+	"larchrouter/internal/archive"
+	"larchrouter/internal/gazette"
+	"larchrouter/internal/synop"
+	"larchrouter/internal/vane"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patient = 10 * time.Second // for what must happen, on a busy machine
+
+func want[T comparable](t *testing.T, what string, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s is %v, want %v", what, got, want)
+	}
+}
+
+func wait[T any](t *testing.T, ch <-chan T, what string) (v T) {
+	t.Helper()
+	select {
+	case v = <-ch:
+	case <-time.After(patient):
+		t.Fatalf("%s does not come", what)
+	}
+	return v
+}
+
+// eventually polls.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patient); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s does not come true", what)
+		}
+	}
+}
+
+// source is a feed that a test writes to.
+type source struct {
+	mu      sync.Mutex
+	tables  *synop.Tables
+	changed chan struct{}
+}
+
+func newSource() *source { return &source{tables: &synop.Tables{}, changed: make(chan struct{})} }
+
+func (s *source) Tables() *synop.Tables { s.mu.Lock(); defer s.mu.Unlock(); return s.tables }
+
+func (s *source) Changed() <-chan struct{} { s.mu.Lock(); defer s.mu.Unlock(); return s.changed }
+
+func (s *source) set(change func(t *synop.Tables)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := *s.tables
+	change(&t)
+	s.tables = &t
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ledger is one that a test scripts; it notes what it was told.
+type ledger struct {
+	mu      sync.Mutex
+	history map[string]string
+	openErr error
+	closing func(ctx context.Context) error
+	base    bool
+	notes   []string
+	kept    []*Turn
+}
+
+func (l *ledger) note(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notes = append(l.notes, fmt.Sprintf(format, args...))
+}
+
+func (l *ledger) told() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Join(l.notes, "; ")
+}
+
+func (l *ledger) Open(_ context.Context, o Opening) (*Opened, error) {
+	l.note("open %s %s<-%s %d/%d", o.Program, o.Turn, o.Previous, o.Need, o.Budget)
+	if l.openErr != nil {
+		return nil, l.openErr
+	}
+	return &Opened{Key: "tree", History: []byte(l.history[o.Previous]), Base: l.base}, nil
+}
+
+func (l *ledger) Close(ctx context.Context, turn *Turn) error {
+	l.mu.Lock()
+	l.kept = append(l.kept, turn)
+	l.mu.Unlock()
+	l.note("close %s %d", turn.ID, turn.Used)
+	if l.closing != nil {
+		return l.closing(ctx)
+	}
+	return nil
+}
+
+func (l *ledger) Settle(program, turn string, used int) {
+	l.note("settle %s %s %d", program, turn, used)
+}
+
+// oracle is one that a test sets.
+type oracle struct {
+	mu     sync.Mutex
+	edge   time.Duration
+	given  []time.Duration // last tries that it was asked with
+	served int
+	cuts   int
+}
+
+func (o *oracle) Timeout(left, lastTry time.Duration, canRestart bool) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.given = append(o.given, lastTry)
+	if o.edge == 0 || !canRestart {
+		return left
+	}
+	return min(left, max(o.edge, lastTry+time.Millisecond))
+}
+func (o *oracle) Served(time.Duration) { o.mu.Lock(); defer o.mu.Unlock(); o.served++ }
+func (o *oracle) Cut()                 { o.mu.Lock(); defer o.mu.Unlock(); o.cuts++ }
+
+// call is a request as a host got it, raw, with its connection.
+type call struct {
+	net.Conn
+	in   *bufio.Reader
+	req  *http.Request
+	head string // as it came
+	body string
+	nth  int // on its connection, from 1
+}
+
+func (c *call) id() string { return c.req.Header.Get("X-Attempt-Id") }
+
+// answer writes a whole answer.
+func (c *call) answer(status int, header, body string) { c.raw(reply(c.id(), status, header, body)) }
+
+func (c *call) raw(s string) { _, _ = io.WriteString(c.Conn, s) }
+
+func reply(id string, status int, header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\nX-Host-Seal: seal\r\n%sContent-Length: %d\r\n\r\n%s", status, id, header, len(body), body)
+}
+
+// host is a stand-in for one; its script answers each call, and returns false to close the connection.
+type host struct {
+	id, addr string
+	l        net.Listener
+	calls    atomic.Int32
+	conns    atomic.Int32
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	open     map[net.Conn]bool
+	got      []string // head and body
+}
+
+func newHost(t *testing.T, id string, script func(c *call) bool) *host {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &host{id: id, addr: l.Addr().String(), l: l, open: map[net.Conn]bool{}}
+	h.wg.Go(func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			h.conns.Add(1)
+			h.mu.Lock()
+			h.open[nc] = true
+			h.mu.Unlock()
+			h.wg.Go(func() { defer nc.Close(); h.serve(nc, script) })
+		}
+	})
+	t.Cleanup(h.close)
+	return h
+}
+
+func (h *host) close() {
+	h.l.Close()
+	h.mu.Lock()
+	for c := range h.open {
+		c.Close()
+	}
+	h.mu.Unlock()
+	h.wg.Wait()
+}
+
+func (h *host) serve(nc net.Conn, script func(c *call) bool) {
+	in := bufio.NewReader(nc)
+	for nth := 1; ; nth++ {
+		var head strings.Builder
+		for {
+			line, err := in.ReadString('\n')
+			if err != nil {
+				return
+			}
+			head.WriteString(line)
+			if line == "\r\n" {
+				break
+			}
+		}
+		req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(head.String())))
+		if err != nil {
+			return
+		}
+		body := make([]byte, max(0, req.ContentLength))
+		if _, err := io.ReadFull(in, body); err != nil {
+			return
+		}
+		h.calls.Add(1)
+		h.mu.Lock()
+		h.got = append(h.got, head.String()+string(body))
+		h.mu.Unlock()
+		c := &call{Conn: nc, in: in, req: req, head: head.String(), body: string(body), nth: nth}
+		if !script(c) {
+			return
+		}
+	}
+}
+
+// gotten is what came to a host last.
+func (h *host) gotten() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.got) == 0 {
+		return ""
+	}
+	return h.got[len(h.got)-1]
+}
+
+func serves(text string) func(c *call) bool {
+	return func(c *call) bool { c.answer(200, "", text); return true }
+}
+
+// front is a server under test with its stand-ins.
+type front struct {
+	*Server
+	t      *testing.T
+	source *source
+	ledger *ledger
+	oracle *oracle
+	addr   string
+	ready  string
+}
+
+const testConfig = `{"config_version":1,"route_table":[
+{"name":"r1","host_name":"shop.example","path_prefix":"/tool/","route_kind":"idempotent","deadline_ms":8000,"target_ms":400,"rank":1,"target_service":"plain","max_attempts":3},
+{"name":"r2","host_name":"shop.example","path_prefix":"/order/","route_kind":"non_idempotent","deadline_ms":8000,"target_ms":400,"rank":0,"target_service":"plain","max_attempts":3},
+{"name":"r3","host_name":"shop.example","path_prefix":"/stream/","route_kind":"streaming","deadline_ms":8000,"target_ms":400,"rank":0,"target_service":"plain","max_attempts":3,"gap_aim_ms":400},
+{"name":"r4","host_name":"shop.example","path_prefix":"/turn/","route_kind":"streaming","deadline_ms":8000,"target_ms":400,"rank":0,"target_service":"engine","max_attempts":2,"retained":true,"retain_s":60,"affinity":true,"gap_aim_ms":400}],
+"service_table":[{"name":"plain","health_path":"/health","conn_limit":64,"protocol":"h1","tls_mode":false},
+{"name":"engine","health_path":"/health","conn_limit":64,"protocol":"h1","tls_mode":false,"backend":{"capacity":8,"cache_tokens":10000,"event_tokens":2,"model_list":[{"name":"m"}]}}],
+"limits":{"max_header_bytes":6000,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+func newFront(t *testing.T, hosts ...*host) *front {
+	t.Helper()
+	f := &front{t: t, source: newSource(), ledger: &ledger{}, oracle: &oracle{}}
+	cfg, err := almanac.Parse([]byte(testConfig))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.source.set(func(tb *synop.Tables) { tb.Config, tb.Placement = cfg, &archive.Placement{} })
+	f.list(hosts...)
+	f.Server = New(Config{Zone: "z", Source: f.source, Ledger: f.ledger, Seed: 1, Grace: 4 * time.Second,
+		NewOracle: func(time.Duration) vane.Oracle { return f.oracle }})
+	f.addr, f.ready = serve(t, f.Server)
+	return f
+}
+
+func serve(t *testing.T, s *Server) (addr, ready string) {
+	t.Helper()
+	fl, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rl, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { s.Serve(fl, rl) })
+	t.Cleanup(func() { s.Close(); wg.Wait() })
+	eventually(t, "hosts taken in", func() bool {
+		s.dispatch.mu.Lock()
+		defer s.dispatch.mu.Unlock()
+		return s.dispatch.hosts == s.cfg.Source.Tables().Hosts
+	})
+	return fl.Addr().String(), rl.Addr().String()
+}
+
+// entry is a host on the list: of both services, so that tests need not say.
+func (f *front) list(hosts ...*host) {
+	l := &gazette.List{Term: 1, Number: time.Now().UnixNano()}
+	for _, h := range hosts {
+		for _, service := range []string{"plain", "engine"} {
+			id := h.id
+			if service == "engine" {
+				id += "-e"
+			}
+			l.Hosts = append(l.Hosts, gazette.Host{ID: id, Service: service, Addr: h.addr, Zone: "z", Capacity: 4, Phase: gazette.Ready})
+		}
+	}
+	f.source.set(func(tb *synop.Tables) { tb.Hosts = l })
+}
+
+// conn is a client's connection.
+type conn struct {
+	net.Conn
+	t  *testing.T
+	in *bufio.Reader
+}
+
+func (f *front) dial() *conn {
+	f.t.Helper()
+	nc, err := net.Dial("tcp4", f.addr)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = nc.SetDeadline(time.Now().Add(2 * patient))
+	f.t.Cleanup(func() { nc.Close() })
+	return &conn{Conn: nc, t: f.t, in: bufio.NewReader(nc)}
+}
+
+func request1(method, uri, id, header, body string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", method, uri, id, header, len(body), body)
+}
+
+func (c *conn) send(s string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, s); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // how the body ended, nil for whole
+}
+
+// read reads one answer. status 0 is a connection that ended without one.
+func (c *conn) read() answer {
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	b, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(b), err}
+}
+
+// do sends one request on a connection of its own.
+func (f *front) do(method, uri, id, header, body string) answer {
+	f.t.Helper()
+	c := f.dial()
+	defer c.Close()
+	c.send(request1(method, uri, id, header, body))
+	return c.read()
+}
+
+const timeLeft = "X-Time-Left-Ms: 8000\r\n"
--- a/internal/mast/request.go
+++ b/internal/mast/request.go
@@ -190,7 +190,7 @@
 		if t.Begun {
 			r.end(t, vane.Unknown)
 		} else {
-			r.end(t, vane.Silent)
+			r.end(t, vane.Late)
 		}
 	case t.Kept && !t.Begun: // the connection may have been dropped on the way, which is no sign of its host's health
 		r.end(t, vane.Unknown)
@@ -286,7 +286,7 @@
 					}
 					return nil
 				}
-				if a.Status == http.StatusMisdirectedRequest {
+				if a.Status == http.StatusMisdirectedRequest && r.get("Expect-Version") == "" {
 					r.end(t, vane.Elsewhere)
 				} else {
 					r.end(t, vane.Full)
@@ -297,7 +297,7 @@
 			switch {
 			case is(t.Err, sonde.ErrConnect):
 				t.oracle.Cut()
-				r.end(t, connectProof(t.Err))
+				r.end(t, vane.Refused)
 			case is(t.Err, sonde.ErrWrite):
 				r.end(t, vane.Broken)
 			case is(t.Err, sonde.ErrRoom):
--- a/internal/sonde/sonde.go
+++ b/internal/sonde/sonde.go
@@ -82,9 +82,13 @@
 // that wait for their connection as well.
 func (h *Host) SetClosed(closed bool) {
 	h.closed.Store(closed)
-	if !closed {
-		return
+	if closed {
+		h.CloseIdle()
 	}
+}
+
+// CloseIdle closes the idle connections.
+func (h *Host) CloseIdle() {
 	for c := h.pop(); c != nil; c = h.pop() {
 		c.release()
 	}
--- a/internal/vane/vane.go
+++ b/internal/vane/vane.go
@@ -28,9 +28,9 @@
 const (
 	Good      Proof = iota // a whole answer
 	Full                   // it said that it had no room, and did not run the call
-	Refused                // a connection did not come up
-	Silent                 // a connection hung, or a call was cut without a byte of an answer
+	Refused                // a connection was refused, or hung
 	Broken                 // it broke off an answer, or sent bytes that are none
+	Late                   // a call was cut without a byte of an answer
 	Elsewhere              // 421: another host is at the address
 	Unknown                // the call ended for reasons of its own
 )
@@ -40,7 +40,10 @@
 	fullFor    = 40 * time.Millisecond  // a host that said it is full gets no call for this long
 	ejectLeast = 250 * time.Millisecond // doubled with each proof in a row
 	ejectMost  = 4 * time.Second
-	silentMost = 2                // hosts are ejected for silence from so many proofs in a row on
+	awayFor    = 5 * time.Second // a host whose address another one answered at is not asked
+	refusedRow = 1               // proofs in a row, from which on a host is ejected
+	brokenRow  = 2
+	lateRow    = 3
 	coldShare  = 0.5              // of its capacity that a cold host gets at first
 	zoneGain   = 0.1              // by how much fuller a host in the own zone may be
 	affinity   = 0.7              // of its capacity up to which a host gets calls for its cache's sake
@@ -62,7 +65,6 @@
 	ejected  time.Time // until then
 	strikes  int
 	struck   time.Time
-	away     bool // another host is at its address
 	listed   bool
 	warm     time.Time
 	cold     time.Duration
@@ -73,7 +75,7 @@
 func (h *Host) Out() int { return h.out }
 
 // Usable tells whether the list still lets new calls go there.
-func (h *Host) Usable() bool { return h.listed && !h.draining && !h.away }
+func (h *Host) Usable() bool { return h.listed && !h.draining }
 
 // Load estimates the calls at the host: the own ones, and those of others as it reported them.
 func (h *Host) Load(now time.Time) float64 {
@@ -101,11 +103,13 @@
 	seed     uint64
 	byID     map[string]*Host
 	services map[string][]*Host // listed or with calls under way
+	outOf    map[string]int     // calls under way by service
+	scratch  []*Host
 }
 
 // New makes a vane for a relay in a zone that has at most so many calls out at once. The seed breaks ties.
 func New(zone string, slots int, seed uint64) *Vane {
-	return &Vane{zone: zone, slots: slots, seed: seed | 1, byID: map[string]*Host{}, services: map[string][]*Host{}}
+	return &Vane{zone: zone, slots: slots, seed: seed | 1, byID: map[string]*Host{}, services: map[string][]*Host{}, outOf: map[string]int{}}
 }
 
 // Hosts takes in the platform's list and tells which incarnations are no longer on it, and which drain.
@@ -171,21 +175,10 @@
 
 // Pick chooses the host for a call. It gives nil while all are at capacity, or none is known.
 func (v *Vane) Pick(q Query, now time.Time) *Host {
-	all := v.services[q.Service]
-	ready := make([]*Host, 0, len(all))
-	for _, doubt := range []bool{false, true} { // where every host was ejected, doubt is better than nothing
-		for _, h := range all {
-			if h.Usable() && (doubt || !now.Before(h.ejected)) && !slices.Contains(q.Tried, h.ID) {
-				ready = append(ready, h)
-			}
-		}
-		if len(ready) > 0 {
-			break
-		}
-	}
-	if v.out >= v.slots && !q.Over {
+	if v.out >= v.slots {
 		return nil
 	}
+	ready := v.candidates(q, now)
 	known := len(ready)
 	ready = slices.DeleteFunc(ready, func(h *Host) bool { return !v.open(h, q, now, known) })
 	if len(ready) == 0 {
@@ -199,6 +192,21 @@
 	return v.least(ready, now)
 }
 
+// candidates are the hosts that may be asked: those in good standing that did not have the call; where there is none, one
+// in doubt is better than nothing, and then one that had it.
+func (v *Vane) candidates(q Query, now time.Time) []*Host {
+	ready := v.scratch[:0]
+	for pass := 0; pass < 3 && len(ready) == 0; pass++ {
+		for _, h := range v.services[q.Service] {
+			if h.Usable() && (pass > 0 || !now.Before(h.ejected)) && (pass > 1 || !slices.Contains(q.Tried, h.ID)) {
+				ready = append(ready, h)
+			}
+		}
+	}
+	v.scratch = ready
+	return ready
+}
+
 // open tells whether a host has a slot for a call, and the relay one for the host.
 func (v *Vane) open(h *Host, q Query, now time.Time, ready int) bool {
 	room := h.room(now)
@@ -278,7 +286,14 @@
 }
 
 // Begin notes a call that goes to a host.
-func (v *Vane) Begin(h *Host) { h.out++; v.out++ }
+func (v *Vane) Begin(h *Host) {
+	h.out++
+	v.out++
+	v.outOf[h.Service]++
+}
+
+// Out is how many calls are under way to the hosts of a service.
+func (v *Vane) Out(service string) int { return v.outOf[service] }
 
 // Report takes in the load that a host told with an answer, while the call it answered still counts as out.
 func (v *Vane) Report(h *Host, running, waiting int, now time.Time) {
@@ -289,6 +304,7 @@
 func (v *Vane) End(h *Host, p Proof, now time.Time) {
 	h.out--
 	v.out--
+	v.outOf[h.Service]--
 	switch p {
 	case Good:
 		h.strikes = 0
@@ -297,11 +313,13 @@
 		h.full = now.Add(fullFor)
 		h.others, h.told = max(h.others, h.room(now)-float64(h.out)), now
 	case Refused:
-		v.strike(h, now, 1)
-	case Silent, Broken:
-		v.strike(h, now, silentMost)
+		h.strike(now, refusedRow)
+	case Broken:
+		h.strike(now, brokenRow)
+	case Late:
+		h.strike(now, lateRow)
 	case Elsewhere:
-		h.away = true
+		h.ejected = now.Add(awayFor)
 	}
 	if !h.listed && h.out == 0 {
 		delete(v.byID, h.ID)
@@ -309,14 +327,16 @@
 	}
 }
 
-func (v *Vane) strike(h *Host, now time.Time, least int) {
+func (h *Host) strike(now time.Time, row int) {
 	if now.Sub(h.struck) > forget {
 		h.strikes = 0
 	}
 	h.strikes++
 	h.struck = now
-	if n := h.strikes - least; n >= 0 {
-		h.ejected = now.Add(min(ejectMost, ejectLeast<<min(n, 8)))
+	if n := h.strikes - row; n >= 0 {
+		if until := now.Add(min(ejectMost, ejectLeast<<min(n, 8))); until.After(h.ejected) {
+			h.ejected = until
+		}
 	}
 }
 
