--- a/choice/admit.go
+++ b/choice/admit.go
@@ -68,9 +68,9 @@
 	}
 	switch e.Outcome {
 	case Served:
-		d.table.add(e.Took)
-		c.pool.add(e.Took)
-		if e.Took <= d.table.edge {
+		d.table.Add(e.Took)
+		c.pool.Add(e.Took)
+		if e.Took <= d.table.Edge() {
 			d.backoff = 0
 		}
 		h.fails, h.spoilt = 0, 0
@@ -88,7 +88,7 @@
 			c.failed(h, Error)
 		}
 	case Timeout, Cancelled:
-		d.table.cutShort()
+		d.table.CutShort()
 		if u.lastServed < k.sent {
 			d.backoff++
 			if e.Took >= c.patience(d) {
@@ -96,7 +96,7 @@
 			}
 		}
 	case NoConnection:
-		d.table.cutShort()
+		d.table.CutShort()
 		c.failed(h, e.Outcome)
 	}
 	sure := e.Outcome == Served || e.Outcome == Refused || e.Outcome == NoConnection || e.Outcome == NotSent
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,7 @@
 package choice
 
 // The Chooser, one Step, and the endpoint list. The interface is in api.go, plain state in state.go. The
-// decisions are in files of their own: timeout.go the timeout oracle; health.go outages, refusals and
+// decisions are in files of their own: timeout.go time-outs, by oracle/oracle.go; health.go outages, refusals and
 // waits; pace.go rates; admit.go what is taken on, ends of attempts and final answers; turn.go what goes
 // next, and where; order.go the order of keys; restore.go what outlasts a process.
 
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"larchrouter/choice/oracle"
 )
 
 const (
@@ -27,7 +29,8 @@
 	}
 	c := &Chooser{set: s, msgs: map[string]*message{}, dests: map[int]*dest{},
 		hosts: map[string]*host{}, lines: map[string]*line{},
-		rand: rand.New(rand.NewPCG(seed, 0)), pool: table{weight: 1}, watchAt: never, lapseAt: never}
+		rand: rand.New(rand.NewPCG(seed, 0)), pool: oracle.New(0, restartCost),
+		watchAt: never, lapseAt: never}
 	if !s.Subscribe {
 		c.askAt = -1
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
+
+	"larchrouter/choice/oracle"
 )
 
 const ms = time.Millisecond
@@ -106,60 +107,6 @@
 	return Arrival{ID: id, Class: class, Dest: 1, Left: 10 * time.Second}
 }
 
-func TestOracleByHand(t *testing.T) {
-	tab := table{width: 10 * ms, weight: 1}
-	for range 90 {
-		tab.add(15 * ms)
-	}
-	for range 10 {
-		tab.add(905 * ms)
-	}
-	tab.look()
-	if tab.edge != 20*ms {
-		t.Errorf("edge %v with a tenth of the answers 60 times slower, want the bucket of the fast ones, 20ms", tab.edge)
-	}
-	same := table{width: 10 * ms, weight: 1}
-	for i := range 100 {
-		same.add(time.Duration(100+i%10) * ms)
-	}
-	same.look()
-	if same.edge != 110*ms {
-		t.Errorf("edge %v for like answers, want 110ms, the end of their bucket", same.edge)
-	}
-	few := table{width: 10 * ms, weight: 1}
-	for range minSamples - 1 {
-		few.add(15 * ms)
-	}
-	few.look()
-	if few.edge != 0 {
-		t.Errorf("edge %v from %d samples, want none", few.edge, minSamples-1)
-	}
-	few.add(5 * time.Second) // beyond the bound
-	if few.beyond < 1 || few.total != minSamples {
-		t.Errorf("beyond %v, total %v after a sample over the bound", few.beyond, few.total)
-	}
-}
-
-func TestTableFades(t *testing.T) {
-	tab := table{width: 10 * ms, weight: 1}
-	for range 1000 {
-		tab.add(15 * ms)
-	}
-	for range 2 * memory {
-		tab.add(505 * ms)
-	}
-	tab.look()
-	if tab.edge < 510*ms {
-		t.Errorf("edge %v after the destination slowed, want it relearned to 510ms", tab.edge)
-	}
-	for range 10000 {
-		tab.add(505 * ms)
-	}
-	if math.IsInf(tab.weight, 0) || tab.weight > 1e7 {
-		t.Errorf("weight %v grows without bound", tab.weight)
-	}
-}
-
 // TestAnswers has one row for each outcome and effect: what becomes of the message.
 func TestAnswers(t *testing.T) {
 	for _, tc := range []struct {
@@ -276,7 +223,7 @@
 
 func TestEachFurtherTryWaitsLonger(t *testing.T) {
 	r := newRig(t, settings(), ready("a", 1, 0, 0))
-	for i := range 2 * minSamples {
+	for i := range 2 * oracle.MinSamples {
 		id := fmt.Sprint("w", i)
 		r.step(arrival(id, 0))
 		r.now += 50 * ms
@@ -293,7 +240,7 @@
 		if got = append(sends(acts), sends(r.after(3*time.Second))...); len(got) != 1 {
 			t.Fatalf("%d sends after a time-out", len(got))
 		}
-		if got[0].Timeout < last+r.c.bound/buckets {
+		if got[0].Timeout < last+r.c.bound/oracle.Buckets {
 			t.Errorf("time-out %v after %v, want a bucket more", got[0].Timeout, last)
 		}
 		last = got[0].Timeout
@@ -446,7 +393,7 @@
 // a call is given up only when it is very likely lost.
 func TestBacklogHoldsRestartsBack(t *testing.T) {
 	r := newRig(t, settings(), ready("a", 1, 0, 0))
-	for i := range 4 * minSamples {
+	for i := range 4 * oracle.MinSamples {
 		id := fmt.Sprint("w", i)
 		r.step(arrival(id, 0))
 		r.now += 50 * ms
@@ -683,7 +630,7 @@
 		t.Fatalf("sends %v, want one to h4999", got)
 	}
 	for id, d := range r.c.dests {
-		if d.table.count != nil {
+		if !d.table.Empty() {
 			t.Fatalf("destination %d has a table before its first answer", id)
 		}
 	}
--- a/choice/retune.go
+++ b/choice/retune.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"larchrouter/choice/oracle"
 	"larchrouter/internal/pieces"
 )
 
@@ -29,9 +30,9 @@
 	}
 	c.nap = max(c.set.Tick, c.minAim/glance)
 	c.cut()
-	c.pool.rescale(c.bound / buckets)
+	c.pool.Rescale(c.bound / oracle.Buckets)
 	for _, d := range c.dests {
-		d.table.rescale(c.bound / buckets)
+		d.table.Rescale(c.bound / oracle.Buckets)
 	}
 }
 
@@ -77,23 +78,3 @@
 		c.touch(c.dests[id]) // more may go now, or at other times
 	}
 }
-
-// rescale has a table's buckets be so wide, with what it holds in the nearest of the new ones.
-func (t *table) rescale(width time.Duration) {
-	old := *t
-	if t.width = width; old.width == width || old.count == nil {
-		return
-	}
-	t.count, t.sum, t.stale = make([]float64, buckets), make([]float64, buckets), true
-	for i, n := range old.count {
-		if n == 0 {
-			continue
-		}
-		if at := int(old.sum[i] / n / width.Seconds()); at < buckets {
-			t.count[at] += n
-			t.sum[at] += old.sum[i]
-		} else {
-			t.beyond += n
-		}
-	}
-}
--- a/choice/retune_test.go
+++ b/choice/retune_test.go
@@ -1,10 +1,8 @@
 package choice
 
 import (
-	"math/rand"
 	"slices"
 	"testing"
-	"testing/quick"
 	"time"
 )
 
@@ -63,32 +61,3 @@
 		t.Errorf("%d sends after the wait, want the other message's", n)
 	}
 }
-
-// Wider or narrower buckets keep every sample, and what an answer took within one bucket of either width.
-func TestRescaleKeepsSamples(t *testing.T) {
-	if err := quick.Check(func(took []uint16, wide uint8) bool {
-		a := table{width: 10 * time.Millisecond, weight: 1}
-		for _, ms := range took {
-			a.add(time.Duration(ms%2000) * time.Millisecond)
-		}
-		sum := func(x *table) (n float64) {
-			for _, v := range x.count {
-				n += v
-			}
-			return n + x.beyond
-		}
-		before, total := sum(&a), a.total
-		a.rescale(time.Duration(1+int(wide)) * time.Millisecond)
-		if d := sum(&a) - before; d > 1e-6*before || d < -1e-6*before || a.total != total {
-			return false
-		}
-		for i, n := range a.count {
-			if in := a.sum[i]/n/a.width.Seconds() - float64(i); n > 0 && (in < -1e-6 || in > 1+1e-6) {
-				return false
-			}
-		}
-		return true
-	}, &quick.Config{Rand: rand.New(rand.NewSource(1)), MaxCount: 500}); err != nil {
-		t.Error(err)
-	}
-}
--- a/choice/state.go
+++ b/choice/state.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"larchrouter/choice/oracle"
 	"larchrouter/internal/pieces"
 	"larchrouter/internal/queue"
 )
@@ -146,7 +147,7 @@
 	changed    bool   // something has happened since its last look
 	cheap      []shed // by class
 	crowd      int    // waits as the orders of crowds have it
-	table      table
+	table      oracle.Table
 	refused    int      // refusals in a row
 	luck       *float64 // of its kind
 	pauseUntil time.Duration
@@ -209,7 +210,7 @@
 	nap       time.Duration // between looks, at the least
 	watchAt   time.Duration // the next silence to be noticed, or call to be called off
 	luck      []float64     // by kind: share served of the calls to destinations that refused the last one
-	pool      table         // of all destinations together, for those that have few samples yet
+	pool      oracle.Table  // of all destinations together, for those that have few samples yet
 	askAt     time.Duration // ask for list changes then; below 0 for never
 	wanting   []*dest       // their wants are to be told
 	lapseAt   time.Duration // the next grant lapses then
--- a/choice/waiting.go
+++ b/choice/waiting.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"larchrouter/choice/oracle"
 	"larchrouter/internal/queue"
 )
 
@@ -36,7 +37,7 @@
 
 func (c *Chooser) newDest(id int) *dest {
 	return &dest{id: id, kind: Kind{PerCall: 1}, luck: &c.luck[0], since: never, lookAt: never,
-		table: table{width: c.bound / buckets, weight: 1}, cheap: make([]shed, len(c.set.Classes))}
+		table: oracle.New(c.bound/oracle.Buckets, restartCost), cheap: make([]shed, len(c.set.Classes))}
 }
 
 func newLine(key string) *line {
