--- a/internal/sonde/sonde.go
+++ b/internal/sonde/sonde.go
@@ -62,6 +62,7 @@
 	Addr   string
 	limit  atomic.Int32
 	closed atomic.Bool
+	dial   func(addr string, within time.Duration) (net.Conn, error)
 
 	mu   sync.Mutex
 	open int
@@ -70,7 +71,7 @@
 
 // NewHost is a host with so many connections from here at most.
 func NewHost(id, addr string, limit int) *Host {
-	h := &Host{ID: id, Addr: addr}
+	h := &Host{ID: id, Addr: addr, dial: dial}
 	h.SetLimit(limit)
 	return h
 }
@@ -164,7 +165,13 @@
 	}
 }
 
-var dialer = net.Dialer{Timeout: dialTime, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+func dial(addr string, within time.Duration) (net.Conn, error) {
+	d := dialer
+	d.Timeout = within
+	return d.Dial("tcp4", addr)
+}
+
+var dialer = net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 	Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadAfter.Milliseconds()))
@@ -200,13 +207,12 @@
 	}
 	h.open++
 	h.mu.Unlock()
-	d := dialer
-	d.Timeout = min(dialTime, time.Until(until))
-	if d.Timeout <= 0 {
+	within := min(dialTime, time.Until(until))
+	if within <= 0 {
 		h.drop()
 		return nil, ErrTime
 	}
-	nc, err := d.Dial("tcp4", h.Addr)
+	nc, err := h.dial(h.Addr, within)
 	if err != nil {
 		h.drop()
 		for _, own := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL} {
