--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,8 +1,8 @@
 package choice
 
 // The Chooser, one Step, and the endpoint list. The interface is in api.go, plain state in state.go. The
-// decisions are in files of their own: timeout.go time-outs, by oracle/oracle.go; health.go outages, refusals and
-// waits; pace.go rates; admit.go what is taken on, ends of attempts and final answers; turn.go what goes
+// decisions are in files of their own: timeout.go and oracle/oracle.go time-outs; health.go outages, refusals
+// and waits; pace.go rates; admit.go what is taken on, ends of attempts and final answers; turn.go what goes
 // next, and where; order.go the order of keys; restore.go what outlasts a process.
 
 import (
--- /dev/null
+++ b/choice/oracle/destination_test.go
@@ -0,0 +1,192 @@
+package oracle
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// estimate is the formula as it is written: for the edge of bucket i, from all samples, cut ones below 0.
+func estimate(samples []time.Duration, width time.Duration, i int) float64 {
+	var n, sum [Buckets]float64
+	cut, weight := 0.0, 1.0
+	for _, took := range samples {
+		weight *= 1 + 1.0/memory
+		if k := int(took / width); took < 0 || k >= Buckets {
+			cut += weight
+		} else {
+			n[k] += weight
+			sum[k] += weight * took.Seconds()
+		}
+	}
+	all, f, m := cut, 0.0, 0.0
+	for k := range Buckets {
+		all += n[k]
+	}
+	for k := 0; k <= i; k++ {
+		f += n[k] / all
+		m += sum[k] / all
+	}
+	if f == 0 {
+		return math.Inf(1)
+	}
+	edge := time.Duration(i+1) * width
+	return m/f + (1-f)/f*(edge.Seconds()+0.1)
+}
+
+func TestTimeoutIsTheLeastEstimate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := time.Duration(rapid.IntRange(200, 6000).Draw(t, "bound")) * ms
+		width := bound / Buckets
+		typical := time.Duration(rapid.IntRange(1, int(bound/ms)).Draw(t, "typical")) * ms
+		took := rapid.Custom(func(t *rapid.T) time.Duration {
+			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			case 0:
+				return -1 // cut
+			case 1:
+				return time.Duration(rapid.Int64Range(0, int64(2*bound)).Draw(t, "any"))
+			default:
+				return typical/2 + time.Duration(rapid.Int64Range(0, int64(typical)).Draw(t, "near"))
+			}
+		})
+		samples := rapid.SliceOfN(took, 0, 300).Draw(t, "samples")
+		d := NewDestination(bound)
+		served := 0
+		for _, s := range samples {
+			if s < 0 {
+				d.Cut()
+				continue
+			}
+			d.Served(s)
+			if s/width < Buckets {
+				served++
+			}
+		}
+		const left = time.Hour
+		got := d.Timeout(left, 0, true)
+		if len(samples) < MinSamples || served == 0 {
+			if got != left {
+				t.Fatalf("cut at %v after %d samples, %d of them answers", got, len(samples), served)
+			}
+			return
+		}
+		if got%width != 0 || got <= 0 || got > bound {
+			t.Fatalf("%v is no edge of buckets %v wide", got, width)
+		}
+		least := math.Inf(1)
+		for i := range Buckets {
+			least = min(least, estimate(samples, width, i))
+		}
+		if e := estimate(samples, width, int(got/width)-1); e > least*(1+1e-9) {
+			t.Fatalf("cut at %v, estimate %.9f, the least is %.9f", got, e, least)
+		}
+	})
+}
+
+// known is a destination whose answers take 45 ms, one in ten 905 ms: with buckets of 10 ms the edge is 50 ms.
+func known() *Destination {
+	d := NewDestination(time.Second)
+	for i := range 100 {
+		if i%10 == 9 {
+			d.Served(905 * ms)
+		} else {
+			d.Served(45 * ms)
+		}
+	}
+	return d
+}
+
+// Each line is one call: what is left at each try, and its time-out as told; the last column says whether it may be
+// restarted. A try that is not cut ends the call.
+func TestTriesOfACall(t *testing.T) {
+	const timeline = `
+left  1000  timeout 50    restart
+left   950  timeout 60    restart
+left   890  timeout 70    restart
+left   820  timeout 820   no
+---
+left  1000  timeout 1000  no
+---
+left   190  timeout 50    restart
+left   140  timeout 140   restart
+---
+left    60  timeout 60    restart
+---
+left     0  timeout 0     restart
+---
+left    -5  timeout -5    restart
+`
+	d := known()
+	mean := (0.9*45 + 0.1*905)
+	if got := d.table.Mean(); math.Abs(got.Seconds()*1000-mean) > 15 {
+		t.Fatalf("mean %v, want about %.1f ms", got, mean)
+	}
+	last := time.Duration(0)
+	for i, l := range strings.Split(strings.TrimSpace(timeline), "\n") {
+		if l == "---" {
+			last = 0
+			continue
+		}
+		f := strings.Fields(l)
+		left, _ := strconv.Atoi(f[1])
+		want, _ := strconv.Atoi(f[3])
+		last = d.Timeout(time.Duration(left)*ms, last, f[4] == "restart")
+		if last != time.Duration(want)*ms {
+			t.Errorf("line %d, %q: time-out %v", i+1, l, last)
+		}
+	}
+}
+
+func TestTimeoutIsNeverOverWhatIsLeft(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := NewDestination(time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "bound")))
+		for range rapid.IntRange(0, 60).Draw(t, "served") {
+			d.Served(time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, "took")))
+		}
+		for range rapid.IntRange(0, 60).Draw(t, "cut") {
+			d.Cut()
+		}
+		left := time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "left"))
+		last := time.Duration(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "last"))
+		can := rapid.Bool().Draw(t, "can restart")
+		got := d.Timeout(left, last, can)
+		switch {
+		case got > left || got < 0:
+			t.Fatalf("time-out %v with %v left", got, left)
+		case got < left && !can:
+			t.Fatalf("cut at %v though it may not be restarted", got)
+		case got < left && last > 0 && got < last+d.table.Width():
+			t.Fatalf("time-out %v after one of %v, buckets of %v", got, last, d.table.Width())
+		case got < left && got+d.table.Mean() >= left:
+			t.Fatalf("cut at %v of %v: a restart takes %v", got, left, d.table.Mean())
+		}
+	})
+}
+
+func TestLateAnswersCount(t *testing.T) {
+	d := known()
+	before := d.Timeout(time.Hour, 0, true)
+	for range 2 * memory { // it has turned slow: every call ends after its time-out, and is answered then
+		d.Served(305 * ms)
+	}
+	if after := d.Timeout(time.Hour, 0, true); before != 50*ms || after != 310*ms {
+		t.Fatalf("time-out %v, then %v; want 50ms, then 310ms", before, after)
+	}
+}
+
+func TestBoundThatChanges(t *testing.T) {
+	d := known()
+	d.SetBound(2 * time.Second)
+	if got := d.Timeout(time.Hour, 0, true); got != 60*ms {
+		t.Fatalf("time-out %v with buckets of 20ms, want 60ms", got)
+	}
+	d.SetBound(0) // as narrow as a bucket can be
+	d.Served(time.Millisecond)
+	if got := d.Timeout(time.Hour, 0, true); got != time.Hour {
+		t.Fatalf("time-out %v where all answers lie beyond the bound", got)
+	}
+}
--- a/choice/oracle/table.go
+++ b/choice/oracle/table.go
@@ -38,6 +38,18 @@
 // High is the edge below which 98% of the answers lay as of the last Look, 0 if unknown.
 func (t *Table) High() time.Duration { return t.high }
 
+// Mean is that of the latencies, 0 if there are none.
+func (t *Table) Mean() time.Duration {
+	n, sum := 0.0, 0.0
+	for i := range t.count {
+		n, sum = n+t.count[i], sum+t.sum[i]
+	}
+	if n == 0 {
+		return 0
+	}
+	return time.Duration(sum / n * float64(time.Second))
+}
+
 // Few tells whether there are too few samples for the oracle to be heard.
 func (t *Table) Few() bool { return t.total < MinSamples }
 
