--- /dev/null
+++ b/internal/archive/records.go
@@ -0,0 +1,271 @@
+package archive
+
+import (
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+
+	"larchrouter/internal/raingauge"
+	"larchrouter/internal/teletype"
+)
+
+// The calls that a store takes.
+const (
+	MethodOpen    teletype.Method = 20 + iota // reserve, and look for the previous turn
+	MethodClose                               // keep a turn and settle its entry
+	MethodSettle                              // settle an entry
+	MethodPeek                                // read a ledger
+	MethodHistory                             // read the history of a turn
+	MethodFind                                // look for a turn under all keys
+	MethodDigest                              // sums over buckets of keys
+	MethodKeys                                // digests of keys, by pages
+	MethodStates                              // ledgers and turns of some keys
+	MethodBodies                              // records of some turns
+	MethodRepair                              // notice: a key is not whole there
+)
+
+// The kinds of errors of a store's answer and of a client's operation.
+var (
+	// ErrBudget: the turn does not fit into what is left of its program's budget.
+	ErrBudget = errors.New("budget is spent")
+	// ErrNoTurn: the previous turn does not exist, which enough stores have said to be sure.
+	ErrNoTurn = errors.New("no such turn")
+	// ErrUnsure: too few stores answered to know.
+	ErrUnsure = errors.New("too few stores answered")
+	// ErrWrongStore: a store of another identity answers at that address.
+	ErrWrongStore = errors.New("store has another identity")
+	// ErrOldPlacement: the store has adopted a newer placement than the caller's.
+	ErrOldPlacement = errors.New("placement is older than the store's")
+	// ErrBehind: the store has not adopted the caller's placement yet.
+	ErrBehind = errors.New("store has not adopted the placement yet")
+	// ErrFull: the store's disk or memory bound has no room.
+	ErrFull = errors.New("store is full")
+)
+
+const (
+	statusOK = iota
+	statusWrongStore
+	statusOldPlacement
+	statusBehind
+	statusFull
+	statusFailed
+)
+
+func statusError(status int) error {
+	switch status {
+	case statusOK:
+		return nil
+	case statusWrongStore:
+		return ErrWrongStore
+	case statusOldPlacement:
+		return ErrOldPlacement
+	case statusBehind:
+		return ErrBehind
+	case statusFull:
+		return ErrFull
+	default:
+		return errors.Newf("store failed with status %d: its log names the cause", status)
+	}
+}
+
+// Turn is a turn that ended whole, as the front hands it over.
+type Turn struct {
+	Key      string // its program
+	ID       string
+	Previous string
+	Base     []byte // the whole history before it, where Previous is another key's turn
+	Input    []byte
+	Output   []byte // the data of each event, each followed by a line feed
+	Used     int    // tokens handed out
+	Retain   int    // seconds
+}
+
+// Record is a turn as stores keep it: what it adds to the history is all that is ever read of it.
+type Record struct {
+	Key      string
+	ID       string
+	Previous string
+	Root     bool // the piece is the whole history: first turn, or one with the base in it
+	Retain   int
+	Piece    []byte
+}
+
+func (t *Turn) record() Record {
+	piece := make([]byte, 0, len(t.Base)+len(t.Input)+len(t.Output))
+	piece = append(append(append(piece, t.Base...), t.Input...), t.Output...)
+	return Record{Key: t.Key, ID: t.ID, Previous: t.Previous, Root: t.Previous == "" || t.Base != nil, Retain: t.Retain, Piece: piece}
+}
+
+// indexRow is what the index needs of a turn, in a table of its own so that a start reads no bodies.
+type indexRow struct {
+	Previous string
+	Root     bool
+	Retain   int
+}
+
+// entryRow is an entry of a ledger on disk.
+type entryRow struct {
+	Tokens  int
+	Settled bool
+}
+
+// rowKey orders rows by program; splitKey undoes it.
+func rowKey(program, turn string) []byte {
+	b := make([]byte, 0, 2+len(program)+len(turn))
+	b = binary.AppendUvarint(b, uint64(len(program)))
+	return append(append(b, program...), turn...)
+}
+
+func splitKey(b []byte) (program, turn string, err error) {
+	n, w := binary.Uvarint(b)
+	if w <= 0 || n > uint64(len(b)-w) {
+		return "", "", errors.Newf("row key %x is of no known shape", b)
+	}
+	return string(b[w : w+int(n)]), string(b[w+int(n):]), nil
+}
+
+// head names the store that a call is meant for and the placement that it goes by.
+type Head struct {
+	Store string
+	Gen   int64
+}
+
+type openCall struct {
+	To       Head
+	Program  string
+	Turn     string
+	Previous string
+	Need     int
+	History  bool // wanted with the answer
+}
+
+type openReply struct {
+	Status  int
+	Ledger  []raingauge.Entry
+	Valid   bool // it may say that there is no such turn
+	Known   bool
+	History []byte
+	Got     bool   // History was read
+	Missing string // a turn of the chain that this store lacks: History begins after it
+	LeftMs  int    // how long the store keeps the turn at least
+}
+
+type closeCall struct {
+	To   Head
+	Turn Record
+	Used int
+}
+
+type settleCall struct {
+	To      Head
+	Program string
+	Turn    string
+	Used    int
+}
+
+type plainReply struct {
+	Status int
+}
+
+type peekCall struct {
+	To      Head
+	Program string
+}
+
+type peekReply struct {
+	Status int
+	Ledger []raingauge.Entry
+}
+
+type historyCall struct {
+	To   Head
+	Key  string
+	Turn string
+}
+
+type historyReply struct {
+	Status  int
+	Valid   bool
+	Known   bool
+	History []byte
+	Missing string
+	LeftMs  int
+}
+
+type findCall struct {
+	To   Head
+	Turn string
+}
+
+type findReply struct {
+	Status int
+	Valid  bool
+	Known  bool
+	Key    string
+}
+
+type digestCall struct {
+	To    Head
+	Asker string // identity of the store that asks
+}
+
+type digestReply struct {
+	Status int
+	Sums   []byte // one of 8 bytes for each bucket
+}
+
+type keysCall struct {
+	To      Head
+	Asker   string
+	Sweep   bool  // all that the asker should hold; else only what both should
+	Buckets []int // empty: all
+	Bucket  int   // the page begins in this bucket
+	After   string
+}
+
+type keyDigest struct {
+	Key    string
+	Turns  int64
+	Ledger int64
+}
+
+type keysReply struct {
+	Status int
+	Keys   []keyDigest
+	More   bool
+	Bucket int
+	After  string
+}
+
+type statesCall struct {
+	To   Head
+	Keys []string
+}
+
+type keyState struct {
+	Key    string
+	LeftMs int
+	Ledger []raingauge.Entry
+	Turns  []string
+}
+
+type statesReply struct {
+	Status int
+	States []keyState // of the first keys that were asked for
+}
+
+type bodiesCall struct {
+	To    Head
+	Turns []string
+}
+
+type bodiesReply struct {
+	Status int
+	Done   int // how many of the turns that were asked for are dealt with
+	Turns  []Record
+}
+
+type repairNotice struct {
+	To  Head
+	Key string
+}
--- a/internal/datalogger/datalogger.go
+++ b/internal/datalogger/datalogger.go
@@ -243,31 +243,40 @@
 // Commits is how many transactions have been synced.
 func (d *DB) Commits() int64 { return d.commits.Load() }
 
-// Commit writes all or nothing and returns after the sync. Writes are applied in the order in which Commit was called.
-// Should ctx end first, the writes may still be made.
-func (d *DB) Commit(ctx context.Context, writes []Write) error {
-	if len(writes) == 0 {
-		return nil
-	}
+// Pending is a write that was taken and may not be synced yet.
+type Pending struct {
+	d   *DB
+	err chan error
+}
+
+// Submit takes writes, all or nothing, in the order of its calls; it waits only while very many are waiting already.
+func (d *DB) Submit(writes []Write) *Pending {
 	r := &request{writes: writes, err: make(chan error, 1)}
 	for _, w := range writes {
 		r.bytes += len(w.Key) + len(w.Value)
 	}
+	if len(writes) == 0 {
+		r.err <- nil
+		return &Pending{d, r.err}
+	}
 	select {
 	case d.requests <- r:
 	case <-d.done:
-		return ErrClosed
-	case <-ctx.Done():
-		return ctx.Err()
+		r.err <- ErrClosed
 	}
+	return &Pending{d, r.err}
+}
+
+// Wait returns after the sync. Should ctx end first, the writes may still be made.
+func (p *Pending) Wait(ctx context.Context) error {
 	select {
-	case err := <-r.err:
+	case err := <-p.err:
 		return err
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-d.done:
+	case <-p.d.done:
 		select {
-		case err := <-r.err:
+		case err := <-p.err:
 			return err
 		default:
 			return ErrClosed
@@ -275,6 +284,9 @@
 	}
 }
 
+// Commit submits writes and waits for their sync.
+func (d *DB) Commit(ctx context.Context, writes []Write) error { return d.Submit(writes).Wait(ctx) }
+
 func (d *DB) run() {
 	defer close(d.done)
 	var next *request
