--- a/internal/mast/mast.go
+++ b/internal/mast/mast.go
@@ -10,49 +10,23 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"larchrouter/internal/almanac"
+	"larchrouter/internal/archive"
 	"larchrouter/internal/station"
 	"larchrouter/internal/synop"
 	"larchrouter/internal/vane"
 )
 
-// The kinds of errors of a Ledger.
-var (
-	ErrBudget = errors.New("the budget is spent")
-	ErrNoTurn = errors.New("no such turn")
-	ErrUnsure = errors.New("the stores cannot be sure")
-)
-
-// Opening asks for the history of a turn and reserves its tokens.
-type Opening struct {
-	Program, Turn, Previous string
-	Need, Budget            int // the most tokens of the turn, and of the program
-}
-
-// Opened is a turn that may run.
-type Opened struct {
-	Key     string // of its tree of turns
-	History []byte // of the chain before it
-	Base    bool   // the record must hold the whole history
-}
-
-// Turn is one that was answered whole.
-type Turn struct {
-	Key, Program, ID, Previous string
-	Input, Output, Base        []byte
-	Used                       int
-	RetainMs                   int64
-}
-
-// Ledger is the store of turns and budgets. Its errors are marked with the kinds above.
+// Ledger is the store of turns and budgets, as archive.Client is: after an error of Open nothing stays reserved, and the
+// error is marked with archive.ErrBudget, ErrNoTurn or, otherwise, ErrUnsure. Settle does not wait.
 type Ledger interface {
-	Open(ctx context.Context, o Opening) (*Opened, error)
-	Close(ctx context.Context, t *Turn) error
-	Settle(program, turn string, used int) // does not wait
+	Open(ctx context.Context, o archive.Opening) (*archive.Opened, error)
+	Close(ctx context.Context, t *archive.Turn) error
+	Settle(program, turn string, used int)
 }
 
+var _ Ledger = (*archive.Client)(nil)
+
 // Unlimited is the budget of a program that names none.
 const Unlimited = 1 << 50
 
--- a/internal/mast/mast_test.go
+++ b/internal/mast/mast_test.go
@@ -84,7 +84,7 @@
 	closing func(ctx context.Context) error
 	base    bool
 	notes   []string
-	kept    []*Turn
+	kept    []*archive.Turn
 }
 
 func (l *ledger) note(format string, args ...any) {
@@ -99,15 +99,15 @@
 	return strings.Join(l.notes, "; ")
 }
 
-func (l *ledger) Open(_ context.Context, o Opening) (*Opened, error) {
+func (l *ledger) Open(_ context.Context, o archive.Opening) (*archive.Opened, error) {
 	l.note("open %s %s<-%s %d/%d", o.Program, o.Turn, o.Previous, o.Need, o.Budget)
 	if l.openErr != nil {
 		return nil, l.openErr
 	}
-	return &Opened{Key: "tree", History: []byte(l.history[o.Previous]), Base: l.base}, nil
+	return &archive.Opened{Opening: o, History: []byte(l.history[o.Previous]), Base: l.base}, nil
 }
 
-func (l *ledger) Close(ctx context.Context, turn *Turn) error {
+func (l *ledger) Close(ctx context.Context, turn *archive.Turn) error {
 	l.mu.Lock()
 	l.kept = append(l.kept, turn)
 	l.mu.Unlock()
@@ -272,7 +272,9 @@
 {"name":"r1","host_name":"shop.example","path_prefix":"/tool/","route_kind":"idempotent","deadline_ms":8000,"target_ms":400,"rank":1,"target_service":"plain","max_attempts":3},
 {"name":"r2","host_name":"shop.example","path_prefix":"/order/","route_kind":"non_idempotent","deadline_ms":8000,"target_ms":400,"rank":0,"target_service":"plain","max_attempts":3},
 {"name":"r3","host_name":"shop.example","path_prefix":"/stream/","route_kind":"streaming","deadline_ms":8000,"target_ms":400,"rank":0,"target_service":"plain","max_attempts":3,"gap_aim_ms":400},
-{"name":"r4","host_name":"shop.example","path_prefix":"/turn/","route_kind":"streaming","deadline_ms":8000,"target_ms":400,"rank":0,"target_service":"engine","max_attempts":2,"retained":true,"retain_s":60,"affinity":true,"gap_aim_ms":400}],
+{"name":"r4","host_name":"shop.example","path_prefix":"/turn/","route_kind":"streaming","deadline_ms":8000,"target_ms":400,"rank":0,"target_service":"engine","max_attempts":2,"retained":true,"retain_s":60,"affinity":true,"gap_aim_ms":400},
+{"name":"r5","host_name":"shop.example","path_prefix":"/calm/high/","route_kind":"non_idempotent","deadline_ms":40000,"target_ms":40000,"rank":0,"target_service":"plain","max_attempts":1},
+{"name":"r6","host_name":"shop.example","path_prefix":"/calm/low/","route_kind":"non_idempotent","deadline_ms":40000,"target_ms":40000,"rank":1,"target_service":"plain","max_attempts":1}],
 "service_table":[{"name":"plain","health_path":"/health","conn_limit":64,"protocol":"h1","tls_mode":false},
 {"name":"engine","health_path":"/health","conn_limit":64,"protocol":"h1","tls_mode":false,"backend":{"capacity":8,"cache_tokens":10000,"event_tokens":2,"model_list":[{"name":"m"}]}}],
 "limits":{"max_header_bytes":6000,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
@@ -362,6 +364,7 @@
 	header http.Header
 	body   string
 	err    error // how the body ended, nil for whole
+	close  bool  // told with the answer
 }
 
 // read reads one answer. status 0 is a connection that ended without one.
@@ -371,7 +374,7 @@
 		return answer{err: err}
 	}
 	b, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, resp.Header, string(b), err}
+	return answer{resp.StatusCode, resp.Header, string(b), err, resp.Close}
 }
 
 // do sends one request on a connection of its own.
--- a/internal/mast/turn.go
+++ b/internal/mast/turn.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"larchrouter/internal/archive"
 	"larchrouter/internal/sonde"
 )
 
@@ -21,7 +22,7 @@
 // turn is one request of an agent program on a retained route.
 type turn struct {
 	program string
-	opened  *Opened
+	opened  *archive.Opened
 	open    bool // its reservation stands
 }
 
@@ -29,7 +30,8 @@
 type events struct {
 	line  []byte // that has begun
 	data  []byte // of the event that has begun
-	has   bool
+	has   bool   // it has data
+	part  bool   // it has begun
 	count int
 	out   []byte
 	keep  bool
@@ -56,8 +58,10 @@
 func (e *events) take(line []byte) {
 	if len(line) == 0 {
 		e.flush()
+		e.part = false
 		return
 	}
+	e.part = true
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	if string(name) != "data" {
 		return
@@ -87,12 +91,13 @@
 		e.line = e.line[:0]
 	}
 	e.flush()
+	e.part = false
 }
 
 // used is how many tokens were handed out.
 func (r *request) used(e *events) int {
 	n := e.count
-	if e.has || len(e.line) > 0 { // part of one more may have gone
+	if e.part || len(e.line) > 0 { // part of one more may have gone
 		n++
 	}
 	n *= max(1, r.service.EventTokens)
@@ -116,17 +121,16 @@
 	t.program = cmp.Or(r.get("Program"), r.id)
 	ctx, stop := context.WithDeadline(r.server().ctx, r.until.Add(-min(openLonger, time.Until(r.until)/2)))
 	defer stop()
-	opened, err := r.server().cfg.Ledger.Open(ctx, Opening{Program: t.program, Turn: r.id, Previous: r.get("Previous"), Need: r.tokens, Budget: budget})
+	opened, err := r.server().cfg.Ledger.Open(ctx, archive.Opening{Program: t.program, Turn: r.id, Previous: r.get("Previous"), Need: r.tokens, Budget: budget})
 	switch {
 	case err == nil:
 		t.opened, t.open = opened, true
 		return true
-	case is(err, ErrBudget):
+	case is(err, archive.ErrBudget):
 		r.fail(http.StatusPaymentRequired, 0, "the budget is spent: begin a program with a larger one")
-	case is(err, ErrNoTurn):
+	case is(err, archive.ErrNoTurn):
 		r.fail(http.StatusNotFound, 0, "no such turn: name one that was answered whole and is still retained")
 	default:
-		r.server().cfg.Ledger.Settle(t.program, r.id, 0)
 		r.fail(http.StatusServiceUnavailable, unsureMs*time.Millisecond, "the stores cannot be sure of the turn: come back after Retry-After")
 	}
 	return false
@@ -219,11 +223,7 @@
 // closeTurn has a turn kept before the end of its stream is passed on.
 func (r *request) closeTurn(tn *turn, e *events) bool {
 	used := r.used(e)
-	kept := &Turn{Key: tn.opened.Key, Program: tn.program, ID: r.id, Previous: r.get("Previous"), Input: r.body, Output: e.out,
-		Used: used, RetainMs: r.route.Retain.Milliseconds()}
-	if tn.opened.Base {
-		kept.Base = tn.opened.History
-	}
+	kept := tn.opened.Record(r.body, e.out, used, r.route.Retain)
 	ctx, stop := context.WithDeadline(r.server().ctx, r.until)
 	defer stop()
 	if err := r.server().cfg.Ledger.Close(ctx, kept); err != nil {
--- /dev/null
+++ b/internal/mast/turn_test.go
@@ -0,0 +1,318 @@
+package mast
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"larchrouter/internal/archive"
+)
+
+const turnHeader = timeLeft + "Program: p1\r\nSession: s1\r\nBudget: 100\r\nX-Token-Usage: 50,10\r\nPrevious: t0\r\n"
+
+func event(id int, data string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", id, data) }
+
+func streamHead(c *call) string {
+	return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + c.id() + "\r\nX-Host-Seal: seal\r\nVersions: 3\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+}
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+// streams answers with events.
+func streams(c *call, events ...string) bool {
+	c.raw(streamHead(c))
+	for _, e := range events {
+		c.raw(chunk(e))
+	}
+	c.raw(endChunk)
+	return true
+}
+
+// readPiece reads a stream until it has so much.
+func readPiece(t *testing.T, r io.Reader, text string) {
+	t.Helper()
+	b := make([]byte, len(text))
+	if _, err := io.ReadFull(r, b); err != nil {
+		t.Fatalf("the stream ends with %v after %q", err, b)
+	}
+	want(t, "piece", string(b), text)
+}
+
+// A turn: its host gets the history and the new input, events pass as they come, and the end is held until it is kept.
+func TestTurn(t *testing.T) {
+	next := make(chan bool)
+	h := newHost(t, "i-1", func(c *call) bool {
+		c.raw(streamHead(c) + chunk(event(1, "one")))
+		<-next
+		c.raw(chunk("id: 2\nda") + chunk("ta: two\n\nversions: 4\nid: 3\ndata: th\ndata: ree\n\n"))
+		c.raw(endChunk)
+		return true
+	})
+	f := newFront(t, h)
+	closing, kept := make(chan bool), make(chan error)
+	f.ledger.history = map[string]string{"t0": "history;"}
+	f.ledger.closing = func(context.Context) error { closing <- true; return <-kept }
+	c := f.dial()
+	c.send(request1("POST", "/turn/x", "t1", turnHeader, "input"))
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want(t, "status", resp.StatusCode, 200)
+	want(t, "seal", resp.Header.Get("X-Host-Seal"), "seal")
+	want(t, "version", resp.Header.Get("Versions"), "3")
+	readPiece(t, resp.Body, event(1, "one")) // the host is still at work
+	close(next)
+	readPiece(t, resp.Body, event(2, "two")+"versions: 4\nid: 3\ndata: th\ndata: ree\n\n")
+	wait(t, closing, "close")
+	ended := make(chan error, 1)
+	go func() { _, err := resp.Body.Read(make([]byte, 1)); ended <- err }()
+	select {
+	case err := <-ended:
+		t.Fatalf("the stream ends with %v before the turn is kept", err)
+	case <-time.After(20 * time.Millisecond):
+	}
+	kept <- nil
+	want(t, "end", wait(t, ended, "end"), io.EOF)
+	if got := h.gotten(); !strings.HasSuffix(got, "\r\n\r\nhistory;input") || !strings.Contains(got, "\r\nPrevious: t0\r\n") ||
+		!strings.Contains(got, "\r\nContent-Length: 13\r\n") || !strings.Contains(got, "\r\nX-Target-Instance: i-1-e\r\n") {
+		t.Errorf("the host got %q", got)
+	}
+	want(t, "notes", f.ledger.told(), "open p1 t1<-t0 10/100; close t1 6")
+	k := f.ledger.kept[0]
+	want(t, "key", k.Key, "p1")
+	want(t, "previous", k.Previous, "t0")
+	want(t, "input", string(k.Input), "input")
+	want(t, "output", string(k.Output), "one\ntwo\nth\nree\n")
+	want(t, "base", k.Base == nil, true)
+	want(t, "retained", k.Retain, 60)
+	// The connection serves on.
+	f.ledger.closing = nil
+	c.send(request1("POST", "/tool/x", "a", timeLeft, "x"))
+	want(t, "id of the next answer", c.read().header.Get("X-Attempt-Id"), "a")
+}
+
+func TestTurnUnderAnotherProgram(t *testing.T) {
+	f := newFront(t, newHost(t, "i-1", func(c *call) bool { return streams(c, event(1, "x")) }))
+	f.ledger.history, f.ledger.base = map[string]string{"t0": "history;"}, true
+	a := f.do("POST", "/turn/x", "t1", turnHeader, "input")
+	want(t, "body", a.body, event(1, "x"))
+	want(t, "error", a.err, nil)
+	want(t, "base", string(f.ledger.kept[0].Base), "history;")
+}
+
+// Answers to turns whose host breaks off or whose end cannot be kept are not complete, and what was handed out is settled.
+func TestTurnThatDoesNotEndWhole(t *testing.T) {
+	for name, c := range map[string]struct {
+		script func(c *call) bool
+		status int // 0 for an answer that must not look complete
+		notes  string
+		fails  bool // to be kept
+	}{
+		"no answer":     {func(c *call) bool { return false }, 502, "settle p1 t1 0", false},
+		"garbage":       {func(c *call) bool { c.raw("what\r\n\r\n"); return false }, 502, "settle p1 t1 0", false},
+		"no event":      {func(c *call) bool { c.raw(streamHead(c)); return false }, 502, "settle p1 t1 0", false},
+		"two events":    {func(c *call) bool { c.raw(streamHead(c) + chunk(event(1, "x")+event(2, "y"))); return false }, 0, "settle p1 t1 4", false},
+		"half an event": {func(c *call) bool { c.raw(streamHead(c) + chunk(event(1, "x")+"id: 2\nda")); return false }, 0, "settle p1 t1 4", false},
+		"a half chunk":  {func(c *call) bool { c.raw(streamHead(c) + "f\r\nid: 1\n"); return false }, 0, "settle p1 t1 2", false},
+		"no last chunk": {func(c *call) bool { c.raw(streamHead(c) + chunk(event(1, "x")) + "0\r\n"); return false }, 0, "settle p1 t1 2", false},
+		"a short length": {func(c *call) bool {
+			c.raw("HTTP/1.1 200 OK\r\nX-Attempt-Id: t1\r\nContent-Length: 90\r\n\r\n" + event(1, "x"))
+			return false
+		}, 0, "settle p1 t1 2", false},
+		"it is not kept":  {func(c *call) bool { return streams(c, event(1, "x"), event(2, "y")) }, 0, "close t1 4; settle p1 t1 4", true},
+		"over its need":   {func(c *call) bool { c.raw(streamHead(c) + chunk(strings.Repeat(event(1, "x"), 9))); return false }, 0, "settle p1 t1 10", false},
+		"500":             {func(c *call) bool { c.answer(500, "", "bad"); return true }, 500, "settle p1 t1 0", false},
+		"402 by the host": {func(c *call) bool { c.answer(402, "", "bad"); return true }, 502, "settle p1 t1 0", false},
+		"half of a 500": {func(c *call) bool {
+			c.raw("HTTP/1.1 500 X\r\nX-Attempt-Id: t1\r\nContent-Length: 9\r\n\r\nba")
+			return false
+		}, 502, "settle p1 t1 0", false},
+		"full, everywhere": {func(c *call) bool { c.answer(503, "X-Not-Executed: 1\r\n", ""); return true }, 503, "settle p1 t1 0", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t, "i-1", c.script)
+			f := newFront(t, h, newHost(t, "i-2", c.script))
+			if c.fails {
+				f.ledger.closing = func(context.Context) error { return archive.ErrUnsure }
+			}
+			k := f.dial()
+			k.send(request1("POST", "/turn/x", "t1", turnHeader, "input"))
+			a := k.read()
+			if c.status == 0 {
+				if a.err == nil {
+					t.Errorf("it looks complete: %d %q", a.status, a.body)
+				}
+			} else {
+				want(t, "status", a.status, c.status)
+				want(t, "error", a.err, nil)
+			}
+			eventually(t, "settled", func() bool { return strings.Contains(f.ledger.told(), "settle") })
+			want(t, "notes", f.ledger.told(), "open p1 t1<-t0 10/100; "+c.notes)
+			if a.status != 503 {
+				want(t, "retry", a.header.Get("Retry-After"), "")
+			}
+		})
+	}
+}
+
+// What the ledger says decides, and no host is asked.
+func TestTurnThatMayNotRun(t *testing.T) {
+	for kind, status := range map[error]int{archive.ErrBudget: 402, archive.ErrNoTurn: 404, archive.ErrUnsure: 503, context.DeadlineExceeded: 503} {
+		h := newHost(t, "i-1", serves("ran"))
+		f := newFront(t, h)
+		f.ledger.openErr = errors.Mark(errors.New("as the test has it"), kind)
+		a := f.do("POST", "/turn/x", "t1", turnHeader, "input")
+		want(t, "status", a.status, status)
+		want(t, "told when to come back", a.header.Get("Retry-After") != "", status == 503)
+		want(t, "calls", h.calls.Load(), 0)
+	}
+}
+
+// A turn moves to another host only after a proof, and its reservation stays.
+func TestTurnOnAnotherHost(t *testing.T) {
+	first := make(chan bool, 1)
+	first <- true
+	script := func(c *call) bool {
+		select {
+		case <-first:
+			c.answer(503, "X-Not-Executed: 1\r\n", "")
+			return true
+		default:
+			return streams(c, event(1, "x"))
+		}
+	}
+	f := newFront(t, newHost(t, "i-1", script), newHost(t, "i-2", script))
+	a := f.do("POST", "/turn/x", "t1", turnHeader, "input")
+	want(t, "body", a.body, event(1, "x"))
+	want(t, "notes", f.ledger.told(), "open p1 t1<-t0 10/100; close t1 2")
+}
+
+// Turns of a program go to one host, as long as it has room.
+func TestTurnsOfAProgramGoToOneHost(t *testing.T) {
+	var hosts []*host
+	for i := range 5 {
+		hosts = append(hosts, newHost(t, fmt.Sprint("i-", i), func(c *call) bool { return streams(c, event(1, "x")) }))
+	}
+	f := newFront(t, hosts...)
+	c := f.dial()
+	for i := range 10 {
+		c.send(request1("POST", "/turn/x", fmt.Sprint("t", i), "Program: p1\r\nX-Token-Usage: 50,10\r\nX-Prompt-Prefix: 5c:800\r\n", "input"))
+		want(t, "status", c.read().status, 200)
+	}
+	for _, h := range hosts {
+		if n := h.calls.Load(); n != 0 && n != 10 {
+			t.Errorf("host %s had %d of 10 turns", h.id, n)
+		}
+	}
+}
+
+// The client goes in the middle of a stream: the host is told, and what was handed out is settled.
+func TestClientGoesAmidAStream(t *testing.T) {
+	ended := make(chan bool, 1)
+	h := newHost(t, "i-1", func(c *call) bool {
+		c.raw(streamHead(c) + chunk(event(1, "x")))
+		_, err := c.in.Peek(1)
+		ended <- err != nil
+		return false
+	})
+	f := newFront(t, h)
+	c := f.dial()
+	c.send(request1("POST", "/turn/x", "t1", turnHeader, "input"))
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	readPiece(t, resp.Body, event(1, "x"))
+	c.Close()
+	want(t, "end of the host's connection", wait(t, ended, "end"), true)
+	eventually(t, "settled", func() bool { return strings.HasSuffix(f.ledger.told(), "settle p1 t1 2") })
+	want(t, "kept", len(f.ledger.kept), 0)
+}
+
+// A stream that is no turn needs no ledger. One framed by length comes whole as well.
+func TestStreamWithoutALedger(t *testing.T) {
+	for name, script := range map[string]func(c *call) bool{
+		"chunks": func(c *call) bool { return streams(c, event(1, "x"), event(2, "y")) },
+		"length": func(c *call) bool { c.answer(200, "", event(1, "x")+event(2, "y")); return true },
+	} {
+		f := newFront(t, newHost(t, "i-1", script))
+		a := f.do("POST", "/stream/x", "a", timeLeft, "x")
+		want(t, name, fmt.Sprint(a.status, a.body, a.err), "200"+event(1, "x")+event(2, "y")+"<nil>")
+		want(t, "notes", f.ledger.told(), "")
+	}
+}
+
+func TestTurnWithoutItsHeaders(t *testing.T) {
+	f := newFront(t, newHost(t, "i-1", func(c *call) bool { return streams(c, event(1, "x")) }))
+	a := f.do("POST", "/turn/x", "t1", "", "input")
+	want(t, "status", a.status, 200)
+	want(t, "notes", f.ledger.told(), fmt.Sprintf("open t1 t1<- 0/%d; close t1 2", Unlimited))
+}
+
+// Events are the same however their bytes are cut.
+func TestEventsHoweverCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		word := rapid.StringMatching(`[a-z :]{0,6}`)
+		var text, out strings.Builder
+		count := 0
+		for range rapid.IntRange(0, 6).Draw(t, "events") {
+			eol := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "line end")
+			if rapid.Bool().Draw(t, "version") {
+				text.WriteString("versions: 7" + eol)
+			}
+			text.WriteString("id: 1" + eol)
+			lines := rapid.SliceOfN(word, 0, 3).Draw(t, "lines")
+			for _, l := range lines {
+				text.WriteString("data: " + l + eol)
+			}
+			text.WriteString(eol)
+			if len(lines) > 0 {
+				count++
+				out.WriteString(strings.Join(lines, "\n") + "\n")
+			}
+		}
+		e := &events{keep: true}
+		for b := []byte(text.String()); len(b) > 0; {
+			n := rapid.IntRange(1, len(b)).Draw(t, "piece")
+			e.feed(b[:n])
+			b = b[n:]
+		}
+		e.end()
+		if e.count != count || string(e.out) != out.String() {
+			t.Fatalf("%q gives %d events with %q, want %d with %q", text.String(), e.count, e.out, count, out.String())
+		}
+	})
+}
+
+func TestEvents(t *testing.T) {
+	for text, c := range map[string]struct {
+		count int
+		out   string
+	}{
+		"":                                {0, ""},
+		"data: a\n\ndata:b\n\n":           {2, "a\nb\n"},
+		"data:  a \n\n":                   {1, " a \n"},
+		"data\n\n":                        {1, "\n"},
+		"id: 1\n\n":                       {0, ""},
+		": comment\n\n":                   {0, ""},
+		"data: a":                         {1, "a\n"},
+		"data: a\ndata: b\n":              {1, "a\nb\n"},
+		"data: x: y\n\n":                  {1, "x: y\n"},
+		"datax: 1\n\nversions: 2\n\n":     {0, ""},
+		"versions: 2\nid: 1\ndata: a\n\n": {1, "a\n"},
+	} {
+		e := &events{keep: true}
+		e.feed([]byte(text))
+		e.end()
+		want(t, fmt.Sprintf("events of %q", text), e.count, c.count)
+		want(t, fmt.Sprintf("data of %q", text), string(e.out), c.out)
+	}
+}
