--- a/internal/vane/vane.go
+++ b/internal/vane/vane.go
@@ -178,9 +178,8 @@
 	if v.out >= v.slots {
 		return nil
 	}
-	ready := v.candidates(q, now)
-	known := len(ready)
-	ready = slices.DeleteFunc(ready, func(h *Host) bool { return !v.open(h, q, now, known) })
+	only := v.alone(q.Service)
+	ready := slices.DeleteFunc(v.candidates(q, now), func(h *Host) bool { return !v.open(h, q, now, only) })
 	if len(ready) == 0 {
 		return nil
 	}
@@ -207,8 +206,19 @@
 	return ready
 }
 
+// alone tells whether a service has one host only.
+func (v *Vane) alone(service string) bool {
+	n := 0
+	for _, h := range v.services[service] {
+		if h.Usable() {
+			n++
+		}
+	}
+	return n < 2
+}
+
 // open tells whether a host has a slot for a call, and the relay one for the host.
-func (v *Vane) open(h *Host, q Query, now time.Time, ready int) bool {
+func (v *Vane) open(h *Host, q Query, now time.Time, only bool) bool {
 	room := h.room(now)
 	if q.Over {
 		room += max(1, queueShare*room)
@@ -216,14 +226,14 @@
 	if h.Load(now) >= room || now.Before(h.full) && !q.Over {
 		return false
 	}
-	if ready < 2 {
+	with := float64(h.out + 1)
+	switch {
+	case only || with <= 1:
 		return true
+	case q.Waiting:
+		return with <= normally*float64(v.slots)
 	}
-	share := most
-	if q.Waiting {
-		share = normally
-	}
-	return float64(h.out) < share*float64(v.slots)
+	return with < most*float64(v.slots)
 }
 
 // affine is bounded-load rendezvous hashing: the first host in the key's order that is not loaded beyond the others.
