--- a/internal/archive/harness_test.go
+++ b/internal/archive/harness_test.go
@@ -48,11 +48,17 @@
 	alone  bool                      // does not sweep, repair or expire by itself
 }
 
-func newTier(t *testing.T, stores int) *tier {
+func newTier(t *testing.T, stores int) *tier { t.Helper(); return tierOf(t, stores, false) }
+
+// quiet makes stores that do nothing by themselves.
+func quiet(t *testing.T, stores int) *tier { t.Helper(); return tierOf(t, stores, true) }
+
+func tierOf(t *testing.T, stores int, alone bool) *tier {
 	t.Helper()
 	tr := &tier{t: t, dir: t.TempDir()}
 	for i := range stores {
 		n := tr.add(fmt.Sprintf("store-%d", i), fmt.Sprintf("zone-%d", i%2))
+		n.alone = alone
 		n.start()
 	}
 	t.Cleanup(func() {
--- a/internal/datalogger/datalogger_test.go
+++ b/internal/datalogger/datalogger_test.go
@@ -1,15 +1,19 @@
 package datalogger
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"sync"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
+	"pgregory.net/rapid"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -96,26 +100,16 @@
 func TestManyWritersShareSyncs(t *testing.T) {
 	d := open(t, t.TempDir(), 0)
 	before := d.Commits()
+	var pending []*Pending
 	d.mu.Lock() // the writer waits, as it does on a slow disk
-	var wg sync.WaitGroup
-	errs := make(chan error, 400)
 	for i := range 400 {
-		wg.Go(func() { errs <- d.Commit(context.Background(), put("a", fmt.Sprint(i), "v")) })
-	}
-	for len(d.requests) < 300 { // bounded: 400 are under way and one group at most was taken
-		d.mu.Unlock()
-		d.mu.Lock()
-		if d.Commits()-before > 100 {
-			break
-		}
+		pending = append(pending, d.Submit(put("a", fmt.Sprint(i), "v")))
 	}
 	d.mu.Unlock()
-	wg.Wait()
-	close(errs)
-	for err := range errs {
-		must(t, err)
+	for _, p := range pending {
+		must(t, p.Wait(context.Background()))
 	}
-	if n := d.Commits() - before; n > 100 {
+	if n := d.Commits() - before; n > 2 {
 		t.Fatalf("%d syncs for 400 writes", n)
 	}
 	n := 0
@@ -124,3 +118,207 @@
 		t.Fatalf("%d rows of 400", n)
 	}
 }
+
+func TestOneBadWriteFailsAlone(t *testing.T) {
+	d := open(t, t.TempDir(), 0)
+	d.mu.Lock()
+	good := d.Submit(put("a", "1", "v"))
+	bad := d.Submit(append(put("a", "2", "v"), put("unknown", "2", "v")...))
+	also := d.Submit(put("a", "3", "v"))
+	d.mu.Unlock()
+	must(t, good.Wait(context.Background()))
+	must(t, also.Wait(context.Background()))
+	if err := bad.Wait(context.Background()); !errors.Is(err, ErrWrite) {
+		t.Fatalf("bad write: %v", err)
+	}
+	if v, err := d.Get("a", []byte("2")); v != nil || err != nil {
+		t.Fatalf("half of a bad write is there: %q %v", v, err)
+	}
+	must(t, d.Err())
+}
+
+func TestFullFileRefusesPlainlyAndGivesSpaceBack(t *testing.T) {
+	dir := t.TempDir()
+	ctx := context.Background()
+	d := open(t, dir, 8<<20)
+	size := func() int64 {
+		var sum int64
+		for _, f := range []string{"data.db", "data.db-wal"} {
+			st, err := os.Stat(filepath.Join(dir, f))
+			must(t, err)
+			sum += st.Size()
+		}
+		return sum
+	}
+	value := make([]byte, 100_000)
+	kept := 0
+	var err error
+	for ; kept < 1000; kept++ {
+		if err = d.Commit(ctx, []Write{{Table: "a", Key: fmt.Append(nil, 1000+kept), Value: value}}); err != nil {
+			break
+		}
+	}
+	if !errors.Is(err, ErrFull) || kept < 40 {
+		t.Fatalf("after %d: %v", kept, err)
+	}
+	if n := size(); n > 8<<20 {
+		t.Fatalf("%d bytes of a limit of %d", n, 8<<20)
+	}
+	n := 0
+	must(t, d.Range("a", nil, nil, func(_, v []byte) error { n++; return nil }))
+	if n != kept {
+		t.Fatalf("%d rows of %d", n, kept)
+	}
+	var w []Write
+	for i := range kept {
+		w = append(w, Write{Table: "a", Key: fmt.Append(nil, 1000+i)})
+	}
+	must(t, d.Commit(ctx, w)) // deleting needs no room
+	for i := range 500 {      // small ones: what is free goes back as they come and go
+		must(t, d.Commit(ctx, put("b", fmt.Sprint(i), "v")))
+		must(t, d.Commit(ctx, []Write{{Table: "b", Key: fmt.Append(nil, i)}}))
+	}
+	must(t, d.Close())
+	st, err := os.Stat(filepath.Join(dir, "data.db"))
+	must(t, err)
+	if st.Size() > 1<<20 {
+		t.Fatalf("%d bytes are kept of an empty file", st.Size())
+	}
+}
+
+func TestNewerSchemaIsRefused(t *testing.T) {
+	dir := t.TempDir()
+	d := open(t, dir, 0)
+	must(t, d.exec(fmt.Sprintf("PRAGMA user_version=%d", schemaVersion+1)))
+	must(t, d.Close())
+	if _, err := Open(dir, "data.db", 0, "a"); !errors.Is(err, ErrNewer) {
+		t.Fatalf("open: %v", err)
+	}
+}
+
+func TestFailedDiskIsNotTrusted(t *testing.T) {
+	d := open(t, t.TempDir(), 0)
+	must(t, d.Commit(context.Background(), put("a", "1", "v")))
+	d.mu.Lock()
+	broken := errors.New("sync failed")
+	_ = d.failed(broken)
+	d.mu.Unlock()
+	if err := d.Commit(context.Background(), put("a", "2", "v")); !errors.Is(err, ErrBroken) || d.Err() == nil {
+		t.Fatalf("after a failed sync: %v", err)
+	}
+}
+
+// copyFiles copies a folder's files as they stand, the log only up to a length (below 0: whole).
+func copyFiles(t *testing.T, from string, wal int64) string {
+	t.Helper()
+	to := t.TempDir()
+	for _, f := range []string{"data.db", "data.db-wal"} {
+		b, err := os.ReadFile(filepath.Join(from, f))
+		must(t, err)
+		if f == "data.db-wal" && wal >= 0 && wal < int64(len(b)) {
+			b = b[:wal]
+		}
+		must(t, os.WriteFile(filepath.Join(to, f), b, 0o644))
+	}
+	return to
+}
+
+func has(t *testing.T, dir string, rows int) {
+	t.Helper()
+	d, err := Open(dir, "data.db", 0, "a", "b")
+	must(t, err)
+	defer d.Close()
+	for i := range rows {
+		if v, err := d.Get("a", fmt.Append(nil, i)); err != nil || len(v) == 0 {
+			t.Fatalf("row %d of %d that were acknowledged: %q %v", i, rows, v, err)
+		}
+	}
+}
+
+// A process that is killed after any commit has all that it acknowledged; bytes that were written after that sync may
+// be there, torn, or not.
+func TestKilledAtAnyCommitKeepsWhatWasAcknowledged(t *testing.T) {
+	dir := t.TempDir()
+	d := open(t, dir, 0)
+	rng := rand.New(rand.NewPCG(1, 2))
+	logSize := func() int64 {
+		st, err := os.Stat(filepath.Join(dir, "data.db-wal"))
+		must(t, err)
+		return st.Size()
+	}
+	torn := 0
+	for i := range 300 {
+		synced := logSize()
+		before, err := os.ReadFile(filepath.Join(dir, "data.db"))
+		must(t, err)
+		must(t, d.Commit(context.Background(), put("a", fmt.Sprint(i), strings.Repeat("v", 1+rng.IntN(20_000)))))
+		if i%10 != 0 {
+			continue
+		}
+		d.mu.Lock()
+		killed := copyFiles(t, dir, -1)
+		grew := logSize() - synced
+		after, err := os.ReadFile(filepath.Join(dir, "data.db"))
+		must(t, err)
+		var cut string
+		if grew > 0 && bytes.Equal(before, after) { // no checkpoint between: the tail is what the last commit wrote
+			cut = copyFiles(t, dir, synced+rng.Int64N(grew))
+			torn++
+		}
+		d.mu.Unlock()
+		has(t, killed, i+1)
+		if cut != "" {
+			has(t, cut, i)
+		}
+	}
+	if torn == 0 {
+		t.Fatal("no log was torn")
+	}
+}
+
+// The file behaves as maps do, across any number of openings.
+func TestBehavesAsAMap(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		dir, err := os.MkdirTemp(t.TempDir(), "")
+		must(t, err)
+		d, err := Open(dir, "data.db", 0, "a", "b")
+		must(t, err)
+		defer func() { _ = d.Close() }()
+		model := map[string]string{}
+		key := rapid.StringMatching("[a-d]{0,3}")
+		for range rapid.IntRange(1, 12).Draw(r, "steps") {
+			if rapid.IntRange(0, 9).Draw(r, "again") == 0 {
+				must(t, d.Close())
+				d, err = Open(dir, "data.db", 0, "a", "b")
+				must(t, err)
+			}
+			var w []Write
+			for range rapid.IntRange(1, 5).Draw(r, "writes") {
+				one := Write{Table: rapid.SampledFrom([]string{"a", "b"}).Draw(r, "table"), Key: []byte(key.Draw(r, "key"))}
+				if name := one.Table + string(one.Key); rapid.Bool().Draw(r, "put") {
+					one.Value = []byte(rapid.StringN(0, 10, -1).Draw(r, "value"))
+					model[name] = string(one.Value)
+				} else {
+					delete(model, name)
+				}
+				w = append(w, one)
+			}
+			must(t, d.Commit(context.Background(), w))
+		}
+		seen := map[string]string{}
+		for _, table := range []string{"a", "b"} {
+			last := ""
+			must(t, d.Range(table, nil, nil, func(k, v []byte) error {
+				if len(seen) > 0 && last > string(k) {
+					r.Fatalf("%q after %q", k, last)
+				}
+				last = string(k)
+				seen[table+string(k)] = string(v)
+				return nil
+			}))
+		}
+		if !maps.Equal(seen, model) {
+			r.Fatalf("%v, want %v", seen, model)
+		}
+	})
+}
