Run many clients against hosts that do whatever hosts do; read what is kept before a connection is put back

Need: the crossings that no single test draws. Cause found: whether a call went out on a kept connection was read after the connection could have been taken by another call (data race, seen with -race in TestManyAtOnce).

--- /dev/null
+++ b/internal/mast/bench_test.go
@@ -0,0 +1,104 @@
+package mast
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"testing"
+
+	"larchrouter/internal/almanac"
+	"larchrouter/internal/archive"
+	"larchrouter/internal/gazette"
+	"larchrouter/internal/synop"
+	"larchrouter/internal/vane"
+
+	"time"
+)
+
+// canned answers every request, which must have no body, with the same bytes: it costs next to nothing.
+func canned(b *testing.B, answer string) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				buf := make([]byte, 4096)
+				for {
+					if _, err := nc.Read(buf); err != nil {
+						return
+					}
+					if _, err := io.WriteString(nc, answer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func benchmark(b *testing.B, path, answer string, ends []byte) {
+	cfg, err := almanac.Parse([]byte(testConfig))
+	if err != nil {
+		b.Fatal(err)
+	}
+	src := newSource()
+	l := &gazette.List{Term: 1, Number: 1}
+	for _, service := range []string{"plain", "engine"} {
+		l.Hosts = append(l.Hosts, gazette.Host{ID: "i-" + service, Service: service, Addr: canned(b, answer), Zone: "z", Capacity: 4, Phase: gazette.Ready})
+	}
+	src.set(func(tb *synop.Tables) { tb.Config, tb.Placement, tb.Hosts = cfg, &archive.Placement{}, l })
+	s := New(Config{Zone: "z", Source: src, Ledger: &ledger{}, NewOracle: func(time.Duration) vane.Oracle { return &oracle{} }})
+	fl, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go s.Serve(fl, nil)
+	defer s.Close()
+	nc, err := net.Dial("tcp4", fl.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer nc.Close()
+	in := bufio.NewReader(nc)
+	rq := request1("GET", path, "a", turnHeader, "")
+	var got []byte
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := io.WriteString(nc, rq); err != nil {
+			b.Fatal(err)
+		}
+		for got = got[:0]; !bytes.HasSuffix(got, ends); {
+			if _, err := in.Peek(1); err != nil {
+				b.Fatal(err)
+			}
+			seen, _ := in.Peek(in.Buffered())
+			got = append(got, seen...)
+			_, _ = in.Discard(len(seen))
+		}
+		if !bytes.HasPrefix(got, []byte("HTTP/1.1 200")) {
+			b.Fatalf("%s", got)
+		}
+	}
+}
+
+func BenchmarkPlain(b *testing.B) {
+	benchmark(b, "/tool/x", reply("a", 200, "X-Host-Load: 1,0,4\r\nKeep-Alive: timeout=20\r\n", "the bytes"), []byte("the bytes"))
+}
+
+func BenchmarkTurn(b *testing.B) {
+	text := "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Host-Load: 1,0,4\r\nKeep-Alive: timeout=20\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for i := range 17 {
+		text += chunk(event(i, "two tokens"))
+	}
+	benchmark(b, "/turn/x", text+endChunk, []byte(endChunk))
+}
--- a/internal/mast/head.go
+++ b/internal/mast/head.go
@@ -1,7 +1,6 @@
 package mast
 
 import (
-	"bytes"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -37,41 +36,48 @@
 
 // parseHead reads the head of a request, up to and with its blank line.
 func parseHead(b []byte) (*head, error) {
-	line, rest, ok := bytes.Cut(b, []byte("\r\n"))
+	line, rest, ok := strings.Cut(string(b), "\r\n")
 	if !ok {
 		return nil, errors.New("request line: end it with CR LF")
 	}
-	method, line, ok1 := bytes.Cut(line, []byte(" "))
-	uri, version, ok2 := bytes.Cut(line, []byte(" "))
+	method, line, ok1 := strings.Cut(line, " ")
+	uri, version, ok2 := strings.Cut(line, " ")
 	switch {
-	case !ok1 || !ok2 || !token(method) || bytes.IndexByte(version, ' ') >= 0:
+	case !ok1 || !ok2 || !token(method) || strings.Contains(version, " "):
 		return nil, errors.New("request line: send METHOD PATH HTTP/1.1")
 	case len(uri) == 0 || uri[0] != '/' || !visible(uri):
 		return nil, errors.New("request target: send a path that begins with a slash, without spaces or control characters")
-	case string(version) != "HTTP/1.1":
+	case version != "HTTP/1.1":
 		return nil, errVersion
 	}
-	h := &head{method: string(method), uri: string(uri), header: make(http.Header, 16)}
+	h := &head{method: method, uri: uri, header: make(http.Header, 16)}
+	values := make([]string, 0, 16) // of all headers, most of which come once
 	for {
-		line, rest, ok = bytes.Cut(rest, []byte("\r\n"))
+		line, rest, ok = strings.Cut(rest, "\r\n")
 		if !ok {
 			return nil, errors.New("header: end each line with CR LF")
 		}
-		if len(line) == 0 {
+		if line == "" {
 			break
 		}
-		name, value, ok := bytes.Cut(line, []byte(":"))
+		name, value, ok := strings.Cut(line, ":")
 		if !ok || !token(name) {
 			return nil, errors.New("header: send NAME: VALUE, on one line, with no space before the colon")
 		}
-		value = bytes.Trim(value, " \t")
-		for _, c := range value {
-			if c < ' ' && c != '\t' || c == 0x7f {
+		value = strings.Trim(value, " \t")
+		for i := range len(value) {
+			if c := value[i]; c < ' ' && c != '\t' || c == 0x7f {
 				return nil, errors.Newf("header %s: send no control characters", name)
 			}
 		}
-		key := textproto.CanonicalMIMEHeaderKey(string(name))
-		h.header[key] = append(h.header[key], string(value))
+		key := textproto.CanonicalMIMEHeaderKey(name)
+		if old := h.header[key]; old != nil {
+			h.header[key] = append(old, value)
+			continue
+		}
+		n := len(values)
+		values = append(values, value)
+		h.header[key] = values[n : n+1 : n+1]
 	}
 	hosts := h.header["Host"]
 	if len(hosts) != 1 || hosts[0] == "" {
@@ -107,18 +113,18 @@
 	return h, nil
 }
 
-func token(b []byte) bool {
-	for _, c := range b {
-		if c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
+func token(b string) bool {
+	for i := range len(b) {
+		if c := b[i]; c <= ' ' || c >= 0x7f || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
 			return false
 		}
 	}
 	return len(b) > 0
 }
 
-func visible(b []byte) bool {
-	for _, c := range b {
-		if c <= ' ' || c == 0x7f {
+func visible(b string) bool {
+	for i := range len(b) {
+		if c := b[i]; c <= ' ' || c == 0x7f {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/mast/many_test.go
@@ -0,0 +1,131 @@
+package mast
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Many clients at once, with hosts that do whatever hosts do: an answer is never another request's nor looks complete when
+// it is not, what may not be repeated runs once at most, a promise is kept, and at the end nothing is out.
+func TestManyAtOnce(t *testing.T) {
+	var mu sync.Mutex
+	ran := map[string]int{}
+	script := func(c *call) bool {
+		id := c.id()
+		run := func() { mu.Lock(); ran[id]++; mu.Unlock() }
+		h := xxhash.Sum64String(fmt.Sprint(id, c.req.Header.Get("X-Target-Instance")))
+		stream := strings.HasPrefix(c.req.URL.Path, "/turn/")
+		whole := func() bool {
+			if run(); stream {
+				return streams(c, event(1, id), event(2, id))
+			}
+			c.answer(200, "X-Host-Load: 3,0,4\r\n", id)
+			return true
+		}
+		switch h % 16 {
+		case 0:
+			c.answer(503, "X-Not-Executed: 1\r\n", "full")
+			return true
+		case 1:
+			c.answer(421, "", "")
+			return true
+		case 2: // the answer is lost
+			run()
+			return false
+		case 3:
+			run()
+			c.raw("no answer at all\r\n\r\n")
+			return false
+		case 4:
+			run()
+			c.raw("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nContent-Length: 99\r\n\r\n" + event(1, id))
+			return false
+		case 5: // a surplus answer first
+			c.raw(reply("somebody", 200, "", "not yours"))
+			return whole()
+		case 6: // and one behind
+			whole()
+			c.raw(reply("somebody", 200, "", "not yours"))
+			return true
+		case 7:
+			run()
+			c.answer(500, "", "failed")
+			return true
+		case 8: // silence, which the edge cuts
+			if strings.HasPrefix(c.req.URL.Path, "/tool/") {
+				run()
+				_, _ = c.in.Peek(1)
+				return false
+			}
+		case 9:
+			whole()
+			return false
+		}
+		return whole()
+	}
+	var hosts []*host
+	for i := range 5 {
+		hosts = append(hosts, newHost(t, fmt.Sprint("i-", i), script))
+	}
+	f := newFront(t, hosts...)
+	f.oracle.edge = 25 * time.Millisecond
+	served := 0
+	var wg sync.WaitGroup
+	for n := range 24 {
+		wg.Go(func() {
+			c := f.dial()
+			for i := range 40 {
+				path := []string{"/tool/x", "/order/x", "/turn/x"}[(n+i)%3]
+				id := fmt.Sprintf("a%d.%d", n, i)
+				c.send(request1("POST", path, id, fmt.Sprintf("X-Time-Left-Ms: 1500\r\nProgram: p%d\r\nX-Token-Usage: 9,4\r\n", n), "x"))
+				a := c.read()
+				mu.Lock()
+				n := ran[id]
+				if a.status == 200 && a.err == nil {
+					served++
+				}
+				mu.Unlock()
+				body := id
+				if strings.HasPrefix(path, "/turn/") {
+					body = event(1, id) + event(2, id)
+				}
+				switch {
+				case a.err != nil: // broken off
+				case a.status == 200 && (a.body != body || a.header.Get("X-Attempt-Id") != id):
+					t.Errorf("%s gets %q", id, a.body)
+				case a.status == 503 && path != "/tool/x" && n > 0:
+					t.Errorf("%s has run and is promised that it did not", id)
+				case path != "/tool/x" && n > 1:
+					t.Errorf("%s ran %d times", id, n)
+				}
+				if a.err != nil || a.close || a.status == 0 {
+					c.Close()
+					c = f.dial()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for _, h := range hosts {
+		h.close() // waits for what runs there
+	}
+	for id, n := range ran {
+		var client, i int
+		if _, err := fmt.Sscanf(id, "a%d.%d", &client, &i); err == nil && (client+i)%3 != 0 && n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+	if served < 24*40/2 {
+		t.Errorf("%d of %d were served", served, 24*40)
+	}
+	eventually(t, "nothing out", func() bool {
+		f.dispatch.mu.Lock()
+		defer f.dispatch.mu.Unlock()
+		return f.dispatch.vane.Out("plain") == 0 && f.dispatch.vane.Out("engine") == 0 && len(f.dispatch.waiting) == 0
+	})
+}
--- a/internal/mast/mast.go
+++ b/internal/mast/mast.go
@@ -160,6 +160,13 @@
 	}
 }
 
+// note keeps what went wrong in the log ring; it is not called for each request.
+func (s *Server) note(keyvals ...any) {
+	if s.cfg.Log != nil {
+		_ = s.cfg.Log.Log(keyvals...)
+	}
+}
+
 func (s *Server) gone(c *client) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/mast/request.go
+++ b/internal/mast/request.go
@@ -177,8 +177,11 @@
 	r.end(t, vane.Good)
 }
 
-// broke ends a try whose call or answer broke off. cut is by the time for it.
+// broke ends a try whose call or answer broke off.
 func (r *request) broke(t *try, err error) {
+	if !is(err, sonde.ErrGiven) {
+		r.server().note("attempt", r.id, "host", t.dest.host.ID, "route", r.route.Name, "after", time.Since(t.begin), "broke", err)
+	}
 	if t.Answer != nil {
 		t.Answer.Finish()
 	}
--- a/internal/mast/turn.go
+++ b/internal/mast/turn.go
@@ -131,6 +131,7 @@
 	case is(err, archive.ErrNoTurn):
 		r.fail(http.StatusNotFound, 0, "no such turn: name one that was answered whole and is still retained")
 	default:
+		r.server().note("turn", r.id, "open", err)
 		r.fail(http.StatusServiceUnavailable, unsureMs*time.Millisecond, "the stores cannot be sure of the turn: come back after Retry-After")
 	}
 	return false
@@ -227,6 +228,7 @@
 	ctx, stop := context.WithDeadline(r.server().ctx, r.until)
 	defer stop()
 	if err := r.server().cfg.Ledger.Close(ctx, kept); err != nil {
+		r.server().note("turn", r.id, "close", err)
 		r.settle(tn, used)
 		return false
 	}
--- a/internal/sonde/sonde.go
+++ b/internal/sonde/sonde.go
@@ -134,6 +134,7 @@
 // conn is a connection to a host.
 type conn struct {
 	net.Conn
+	raw   syscall.RawConn // made with its second use
 	host  *Host
 	room  io.LimitedReader // bounds what in reads
 	in    *bufio.Reader
@@ -189,16 +190,20 @@
 			break
 		}
 		age, life := time.Since(c.since), c.life
+		if age >= life || !c.quiet() {
+			c.release()
+			continue
+		}
 		if shy {
 			if life /= 2; !c.told {
 				life = untoldShy
 			}
+			if age >= life && h.back(c) {
+				break // it is for others: a new one
+			}
 		}
-		if age < life && c.quiet() {
-			c.kept = true
-			return c, nil
-		}
-		c.release()
+		c.kept = true
+		return c, nil
 	}
 	h.mu.Lock()
 	if h.open >= int(h.limit.Load()) {
@@ -229,6 +234,17 @@
 	return c, nil
 }
 
+// back puts an idle connection back where there is room for a new one.
+func (h *Host) back(c *conn) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.open >= int(h.limit.Load()) || h.closed.Load() {
+		return false
+	}
+	h.idle = append(h.idle, c)
+	return true
+}
+
 func (h *Host) drop() { h.mu.Lock(); h.open--; h.mu.Unlock() }
 
 // put keeps a connection whose answer was read whole, with nothing behind it.
@@ -249,16 +265,19 @@
 // quiet tells whether nothing has come on an idle connection: neither its end, nor bytes that would pass for the next
 // answer.
 func (c *conn) quiet() bool {
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
+	if c.raw == nil {
+		sys, ok := c.Conn.(syscall.Conn)
+		if !ok {
+			return false
+		}
+		raw, err := sys.SyscallConn()
+		if err != nil {
+			return false
+		}
+		c.raw = raw
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	err := c.raw.Read(func(fd uintptr) bool {
 		var one [1]byte
 		n, err := syscall.Read(int(fd), one[:])
 		quiet = n < 0 && err == syscall.EAGAIN
@@ -429,10 +448,11 @@
 }
 
 func (k *Call) answer(c *conn, r *Request) Result {
+	kept := c.kept // read now: once it is put back, another call may have the connection
 	a, begun, err := c.read(r)
 	if err != nil {
 		k.bind(nil)
-		res := Result{Outcome: MayHaveRun, Err: errors.Mark(err, ErrBroken), Begun: begun, Kept: c.kept}
+		res := Result{Outcome: MayHaveRun, Err: errors.Mark(err, ErrBroken), Begun: begun, Kept: kept}
 		if k.cancelled() {
 			res.Err = ErrGiven
 		} else if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -446,9 +466,9 @@
 		// The head proves it. The body is short; where it breaks off, the proof stands.
 		a.Whole, _ = io.ReadAll(io.LimitReader(a, surplusBytes))
 		a.Finish()
-		return Result{Outcome: NotRun, Answer: a, Begun: true, Kept: c.kept}
+		return Result{Outcome: NotRun, Answer: a, Begun: true, Kept: kept}
 	}
-	return Result{Outcome: Answered, Answer: a, Begun: true, Kept: c.kept}
+	return Result{Outcome: Answered, Answer: a, Begun: true, Kept: kept}
 }
 
 // read reads the head of the answer to a request, past interim answers and those of other requests.
