Leave out hosts whose answers close their connection again and again: they are leaving

Change: two such answers in a row have a host left out for 2 s, as long as another has room; it lessens, and does not replace, what the list must tell in time.

--- a/internal/mast/dispatch.go
+++ b/internal/mast/dispatch.go
@@ -279,13 +279,14 @@
 	d.pumpAll(now)
 }
 
-// report takes in the load that an answer told.
+// report takes in what an answer told of its host.
 func (d *dispatch) report(e *dest, a *sonde.Answer) {
 	running, waiting, _, ok := a.Load()
-	if !ok {
-		return
-	}
+	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.vane.Report(e.host, running, waiting, time.Now())
+	d.vane.Closed(e.host, a.Close, now)
+	if ok {
+		d.vane.Report(e.host, running, waiting, now)
+	}
 }
--- a/internal/mast/plain_test.go
+++ b/internal/mast/plain_test.go
@@ -308,6 +308,18 @@
 	}
 }
 
+// A host that closes its connection with every answer is leaving, whatever the list says yet.
+func TestHostThatIsLeaving(t *testing.T) {
+	leaving := newHost(t, "i-1", func(c *call) bool { c.answer(200, "Connection: close\r\n", ""); return false })
+	f := newFront(t, leaving, newHost(t, "i-2", serves("")))
+	for i := range 15 {
+		want(t, "status", f.do("POST", "/order/x", fmt.Sprint("a", i), timeLeft, "x").status, 200)
+	}
+	if n := leaving.calls.Load(); n > 2 {
+		t.Errorf("the host that leaves was asked %d times", n)
+	}
+}
+
 // The client goes: the host is told by the end of its connection.
 func TestClientGoes(t *testing.T) {
 	for _, path := range []string{"/order/x", "/tool/x", "/stream/x"} {
--- a/internal/sonde/sonde.go
+++ b/internal/sonde/sonde.go
@@ -505,7 +505,7 @@
 			}
 			continue
 		}
-		a = &Answer{Status: status, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, conn: c, close: resp.Close}
+		a = &Answer{Status: status, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, conn: c, Close: resp.Close}
 		if bodiless := r.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified; bodiless {
 			a.Length, a.body = 0, http.NoBody
 		} else if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
@@ -549,7 +549,7 @@
 	body   io.Reader
 	conn   *conn
 	call   *Call
-	close  bool
+	Close  bool // the host closes the connection behind it
 	ended  bool
 	done   bool
 }
@@ -593,7 +593,7 @@
 	a.done = true
 	c := a.conn
 	a.call.bind(nil)
-	if a.call.cancelled() || !a.ended || a.close || c.in.Buffered() > 0 {
+	if a.call.cancelled() || !a.ended || a.Close || c.in.Buffered() > 0 {
 		c.release()
 		return
 	}
--- a/internal/vane/vane.go
+++ b/internal/vane/vane.go
@@ -53,6 +53,8 @@
 	most       = 3.0 / 4          // of the slots that one destination holds
 	normally   = 1.0 / 2          // while others wait
 	forget     = 10 * time.Second // proofs older than this do not add up
+	leavingRow = 2                // answers in a row that close their connection, from which on a host may be leaving
+	leavingFor = 2 * time.Second  // a host that may be leaving is asked again after this
 )
 
 // Host is one incarnation.
@@ -63,9 +65,11 @@
 	told     time.Time // when others was reported
 	full     time.Time // it has no room until then
 	ejected  time.Time // until then
+	leaving  time.Time // it may be, until then
 	strikes  int
 	struck   time.Time
 	listed   bool
+	closes   int // answers in a row that closed their connection
 	warm     time.Time
 	cold     time.Duration
 	draining bool
@@ -197,7 +201,7 @@
 	ready := v.scratch[:0]
 	for pass := 0; pass < 3 && len(ready) == 0; pass++ {
 		for _, h := range v.services[q.Service] {
-			if h.Usable() && (pass > 0 || !now.Before(h.ejected)) && (pass > 1 || !slices.Contains(q.Tried, h.ID)) {
+			if h.Usable() && (pass > 0 || !now.Before(h.ejected) && !now.Before(h.leaving)) && (pass > 1 || !slices.Contains(q.Tried, h.ID)) {
 				ready = append(ready, h)
 			}
 		}
@@ -310,6 +314,18 @@
 	h.others, h.told = max(0, float64(running+waiting-h.out)), now
 }
 
+// Closed notes whether an answer of a host closed its connection. Hosts that leave do so with each answer, others now and
+// then: one that does so again and again is leaving, before the list says so.
+func (v *Vane) Closed(h *Host, closed bool, now time.Time) {
+	if !closed {
+		h.closes = 0
+		return
+	}
+	if h.closes++; h.closes >= leavingRow {
+		h.leaving = now.Add(leavingFor)
+	}
+}
+
 // End notes the end of a call and what it proves.
 func (v *Vane) End(h *Host, p Proof, now time.Time) {
 	h.out--
--- a/internal/vane/vane_test.go
+++ b/internal/vane/vane_test.go
@@ -49,6 +49,7 @@
 //	pick [k=v ...]          a call: s (service, "a"), p (program), x (prefix), t (tried, by +), over, waiting; its host
 //	end HOST PROOF          the end of a call there
 //	load HOST RUNNING/WAITING   it tells its load
+//	closes HOST, stays HOST an answer closed its connection, or did not
 //	out SERVICE             calls out
 //	places SERVICE          places and how many are taken
 func play(t *testing.T, slots int, timeline string) {
@@ -109,6 +110,8 @@
 			r, _ := strconv.Atoi(running)
 			w, _ := strconv.Atoi(waiting)
 			v.Report(known[f[0]], r, w, now)
+		case "closes", "stays":
+			v.Closed(known[f[0]], what == "closes", now)
 		case "out":
 			got = fmt.Sprint(v.Out(f[0]))
 		case "places":
@@ -267,6 +270,21 @@
 			0 places a -> 4.0 0.0
 			1000 places a -> 6.0 0.0
 			2000 places a -> 8.0 0.0`},
+		"a host that closes again and again may be leaving": {99, `
+			0 hosts a-1 z 90, a-2 z 9
+			0 closes a-1
+			0 pick -> a-1
+			1 stays a-1
+			1 closes a-1
+			1 pick -> a-1
+			2 closes a-1
+			2 pick -> a-2
+			2001 pick -> a-2
+			2002 pick -> a-1
+			2003 closes a-1
+			2003 pick -> a-2
+			2004 hosts a-1 z 90 -> a-2
+			2004 pick -> a-1`},
 		"services apart": {99, `
 			0 hosts a-1 z 1, b-1 z 1
 			0 pick s=b -> b-1
@@ -358,6 +376,7 @@
 					h := rapid.SampledFrom(busy).Draw(t, "ended")
 					if rapid.Bool().Draw(t, "tells") {
 						v.Report(h, rapid.IntRange(0, 99).Draw(t, "running"), 0, now)
+						v.Closed(h, rapid.Bool().Draw(t, "closes"), now)
 					}
 					v.End(h, Proof(rapid.IntRange(int(Good), int(Unknown)).Draw(t, "proof")), now)
 					if out[h]--; out[h] == 0 {
@@ -370,7 +389,7 @@
 					Program: rapid.SampledFrom([]string{"", "p", "q"}).Draw(t, "program")}
 				h := v.Pick(q, now)
 				free := slices.ContainsFunc(v.services["a"], func(h *Host) bool {
-					return h.Usable() && !now.Before(h.ejected) && !now.Before(h.full) && h.Load(now) < h.room(now) && float64(h.out)+1 < normally*slots
+					return h.Usable() && !now.Before(h.ejected) && !now.Before(h.leaving) && !now.Before(h.full) && h.Load(now) < h.room(now) && float64(h.out)+1 < normally*slots
 				})
 				if h == nil {
 					if free && total < slots {
