Number a head's lists of hosts above those of its lives before

A head that dies and starts again within its epoch began its numbers at 1; followers held a higher one and took none of its lists. Change: starts are counted on disk, gazette.Number puts each life's lists above those before. The test fails without.

--- a/internal/barometer/core.go
+++ b/internal/barometer/core.go
@@ -41,6 +41,7 @@
 	calls *teletype.Clients
 	self  isobar.Member
 	begin time.Time
+	life  int64 // how often this node was started with its disk
 
 	events chan func()
 	ctx    context.Context
@@ -88,6 +89,7 @@
 // Rows of the table of votes.
 var (
 	selfKey     = []byte("self")
+	lifeKey     = []byte("life")
 	acceptorKey = []byte("acceptor")
 	metaKey     = []byte("meta")
 )
@@ -120,6 +122,9 @@
 // load reads what the disk has; with an empty one the node gets its identity, which is on disk before it is used.
 func (c *Core) load() (d Durable, err error) {
 	c.self = isobar.Member{Name: c.set.NodeName, Addr: c.set.Peer(c.set.IP, station.CorePort)}
+	if err := c.beginLife(); err != nil {
+		return d, err
+	}
 	id, err := c.db.Get("vote", selfKey)
 	if err != nil {
 		return d, err
@@ -166,6 +171,20 @@
 	return d, err
 }
 
+// beginLife counts the starts. A head that dies and starts again within its epoch numbers its lists of hosts on from
+// above those of its life before, of which nothing but this is left.
+func (c *Core) beginLife() error {
+	b, err := c.db.Get("vote", lifeKey)
+	if err != nil {
+		return err
+	}
+	if len(b) == 8 {
+		c.life = int64(binary.BigEndian.Uint64(b))
+	}
+	c.life++
+	return c.db.Commit(c.ctx, []datalogger.Write{{Table: "vote", Key: lifeKey, Value: placeKey(c.life)}})
+}
+
 func placeKey(place int64) []byte { return binary.BigEndian.AppendUint64(nil, uint64(place)) }
 
 // rows are the writes that bring the disk to what the node has.
@@ -601,10 +620,8 @@
 				if !c.node.Head() {
 					return
 				}
-				next.Term, next.Number = c.node.View().Epoch, 1
-				if h := c.node.Hosts(); h != nil && h.Term == next.Term {
-					next.Number = h.Number + 1
-				}
+				next.Term = c.node.View().Epoch
+				next.Number = gazette.Number(next.Term, c.life, c.node.Hosts())
 				c.add(c.node.Publish(c.now(), next))
 				last = next
 			})
--- a/internal/barometer/core_test.go
+++ b/internal/barometer/core_test.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,7 +32,10 @@
 	n     int
 	dirs  []string
 	stops []func()
+	crash []func() // ends a node without a word
 	http  *http.Client
+
+	platform string // its address, empty for none
 }
 
 // freeBase looks for ports that are free on all the addresses.
@@ -44,9 +49,11 @@
 	return l.Addr().(*net.TCPAddr).Port
 }
 
-func newCluster(t *testing.T, n int) *cluster {
+func newCluster(t *testing.T, n int) *cluster { return newClusterWith(t, n, "") }
+
+func newClusterWith(t *testing.T, n int, platform string) *cluster {
 	t.Helper()
-	c := &cluster{t: t, base: freeBase(t), n: n, dirs: make([]string, n), stops: make([]func(), n), http: &http.Client{Timeout: 3 * time.Second}}
+	c := &cluster{t: t, platform: platform, base: freeBase(t), n: n, dirs: make([]string, n), stops: make([]func(), n), crash: make([]func(), n), http: &http.Client{Timeout: 3 * time.Second}}
 	for i := range n {
 		c.dirs[i] = t.TempDir()
 		c.start(i, true)
@@ -68,6 +75,9 @@
 	text := fmt.Sprintf("node_name: core-%d\nip_addr: %s\nzone_name: z\nregion_name: r\nzones: {z: r}\nbind_addrs: {control_addr: '%s'}\nport_range: [%d, %d]\n"+
 		"seed_nodes: ['%s', '%s', '%s']\nbootstrap: %v\ndata_dir: '%s'\nlimits: {memory_mb: 64, max_fds: 256, disk_mb: 64}\nfault_tolerance: {machine_losses: 1}\ntiming_bounds: {contact_ms: 3000}\n",
 		i, c.ip(i), c.control(i), c.base+1, c.base+10, c.control(0), c.control(1), c.control(2), bootstrap, c.dirs[i])
+	if c.platform != "" {
+		text += "cloud_api: {address: '" + c.platform + "', rate_per_s: 40, max_lag_ms: 800}\n"
+	}
 	s, err := station.Parse([]byte(text))
 	if err != nil {
 		c.t.Fatal(err)
@@ -89,6 +99,7 @@
 		}
 	})
 	c.stops[i] = func() { cancel(); wg.Wait() }
+	c.crash[i] = func() { core.stop(); cancel(); wg.Wait(); c.stops[i] = nil }
 }
 
 func (c *cluster) stop(i int) {
@@ -311,3 +322,40 @@
 	}
 	next(0, 1, 2, 3)
 }
+
+func TestAHeadThatStartsAgainInItsEpochIsStillHeardOfHosts(t *testing.T) {
+	var host atomic.Int64
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"instance_list":[{"target_service":"s","address":"10.0.0.1:80","zone_name":"z","capacity":4,"phase":"ready","host_id":"i%d"}],"next_token":null}`, host.Load())
+	}))
+	defer platform.Close()
+	c := newClusterWith(t, 3, platform.Listener.Addr().String())
+	if got := c.put(1, 0, 0, 1, 2); got != http.StatusOK {
+		t.Fatal(got)
+	}
+	f, stop := c.follow("front-1")
+	defer stop()
+	hears := func(want int64) {
+		t.Helper()
+		host.Store(want)
+		limit := time.NewTimer(20 * time.Second)
+		defer limit.Stop()
+		for {
+			changed := f.Changed()
+			if l := f.Tables().Hosts; l != nil && len(l.Hosts) == 1 && l.Hosts[0].ID == fmt.Sprintf("i%d", want) {
+				return
+			}
+			select {
+			case <-changed:
+			case <-limit.C:
+				t.Fatalf("host i%d was not heard of; the list is %+v", want, f.Tables().Hosts)
+			}
+		}
+	}
+	for i := int64(1); i <= 3; i++ {
+		hears(i)
+	}
+	c.crash[0]() // the head, as the founding order has it
+	c.start(0, false)
+	hears(9)
+}
--- a/internal/gazette/gazette.go
+++ b/internal/gazette/gazette.go
@@ -31,3 +31,13 @@
 func (l *List) Newer(other *List) bool {
 	return other == nil || l.Term > other.Term || l.Term == other.Term && l.Number > other.Number
 }
+
+// Number is that of the next list under a term. A holder that dies and starts again within its term knows nothing of the
+// lists that it spread before: those of each life are numbered above all of the lives before it.
+func Number(term, life int64, last *List) int64 {
+	number := life << 32
+	if last != nil && last.Term == term {
+		number = max(number, last.Number)
+	}
+	return number + 1
+}
--- a/internal/gazette/gazette_test.go
+++ b/internal/gazette/gazette_test.go
@@ -99,6 +99,24 @@
 	}
 }
 
+func TestListsOfASecondLifeAreNewerWithinOneTerm(t *testing.T) {
+	var seen, last *List // of a follower, and of the holder of the duty
+	for _, one := range strings.Fields("1 1 1 1 2 2 3") { // the holder's life as each list is spread
+		life := int64(one[0] - '0')
+		if last != nil && last.Number>>32 != life {
+			last = nil // it has started anew
+		}
+		next := &List{Term: 7, Number: Number(7, life, last)}
+		if !next.Newer(seen) {
+			t.Fatalf("life %d: list %d is not newer than %d", life, next.Number, seen.Number)
+		}
+		seen, last = next, next
+	}
+	if next := (&List{Term: 8, Number: Number(8, 1, seen)}); !next.Newer(seen) {
+		t.Fatal("the first list of a newer term is not newer")
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(page("null", 1, 2)))
 	f.Add([]byte(`{"instance_list":[{"host_id":1,"address":{}}],"next_token":[]}`))
