Read the settings again on SIGHUP, which ended every process of the tier before

Change: station.Follow reads the file on SIGHUP, caught from the first moment on, and when it changes without one; new seeds go to the follower and to a core node that has to be admitted.

--- a/cmd/barograph/main.go
+++ b/cmd/barograph/main.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	return untilTold(log, c.Run)
+	return untilTold(log, c.Reseed, c.Run)
 }
 
 // start reads the settings that every node has.
@@ -45,12 +45,13 @@
 	return s, station.Stderr(), nil
 }
 
-// untilTold runs a node until SIGTERM or SIGINT.
-func untilTold(log *station.Ring, run func(context.Context) error) error {
+// untilTold runs a node until SIGTERM or SIGINT; settings that change are given to reload.
+func untilTold(log *station.Ring, reload func(*station.Settings), run func(context.Context) error) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
 	defer log.DumpOn(syscall.SIGUSR1)()
+	go station.Follow(ctx, log, reload)
 	return run(ctx)
 }
 
--- a/cmd/barograph/store.go
+++ b/cmd/barograph/store.go
@@ -27,17 +27,17 @@
 	if s.DataDir == "" {
 		return errors.Mark(errors.New("settings file: a store needs data_dir: give it"), station.ErrSettings)
 	}
-	return untilTold(log, func(ctx context.Context) error { return runStore(ctx, s, log) })
+	calls := &teletype.Clients{}
+	feed := synop.NewFollower(s, calls, log)
+	return untilTold(log, feed.Reseed, func(ctx context.Context) error { return runStore(ctx, s, log, feed, calls) })
 }
 
-func runStore(ctx context.Context, s *station.Settings, log *station.Ring) (err error) {
+func runStore(ctx context.Context, s *station.Settings, log *station.Ring, feed *synop.Follower, calls *teletype.Clients) (err error) {
 	db, err := datalogger.Open(s.DataDir, "store.db", int64(s.Limits.DiskMB*0.9)<<20, archive.StoreTables...)
 	if err != nil {
 		return err
 	}
 	defer func() { err = errors.CombineErrors(err, db.Close()) }()
-	calls := &teletype.Clients{}
-	feed := synop.NewFollower(s, calls, log)
 	store, err := archive.NewStore(archive.StoreConfig{DB: db, Placement: feed.Placement, Changed: feed.Changed, Calls: calls, Log: log})
 	if err != nil {
 		return err
--- a/cmd/weathervane/main.go
+++ b/cmd/weathervane/main.go
@@ -69,6 +69,7 @@
 	following, unfollow := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { feed.Run(following) })
+	wg.Go(func() { station.Follow(following, log, feed.Reseed) })
 	wg.Go(func() { server.Serve(front, ready) })
 	<-ctx.Done()
 	draining, done := context.WithTimeout(context.Background(), grace-shutdownMargin)
--- a/internal/barometer/core.go
+++ b/internal/barometer/core.go
@@ -212,6 +212,15 @@
 
 func (c *Core) now() time.Duration { return time.Since(c.begin) }
 
+// Reseed takes in the core nodes that settings name, for a node that has to be admitted.
+func (c *Core) Reseed(s *station.Settings) {
+	var seeds []string
+	for _, one := range s.Seeds {
+		seeds = append(seeds, s.Peer(one, station.CorePort))
+	}
+	c.do(func() { c.node.set.Seeds = seeds })
+}
+
 // Run serves until the context ends, then hands its duties over and stops.
 func (c *Core) Run(ctx context.Context) error {
 	peers, err := net.Listen("tcp4", c.self.Addr)
--- a/internal/synop/follower.go
+++ b/internal/synop/follower.go
@@ -42,11 +42,23 @@
 func NewFollower(s *station.Settings, calls *teletype.Clients, log *station.Ring) *Follower {
 	f := &Follower{name: s.NodeName, class: s.MachineClass, calls: calls, log: log, changed: make(chan struct{})}
 	f.tables.Store(&Tables{})
+	f.Reseed(s)
+	return f
+}
+
+// Reseed takes in the core nodes that settings name, beside those that are known.
+func (f *Follower) Reseed(s *station.Settings) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current := ""
+	if len(f.cores) > 0 {
+		current = f.cores[f.at%len(f.cores)]
+	}
 	for _, seed := range s.Seeds {
 		f.cores = append(f.cores, s.Peer(seed, station.CorePort))
 	}
 	f.order()
-	return f
+	f.at = max(0, slices.Index(f.cores, current))
 }
 
 // Tables implements Source.
@@ -167,6 +179,9 @@
 		next.Hosts, change = &a.Hosts[0], true
 	}
 	f.tables.Store(&next)
+	if !old.complete() && next.complete() {
+		f.log.Say("msg", "tables complete", "place", next.Place, "version", next.Config.Version, "hosts", len(next.Hosts.Hosts))
+	}
 	if change {
 		f.mu.Lock()
 		close(f.changed)
@@ -175,6 +190,9 @@
 	}
 }
 
+// complete tells whether a front can serve by the tables.
+func (t *Tables) complete() bool { return t.Config != nil && t.Placement != nil && t.Hosts != nil }
+
 // apply takes one entry in.
 func (t *Tables) apply(key string, value []byte) error {
 	switch key {
