--- /dev/null
+++ b/internal/observatory/process.go
@@ -0,0 +1,131 @@
+package observatory
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"larchrouter/internal/station"
+)
+
+// Programs are the paths of those that a tier runs.
+type Programs struct{ Weathervane, Barograph string }
+
+// In names the programs in a folder.
+func In(dir string) Programs {
+	return Programs{Weathervane: filepath.Join(dir, "weathervane"), Barograph: filepath.Join(dir, "barograph")}
+}
+
+// Build makes the programs from the sources, into a folder.
+func Build(ctx context.Context, dir string) (Programs, error) {
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", dir+string(filepath.Separator), "larchrouter/cmd/weathervane", "larchrouter/cmd/barograph")
+	out, err := cmd.CombinedOutput()
+	return In(dir), errors.Wrapf(err, "build the tier's programs: call it within the sources, with Go and a C compiler: %s", bytes.TrimSpace(out))
+}
+
+// Log is what a process has said, line by line, over all its lives.
+type Log struct {
+	mu      sync.Mutex
+	lines   []string
+	part    []byte
+	changed chan struct{}
+}
+
+// Write implements io.Writer.
+func (l *Log) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.part = append(l.part, p...)
+	for {
+		i := bytes.IndexByte(l.part, '\n')
+		if i < 0 {
+			break
+		}
+		l.lines = append(l.lines, string(l.part[:i]))
+		l.part = l.part[i+1:]
+	}
+	if l.changed != nil {
+		close(l.changed)
+		l.changed = nil
+	}
+	return len(p), nil
+}
+
+// String is all that was said.
+func (l *Log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Join(append(l.lines[:len(l.lines):len(l.lines)], string(l.part)), "\n")
+}
+
+// Len counts the lines, to wait for later ones.
+func (l *Log) Len() int { l.mu.Lock(); defer l.mu.Unlock(); return len(l.lines) }
+
+// Await gives the first line from a place on that has all the parts.
+func (l *Log) Await(ctx context.Context, from int, parts ...string) (string, error) {
+	for {
+		l.mu.Lock()
+		for ; from < len(l.lines); from++ {
+			if has(l.lines[from], parts) {
+				line := l.lines[from]
+				l.mu.Unlock()
+				return line, nil
+			}
+		}
+		if l.changed == nil {
+			l.changed = make(chan struct{})
+		}
+		changed := l.changed
+		l.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return "", errors.Wrapf(ctx.Err(), "no line with %q", parts)
+		}
+	}
+}
+
+func has(line string, parts []string) bool {
+	for _, p := range parts {
+		if !strings.Contains(line, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// process is one life of a program.
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{} // closed once it has ended
+	err  error         // of its end
+}
+
+// begin starts a program with a settings file; it gets nothing else of the caller's variables than the platform gives.
+func begin(path string, args []string, settings string, log *Log) (*process, error) {
+	p := &process{cmd: exec.Command(path, args...), done: make(chan struct{})}
+	for _, name := range []string{"PATH", "HOME", "LANG"} {
+		p.cmd.Env = append(p.cmd.Env, name+"="+os.Getenv(name))
+	}
+	p.cmd.Env = append(p.cmd.Env, station.SettingsVariable+"="+settings)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // none outlives the tier; Ctrl-C is for the caller
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// code is the exit code; -1 after a signal. The process has ended.
+func (p *process) code() int { return p.cmd.ProcessState.ExitCode() }
--- /dev/null
+++ b/internal/observatory/tier_test.go
@@ -0,0 +1,292 @@
+package observatory
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"larchrouter/internal/archive"
+	"larchrouter/internal/barometer"
+	"larchrouter/internal/standin/engine"
+)
+
+// programs are built once for the tests of the package.
+var programs = sync.OnceValues(func() (Programs, error) { return Build(context.Background(), buildDir) })
+
+var buildDir string
+
+// building removes what was built, after the tests.
+type building struct{ *testing.M }
+
+func (b building) Run() int {
+	var err error
+	if buildDir, err = os.MkdirTemp("", "observatory"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(buildDir)
+	return b.M.Run()
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(building{m}) }
+
+const (
+	stepBound = 20 * time.Second // of what a test waits for
+	step      = 4 * time.Millisecond
+)
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// play is a tier under test, with programs that run all the while.
+type play struct {
+	*Tier
+	t      *testing.T
+	client *Client
+	n      int
+}
+
+func within(t *testing.T) context.Context {
+	ctx, stop := context.WithTimeout(t.Context(), stepBound)
+	t.Cleanup(stop)
+	return ctx
+}
+
+// begin starts a tier with a first configuration and hosts, and waits until it serves.
+func newPlay(t *testing.T, cores, stores, fronts int) *play {
+	t.Helper()
+	bin, err := programs()
+	must(t, err)
+	tier, err := Start(Options{Cores: cores, Stores: stores, Fronts: fronts, Programs: bin, Dir: t.TempDir(), AskReady: 250 * time.Millisecond})
+	must(t, err)
+	p := &play{Tier: tier, t: t, client: NewClient(tier, TurnPath)}
+	t.Cleanup(func() {
+		tier.Close()
+		if t.Failed() {
+			for _, m := range tier.Machines {
+				t.Logf("%s said:\n%s", m.Name, m.Log)
+			}
+		}
+	})
+	must(t, tier.AddHosts(step))
+	must(t, tier.Configure(within(t), NewConfig(3, Draft, false)))
+	p.stable(stores)
+	must(t, tier.AwaitReady(within(t), tier.Class(Front)...))
+	return p
+}
+
+// stable waits until so many stores are placed, and no change is under way.
+func (p *play) stable(stores int) {
+	p.t.Helper()
+	must(p.t, p.AwaitStatus(within(p.t), fmt.Sprintf("%d stores are placed", stores), func(s *barometer.Status) bool { return len(s.Stores) == stores && !s.Joint }))
+}
+
+// program is one of several turns, with tools of both kinds and sub-agents.
+func (p *play) program() Program {
+	p.n++
+	sub := Line{Steps: []Step{{Out: 8, Tools: []Tool{{ReadPath, Idempotent}}}, {Out: 6}}}
+	return Program{Name: fmt.Sprintf("p%d", p.n), Budget: 400, Line: Line{Steps: []Step{
+		{Out: 12, Tools: []Tool{{ReadPath, Idempotent}, {WritePath, NonIdempotent}}},
+		{Out: 10, Agents: []Line{sub, sub}},
+		{Out: 20, Tools: []Tool{{WritePath, NonIdempotent}}},
+		{Out: 9},
+	}}}
+}
+
+// serves has programs begin now, and wants all of them to end well.
+func (p *play) serves(when string) {
+	p.t.Helper()
+	const n = 4
+	all := make([]Ending, n)
+	var wg sync.WaitGroup
+	for i := range all {
+		program := p.program()
+		wg.Go(func() { all[i] = p.client.Run(p.t.Context(), program) })
+	}
+	wg.Wait()
+	for _, e := range all {
+		if e.End != Whole {
+			p.t.Errorf("%s, %s ended with %v: %s", when, e.Program, e.End, e.Why)
+		}
+	}
+}
+
+// traffic has programs run one after the other beside whatever happens, until stop.
+func (p *play) traffic() (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 2 {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				one := Program{Name: fmt.Sprintf("bg%d.%d", i, n), Budget: 200, Line: Line{Steps: []Step{
+					{Out: 16, Tools: []Tool{{WritePath, NonIdempotent}}}, {Out: 16, Tools: []Tool{{ReadPath, Idempotent}}}, {Out: 16}}}}
+				p.client.Run(p.t.Context(), one)
+			}
+		})
+	}
+	return sync.OnceFunc(func() { close(done); wg.Wait() })
+}
+
+// goOn continues the last turns of programs, half of them as the program itself and half as others.
+func (p *play) goOn(suffix string) {
+	p.t.Helper()
+	last, count := map[string]*Try{}, map[string]int{}
+	tries := p.Book.Tries()
+	for i := range tries {
+		t := &tries[i]
+		count[t.Program]++
+		if t.Kind == Turns && t.Whole && t.Status == 200 && strings.HasSuffix(t.Session, "-s1") {
+			last[t.Program] = t
+		}
+	}
+	names := make([]string, 0, len(last))
+	for name := range last {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var wg sync.WaitGroup
+	for i, name := range names {
+		one := Program{Name: name, Budget: last[name].Budget, After: 1000 + count[name], Line: Line{Previous: last[name].Attempt, Steps: []Step{{Out: 2}}}}
+		if i%2 == 1 {
+			one.Name, one.Budget = name+suffix, 4
+		}
+		wg.Go(func() {
+			if e := p.client.Run(p.t.Context(), one); e.End == Failed {
+				p.t.Errorf("%s cannot go on: %s", one.Name, e.Why)
+			}
+		})
+	}
+	wg.Wait()
+	if len(names) == 0 {
+		p.t.Error("no program had a turn to continue")
+	}
+}
+
+// judge reads the configuration back, and wants no rule to be broken.
+func (p *play) judge() {
+	p.t.Helper()
+	must(p.t, p.Ledger.Wait(within(p.t), func(runs []engine.Run) bool {
+		return !slices.ContainsFunc(runs, func(r engine.Run) bool { return r.End == engine.Working })
+	}))
+	e := p.Book.Evidence(p.Ledger)
+	var err error
+	e.Read, err = p.Operator.Config(within(p.t))
+	must(p.t, err)
+	for _, b := range Check(e) {
+		p.t.Error(b)
+	}
+	p.t.Logf("%d programs, %d tries, %d runs", len(e.Endings), len(e.Tries), len(e.Runs))
+}
+
+func (p *play) head() *Machine {
+	p.t.Helper()
+	var head string
+	must(p.t, p.AwaitStatus(within(p.t), "the chain has a head", func(s *barometer.Status) bool { head = s.Head; return head != "" }))
+	return p.Machine(head)
+}
+
+// chain waits until so many core nodes are in the chain.
+func (p *play) chain(n int) {
+	p.t.Helper()
+	must(p.t, p.AwaitStatus(within(p.t), fmt.Sprintf("the chain has %d members", n), func(s *barometer.Status) bool { return len(s.Chain) == n }))
+}
+
+func TestProgramsAreServedThroughTrouble(t *testing.T) {
+	p := newPlay(t, 4, 4, 2)
+	stop := p.traffic()
+	defer stop()
+	p.serves("in calm")
+
+	store := p.Machine("store-2")
+	store.Kill()
+	p.serves("with a store killed")
+	from := store.Log.Len()
+	must(t, store.Start())
+	_, err := store.Log.Await(within(t), from, "tables complete")
+	must(t, err)
+
+	head := p.head()
+	head.Kill()
+	p.serves("with the head of the core killed")
+	must(t, p.Configure(within(t), NewConfig(5, Review, false)))
+	p.serves("with turns moved to another service")
+	must(t, head.Start())
+	p.chain(4)
+
+	front := p.Machine("front-1")
+	ended := make(chan error, 1)
+	go func() {
+		code, err := front.Terminate()
+		if err == nil && code != 0 {
+			err = fmt.Errorf("a front that was told to end exits with %d", code)
+		}
+		ended <- err
+	}()
+	p.serves("with a front told to end")
+	must(t, <-ended)
+	p.serves("with a front gone")
+	must(t, front.Start())
+	must(t, p.AwaitReady(within(t), front))
+
+	must(t, p.Configure(within(t), NewConfig(9, Review, true)))
+	p.serves("with a route added")
+
+	store = p.Machine("store-3")
+	id := p.storeID(store.Name)
+	store.Kill()
+	must(t, store.Wipe())
+	p.serves("with a disk lost")
+	must(t, store.Start())
+	must(t, p.AwaitStatus(within(t), "the store is there under a new id", func(s *barometer.Status) bool {
+		i := slices.IndexFunc(s.Stores, func(o archive.Store) bool { return o.Name == store.Name })
+		return i >= 0 && s.Stores[i].ID != id && !s.Joint
+	}))
+	p.serves("with an empty store filled")
+
+	must(t, p.Operator.Retire(within(t), "store-4", 10*time.Second))
+	p.serves("while a store is emptied")
+	must(t, Await(within(t), "store-4 is emptied", func(ctx context.Context) bool {
+		phase, err := p.Operator.Phase(ctx, "store-4")
+		return err == nil && phase == "complete"
+	}))
+	p.Machine("store-4").Kill()
+	must(t, p.Machine("store-4").Wipe())
+	p.serves("with a store taken away")
+
+	stop()
+	for _, m := range p.Class(Front) { // their memory has histories: what comes now is from the stores
+		m.Kill()
+		must(t, m.Start())
+	}
+	must(t, p.AwaitReady(within(t), p.Class(Front)...))
+	p.goOn("-again")
+	p.judge()
+}
+
+func (p *play) storeID(name string) (id string) {
+	p.t.Helper()
+	must(p.t, p.AwaitStatus(within(p.t), name+" is placed", func(s *barometer.Status) bool {
+		i := slices.IndexFunc(s.Stores, func(o archive.Store) bool { return o.Name == name })
+		if i >= 0 {
+			id = s.Stores[i].ID
+		}
+		return i >= 0
+	}))
+	return id
+}
