Name field, value and remedy where a program's settings lack an address or a folder

Cause: found by internal/observatory's test of real processes: weathervane without front_addr or ready_addr, and barograph without control_addr or data_dir, named two fields in one message and no value.

--- a/cmd/barograph/store.go
+++ b/cmd/barograph/store.go
@@ -24,8 +24,8 @@
 	if err != nil {
 		return err
 	}
-	if s.DataDir == "" {
-		return errors.Mark(errors.New("settings file: a store needs data_dir: give it"), station.ErrSettings)
+	if err := station.Need("data_dir", s.DataDir, "give a store a folder"); err != nil {
+		return err
 	}
 	calls := &teletype.Clients{}
 	feed := synop.NewFollower(s, calls, log)
--- a/cmd/weathervane/main.go
+++ b/cmd/weathervane/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -35,8 +36,8 @@
 	if err != nil {
 		return err
 	}
-	if s.Bind.Front == "" || s.Bind.Ready == "" {
-		return errors.Mark(errors.New("settings file: a front needs bind_addrs.front_addr and ready_addr: give both"), station.ErrSettings)
+	if err := cmp.Or(station.Need("bind_addrs.front_addr", s.Bind.Front, "give HOST:PORT, for clients"), station.Need("bind_addrs.ready_addr", s.Bind.Ready, "give HOST:PORT, for the platform")); err != nil {
+		return err
 	}
 	s.TuneRuntime()
 	signal.Ignore(syscall.SIGPIPE)
--- a/internal/barometer/core.go
+++ b/internal/barometer/core.go
@@ -1,6 +1,7 @@
 package barometer
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"net"
@@ -96,8 +97,8 @@
 
 // Open makes a core node from its settings and its disk.
 func Open(s *station.Settings, log *station.Ring) (*Core, error) {
-	if s.Bind.Control == "" || s.DataDir == "" {
-		return nil, errors.Mark(errors.New("settings file: a core node needs bind_addrs.control_addr and data_dir: give both"), station.ErrSettings)
+	if err := cmp.Or(station.Need("bind_addrs.control_addr", s.Bind.Control, "give HOST:PORT, for operators"), station.Need("data_dir", s.DataDir, "give a core node a folder")); err != nil {
+		return nil, err
 	}
 	db, err := datalogger.Open(s.DataDir, "core.db", int64(s.Limits.DiskMB*0.8)<<20, "vote", "entries")
 	if err != nil {
--- a/internal/observatory/check.go
+++ b/internal/observatory/check.go
@@ -183,9 +183,6 @@
 // allowing are the versions, of those that were sent by a moment, by which a path goes to a service, or by which
 // there is no route where service is "".
 func (c *course) allowing(path, service string, by time.Time) (versions []int64) {
-	if service == "" {
-		versions = append(versions, 0) // ahead of the first
-	}
 	for i := range c.Orders {
 		o := &c.Orders[i]
 		if r := o.route(path); o.Sent.After(by) {
--- a/internal/station/settings.go
+++ b/internal/station/settings.go
@@ -168,6 +168,14 @@
 	return nil
 }
 
+// Need gives the error for a setting that a program cannot do without and that is empty; nil where it is not.
+func Need(field, value, remedy string) error {
+	if value != "" {
+		return nil
+	}
+	return errors.Mark(errors.Newf("settings file: %s is \"\": %s", field, remedy), ErrSettings)
+}
+
 // Peer is the address at which a program of the tier on the machine of an address takes calls of other nodes.
 func (s *Settings) Peer(ip string, p Port) string {
 	if host, _, err := net.SplitHostPort(ip); err == nil {
--- a/internal/station/settings_test.go
+++ b/internal/station/settings_test.go
@@ -180,3 +180,13 @@
 		t.Errorf("no file: %v", err)
 	}
 }
+
+func TestNeed(t *testing.T) {
+	if err := station.Need("data_dir", "/data", "give a folder"); err != nil {
+		t.Error(err)
+	}
+	err := station.Need("data_dir", "", "give a folder")
+	if !errors.Is(err, station.ErrSettings) || err.Error() != `settings file: data_dir is "": give a folder` {
+		t.Error(err)
+	}
+}
