Place copies in as many zones as there are; count a zone's loss where the settings tolerate one

Need: fault_tolerance may name zones: a zone that is lost must not take two copies along. Change: placement takes the first of each zone by rendezvous, then whoever comes next; Losses is the larger of machines and zones.

--- a/internal/archive/placement.go
+++ b/internal/archive/placement.go
@@ -69,9 +69,16 @@
 		all[i] = ranked{s, h.Sum64()}
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.ID, b.ID)) })
-	out := make(Copies, min(copies, len(all)))
-	for i := range out {
-		out[i] = all[i].Store
+	out := make(Copies, 0, min(copies, len(all)))
+	zones := map[string]bool{}
+	for again := range 2 { // one for each zone, so that a zone that is lost takes one copy along; then whoever comes next
+		for i, s := range all {
+			if len(out) < cap(out) && s.ID != "" && (again == 1 || !zones[s.Zone]) {
+				zones[s.Zone] = true
+				out = append(out, s.Store)
+				all[i].ID = ""
+			}
+		}
 	}
 	return out
 }
--- a/internal/barometer/core.go
+++ b/internal/barometer/core.go
@@ -116,7 +116,7 @@
 	for _, one := range s.Seeds {
 		seeds = append(seeds, s.Peer(one, station.CorePort))
 	}
-	c.node = NewNode(NodeSettings{Self: c.self, Seeds: seeds, Losses: s.Tolerance.Machines, Timings: DefaultTimings()}, d, 0)
+	c.node = NewNode(NodeSettings{Self: c.self, Seeds: seeds, Losses: s.Losses(), Timings: DefaultTimings()}, d, 0)
 	return c, nil
 }
 
@@ -566,7 +566,7 @@
 		return
 	}
 	c.duty.asked = now
-	s := watchkeeper.Situation{Now: now, Since: c.duty.since, Losses: c.set.Tolerance.Machines, Stores: c.duty.stores, Retired: map[string]bool{}}
+	s := watchkeeper.Situation{Now: now, Since: c.duty.since, Losses: c.set.Losses(), Stores: c.duty.stores, Retired: map[string]bool{}}
 	for _, e := range c.node.Chain().State().Entries {
 		switch {
 		case e.Key == synop.PlacementKey:
--- a/internal/barometer/operator.go
+++ b/internal/barometer/operator.go
@@ -271,7 +271,7 @@
 			reply = &synop.Reply{Status: http.StatusOK, Text: "under way"}
 			return
 		}
-		if !watchkeeper.MayRetire(p, gone, c.set.Tolerance.Machines) {
+		if !watchkeeper.MayRetire(p, gone, c.set.Losses()) {
 			reply = &synop.Reply{Status: http.StatusConflict, Text: fmt.Sprintf("fewer than %d stores would be left: add one first", c.set.Copies())}
 			return
 		}
--- a/internal/station/settings.go
+++ b/internal/station/settings.go
@@ -196,11 +196,12 @@
 	return time.Duration(v * float64(time.Second))
 }
 
-// Copies is how many machines keep each thing: with as many lost as are tolerated, a majority is left.
-func (s *Settings) Copies() int { return 2*s.Tolerance.Machines + 1 }
+// Losses is how many copies of a thing may be lost at once: copies stand in as many zones as there are, so that a zone
+// that is lost takes one along.
+func (s *Settings) Losses() int { return max(s.Tolerance.Machines, s.Tolerance.Zones) }
 
-// Synced is how many machines must have a thing on disk before it is promised.
-func (s *Settings) Synced() int { return s.Tolerance.Machines + 1 }
+// Copies is how many machines keep each thing: with as many lost as are tolerated, a majority is left.
+func (s *Settings) Copies() int { return 2*s.Losses() + 1 }
 
 // SameRegion tells whether a zone lies in this node's region.
 func (s *Settings) SameRegion(zone string) bool { return s.Zones[zone] == s.Region }
--- a/internal/station/settings_test.go
+++ b/internal/station/settings_test.go
@@ -109,7 +109,7 @@
 		{"true", s.Bounds["strict"], 1.0},
 		{"false", s.Bounds["loose"], 0.0},
 		{"copies", s.Copies(), 3},
-		{"synced", s.Synced(), 2},
+		{"losses", s.Losses(), 1},
 		{"own region", s.SameRegion("pier"), true},
 		{"other region", s.SameRegion("hill"), false},
 		{"unknown region", s.SameRegion("moor"), false},
