--- a/internal/observatory/tier.go
+++ b/internal/observatory/tier.go
@@ -318,6 +318,16 @@
 // Terminate has its process end in order, and gives its exit code.
 func (m *Machine) Terminate() (code int, err error) { return m.end(syscall.SIGTERM) }
 
+// Signal sends its process a signal.
+func (m *Machine) Signal(s syscall.Signal) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.running() {
+		return errors.Newf("%s does not run", m.Name)
+	}
+	return m.proc.cmd.Process.Signal(s)
+}
+
 func (m *Machine) end(s syscall.Signal) (code int, err error) {
 	m.mu.Lock()
 	p := m.proc
--- a/internal/observatory/tier_test.go
+++ b/internal/observatory/tier_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -55,6 +56,7 @@
 	t      *testing.T
 	client *Client
 	n      int
+	last   time.Time
 }
 
 func within(t *testing.T) context.Context {
@@ -70,7 +72,7 @@
 	must(t, err)
 	tier, err := Start(Options{Cores: cores, Stores: stores, Fronts: fronts, Programs: bin, Dir: t.TempDir(), AskReady: 250 * time.Millisecond})
 	must(t, err)
-	p := &play{Tier: tier, t: t, client: NewClient(tier, TurnPath)}
+	p := &play{Tier: tier, t: t, client: NewClient(tier, TurnPath), last: time.Now()}
 	t.Cleanup(func() {
 		tier.Close()
 		if t.Failed() {
@@ -120,13 +122,16 @@
 			p.t.Errorf("%s, %s ended with %v: %s", when, e.Program, e.End, e.Why)
 		}
 	}
+	p.t.Logf("%v served %s", time.Since(p.last).Round(10*time.Millisecond), when)
+	p.last = time.Now()
 }
 
-// traffic has programs run one after the other beside whatever happens, until stop.
+// traffic has programs run one after the other beside whatever happens, until stop. Some have no end of their own: they
+// start sub-agents again and again until their budget is spent.
 func (p *play) traffic() (stop func()) {
 	done := make(chan struct{})
 	var wg sync.WaitGroup
-	for i := range 2 {
+	for i := range 3 {
 		wg.Go(func() {
 			for n := 0; ; n++ {
 				select {
@@ -136,6 +141,9 @@
 				}
 				one := Program{Name: fmt.Sprintf("bg%d.%d", i, n), Budget: 200, Line: Line{Steps: []Step{
 					{Out: 16, Tools: []Tool{{WritePath, NonIdempotent}}}, {Out: 16, Tools: []Tool{{ReadPath, Idempotent}}}, {Out: 16}}}}
+				if i == 2 {
+					one.Budget, one.Loops, one.Line = 60, true, Line{Steps: []Step{{Out: 8, Agents: []Line{{Steps: []Step{{Out: 6}}}}}}}
+				}
 				p.client.Run(p.t.Context(), one)
 			}
 		})
@@ -229,6 +237,25 @@
 	must(t, head.Start())
 	p.chain(4)
 
+	for _, m := range p.Machines {
+		must(t, m.Signal(syscall.SIGHUP))
+	}
+	head = p.head()
+	for _, m := range []*Machine{head, p.Machine("store-1")} {
+		if code, err := m.Terminate(); code != 0 || err != nil {
+			t.Errorf("%s, told to end, exits with %d, %v", m.Name, code, err)
+		}
+		p.serves("with " + m.Name + " told to end")
+		from := m.Log.Len()
+		must(t, m.Start())
+		if m.Class == Store {
+			_, err := m.Log.Await(within(t), from, "tables complete")
+			must(t, err)
+		} else {
+			p.chain(4)
+		}
+	}
+
 	front := p.Machine("front-1")
 	ended := make(chan error, 1)
 	go func() {
@@ -247,6 +274,7 @@
 	must(t, p.Configure(within(t), NewConfig(9, Review, true)))
 	p.serves("with a route added")
 
+	// By now, what was down has had its time to catch up: one more may be lost.
 	store = p.Machine("store-3")
 	id := p.storeID(store.Name)
 	store.Kill()
