--- a/internal/barometer/core.go
+++ b/internal/barometer/core.go
@@ -57,6 +57,7 @@
 	tokens  map[int64]chan Done
 	token   int64
 	duty    duty
+	history gazette.History // of the lists of hosts
 
 	head    atomic.Bool
 	mu      sync.Mutex
@@ -348,6 +349,9 @@
 			c.log.Say("msg", "view", "epoch", v.Epoch, "voters", len(v.Voters), "chain", strings.Join(c.chainNames(), " "), "self", c.self.ID)
 		}
 		if at, f := c.node.Chain().State().Commit, c.node.Fresh(); at != commit || c.node.Hosts() != hosts || f != fresh {
+			if now := c.node.Hosts(); now != hosts {
+				c.history.Add(hosts, now)
+			}
 			commit, hosts, fresh = at, c.node.Hosts(), f
 			c.mu.Lock()
 			close(c.changed)
@@ -473,7 +477,11 @@
 			a.Place = c.node.Chain().State().Commit
 			a.Entries = slices.Clone(c.node.Chain().Committed(q.Place))
 			if h := c.node.Hosts(); h != nil && h.Newer(&gazette.List{Term: q.Term, Number: q.Number}) {
-				a.Hosts = []gazette.List{*h}
+				if d, ok := c.history.Since(q.Term, q.Number); ok && d.Term == h.Term && d.Number == h.Number {
+					a.Delta = []gazette.Delta{d}
+				} else {
+					a.Hosts = []gazette.List{*h}
+				}
 			}
 			for _, m := range c.node.View().Voters {
 				a.Cores = append(a.Cores, m.Addr)
@@ -481,7 +489,7 @@
 		}) {
 			return nil, errors.New("this node stops: ask another")
 		}
-		if a.Fresh && (a.Place > q.Place || len(a.Hosts) > 0) {
+		if a.Fresh && (a.Place > q.Place || len(a.Hosts)+len(a.Delta) > 0) {
 			return a, nil
 		}
 		if !a.Fresh && !time.Now().Before(stale) {
--- a/internal/barometer/node.go
+++ b/internal/barometer/node.go
@@ -42,8 +42,9 @@
 	Ack        chart.Ack
 	Nonce      int64
 	OK         bool
-	Hosts      []gazette.List // at most one
-	Term       int64          // of the sender's list of hosts
+	Hosts      []gazette.List  // at most one
+	Delta      []gazette.Delta // at most one
+	Term       int64           // of the sender's list of hosts
 	Number     int64
 }
 
@@ -442,10 +443,15 @@
 // Publish has a list of hosts spread; it is soft state.
 func (n *Node) Publish(now time.Duration, l *gazette.List) Output {
 	return n.step(now, func() {
-		if l.Newer(n.hosts) {
-			n.hosts = l
+		if !l.Newer(n.hosts) {
+			return
+		}
+		if n.hosts != nil { // whoever has another list says so with its next beat
+			n.sendAll(Message{Kind: soft, Delta: []gazette.Delta{gazette.Diff(n.hosts, l)}})
+		} else {
 			n.sendAll(Message{Kind: soft, Hosts: []gazette.List{*l}})
 		}
+		n.hosts = l
 	})
 }
 
@@ -506,6 +512,11 @@
 			if len(m.Hosts) == 1 && m.Hosts[0].Newer(n.hosts) {
 				n.hosts = &m.Hosts[0]
 			}
+			if len(m.Delta) == 1 {
+				if l, ok := n.hosts.Apply(m.Delta[0]); ok && l.Newer(n.hosts) {
+					n.hosts = l
+				}
+			}
 		}
 	})
 }
--- a/internal/synop/calls.go
+++ b/internal/synop/calls.go
@@ -35,8 +35,9 @@
 	Fresh   bool // the source hears a majority and has all that it knows to be committed
 	Place   int64
 	Entries []chart.Entry
-	Hosts   []gazette.List // at most one
-	Cores   []string       // addresses of core nodes
+	Hosts   []gazette.List  // the whole list, at most one
+	Delta   []gazette.Delta // or what differs from the one that the follower has
+	Cores   []string        // addresses of core nodes
 }
 
 // Registration is what a store tells of itself, again and again.
--- a/internal/synop/follower.go
+++ b/internal/synop/follower.go
@@ -178,6 +178,11 @@
 	if len(a.Hosts) == 1 && a.Hosts[0].Newer(old.Hosts) {
 		next.Hosts, change = &a.Hosts[0], true
 	}
+	if len(a.Delta) == 1 {
+		if l, ok := old.Hosts.Apply(a.Delta[0]); ok && l.Newer(old.Hosts) {
+			next.Hosts, change = l, true
+		}
+	}
 	f.tables.Store(&next)
 	if !old.complete() && next.complete() {
 		f.log.Say("msg", "tables complete", "place", next.Place, "version", next.Config.Version, "hosts", len(next.Hosts.Hosts))
