archive: disk and network behind small interfaces, so that a model can stand in for both

Change: NodeStore and Client use the interfaces disk and network (ports.go); datalogger's file and teletype's connections are what the programs pass, as before.

--- a/internal/archive/sweep.go
+++ b/internal/archive/sweep.go
@@ -63,7 +63,7 @@
 	s.mu.Unlock()
 	if c.Sweep && kept < adopted {
 		// After a restart too it must take nothing by an older placement: what was swept would not hold it.
-		err := s.DB.Commit(ctx, []datalogger.Write{fact(factAdopted, adopted)})
+		err := s.disk.Commit(ctx, []datalogger.Write{fact(factAdopted, adopted)})
 		if err != nil {
 			return &keysReply{Status: statusFailed}
 		}
@@ -130,7 +130,7 @@
 	for i, t := range r.Turns {
 		rows[i] = rowKey(t.Key, t.ID)
 	}
-	values, err := s.DB.GetMany(tableBodies, rows, bodyBytes) // past the cache: that is for turns that go on
+	values, err := s.disk.GetMany(tableBodies, rows, bodyBytes) // past the cache: that is for turns that go on
 	if err != nil {
 		s.trouble("read", err)
 		return &bodiesReply{Status: statusFailed}
@@ -243,7 +243,7 @@
 			return false
 		}
 	}
-	if err := s.DB.Commit(ctx, []datalogger.Write{fact(factSwept, p.Gen)}); err != nil {
+	if err := s.disk.Commit(ctx, []datalogger.Write{fact(factSwept, p.Gen)}); err != nil {
 		return false
 	}
 	s.mu.Lock()
@@ -291,7 +291,7 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, limit)
 	defer stop()
-	if err := s.Calls.To(peer.Addr).Call(ctx, m, call, reply); err != nil {
+	if err := s.peers.Call(ctx, peer.Addr, m, call, reply); err != nil {
 		return err
 	}
 	return statusError(*status)
@@ -360,9 +360,9 @@
 			}
 		}
 		full := !s.index.room()
-		pending := s.DB.Submit(writes)
+		wrote := s.disk.Submit(writes)
 		s.mu.Unlock()
-		if err := pending.Wait(ctx); err != nil {
+		if err := wrote.Wait(ctx); err != nil {
 			return err
 		}
 		if full {
@@ -391,7 +391,7 @@
 	for i := range r.Turns {
 		writes = append(writes, turnWrites(&r.Turns[i])...)
 	}
-	if err := s.DB.Commit(ctx, writes); err != nil {
+	if err := s.disk.Commit(ctx, writes); err != nil {
 		return 0, err
 	}
 	s.mu.Lock()
