Say why also where a core node passes an order on; tell of all followers at each node

Cause: a relayed reply comes back with an empty body, not none, so that 'barograph config put' showed '412:' and 'retire' '404:' with no text wherever the node asked was not the head. And a node told of followers by what they had last asked of it: 'barograph versions' showed version 0 for every relay that follows another node. Both found with barograph against a tier of cmd/heliograph. Change: the text goes out where the body is empty; a status gathers the followers of the other nodes within 300 ms.

--- a/internal/barometer/core_test.go
+++ b/internal/barometer/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -244,6 +245,51 @@
 	}
 }
 
+func TestEachNodeTellsWhyItRefuses(t *testing.T) {
+	c := newCluster(t, 3)
+	if got := c.put(3, 0, 0, 1, 2); got != http.StatusOK {
+		t.Fatal(got)
+	}
+	for i := range 3 { // two of them pass the call on
+		if status, text := c.send(i, http.MethodPut, "/api/config", "1", config(9)); status != http.StatusPreconditionFailed || !strings.Contains(text, "version 3 is in place, not 1") {
+			t.Errorf("node %d: %d %s", i, status, text)
+		}
+		if status, text := c.send(i, http.MethodPost, "/api/retire/nobody", "", []byte(`{"within_s":10}`)); status != http.StatusNotFound || !strings.Contains(text, "no store is known yet") {
+			t.Errorf("node %d: %d %s", i, status, text)
+		}
+	}
+}
+
+func TestEachNodeTellsOnWhatAllFollowersAct(t *testing.T) {
+	c := newCluster(t, 3)
+	if got := c.put(3, 0, 0, 1, 2); got != http.StatusOK {
+		t.Fatal(got)
+	}
+	names := []string{"front-1", "front-2", "front-3", "front-4", "front-5", "front-6"}
+	for _, name := range names {
+		f, stop := c.follow(name)
+		defer stop()
+		c.acts(f, 3)
+	}
+	for i := range 3 {
+		text := ""
+		c.until("all followers act on version 3", func() bool {
+			_, text = c.send(i, http.MethodGet, "/api/status", "", nil)
+			var s Status
+			if err := json.Unmarshal([]byte(text), &s); err != nil {
+				t.Fatal(err, text)
+			}
+			n := 0
+			for _, f := range s.Followers {
+				if f.Version == 3 {
+					n++
+				}
+			}
+			return n == len(names) && len(s.Followers) == n
+		})
+	}
+}
+
 func TestOfTwoOnTheSameVersionOneWins(t *testing.T) {
 	c := newCluster(t, 3)
 	if got := c.put(1, 0, 0, 1, 2); got != http.StatusOK {
--- a/internal/barometer/operator.go
+++ b/internal/barometer/operator.go
@@ -48,7 +48,7 @@
 
 func tell(w http.ResponseWriter, r *synop.Reply) {
 	b := r.Body
-	if b == nil {
+	if len(b) == 0 { // one that another node gave has an empty body, not none
 		b, _ = json.Marshal(struct {
 			Message string `json:"message"`
 		}{r.Text})
--- a/internal/barometer/status.go
+++ b/internal/barometer/status.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -85,12 +87,50 @@
 		s.Followers = append(s.Followers, FollowerStatus{Name: f.Name, Class: f.Class, Version: f.Acting, Place: f.Place, SilentMs: time.Since(f.Seen).Milliseconds()})
 		return true
 	})
-	slices.SortFunc(s.Followers, func(a, b FollowerStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return s
 }
 
-func (c *Core) getStatus(w http.ResponseWriter, _ *http.Request) {
-	b, err := json.Marshal(c.status())
+// gatherIn bounds how long others are asked for what followers have told them.
+const gatherIn = 300 * time.Millisecond
+
+// gather brings in the followers of the other core nodes: each follows one at a time, and what it told another before is old.
+func (c *Core) gather(ctx context.Context, s *Status) {
+	ctx, done := context.WithTimeout(ctx, gatherIn)
+	defer done()
+	told := make(chan []FollowerStatus, len(s.Voters))
+	asked := 0
+	for _, v := range s.Voters {
+		if v.ID == c.self.ID || v.Addr == "" {
+			continue
+		}
+		asked++
+		go func() {
+			var other Status
+			if c.calls.To(v.Addr).Call(ctx, synop.StatusCall, &synop.Nothing{}, &other) != nil {
+				other.Followers = nil
+			}
+			told <- other.Followers
+		}()
+	}
+	latest := map[string]FollowerStatus{}
+	take := func(all []FollowerStatus) {
+		for _, f := range all {
+			if old, known := latest[f.Name]; !known || f.SilentMs < old.SilentMs {
+				latest[f.Name] = f
+			}
+		}
+	}
+	take(s.Followers)
+	for range asked {
+		take(<-told)
+	}
+	s.Followers = slices.SortedFunc(maps.Values(latest), func(a, b FollowerStatus) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+func (c *Core) getStatus(w http.ResponseWriter, r *http.Request) {
+	s := c.status()
+	c.gather(r.Context(), s)
+	b, err := json.Marshal(s)
 	if err != nil {
 		tell(w, &synop.Reply{Status: http.StatusInternalServerError, Text: err.Error()})
 		return
