Have followers rely on a core node only once it has heard of the tail, and begin with whichever answers first

Fronts that started beside silent core nodes waited 0.6 s on a dial. And after a one-way cut three views followed in 0.15 s: a node that nobody heard took the others for deaf, and whoever had armed before proposed at once. Change: Known in chain acks; a follower's first question goes to all; a wish for a view has its own time, and deafness counts only where a majority hears this node.

--- a/internal/barometer/core.go
+++ b/internal/barometer/core.go
@@ -349,6 +349,9 @@
 			c.log.Say("msg", "view", "epoch", v.Epoch, "voters", len(v.Voters), "chain", strings.Join(c.chainNames(), " "), "self", c.self.ID)
 		}
 		if at, f := c.node.Chain().State().Commit, c.node.Fresh(); at != commit || c.node.Hosts() != hosts || f != fresh {
+			if f != fresh {
+				_ = c.log.Log("msg", "relied on by followers", "fresh", f, "age", c.node.Age(), "commit", at)
+			}
 			if now := c.node.Hosts(); now != hosts {
 				c.history.Add(hosts, now)
 			}
--- a/internal/barometer/course_test.go
+++ b/internal/barometer/course_test.go
@@ -254,6 +254,7 @@
 		tale := fmt.Sprint(v)
 		if c.views[v.Epoch] == "" {
 			c.views[v.Epoch] = tale
+			c.note("view %d by %s: chain %v of %d voters", v.Epoch, m.addr, v.Chain, len(v.Voters))
 		} else if c.views[v.Epoch] != tale {
 			c.fail("epoch %d has two views: %s and %s", v.Epoch, c.views[v.Epoch], tale)
 		}
--- a/internal/barometer/node.go
+++ b/internal/barometer/node.go
@@ -151,6 +151,7 @@
 	beatAt   time.Duration
 	resendAt time.Duration
 	tryAt    time.Duration // no proposal before it
+	wishAt   time.Duration // since when another view is wanted, 0 for not
 	sealedAt time.Duration
 	round    int64
 	trying   *proposal
@@ -239,7 +240,7 @@
 // Fresh tells whether followers may rely on this node: it takes part, hears a majority, and has all that others are
 // known to have committed.
 func (n *Node) Fresh() bool {
-	if !n.chain.Active() || n.Age() >= n.set.Timings.Suspect {
+	if !n.chain.Known() || n.Age() >= n.set.Timings.Suspect {
 		return false
 	}
 	for _, p := range n.peers {
@@ -629,7 +630,7 @@
 		return
 	}
 	n.out.Dirty = true
-	n.trying = nil
+	n.trying, n.wishAt = nil, 0
 	n.chain.Adopt(v)
 	for _, m := range v.Voters {
 		n.meet(m)
@@ -666,6 +667,17 @@
 	n.pass()
 }
 
+// heardByMajority tells whether a majority of the voters hears this node: if not, the fault is its own.
+func (n *Node) heardByMajority() bool {
+	by := 0
+	for _, m := range n.vote.View.Voters {
+		if p := n.peers[m.ID]; m.ID == n.set.Self.ID || p != nil && n.now-p.hearsMe <= 4*n.set.Timings.Beat {
+			by++
+		}
+	}
+	return by >= n.vote.View.Majority()
+}
+
 // wishes are what this node would have the next view be.
 func (n *Node) wishes() isobar.Wishes {
 	w := isobar.Wishes{Alive: map[string]bool{n.set.Self.ID: true}, Gone: map[string]bool{}, Leaving: map[string]bool{}, Losses: n.set.Losses}
@@ -677,6 +689,7 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
+	heard := n.heardByMajority()
 	for _, id := range ids {
 		if id == n.set.Self.ID {
 			continue
@@ -684,7 +697,7 @@
 		p := n.peers[id]
 		silent := n.now - p.heard
 		voter := n.vote.View.Voter(id)
-		deaf := n.now-p.hearsMe > 4*n.set.Timings.Beat // cut off in one way
+		deaf := heard && n.now-p.hearsMe > 4*n.set.Timings.Beat // cut off in one way
 		if p.ever && silent < n.set.Timings.Suspect && !deaf {
 			w.Alive[id] = true
 			if !voter && !p.leaving {
@@ -725,10 +738,13 @@
 		}
 	}
 	if alive < v.Majority() || !n.wanted(w) {
+		n.wishAt = 0
 		return
 	}
-	rank := n.rank(w)
-	if rank > 0 && !n.late(rank) {
+	if n.wishAt == 0 {
+		n.wishAt = max(n.now, 1)
+	}
+	if n.now-n.wishAt < time.Duration(n.rank(w))*2*n.set.Timings.Beat { // those with an earlier turn go first
 		return
 	}
 	n.round++
@@ -793,16 +809,3 @@
 	}
 	return rank
 }
-
-// late tells whether those with an earlier turn have let it pass: each wish is remembered since when it stands.
-func (n *Node) late(rank int) bool {
-	wait := time.Duration(rank) * 2 * n.set.Timings.Beat
-	if n.vote.Sealed() {
-		return n.now-n.sealedAt > 2*n.set.Timings.Beat+wait
-	}
-	if n.tryAt == 0 || n.tryAt+wait+n.set.Timings.Suspect < n.now {
-		n.tryAt = n.now + wait
-		return false
-	}
-	return true
-}
--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -29,6 +29,7 @@
 	view  isobar.View
 	state State
 	acked int64 // the successor's place, in this epoch; below 0 while it is not activated
+	known bool  // Commit is all that was committed when the tail was heard of last, in this life and epoch
 }
 
 // New makes a member's part from what its disk has.
@@ -39,9 +40,10 @@
 
 // Adopt begins with a view. It tells whether the state was changed and must be on disk before anything is sent.
 func (c *Chain) Adopt(v isobar.View) (changed bool) {
-	c.view, c.acked = v, -1
+	c.view, c.acked, c.known = v, -1, false
 	i := v.Position(c.self)
 	if i != 0 || c.state.Activated >= v.Epoch {
+		c.alone() // a tail that has started again
 		return false
 	}
 	if c.state.Activated < v.Chain[0].Since {
@@ -57,9 +59,14 @@
 	return c.view.Epoch > 0 && c.view.Position(c.self) >= 0 && c.state.Activated == c.view.Epoch
 }
 
+// Known tells whether this member has everything committed that was acknowledged: what it kept on disk of Commit may be
+// old, until its successor has told what the tail has.
+func (c *Chain) Known() bool { return c.Active() && c.known }
+
 // alone commits what is on disk where there is nobody behind.
 func (c *Chain) alone() {
 	if c.Active() && c.view.Tail() == c.self {
+		c.known = true
 		c.commit(c.state.Place)
 	}
 }
@@ -133,12 +140,13 @@
 	Epoch  int64
 	Place  int64
 	Commit int64
+	Known  bool
 }
 
 // Ack of this member.
 func (c *Chain) Ack() (to string, a Ack, ok bool) {
 	to = c.view.Before(c.self)
-	return to, Ack{Epoch: c.view.Epoch, Place: c.state.Place, Commit: c.state.Commit}, c.Active() && to != ""
+	return to, Ack{Epoch: c.view.Epoch, Place: c.state.Place, Commit: c.state.Commit, Known: c.known}, c.Active() && to != ""
 }
 
 // Acked takes the successor's ack. It tells whether more was committed.
@@ -149,6 +157,10 @@
 	c.acked = max(c.acked, a.Place)
 	before := c.state.Commit
 	c.commit(min(a.Commit, c.state.Place))
+	if a.Known && !c.known {
+		c.known = true
+		return true
+	}
 	return c.state.Commit > before
 }
 
--- a/internal/synop/follower.go
+++ b/internal/synop/follower.go
@@ -114,6 +114,7 @@
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	failed := 0
+	f.begin(ctx)
 	for ctx.Err() == nil {
 		core := f.Core()
 		t := f.Tables()
@@ -151,6 +152,51 @@
 	}
 }
 
+// begin asks all core nodes at once, until the first that may be relied on has answered: where all machines have just
+// started, some do not listen yet, and each that says nothing would cost half a second.
+func (f *Follower) begin(ctx context.Context) {
+	type told struct {
+		core string
+		a    FollowAnswer
+		err  error
+	}
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		cores := slices.Clone(f.cores)
+		f.mu.Unlock()
+		one, done := context.WithTimeout(ctx, pollGrace)
+		answers := make(chan told, len(cores))
+		for _, core := range cores {
+			go func() {
+				t := told{core: core}
+				t.err = f.calls.To(core).Call(one, FollowCall, &FollowRequest{Name: f.name, Class: f.class}, &t.a)
+				answers <- t
+			}()
+		}
+		begun := false
+		for range cores {
+			t := <-answers
+			if t.err != nil {
+				continue
+			}
+			if !begun && t.a.Fresh && (t.a.Place > 0 || len(t.a.Hosts) > 0) {
+				begun = true
+				done() // the others need not answer
+				f.mu.Lock()
+				f.at = max(0, slices.Index(f.cores, t.core))
+				f.mu.Unlock()
+				f.take(t.a)
+			}
+			f.learn(t.a.Cores)
+		}
+		done()
+		if begun {
+			return
+		}
+		pause(ctx, 2*retryWait)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
