Place a store whose disk was lost once, not again and again with the one it was before

Cause: internal/observatory saw the placement change eleven times in 1.2 s after a store had been killed, its disk wiped, and the store started again: the id that it had before, heard less than half of contact_ms ago, counted as a newcomer at the same address, took the place back, and so on until it had been silent for long enough. Change: of two ids at one address, the one heard last is the store.

--- a/internal/observatory/tier_test.go
+++ b/internal/observatory/tier_test.go
@@ -288,7 +288,7 @@
 
 	// By now, what was down has had its time to catch up: one more may be lost.
 	store = p.Machine("store-3")
-	id := p.storeID(store.Name)
+	id, gen := p.placed(store.Name)
 	store.Kill()
 	must(t, store.Wipe())
 	p.serves("with a disk lost")
@@ -297,6 +297,9 @@
 		i := slices.IndexFunc(s.Stores, func(o archive.Store) bool { return o.Name == store.Name })
 		return i >= 0 && s.Stores[i].ID != id && !s.Joint
 	}))
+	if _, now := p.placed(store.Name); now != gen+1 {
+		t.Errorf("the placement has changed %d times for one disk", now-gen)
+	}
 	p.serves("with an empty store filled")
 
 	must(t, p.Operator.Retire(within(t), "store-4", 10*time.Second))
@@ -319,14 +322,15 @@
 	p.judge()
 }
 
-func (p *play) storeID(name string) (id string) {
+// placed gives the id of a store and the gen of the placement.
+func (p *play) placed(name string) (id string, gen int64) {
 	p.t.Helper()
 	must(p.t, p.AwaitStatus(within(p.t), name+" is placed", func(s *barometer.Status) bool {
 		i := slices.IndexFunc(s.Stores, func(o archive.Store) bool { return o.Name == name })
 		if i >= 0 {
-			id = s.Stores[i].ID
+			id, gen = s.Stores[i].ID, s.Gen
 		}
 		return i >= 0
 	}))
-	return id
+	return id, gen
 }
--- a/internal/watchkeeper/plan.go
+++ b/internal/watchkeeper/plan.go
@@ -88,6 +88,17 @@
 	return s.Now - max(s.Since, s.Stores[id].Heard)
 }
 
+// superseded tells whether another store has been heard at the same address since: the one before it is gone, however
+// lately it was heard.
+func (s *Situation) superseded(r Registered) bool {
+	for _, o := range s.Stores {
+		if o.Store.Addr == r.Store.Addr && o.Heard > r.Heard {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Situation) swept(target []archive.Store, gen int64) bool {
 	for _, one := range target {
 		if s.Stores[one.ID].Swept < gen {
@@ -104,7 +115,7 @@
 	for id, r := range s.Stores {
 		if i := slices.IndexFunc(want, func(o archive.Store) bool { return o.ID == id }); i >= 0 {
 			want[i] = r.Store // its address may have changed
-		} else if !s.Retired[id] && s.Now-r.Heard < t.Silent {
+		} else if !s.Retired[id] && s.Now-r.Heard < t.Silent && !s.superseded(r) {
 			fresh = append(fresh, r.Store)
 		}
 	}
--- a/internal/watchkeeper/plan_test.go
+++ b/internal/watchkeeper/plan_test.go
@@ -116,6 +116,15 @@
 		3500  + + w + | 2 a,b,cw,d`)
 }
 
+func TestADiskLostInAQuickRestartMovesOnce(t *testing.T) {
+	play(t, 1, `
+		ms    a b c d
+		1000  + + + + | 1 a,b,c,d
+		1100  + + w + | 2 a,b,c,d a,b,cw,d
+		1500  + + w + | 2 a,b,cw,d
+		8000  + + w + | 2 a,b,cw,d`)
+}
+
 func TestAShortAbsenceMovesNothing(t *testing.T) {
 	play(t, 1, `
 		ms     a b c d
