Have a core node keep a follower's first question until it can be relied on; nodes go before followers

Ruled out: the agreement (every view was decided), the disks. Change: the first question waits at the node, up to 1 s; pauses grow to 0.8 s with chance; a core node's loop takes what other nodes sent before anything else.

--- a/internal/barometer/core.go
+++ b/internal/barometer/core.go
@@ -45,6 +45,7 @@
 	life  int64 // how often this node was started with its disk
 
 	events chan func()
+	peers  chan Message // of other core nodes: they go before all else
 	ctx    context.Context
 	stop   context.CancelFunc
 	wg     sync.WaitGroup
@@ -105,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{set: s, db: db, log: log, calls: &teletype.Clients{}, begin: time.Now(), events: make(chan func(), 256),
+	c := &Core{set: s, db: db, log: log, calls: &teletype.Clients{}, begin: time.Now(), events: make(chan func(), 256), peers: make(chan Message, 256),
 		saved: map[int64]bool{}, tokens: map[int64]chan Done{}, changed: make(chan struct{}), senders: map[string]chan Message{}}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	d, err := c.load()
@@ -310,16 +311,26 @@
 		select {
 		case <-c.ctx.Done():
 			return nil
+		case m := <-c.peers:
+			c.add(c.node.Receive(c.now(), m))
 		case f := <-c.events:
 			f()
 		case <-tick.C:
 			c.add(c.node.Tick(c.now()))
 			c.plan()
 		}
-		for more := true; more; {
+		for more := true; more; { // many followers must not keep the nodes from hearing each other
+			select {
+			case m := <-c.peers:
+				c.add(c.node.Receive(c.now(), m))
+				continue
+			default:
+			}
 			select {
 			case f := <-c.events:
 				f()
+			case <-tick.C:
+				c.add(c.node.Tick(c.now()))
 			default:
 				more = false
 			}
@@ -435,7 +446,7 @@
 				return nil, err
 			}
 			select {
-			case c.events <- func() { c.add(c.node.Receive(c.now(), m)) }:
+			case c.peers <- m:
 			case <-c.ctx.Done():
 			}
 			return nil, nil
@@ -495,7 +506,7 @@
 		if a.Fresh && (a.Place > q.Place || len(a.Hosts)+len(a.Delta) > 0) {
 			return a, nil
 		}
-		if !a.Fresh && !time.Now().Before(stale) {
+		if q.Place > 0 && !a.Fresh && !time.Now().Before(stale) { // one that has nothing yet waits on
 			return a, nil
 		}
 		if q.WaitMs == 0 {
--- a/internal/synop/follower.go
+++ b/internal/synop/follower.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -19,8 +20,10 @@
 
 const (
 	pollWait  = 500 * time.Millisecond // a source that has nothing new answers after it
+	beginWait = time.Second            // a node that cannot be relied on yet keeps the first question so long
 	pollGrace = 450 * time.Millisecond // beyond that a source is silent
-	retryWait = 30 * time.Millisecond
+	retryWait = 50 * time.Millisecond  // doubled with each failure, with chance, up to retryMost
+	retryMost = 800 * time.Millisecond
 )
 
 // Follower follows the feed of one core node at a time, and goes to another when that one is silent or cut off.
@@ -137,7 +140,7 @@
 			f.learn(a.Cores)
 			f.take(a)
 			if t.Place == 0 && len(a.Entries) == 0 && a.Place == 0 { // nothing is there yet
-				pause(ctx, 2*retryWait)
+				pause(ctx, retryWait)
 			}
 			continue
 		}
@@ -147,7 +150,7 @@
 		f.learn(a.Cores)
 		f.move()
 		if failed++; failed >= 2 {
-			pause(ctx, retryWait*time.Duration(min(failed, 6)))
+			pause(ctx, backoff(failed-2))
 		}
 	}
 }
@@ -160,16 +163,16 @@
 		a    FollowAnswer
 		err  error
 	}
-	for ctx.Err() == nil {
+	for again := 0; ctx.Err() == nil; again++ {
 		f.mu.Lock()
 		cores := slices.Clone(f.cores)
 		f.mu.Unlock()
-		one, done := context.WithTimeout(ctx, pollGrace)
+		one, done := context.WithTimeout(ctx, beginWait+pollGrace)
 		answers := make(chan told, len(cores))
 		for _, core := range cores {
 			go func() {
 				t := told{core: core}
-				t.err = f.calls.To(core).Call(one, FollowCall, &FollowRequest{Name: f.name, Class: f.class}, &t.a)
+				t.err = f.calls.To(core).Call(one, FollowCall, &FollowRequest{Name: f.name, Class: f.class, WaitMs: beginWait.Milliseconds()}, &t.a)
 				answers <- t
 			}()
 		}
@@ -193,10 +196,16 @@
 		if begun {
 			return
 		}
-		pause(ctx, 2*retryWait)
+		pause(ctx, backoff(again))
 	}
 }
 
+// backoff spreads what many relays do after the same event.
+func backoff(again int) time.Duration {
+	most := min(retryMost, retryWait<<min(again, 10))
+	return most/2 + rand.N(most/2+1)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
