Tell clients to come back when what was killed has started again

Change: 0.5 to 0.9 s where stores are unsure, or no configuration or host is known. The test fails without.

--- a/internal/mast/client_test.go
+++ b/internal/mast/client_test.go
@@ -78,6 +78,7 @@
 	c := f.dial()
 	c.send(request1("POST", "/order/x", "a", timeLeft+"Connection: close, X-Attempt-Id, Content-Length\r\nUpgrade: h2c\r\nTE: trailers\r\n", "x"))
 	a := c.read()
+	_ = c.SetReadDeadline(time.Now().Add(patient)) // before an idle one is closed
 	if _, err := c.in.ReadByte(); err != io.EOF {
 		t.Errorf("the connection ends with %v, want its end", err)
 	}
--- a/internal/mast/dispatch.go
+++ b/internal/mast/dispatch.go
@@ -211,6 +211,9 @@
 		return e, 0
 	}
 	places, _ := d.vane.Places(q.Service, now)
+	if places == 0 {
+		return nil, startsAgain() // no host is known: this relay has just started, or all have gone
+	}
 	return nil, screen.RetryAfter(objective, queue.Len(), places, rand.Float64())
 }
 
--- a/internal/mast/plain_test.go
+++ b/internal/mast/plain_test.go
@@ -505,3 +505,38 @@
 	want(t, "status of the one under way", slow.read().status, 200)
 	eventually(t, "no connection kept", func() bool { return of.Open() == 0 })
 }
+
+// A slot that is free again, since a host is no longer full, goes to who waits and not to who comes just then.
+func TestNobodyPassesTheQueue(t *testing.T) {
+	h := newHost(t, "i-1", serves(""))
+	h.capacity = 1
+	f := newFront(t, h)
+	d := f.dispatch
+	d.mu.Lock()
+	d.again = time.NewTimer(time.Hour) // nobody looks
+	d.mu.Unlock()
+	q := vane.Query{Service: "plain"}
+	full, _ := d.acquire(q, 0, time.Time{}, time.Second, time.Second, nil)
+	d.release(full, vane.Full)
+	got := make(chan *dest, 1)
+	go func() {
+		e, _ := d.acquire(q, 0, time.Time{}, time.Second, time.Hour, nil)
+		got <- e
+	}()
+	eventually(t, "one that waits", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.waiting) == 1
+	})
+	eventually(t, "room again", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.vane.Pick(q, time.Now()) != nil
+	})
+	late, _ := d.acquire(q, 0, time.Time{}, time.Second, time.Millisecond, nil)
+	e := wait(t, got, "slot")
+	want(t, "host", e, full)
+	want(t, "calls out", e.host.Out(), 2) // the late one is in the host's own queue
+	d.release(e, vane.Good)
+	d.release(late, vane.Good)
+}
--- a/internal/mast/request.go
+++ b/internal/mast/request.go
@@ -20,7 +20,6 @@
 	margin     = 15 * time.Millisecond // before its deadline at which a request is answered at the latest
 	maxUnsent  = 4                     // tries that reached no host, beside those that did
 	writeGrace = 2 * time.Second       // for the bytes of an answer to leave
-	noConfigMs = 200                   // to come back in, while there is no configuration
 )
 
 // request is one of a client, from its first byte to its answer.
@@ -80,7 +79,7 @@
 	r.last = r.close
 	r.tables = r.server().cfg.Source.Tables()
 	if r.tables.Config == nil {
-		r.fail(http.StatusServiceUnavailable, noConfigMs*time.Millisecond, "no configuration yet: come back")
+		r.fail(http.StatusServiceUnavailable, startsAgain(), "no configuration yet: come back")
 		return
 	}
 	r.route = r.tables.Config.Route(r.host, r.path())
--- a/internal/mast/turn.go
+++ b/internal/mast/turn.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,10 +16,13 @@
 
 const (
 	openLonger = 100 * time.Millisecond // that is left for the host when a turn is opened at the latest
-	unsureMs   = 150                    // to come back in, where the stores were not sure
 	endChunk   = "0\r\n\r\n"
 )
 
+// startsAgain is when to come back where machines of the tier are away: what was killed has started again by then, and a
+// client that asks at once, and once more, has used up its tries before.
+func startsAgain() time.Duration { return 500*time.Millisecond + rand.N(400*time.Millisecond) }
+
 // turn is one request of an agent program on a retained route.
 type turn struct {
 	program string
@@ -132,7 +136,7 @@
 		r.fail(http.StatusNotFound, 0, "no such turn: name one that was answered whole and is still retained")
 	default:
 		r.server().note("turn", r.id, "open", err)
-		r.fail(http.StatusServiceUnavailable, unsureMs*time.Millisecond, "the stores cannot be sure of the turn: come back after Retry-After")
+		r.fail(http.StatusServiceUnavailable, startsAgain(), "the stores cannot be sure of the turn: come back after Retry-After")
 	}
 	return false
 }
--- a/internal/mast/turn_test.go
+++ b/internal/mast/turn_test.go
@@ -1,10 +1,13 @@
 package mast
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -145,12 +148,15 @@
 			}
 			k := f.dial()
 			k.send(request1("POST", "/turn/x", "t1", turnHeader, "input"))
-			a := k.read()
+			var a answer
 			if c.status == 0 {
-				if a.err == nil {
-					t.Errorf("it looks complete: %d %q", a.status, a.body)
+				raw, _ := io.ReadAll(k)
+				a = (&conn{in: bufio.NewReader(bytes.NewReader(raw))}).read()
+				if a.err == nil || bytes.Count(raw, []byte("HTTP/1.1")) != 1 {
+					t.Errorf("it looks complete, or has something behind it: %q", raw)
 				}
 			} else {
+				a = k.read()
 				want(t, "status", a.status, c.status)
 				want(t, "error", a.err, nil)
 			}
@@ -320,3 +326,24 @@
 		want(t, fmt.Sprintf("data of %q", text), string(e.out), c.out)
 	}
 }
+
+// A client has few tries: where stores or hosts are away it is told to come back when what was killed has started again.
+func TestWhoComesAgainIsToldToWaitUntilMachinesHaveStarted(t *testing.T) {
+	after := func(f *front) float64 {
+		t.Helper()
+		a := f.do("POST", "/turn/x", "t1", turnHeader, "input")
+		want(t, "status", a.status, 503)
+		s, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	unsure := newFront(t, newHost(t, "i-1", func(c *call) bool { return streams(c, event(1, "x")) }))
+	unsure.ledger.openErr = archive.ErrUnsure
+	for name, s := range map[string]float64{"stores away": after(unsure), "no host": after(newFront(t))} {
+		if s < 0.5 || s > 1 {
+			t.Errorf("%s: Retry-After %v s", name, s)
+		}
+	}
+}
