Test that an answer without an id ahead of ours proves nothing

Need: planted faults in the data plane showed this case untested. Measured: go test -race -count=2 of internal/vane, sonde, mast, screen passes.

--- a/internal/sonde/sonde_test.go
+++ b/internal/sonde/sonde_test.go
@@ -206,6 +206,11 @@
 			return true
 		}, Answered, nil, "yes", true},
 		"a surplus answer alone": {func(l *line) bool { l.raw(ok("old", "", "no")); return false }, MayHaveRun, ErrBroken, "", true},
+		"an answer of no id ahead": {func(l *line) bool {
+			l.raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+			l.ok("yes")
+			return true
+		}, MayHaveRun, ErrBroken, "", true},
 		"half a surplus answer": {func(l *line) bool {
 			l.raw("HTTP/1.1 200 OK\r\nX-Attempt-Id: old\r\nContent-Length: 9\r\n\r\nno")
 			return false
