--- a/cmd/barograph/store.go
+++ b/cmd/barograph/store.go
@@ -55,14 +55,10 @@
 	wg.Go(func() { feed.Run(ctx) })
 	wg.Go(func() { store.Run(ctx) })
 	wg.Go(func() { register(ctx, feed, calls, store, self) })
-	look := time.NewTicker(100 * time.Millisecond)
-	defer look.Stop()
-	for ctx.Err() == nil && err == nil {
-		select {
-		case <-ctx.Done():
-		case <-look.C:
-			err = errors.Wrap(db.Err(), "the disk does not take writes: look at the data folder")
-		}
+	select {
+	case <-ctx.Done():
+	case <-db.Failed():
+		err = errors.Wrap(db.Err(), "the disk does not take writes: look at the data folder")
 	}
 	stop()
 	server.Close()
