--- a/cmd/heliograph/main.go
+++ b/cmd/heliograph/main.go
@@ -165,7 +165,7 @@
 func ready(ctx context.Context, t *observatory.Tier) error {
 	ctx, stop := context.WithTimeout(ctx, startBound)
 	defer stop()
-	if err := t.AddHosts(step); err != nil {
+	if _, err := t.AddHosts(step); err != nil {
 		return err
 	}
 	if err := t.Configure(ctx, observatory.NewConfig(1, observatory.Draft, false)); err != nil {
--- a/internal/observatory/book.go
+++ b/internal/observatory/book.go
@@ -87,9 +87,12 @@
 // Order is a configuration as it was sent.
 type Order struct {
 	Config
-	Body  []byte
-	Sent  time.Time
-	Acked time.Time // zero as long as it is not
+	Base    int64 // the version on which it builds
+	Body    []byte
+	Sent    time.Time
+	Acked   time.Time // zero as long as it is not
+	Refused bool      // for good
+	Invalid bool
 }
 
 // Event is one event of a stream as a client got it.
@@ -157,21 +160,24 @@
 
 func (b *Book) end(e Ending) { b.mu.Lock(); defer b.mu.Unlock(); b.endings = append(b.endings, e) }
 
-func (b *Book) sent(c Config, body []byte) (n int) {
+func (b *Book) sent(o Order) (n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.orders = append(b.orders, Order{Config: c, Body: body, Sent: time.Now()})
+	o.Sent = time.Now()
+	b.orders = append(b.orders, o)
 	return len(b.orders) - 1
 }
 
-func (b *Book) acknowledged(n int) {
+func (b *Book) answered(n int, acknowledged, refused bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.orders[n].Acked = time.Now()
+	if b.orders[n].Refused = refused; acknowledged {
+		b.orders[n].Acked = time.Now()
+	}
 }
 
-// newest is the version that was acknowledged last, 0 for none.
-func (b *Book) newest() (version int64) {
+// Newest is the version that was acknowledged last, 0 for none.
+func (b *Book) Newest() (version int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, o := range b.orders {
--- a/internal/observatory/check.go
+++ b/internal/observatory/check.go
@@ -38,6 +38,7 @@
 	{"CONFIG", late},
 	{"CONFIG", back},
 	{"CONFIG", readBack},
+	{"CONFIG", taken},
 	{"SERVED", served},
 }
 
@@ -180,12 +181,12 @@
 	}
 }
 
-// allowing are the versions, of those that were sent by a moment, by which a path goes to a service, or by which
+// allowing are the versions, of those that were sent by a moment and not refused, by which a path goes to a service, or by which
 // there is no route where service is "".
 func (c *course) allowing(path, service string, by time.Time) (versions []int64) {
 	for i := range c.Orders {
 		o := &c.Orders[i]
-		if r := o.route(path); o.Sent.After(by) {
+		if r := o.route(path); o.Sent.After(by) || o.Refused {
 			continue
 		} else if r == nil && service == "" || r != nil && r.Service == service {
 			versions = append(versions, o.Version)
@@ -325,16 +326,43 @@
 			newest = max(newest, o.Version)
 		}
 	}
-	i := slices.IndexFunc(c.Orders, func(o Order) bool { return bytes.Equal(o.Body, c.Read) })
+	i := slices.IndexFunc(c.Orders, func(o Order) bool { return bytes.Equal(o.Body, c.Read) && !o.Refused })
 	if i < 0 || c.Orders[i].Version < newest {
 		broken("what is read back is not version %d, which was acknowledged, or a later one: %.100q", newest, c.Read)
 	}
 }
 
+// taken finds what must not be acknowledged: an invalid order, and two that build on the same version.
+func taken(c *course, broken func(string, ...any)) {
+	on := map[int64]int64{}
+	for _, o := range c.Orders {
+		if o.Acked.IsZero() {
+			continue
+		}
+		if o.Invalid {
+			broken("version %d is invalid and was acknowledged", o.Version)
+		}
+		if other, twice := on[o.Base]; twice && other != o.Version {
+			broken("versions %d and %d build on version %d, and both were acknowledged", other, o.Version, o.Base)
+		}
+		on[o.Base] = o.Version
+	}
+}
+
+// brokenByHost tells whether a host broke off a call of a program that cannot be repeated: its failure is the host's.
+func (c *course) brokenByHost(program string) bool {
+	for _, t := range c.tries {
+		if t.Program == program && t.Kind == NonIdempotent && slices.ContainsFunc(c.runs[t.Attempt], func(r *engine.Run) bool { return r.End == engine.Cut || r.End == engine.Failed }) {
+			return true
+		}
+	}
+	return false
+}
+
 func served(c *course, broken func(string, ...any)) {
 	for _, e := range c.Endings {
 		switch {
-		case e.End == Failed:
+		case e.End == Failed && !c.brokenByHost(e.Program):
 			broken("%s failed: %s", e.Program, e.Why)
 		case e.Loops && e.End == Whole:
 			broken("%s has no end of its own, and ended without a 402", e.Program)
--- a/internal/observatory/check_test.go
+++ b/internal/observatory/check_test.go
@@ -73,7 +73,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r.Orders = append(r.Orders, Order{Config: c, Body: body, Sent: at(1000*i - 10), Acked: at(1000 * i)})
+		r.Orders = append(r.Orders, Order{Config: c, Base: int64(3 * i), Body: body, Sent: at(1000*i - 10), Acked: at(1000 * i)})
 		r.Read = body
 	}
 	r.answered("a-1", Turns, Draft, 100, "")
@@ -164,6 +164,10 @@
 		{"a process that goes back to where there is no route", "CONFIG", func(r record) { r.own("c-1", AddedPath, Idempotent, 1250, http.StatusNotFound) }},
 		{"an older configuration read back", "CONFIG", func(r record) { r.Read = r.Orders[0].Body }},
 		{"a configuration read back that nobody sent", "CONFIG", func(r record) { r.Read = append(slices.Clone(r.Read), ' ') }},
+		{"a refused configuration read back", "CONFIG", func(r record) { r.Orders[1].Acked, r.Orders[1].Refused = time.Time{}, true }},
+		{"a refused configuration that is acted on", "ROUTE", func(r record) { r.Orders[1].Acked, r.Orders[1].Refused = time.Time{}, true }},
+		{"an invalid configuration that is acknowledged", "CONFIG", func(r record) { r.Orders[1].Invalid = true }},
+		{"two configurations on the same version", "CONFIG", func(r record) { r.Orders[1].Base = 0 }},
 		{"a program that failed", "SERVED", func(r record) { r.Endings[0].End = Failed }},
 		{"a program without an end that has one", "SERVED", func(r record) { r.Endings[1].End = Whole }},
 	}
@@ -204,6 +208,10 @@
 			r.own("a-10", TurnPath, Turns, 2000+int(Retain.Milliseconds()), http.StatusNotFound)
 			r.try("a-10").Previous = "a-8"
 		},
+		"a program that failed as a host broke off a call that cannot be repeated": func(r record) {
+			r.Endings[0].End = Failed
+			r.try("a-3").Status, r.try("a-3").Seal, r.run("a-3").End = http.StatusBadGateway, "", engine.Cut
+		},
 		"an order without an acknowledgement": func(r record) { r.Orders[1].Acked = time.Time{} },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/observatory/client.go
+++ b/internal/observatory/client.go
@@ -105,6 +105,15 @@
 	return e
 }
 
+// Ask sends one request without a body to a front, as those do who look which configuration is in force there.
+func (c *Client) Ask(ctx context.Context, front *Machine, attempt, path, kind string) Try {
+	r := &run{Client: c, ctx: ctx, finish: time.Now().Add(requestTime)}
+	t := Try{Attempt: attempt, Program: attempt, Session: attempt, Method: http.MethodGet, Path: path, Kind: kind}
+	_, _ = r.try(&t, front, time.Now().Add(requestTime), "")
+	c.tier.Book.add(t)
+	return t
+}
+
 // line runs a line of turns to its end, and gives its last turn.
 func (r *run) line(l Line, prompt string) (last string, err error) {
 	session := fmt.Sprintf("%s-s%d", r.Name, r.sessions.Add(1))
--- a/internal/observatory/services.go
+++ b/internal/observatory/services.go
@@ -45,17 +45,19 @@
 }
 
 // AddHosts starts two hosts for each service. step lies between the events of a stream.
-func (t *Tier) AddHosts(step time.Duration) error {
+func (t *Tier) AddHosts(step time.Duration) (all []*engine.Host, err error) {
 	for _, service := range []string{Draft, Review, Look} {
 		for range 2 {
 			o := engine.Options{Service: service, Capacity: 16, Queue: 32, ConnLimit: 256, Work: 2 * step, Size: ToolSize}
 			if service != Look {
 				o.Model, o.Version, o.EventTokens, o.CacheTokens, o.First, o.Step = ModelName, 1, EventTokens, 1<<18, step, step
 			}
-			if _, err := t.AddHost(o); err != nil {
-				return err
+			h, err := t.AddHost(o)
+			if err != nil {
+				return all, err
 			}
+			all = append(all, h)
 		}
 	}
-	return nil
+	return all, nil
 }
--- a/internal/observatory/tier.go
+++ b/internal/observatory/tier.go
@@ -172,13 +172,15 @@
 	if err != nil {
 		return err
 	}
-	base := t.Book.newest()
-	n := t.Book.sent(c, body)
-	if err := t.Operator.Put(ctx, body, base); err != nil {
-		return err
-	}
-	t.Book.acknowledged(n)
-	return nil
+	return t.Order(ctx, Order{Config: c, Base: t.Book.Newest(), Body: body})
+}
+
+// Order has the operator send a configuration until it is taken or refused.
+func (t *Tier) Order(ctx context.Context, o Order) error {
+	n := t.Book.sent(o)
+	err := t.Operator.Put(ctx, o.Body, o.Base)
+	t.Book.answered(n, err == nil, errors.Is(err, cloud.ErrRefused))
+	return err
 }
 
 // Status asks a core node what it knows.
--- a/internal/observatory/tier_test.go
+++ b/internal/observatory/tier_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"slices"
 	"strings"
@@ -11,10 +13,12 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
 
 	"larchrouter/internal/archive"
 	"larchrouter/internal/barometer"
+	"larchrouter/internal/standin/cloud"
 	"larchrouter/internal/standin/engine"
 )
 
@@ -67,6 +71,7 @@
 	*Tier
 	t      *testing.T
 	client *Client
+	hosts  []*engine.Host
 	n      int
 	last   time.Time
 }
@@ -93,7 +98,8 @@
 			}
 		}
 	})
-	must(t, tier.AddHosts(step))
+	p.hosts, err = tier.AddHosts(step)
+	must(t, err)
 	must(t, tier.Configure(within(t), NewConfig(3, Draft, false)))
 	p.stable(stores)
 	must(t, tier.AwaitReady(within(t), tier.Class(Front)...))
@@ -118,8 +124,15 @@
 	}}}
 }
 
-// serves has programs begin now, and wants all of them to end well.
+// serves has programs begin now, wants all of them to end well, and tells how long that took.
 func (p *play) serves(when string) {
+	p.t.Helper()
+	p.servesOnce(when)
+	p.t.Logf("%v served %s", time.Since(p.last).Round(10*time.Millisecond), when)
+	p.last = time.Now()
+}
+
+func (p *play) servesOnce(when string) {
 	p.t.Helper()
 	const n = 4
 	all := make([]Ending, n)
@@ -134,8 +147,6 @@
 			p.t.Errorf("%s, %s ended with %v: %s", when, e.Program, e.End, e.Why)
 		}
 	}
-	p.t.Logf("%v served %s", time.Since(p.last).Round(10*time.Millisecond), when)
-	p.last = time.Now()
 }
 
 // traffic has programs run one after the other beside whatever happens, until stop. Some have no end of their own: they
@@ -198,8 +209,8 @@
 	}
 }
 
-// judge reads the configuration back, and wants no rule to be broken.
-func (p *play) judge() {
+// evidence waits until nothing is under way, and reads the configuration back.
+func (p *play) evidence() *Evidence {
 	p.t.Helper()
 	must(p.t, p.Ledger.Wait(within(p.t), func(runs []engine.Run) bool {
 		return !slices.ContainsFunc(runs, func(r engine.Run) bool { return r.End == engine.Working })
@@ -208,10 +219,16 @@
 	var err error
 	e.Read, err = p.Operator.Config(within(p.t))
 	must(p.t, err)
-	for _, b := range Check(e) {
+	p.t.Logf("%d programs, %d tries, %d runs", len(e.Endings), len(e.Tries), len(e.Runs))
+	return e
+}
+
+// judge wants no rule to be broken.
+func (p *play) judge() {
+	p.t.Helper()
+	for _, b := range Check(p.evidence()) {
 		p.t.Error(b)
 	}
-	p.t.Logf("%d programs, %d tries, %d runs", len(e.Endings), len(e.Tries), len(e.Runs))
 }
 
 func (p *play) head() *Machine {
@@ -285,6 +302,10 @@
 
 	must(t, p.Configure(within(t), NewConfig(9, Review, true)))
 	p.serves("with a route added")
+	p.answers(AddedPath, http.StatusOK)
+	if err := p.Order(within(t), newOrder(t, NewConfig(20, Draft, false), 5, false)); !errors.Is(err, cloud.ErrRefused) {
+		t.Errorf("a configuration on top of a version that is past: %v", err)
+	}
 
 	// By now, what was down has had its time to catch up: one more may be lost.
 	store = p.Machine("store-3")
@@ -312,7 +333,12 @@
 	must(t, p.Machine("store-4").Wipe())
 	p.serves("with a store taken away")
 
+	must(t, p.Configure(within(t), NewConfig(12, Draft, false)))
+	p.answers(AddedPath, http.StatusNotFound)
+	p.serves("with a route gone")
+
 	stop()
+	p.hostsBreak()
 	for _, m := range p.Class(Front) { // their memory has histories: what comes now is from the stores
 		m.Kill()
 		must(t, m.Start())
@@ -322,6 +348,50 @@
 	p.judge()
 }
 
+// hostsBreak has hosts break off answers. Turns and calls that may be repeated are served all the same; a program whose
+// call may not be repeated fails by it.
+func (p *play) hostsBreak() {
+	p.t.Helper()
+	fault := func(service string, f engine.Fault) {
+		for _, h := range p.hosts {
+			if h.Options().Service == service {
+				h.Set(f)
+			}
+		}
+	}
+	fault(Draft, engine.Fault{Kind: engine.Break, After: 2, Times: 1})
+	fault(Look, engine.Fault{Kind: engine.Lose, Times: 1})
+	if e := p.client.Run(p.t.Context(), Program{Name: "breaks", Budget: 100, Line: Line{Steps: []Step{{Out: 12, Tools: []Tool{{ReadPath, Idempotent}}}, {Out: 12}}}}); e.End != Whole {
+		p.t.Errorf("with hosts that break off, %s ended with %v: %s", e.Program, e.End, e.Why)
+	}
+	fault(Look, engine.Fault{Kind: engine.Lose})
+	if e := p.client.Run(p.t.Context(), Program{Name: "breaks-for-good", Budget: 100, Line: Line{Steps: []Step{{Out: 12, Tools: []Tool{{WritePath, NonIdempotent}}}}}}); e.End != Failed {
+		p.t.Errorf("with tools that break off, %s ended with %v: %s", e.Program, e.End, e.Why)
+	}
+	fault(Look, engine.Fault{})
+	fault(Draft, engine.Fault{})
+}
+
+// answers waits until each front answers requests of a path with a status.
+func (p *play) answers(path string, status int) {
+	p.t.Helper()
+	for _, m := range p.Class(Front) {
+		n := 0
+		must(p.t, Await(within(p.t), fmt.Sprintf("%s answers %s with %d", m.Name, path, status), func(ctx context.Context) bool {
+			n++
+			one := p.client.Ask(ctx, m, fmt.Sprintf("ask-%s-%d-%d", m.Name, status, n), path, Idempotent)
+			return one.Status == status
+		}))
+	}
+}
+
+func newOrder(t *testing.T, c Config, base int64, invalid bool) Order {
+	t.Helper()
+	body, err := json.Marshal(c)
+	must(t, err)
+	return Order{Config: c, Base: base, Body: body, Invalid: invalid}
+}
+
 // placed gives the id of a store and the gen of the placement.
 func (p *play) placed(name string) (id string, gen int64) {
 	p.t.Helper()
