--- a/internal/synop/follower.go
+++ b/internal/synop/follower.go
@@ -13,7 +13,6 @@
 
 	"larchrouter/internal/almanac"
 	"larchrouter/internal/archive"
-	"larchrouter/internal/gazette"
 	"larchrouter/internal/station"
 	"larchrouter/internal/teletype"
 )
@@ -283,17 +282,3 @@
 }
 
 var _ Source = (*Follower)(nil)
-
-// Hosts of a service in the tables.
-func (t *Tables) HostsOf(service string) []gazette.Host {
-	if t.Hosts == nil {
-		return nil
-	}
-	var out []gazette.Host
-	for _, h := range t.Hosts.Hosts {
-		if h.Service == service {
-			out = append(out, h)
-		}
-	}
-	return out
-}
