Take a program's turns back into a store that dropped them while it was cut off

Need: a store that is cut off or frozen for longer than retain_s + 15 s drops the turns of a program that goes on elsewhere, and remembers them as gone. Cause: "gone" did not tell a peer whose time is a guess (started again with old turns) from one where the program was used. Change: digests and states of keys say for how long the turns stay for sure (0 where a start guessed it); what is gone comes back only from where it stays 5 s more for sure.

--- a/internal/archive/index.go
+++ b/internal/archive/index.go
@@ -18,6 +18,7 @@
 	goneKeeps   = 10 * time.Minute
 	maxEntries  = 400_000 // of all ledgers, in memory
 	leastRetain = 10 * time.Second
+	leastStay   = 5 * time.Second // of turns that come back
 )
 
 // index is what a store knows without its disk: the ledgers, and which turns there are. It is pure: time comes with
@@ -38,6 +39,7 @@
 	retain time.Duration
 	until  time.Time // its turns are kept
 	last   time.Time // used
+	sure   bool      // until is known from its use, and not guessed at a start
 	under  *Placement
 	copies []string // identities of the stores that should hold it, under that placement
 }
@@ -90,7 +92,7 @@
 // open marks a program as used: its turns are kept for a while from now on.
 func (ix *index) open(key string, now time.Time) {
 	if p := ix.get(key); p != nil && len(p.turns) > 0 {
-		p.until = later(p.until, now.Add(p.retain+keepMargin))
+		p.until, p.sure = later(p.until, now.Add(p.retain+keepMargin)), true
 	}
 }
 
@@ -100,6 +102,7 @@
 	p.retain = max(p.retain, time.Duration(row.Retain)*time.Second)
 	if left < 0 {
 		left = p.retain + keepMargin
+		p.sure = true
 		ix.revive(key)
 	}
 	p.until = later(p.until, now.Add(left))
@@ -171,15 +174,28 @@
 				delete(ix.turns, t.id)
 			}
 			out = append(out, p.turns...)
-			p.turns, p.digest = nil, 0
+			p.turns, p.digest, p.sure = nil, 0, false
 			ix.gone[0][xxhash.Sum64String(p.key)] = struct{}{}
 		}
 	}
 	return out
 }
 
-// expired tells whether the turns of a key were dropped here.
-func (ix *index) expired(key string) bool {
+// stays tells for how long a program's turns stay for sure, 0 if that is not known.
+func (p *program) stays(now time.Time) time.Duration {
+	if !p.sure || len(p.turns) == 0 {
+		return 0
+	}
+	return max(0, p.until.Sub(now))
+}
+
+// expired tells whether the turns of a key were dropped here and are not to come back from a store where they stay for
+// sure for as long as given: where a program went on, its turns come back, and never for so short that they would go
+// from store to store.
+func (ix *index) expired(key string, stays time.Duration) bool {
+	if stays >= leastStay {
+		return false
+	}
 	h := xxhash.Sum64String(key)
 	_, a := ix.gone[0][h]
 	_, b := ix.gone[1][h]
@@ -248,7 +264,7 @@
 }
 
 // page gives digests of keys in order, from after a key in a bucket on; more tells that the page was full.
-func (ix *index) page(in []int, bucket int, after string, most int, want func(*program) bool) (out []keyDigest, more bool) {
+func (ix *index) page(in []int, bucket int, after string, most int, now time.Time, want func(*program) bool) (out []keyDigest, more bool) {
 	for b := bucket; b < buckets; b++ {
 		if b > bucket {
 			after = ""
@@ -268,7 +284,7 @@
 				return out, true
 			}
 			p := ix.programs[b][key]
-			out = append(out, keyDigest{Key: key, Turns: int64(p.digest), Ledger: int64(p.ledger.Digest())})
+			out = append(out, keyDigest{Key: key, Turns: int64(p.digest), Ledger: int64(p.ledger.Digest()), StaysMs: int(p.stays(now).Milliseconds())})
 		}
 	}
 	return out, false
@@ -277,8 +293,9 @@
 // differs tells whether a program is to be fetched from a store that has it with the given digests.
 func (ix *index) differs(d keyDigest) bool {
 	p := ix.get(d.Key)
+	gone := ix.expired(d.Key, time.Duration(d.StaysMs)*time.Millisecond)
 	if p == nil {
-		return !ix.expired(d.Key)
+		return !gone
 	}
-	return int64(p.ledger.Digest()) != d.Ledger || int64(p.digest) != d.Turns && d.Turns != 0 && !ix.expired(d.Key)
+	return int64(p.ledger.Digest()) != d.Ledger || int64(p.digest) != d.Turns && d.Turns != 0 && !gone
 }
--- a/internal/archive/records.go
+++ b/internal/archive/records.go
@@ -230,9 +230,10 @@
 }
 
 type keyDigest struct {
-	Key    string
-	Turns  int64
-	Ledger int64
+	Key     string
+	Turns   int64
+	Ledger  int64
+	StaysMs int // the turns stay for so long for sure
 }
 
 type keysReply struct {
@@ -249,10 +250,11 @@
 }
 
 type keyState struct {
-	Key    string
-	LeftMs int
-	Ledger []raingauge.Entry
-	Turns  []string
+	Key     string
+	LeftMs  int
+	StaysMs int // as LeftMs, 0 where that is a guess
+	Ledger  []raingauge.Entry
+	Turns   []string
 }
 
 type statesReply struct {
--- a/internal/archive/sweep.go
+++ b/internal/archive/sweep.go
@@ -74,7 +74,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := &keysReply{}
-	r.Keys, r.More = s.index.page(c.Buckets, c.Bucket, c.After, keysMost, func(one *program) bool {
+	r.Keys, r.More = s.index.page(c.Buckets, c.Bucket, c.After, keysMost, s.Now(), func(one *program) bool {
 		return one.holds(p, c.Asker) && (c.Sweep || one.holds(p, s.id))
 	})
 	if r.More {
@@ -95,11 +95,12 @@
 		return &statesReply{Status: st}
 	}
 	r := &statesReply{}
-	size := 0
+	size, now := 0, s.Now()
 	for _, key := range c.Keys {
 		state := keyState{Key: key}
 		if p := s.index.get(key); p != nil {
 			state.LeftMs = s.left(p)
+			state.StaysMs = int(p.stays(now).Milliseconds())
 			state.Ledger = append(state.Ledger, p.ledger.Entries()...)
 			for _, t := range p.turns {
 				state.Turns = append(state.Turns, t.id)
@@ -350,7 +351,7 @@
 					writes = append(writes, entryWrite(state.Key, e))
 				}
 			}
-			if s.index.expired(state.Key) {
+			if s.index.expired(state.Key, time.Duration(state.StaysMs)*time.Millisecond) {
 				continue
 			}
 			for _, id := range state.Turns {
--- a/internal/archive/timeline_test.go
+++ b/internal/archive/timeline_test.go
@@ -583,3 +583,46 @@
 		})
 	}
 }
+
+// A store that was cut off until it dropped a program's turns takes them back from stores that keep them still, as the
+// program went on there; what no one keeps any more stays away (the timelines of expiry).
+func TestDroppedTurnsAreTakenBackWhereTheirProgramWentOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := still(3, true)
+		p := w.program(1000)
+		var last *told
+		var all []*told
+		turn := func() {
+			last = w.turn(ask{front: w.fronts[0], program: p, previous: last, need: 5, used: 5, ending: whole, retain: 20 * time.Second})
+			all = append(all, last)
+		}
+		turn()
+		away := w.stores[0]
+		for _, n := range append(w.nodes(), &node{name: "core"}) {
+			w.cut(n.name, away.name)
+			w.cut(away.name, n.name)
+		}
+		for range 4 {
+			w.sleep(12 * time.Second)
+			turn()
+		}
+		w.sleep(messageLives + time.Second) // what was under way to it is lost
+		if l := away.life.Load(); l.store.Has(all[0].id) {
+			t.Error("the first turn is not dropped at the store that was cut off")
+		}
+		for _, n := range append(w.nodes(), &node{name: "core"}) {
+			w.join(n.name, away.name)
+			w.join(away.name, n.name)
+		}
+		w.sleep(time.Second)
+		if err := away.life.Load().store.Compare(t.Context()); err != nil {
+			t.Error(err)
+		}
+		for _, one := range all {
+			if one.how != whole || !away.life.Load().store.Has(one.id) {
+				t.Errorf("%s is %s, and not taken back", one.id, one)
+			}
+		}
+		w.close()
+	})
+}
