--- a/internal/tier/proxy/client.go
+++ b/internal/tier/proxy/client.go
@@ -42,9 +42,11 @@
 	watching       bool          // a watch was started whose result was not taken from watchDone
 	pipelined      bool          // the next request had begun when the watch was started
 	advertisedIdle time.Duration // by Keep-Alive of the last response
+	acceptedAt     time.Time
 
 	mu            sync.Mutex
-	idle          bool // between requests
+	inFlight      inFlight // the request being served; zero if there is none
+	idle          bool     // between requests
 	idleSince     time.Time
 	finalPeekDone bool   // the idle time was extended by finalPeekTimeout
 	watchStopped  bool   // by stopWatch: a time-out of the watch is no disconnect
@@ -52,8 +54,15 @@
 	disconnected  bool
 }
 
+// inFlight describes a request that is being served.
+type inFlight struct {
+	attempt   string // X-Attempt-Id
+	arrivedAt time.Time
+}
+
 func newClient(s *Server, nc net.Conn) *client {
-	c := &client{server: s, Conn: nc, reader: readerPool.Get().(*bufio.Reader), watchDone: make(chan error, 1)}
+	c := &client{server: s, Conn: nc, reader: readerPool.Get().(*bufio.Reader), watchDone: make(chan error, 1),
+		acceptedAt: time.Now()}
 	c.source.Reader = nc
 	c.reader.Reset(&c.source)
 	return c
@@ -70,6 +79,7 @@
 		c.watch()
 		r.handle()
 		c.setOnDisconnect(nil)
+		c.setInFlight(inFlight{})
 		if !r.keepAlive {
 			return
 		}
@@ -131,6 +141,20 @@
 	return now
 }
 
+// setInFlight sets what is known of the request being served.
+func (c *client) setInFlight(f inFlight) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inFlight = f
+}
+
+// requestInFlight returns what is known of the request being served, and whether there is one.
+func (c *client) requestInFlight() (f inFlight, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inFlight, c.inFlight != inFlight{}
+}
+
 // drain begins the graceful shutdown of the connection: if idle it is closed after drainIdleTimeout, else with its next
 // response (see closing).
 func (c *client) drain() {
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -104,6 +104,8 @@
 	clients map[*client]bool
 	closed  bool          // new connections are closed unread
 	drained chan struct{} // closed once no client is left; set by Drain while it waits for that
+
+	drainBegan time.Time // zero before Drain; guarded by mu
 }
 
 const sweepInterval = 250 * time.Millisecond // between two looks for idle connections to hosts that have expired
--- a/internal/tier/proxy/request.go
+++ b/internal/tier/proxy/request.go
@@ -96,6 +96,7 @@
 	if !r.findRoute() || !r.parseHeaders() {
 		return
 	}
+	r.client.setInFlight(inFlight{attempt: r.id, arrivedAt: r.arrivedAt})
 	weights := make([]int, len(r.route.Targets))
 	for i, t := range r.route.Targets {
 		weights[i] = t.Weight
