End a draining front's intake in time, and answer what its end would cut

While fewer than half of a zone's fronts are ready the platform sends new connections to the draining ones too, so that some always came just before the end. TestDrainEndsWithGracePeriod asks for the 502 now, where it only ruled out a complete 200; drainMargin, which it used, is gone.

--- a/cmd/larch-proxy/main.go
+++ b/cmd/larch-proxy/main.go
@@ -29,8 +29,8 @@
 // program is the command line, which has no flags: the settings file is named by a variable.
 type program struct{}
 
-// shutdownMargin is the end of the grace period that is reserved for calls to the stores after the last answer.
-const shutdownMargin = 500 * time.Millisecond
+// exitMarginDivisor divides the grace period: that part of it is left at its end for the process to exit.
+const exitMarginDivisor = 32
 
 func (program) Run() error {
 	s, err := process.Load()
@@ -74,7 +74,7 @@
 	wg.Go(func() { process.WatchSettings(following, log, follower.UpdateSeeds) })
 	wg.Go(func() { server.Serve(front, ready) })
 	<-ctx.Done()
-	draining, done := context.WithTimeout(context.Background(), grace-shutdownMargin)
+	draining, done := context.WithTimeout(context.Background(), grace-grace/exitMarginDivisor)
 	defer done()
 	server.Drain(draining)
 	server.Close()
--- a/internal/tier/proxy/client.go
+++ b/internal/tier/proxy/client.go
@@ -45,7 +45,7 @@
 	acceptedAt     time.Time
 
 	mu            sync.Mutex
-	inFlight      inFlight // the request being served; zero if there is none
+	inFlight      *request // being served; nil if there is none
 	idle          bool     // between requests
 	idleSince     time.Time
 	finalPeekDone bool   // the idle time was extended by finalPeekTimeout
@@ -54,12 +54,6 @@
 	disconnected  bool
 }
 
-// inFlight describes a request that is being served.
-type inFlight struct {
-	attempt   string // X-Attempt-Id
-	arrivedAt time.Time
-}
-
 func newClient(s *Server, nc net.Conn) *client {
 	c := &client{server: s, Conn: nc, reader: readerPool.Get().(*bufio.Reader), watchDone: make(chan error, 1),
 		acceptedAt: time.Now()}
@@ -79,7 +73,7 @@
 		c.watch()
 		r.handle()
 		c.setOnDisconnect(nil)
-		c.setInFlight(inFlight{})
+		c.setInFlight(nil)
 		if !r.keepAlive {
 			return
 		}
@@ -125,7 +119,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.idleSince, c.finalPeekDone = true, time.Now(), false
-	if c.server.draining.Load() {
+	if c.server.draining() {
 		timeout = min(timeout, drainIdleTimeout)
 	}
 	_ = c.SetReadDeadline(c.idleSince.Add(timeout))
@@ -141,18 +135,18 @@
 	return now
 }
 
-// setInFlight sets what is known of the request being served.
-func (c *client) setInFlight(f inFlight) {
+// setInFlight sets the request being served, whose id and arrival time no longer change; nil for none.
+func (c *client) setInFlight(r *request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inFlight = f
+	c.inFlight = r
 }
 
-// requestInFlight returns what is known of the request being served, and whether there is one.
-func (c *client) requestInFlight() (f inFlight, ok bool) {
+// requestInFlight returns the request being served, nil if there is none.
+func (c *client) requestInFlight() *request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.inFlight, c.inFlight != inFlight{}
+	return c.inFlight
 }
 
 // drain begins the graceful shutdown of the connection: if idle it is closed after drainIdleTimeout, else with its next
@@ -166,7 +160,7 @@
 }
 
 // closing reports whether the connection ends with the response being made.
-func (c *client) closing() bool { return c.server.draining.Load() }
+func (c *client) closing() bool { return c.server.draining() }
 
 // abort closes the connection at once, so that a partial response does not look complete.
 func (c *client) abort() { c.Conn.Close() }
--- a/internal/tier/proxy/client_test.go
+++ b/internal/tier/proxy/client_test.go
@@ -281,7 +281,8 @@
 	wait(t, done, "end of the drain")
 }
 
-// Requests that are still in flight at the end of the grace period do not delay it.
+// Requests that are still in flight at the end of the grace period do not delay it, and get an error that does not say that
+// they have not run.
 func TestDrainEndsWithGracePeriod(t *testing.T) {
 	end := make(chan bool)
 	defer close(end)
@@ -290,12 +291,12 @@
 	c := f.dial()
 	c.send(requestText("POST", "/order/x", "a", timeLeft, "x"))
 	eventually(t, "call", func() bool { return h.calls.Load() == 1 })
-	f.options.GracePeriod = drainMargin + 50*time.Millisecond
+	f.options.GracePeriod = 400 * time.Millisecond
 	f.Drain(context.Background())
 	f.Close()
-	if a := c.read(); a.err == nil && a.status == 200 {
-		t.Error("a request that was cut looks complete")
-	}
+	a := c.read()
+	want(t, "status", a.status, 502)
+	want(t, "error of the response", a.err, nil)
 }
 
 func TestClientConnectionLimit(t *testing.T) {
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -95,10 +95,11 @@
 type Server struct {
 	options    Options
 	dispatcher *dispatcher
-	draining   atomic.Bool
-	stop       context.CancelFunc // cancels ctx
-	ctx        context.Context    // done once Close was called
-	wg         sync.WaitGroup     // all goroutines of the server
+	drain      atomic.Pointer[drainPlan] // of the graceful shutdown; nil before it
+	expired    atomic.Bool               // requests in flight were ended by expire; no more are forwarded
+	stop       context.CancelFunc        // cancels ctx
+	ctx        context.Context           // done once Close was called
+	wg         sync.WaitGroup            // all goroutines of the server
 
 	mu      sync.Mutex
 	clients map[*client]bool
@@ -118,11 +119,14 @@
 	return s
 }
 
+// draining reports whether the graceful shutdown has begun.
+func (s *Server) draining() bool { return s.drain.Load() != nil }
+
 // Ready reports whether this relay should get new connections: it is not draining and knows the configuration, the hosts
 // and, if the configuration has retained routes, the placement of the stores.
 func (s *Server) Ready() bool {
 	t := s.options.Source.Tables()
-	if s.draining.Load() || t.Config == nil || t.Hosts == nil {
+	if s.draining() || t.Config == nil || t.Hosts == nil {
 		return false
 	}
 	if t.Placement != nil {
--- a/internal/tier/proxy/request.go
+++ b/internal/tier/proxy/request.go
@@ -36,20 +36,34 @@
 	programDeadline time.Time     // when its program should be over; zero for none
 	maxTokens       int           // that it generates; 0 if unknown
 	promptTokens    int           // 0 if unknown
-	cancelled       chan struct{} // closed once the client has disconnected
+	cancelled       chan struct{} // closed once the work is cancelled
 
 	mu          sync.Mutex
 	call        *upstream.Call // in flight, or the last one
 	cancelOpen  func()         // cancels the opening of the turn; nil if none is under way
-	isCancelled bool           // cancelled is closed
+	cancelCause cancelCause    // if not 0, cancelled is closed
 }
 
-// cancel ends the work for a client that has disconnected.
-func (r *request) cancel() {
+// cancelCause is why the work for a request is cancelled.
+type cancelCause int
+
+const (
+	clientGone   cancelCause = iota + 1 // the client has disconnected: there is nobody to answer
+	drainExpired                        // the grace period of a shutdown is nearly over: the client gets an error
+)
+
+// disconnect ends the work for a client that has disconnected.
+func (r *request) disconnect() { r.cancel(clientGone) }
+
+// expire ends the work for a request that a shutdown leaves no more time.
+func (r *request) expire() { r.cancel(drainExpired) }
+
+// cancel ends the work. The first cause counts.
+func (r *request) cancel(cause cancelCause) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.isCancelled {
-		r.isCancelled = true
+	if r.cancelCause == 0 {
+		r.cancelCause = cause
 		close(r.cancelled)
 	}
 	if r.call != nil {
@@ -65,7 +79,7 @@
 func (r *request) setCancelOpen(cancelOpen func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cancelOpen = cancelOpen; cancelOpen != nil && r.isCancelled {
+	if r.cancelOpen = cancelOpen; cancelOpen != nil && r.cancelCause != 0 {
 		cancelOpen()
 	}
 }
@@ -75,17 +89,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.call = new(upstream.Call)
-	if r.isCancelled {
+	if r.cancelCause != 0 {
 		r.call.Cancel()
 	}
 	return r.call
 }
 
-// clientDisconnected reports whether the request was cancelled.
-func (r *request) clientDisconnected() bool {
+// cancelledBy reports whether the work was cancelled for this cause.
+func (r *request) cancelledBy(cause cancelCause) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.isCancelled
+	return r.cancelCause == cause
 }
 
 func (r *request) server() *Server { return r.client.server }
@@ -93,17 +107,20 @@
 // handle serves a request that was read completely.
 func (r *request) handle() {
 	r.closeAfter = r.close
-	if !r.findRoute() || !r.parseHeaders() {
+	if !r.findRoute() || !r.parseHeaders() || !r.admitDuringDrain() {
 		return
 	}
-	r.client.setInFlight(inFlight{attempt: r.id, arrivedAt: r.arrivedAt})
 	weights := make([]int, len(r.route.Targets))
 	for i, t := range r.route.Targets {
 		weights[i] = t.Weight
 	}
 	r.service = r.tables.Config.Services[r.route.Targets[balancer.PickTarget(weights, r.id)].Service]
 	r.cancelled = make(chan struct{})
-	r.client.setOnDisconnect(r.cancel)
+	r.client.setOnDisconnect(r.disconnect)
+	r.client.setInFlight(r)
+	if r.server().expired.Load() { // since it was admitted
+		r.expire()
+	}
 	if r.route.Kind == routing.Streaming {
 		r.serveStream()
 	} else {
@@ -111,6 +128,16 @@
 	}
 }
 
+// admitDuringDrain rejects a request that a draining front cannot be sure to answer before it ends. If it returns false the
+// client has its error response.
+func (r *request) admitDuringDrain() bool {
+	if plan := r.server().drain.Load(); plan == nil || plan.takes(time.Now(), r.deadline) {
+		return true
+	}
+	r.respondError(http.StatusServiceUnavailable, drainRetryDelay(), "this relay is shutting down: come back, to another one")
+	return false
+}
+
 // findRoute sets the tables and the route. If it returns false the client has its error response.
 func (r *request) findRoute() bool {
 	r.tables = r.server().options.Source.Tables()
--- a/internal/tier/proxy/retry.go
+++ b/internal/tier/proxy/retry.go
@@ -17,12 +17,16 @@
 	minRetryAfter      = 20 * time.Millisecond
 	minRetryQueueTime  = 20 * time.Millisecond
 	neutralRetryJitter = 0.5 // of admission.RetryAfter, for no spread
+	drainRetryJitter   = 60 * time.Millisecond
 )
 
 // restartDelay returns the Retry-After for a request that is rejected because machines of the tier are down: by then what was
 // killed has restarted. A client that retries earlier uses up its attempts.
 func restartDelay() time.Duration { return 500*time.Millisecond + rand.N(400*time.Millisecond) }
 
+// drainRetryDelay returns the Retry-After for a request that a draining front rejects: other fronts take it at once.
+func drainRetryDelay() time.Duration { return minRetryAfter + rand.N(drainRetryJitter) }
+
 // forwarder makes attempts for a request, one after the other, until a host answers or no more attempt is allowed.
 type forwarder struct {
 	request        *request
@@ -55,10 +59,10 @@
 	r := f.request
 	left := time.Until(r.deadline)
 	switch {
-	case r.clientDisconnected():
+	case r.cancelledBy(clientGone):
 		r.client.abort()
 		return nil
-	case left <= 0 || f.sentAttempts >= max(1, r.route.MaxAttempts) || f.unsentAttempts > maxUnsentAttempts:
+	case left <= 0 || r.cancelledBy(drainExpired) || f.sentAttempts >= max(1, r.route.MaxAttempts) || f.unsentAttempts > maxUnsentAttempts:
 		f.respondFailure(admission.RetryAfter(r.route.LatencyTarget, 0, 0, neutralRetryJitter))
 		return nil
 	}
@@ -214,8 +218,10 @@
 func (f *forwarder) respondFailure(retryAfter time.Duration) {
 	r := f.request
 	switch {
-	case r.clientDisconnected():
+	case r.cancelledBy(clientGone):
 		r.client.abort()
+	case r.cancelledBy(drainExpired) && f.mayHaveRun:
+		r.respondError(http.StatusBadGateway, 0, "this relay is shutting down; the request may have run")
 	case !f.mayHaveRun:
 		r.respondError(http.StatusServiceUnavailable, max(retryAfter, minRetryAfter),
 			"no host has room: come back after Retry-After")
--- a/internal/tier/proxy/shutdown.go
+++ b/internal/tier/proxy/shutdown.go
@@ -6,46 +6,80 @@
 )
 
 const (
-	drainIdleTimeout = 500 * time.Millisecond  // of kept connections while the server drains
-	drainMargin      = time.Second             // of the grace period that Drain leaves
-	unlistDelay      = 3500 * time.Millisecond // until the platform has seen two failed readiness checks and sends no more
-	maxCutLogged     = 8                       // requests cut at the end of a drain that are logged one by one
+	drainIdleTimeout = 500 * time.Millisecond // of kept connections while the server drains
+	maxCutLogged     = 8                      // requests cut at the end of a drain that are logged one by one
 )
 
 // Drain is the graceful shutdown: the server is no longer ready, keeps no connection beyond its next response, and still
-// serves what comes. Drain returns when no client is left after unlistDelay, when the grace period is over but for
-// drainMargin, or when ctx ends.
+// serves what comes, as far as it can be served within the grace period (see drainPlan). Drain returns when no client is left
+// after unlistDelay, when the grace period is nearly over, or when ctx ends. The caller then calls Close.
 func (s *Server) Drain(ctx context.Context) {
-	s.draining.Store(true)
+	s.drainBy(ctx, newDrainPlan(time.Now(), s.options.GracePeriod))
+}
+
+// drainBy is Drain by a given plan.
+func (s *Server) drainBy(ctx context.Context, plan drainPlan) {
+	s.beginDrain(plan)
+	s.logDrain("drain begins")
+	defer s.logDrain("drain ends")
+	if !awaitTime(ctx, plan.unlistedAt, nil) {
+		return
+	}
+	s.logDrain("drain goes on until no client is left")
+	drained := s.awaitNoClient()
+	if !awaitTime(ctx, plan.expiresAt, drained) {
+		return
+	}
+	s.logDrain("drain ends requests in flight")
+	s.expire()
+	awaitTime(ctx, plan.endsAt, drained)
+}
+
+// beginDrain sets the plan of the drain and closes idle connections.
+func (s *Server) beginDrain(plan drainPlan) {
+	s.drain.Store(&plan)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.drainBegan = time.Now()
 	for c := range s.clients {
 		c.drain()
 	}
-	s.mu.Unlock()
-	s.logDrain("drain begins")
-	defer s.logDrain("drain ends")
-	end := time.NewTimer(max(0, s.options.GracePeriod-drainMargin))
-	defer end.Stop()
-	unlisted := time.NewTimer(min(unlistDelay, max(0, s.options.GracePeriod-drainMargin)))
-	defer unlisted.Stop()
+}
+
+// awaitTime waits until t and reports whether that time came before ctx ended and before done was closed.
+func awaitTime(ctx context.Context, t time.Time, done <-chan struct{}) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
 	select {
-	case <-unlisted.C:
-	case <-end.C:
-		return
+	case <-timer.C:
+		return true
+	case <-done:
 	case <-ctx.Done():
-		return
 	}
-	s.logDrain("drain goes on until no client is left")
+	return false
+}
+
+// awaitNoClient returns a channel that is closed once no client is left.
+func (s *Server) awaitNoClient() <-chan struct{} {
 	drained := make(chan struct{})
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.drained = drained
 	s.notifyDrained()
-	s.mu.Unlock()
-	select {
-	case <-drained:
-	case <-end.C:
-	case <-ctx.Done():
+	return drained
+}
+
+// expire ends the requests in flight that have no response yet: their clients get an error that says whether the request may
+// have run. New connections are closed unread.
+func (s *Server) expire() {
+	s.expired.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for c := range s.clients {
+		if r := c.requestInFlight(); r != nil {
+			r.expire()
+		}
 	}
 }
 
@@ -88,7 +122,7 @@
 	defer s.mu.Unlock()
 	serving, accepted := 0, 0
 	for c := range s.clients {
-		if _, ok := c.requestInFlight(); ok {
+		if c.requestInFlight() != nil {
 			serving++
 		}
 		if c.acceptedAt.After(s.drainBegan) {
@@ -108,10 +142,10 @@
 	}
 	logged := 0
 	for c := range s.clients {
-		if f, ok := c.requestInFlight(); ok && logged < maxCutLogged {
+		if r := c.requestInFlight(); r != nil && logged < maxCutLogged {
 			logged++
-			s.options.Log.Info("request cut by the end of the drain", "attempt", f.attempt,
-				"arrived", f.arrivedAt.Sub(s.drainBegan), "accepted", c.acceptedAt.Sub(s.drainBegan))
+			s.options.Log.Info("request cut by the end of the drain", "attempt", r.id,
+				"arrived", r.arrivedAt.Sub(s.drainBegan), "accepted", c.acceptedAt.Sub(s.drainBegan))
 		}
 	}
 }
--- a/internal/tier/proxy/watch.go
+++ b/internal/tier/proxy/watch.go
@@ -110,7 +110,7 @@
 	if !c.idle {
 		return false
 	}
-	if end := c.idleSince.Add(timeout); now.Before(end) && !c.server.draining.Load() {
+	if end := c.idleSince.Add(timeout); now.Before(end) && !c.server.draining() {
 		_ = c.SetReadDeadline(end)
 		return true
 	}
