Let a front's drain end 2.75 s after SIGTERM instead of 3.5 s

Need: from 2.75 s on a draining front takes only what surely ends in time, so that each further moment turns requests away that a restarted front would take. Two failed readiness checks are seen by 2 s, so waiting until 3.5 s gained nothing. Change: one time, fullIntakeTime, for both ends.

--- a/internal/tier/proxy/drainplan.go
+++ b/internal/tier/proxy/drainplan.go
@@ -3,17 +3,17 @@
 import "time"
 
 const (
-	fullIntakeTime = 2750 * time.Millisecond // after SIGTERM, in which a draining front takes every request
-	unlistDelay    = 3500 * time.Millisecond // until the platform has seen two failed readiness checks and sends no more
-	maxExpiryTime  = time.Second             // before SIGKILL at which requests in flight are ended, at most
+	// fullIntakeTime is the time after SIGTERM in which a draining front takes every request. By its end the platform has seen
+	// two failed readiness checks and sends no new connections, unless fewer than half of the zone's fronts are ready.
+	fullIntakeTime = 2750 * time.Millisecond
+	maxExpiryTime  = time.Second // before SIGKILL at which requests in flight are ended, at most
 )
 
 // drainPlan is the timetable of a graceful shutdown. Its bounds are proved in docs/design/018-drain.md: every request that is
 // taken ends with a complete response, or was sent within 3 s of the SIGTERM and is still running in the last sixth of the
 // grace period.
 type drainPlan struct {
-	selectiveAt time.Time // from then on only requests are taken that end before expiresAt
-	unlistedAt  time.Time // from then on the drain ends as soon as no client is left
+	selectiveAt time.Time // from then on only requests are taken that end before expiresAt, until no client is left
 	expiresAt   time.Time // when requests in flight that have no response yet get an error
 	endsAt      time.Time // when the connections that are left are closed
 }
@@ -22,8 +22,9 @@
 func newDrainPlan(now time.Time, grace time.Duration) drainPlan {
 	margin := min(maxExpiryTime, grace/8) // less than a sixth
 	p := drainPlan{expiresAt: now.Add(grace - margin), endsAt: now.Add(grace - margin/2)}
-	p.selectiveAt = earlier(now.Add(fullIntakeTime), p.expiresAt)
-	p.unlistedAt = earlier(now.Add(unlistDelay), p.expiresAt)
+	if p.selectiveAt = now.Add(fullIntakeTime); p.selectiveAt.After(p.expiresAt) {
+		p.selectiveAt = p.expiresAt
+	}
 	return p
 }
 
@@ -31,10 +32,3 @@
 func (p *drainPlan) takes(now, deadline time.Time) bool {
 	return now.Before(p.selectiveAt) || !deadline.After(p.expiresAt)
 }
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/internal/tier/proxy/shutdown.go
+++ b/internal/tier/proxy/shutdown.go
@@ -12,7 +12,7 @@
 
 // Drain is the graceful shutdown: the server is no longer ready, keeps no connection beyond its next response, and still
 // serves what comes, as far as it can be served within the grace period (see drainPlan). Drain returns when no client is left
-// after unlistDelay, when the grace period is nearly over, or when ctx ends. The caller then calls Close.
+// after fullIntakeTime, when the grace period is nearly over, or when ctx ends. The caller then calls Close.
 func (s *Server) Drain(ctx context.Context) {
 	s.drainBy(ctx, newDrainPlan(time.Now(), s.options.GracePeriod))
 }
@@ -22,7 +22,7 @@
 	s.beginDrain(plan)
 	s.logDrain("drain begins")
 	defer s.logDrain("drain ends")
-	if !awaitTime(ctx, plan.unlistedAt, nil) {
+	if !awaitTime(ctx, plan.selectiveAt, nil) {
 		return
 	}
 	s.logDrain("drain goes on until no client is left")
