--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -23,9 +23,10 @@
 // Intervals and time-outs of the server.
 const (
 	tickInterval     = 50 * time.Millisecond
-	requestTimeout   = 900 * time.Millisecond  // callers take a node that does not answer within a second for dead
-	leaveTimeout     = 1500 * time.Millisecond // for the others to agree on a view without this node
-	hostPollInterval = 900 * time.Millisecond  // of the platform's list
+	requestTimeout   = 900 * time.Millisecond                // callers take a node that does not answer within a second for dead
+	leaveTimeout     = 1500 * time.Millisecond               // for the others to agree on a view without this node
+	shutdownTimeout  = requestTimeout + 300*time.Millisecond // for operators' calls in flight to be answered
+	hostPollInterval = 900 * time.Millisecond                // of the platform's list
 	planInterval     = 100 * time.Millisecond
 	pollGrace        = 300 * time.Millisecond // how long a follower's poll waits while this node is cut off or behind
 )
@@ -132,8 +133,8 @@
 
 func (r *setSeedsRequest) handle(s *Server) { s.node.settings.Seeds = r.seeds }
 
-// Run serves until the context ends, then leaves the view as far as others can replace this node, and stops.
-// It returns an error where the node cannot listen or its disk fails.
+// Run serves until the context ends, then leaves the view as far as others can replace this node, answers what
+// operators have sent, and stops. It returns an error where the node cannot listen or its disk fails.
 func (s *Server) Run(ctx context.Context) error {
 	peers, err := net.Listen("tcp4", s.self.Addr)
 	if err != nil {
@@ -156,7 +157,7 @@
 		s.leaveView()
 	case err = <-loopEnded:
 	}
-	shutdown, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	_ = operators.Shutdown(shutdown)
 	_ = operators.Close()
