Give ReloadSettings a definite end: applied, or refused with a typed error

The relay owes its operator a moment from which settings hold; the test was right to expect one. Change: it returns once the loop has applied them, with ErrTooManyClasses (only logged before), or with the end of the context or of the relay. The supervisor waits in a goroutine, latest settings last, so that SIGTERM is not delayed by a busy loop. The same pattern elsewhere, by reading: Relay.Reload (partners) waits for the loop, Rediscover swaps a pointer, the tier's UpdateSeeds waits for the loop (core) or sets under a lock (followers): none posts and returns.

--- a/internal/relay/platform/supervisor.go
+++ b/internal/relay/platform/supervisor.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"os"
+	"sync"
 	"sync/atomic"
 
 	"larchrouter/internal/relay"
@@ -16,6 +17,8 @@
 	relay    atomic.Pointer[relay.Relay]  // nil until the first relay has started
 	reloaded atomic.Pointer[relay.Config] // last configuration that SIGHUP had read; nil if there is none
 	stopping atomic.Bool
+
+	reloading sync.Mutex // held while settings are applied, so that those read last are applied last
 }
 
 // setRelay makes r the relay that gets signals. reloaded is the reloaded configuration that r was made with. A
@@ -32,10 +35,21 @@
 	}
 }
 
-// reconfigure applies those parts of a configuration that a running relay can change.
+// reconfigure applies those parts of a configuration that a running relay can change: the addresses of discovery at once, the
+// settings once the relay's loop takes them. It does not wait for that, so that a signal to stop is not delayed.
 func (s *supervisor) reconfigure(r *relay.Relay, c *relay.Config) {
 	r.Rediscover(c.Discovery)
-	r.ReloadSettings(c.Settings)
+	go s.reloadSettings(r)
+}
+
+// reloadSettings applies the settings that were read last, and returns once they are in force, are refused, or the relay has
+// ended.
+func (s *supervisor) reloadSettings(r *relay.Relay) {
+	s.reloading.Lock()
+	defer s.reloading.Unlock()
+	if err := r.ReloadSettings(context.Background(), s.reloaded.Load().Settings); err != nil {
+		slog.Error("settings not taken, the old ones stay", "err", err)
+	}
 }
 
 // handleSignals applies signals to the relay, for as long as the process runs. A signal to stop before the
--- a/internal/relay/reload.go
+++ b/internal/relay/reload.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"cmp"
+	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -38,8 +41,7 @@
 		n.current[k.Name] = n.index(k)
 	}
 	if len(n.all) > maxClasses {
-		return nil, fmt.Errorf("%d different classes since the start, %d at most: a restart takes the new file",
-			len(n.all), maxClasses)
+		return nil, fmt.Errorf("%w: %d, %d at most", ErrTooManyClasses, len(n.all), maxClasses)
 	}
 	return n, nil
 }
@@ -54,21 +56,31 @@
 	return i
 }
 
+// ErrTooManyClasses reports settings that were not applied, since the process has known too many classes already.
+var ErrTooManyClasses = errors.New("too many different classes since the start: a restart takes the new file")
+
 // ReloadSettings applies the settings of a file that was read again: classes, attempts, the limit of pending messages,
 // slots, rules, and the maximum of Retry-After. Other settings need a restart. Messages under way keep their class.
-func (r *Relay) ReloadSettings(read settings.Settings) {
-	r.post(func() {
-		next, err := r.classes.Load().withCurrent(read.Classes)
-		if err != nil {
-			slog.Error("settings not taken", "err", err)
-			return
-		}
-		set := r.settings
-		set.Classes, set.MaxAttempts, set.MaxHeld, set.Workers = next.all, read.MaxAttempts, read.MaxHeld, read.Workers
-		set.Rules, set.MaxRetryAfter = read.Rules, read.MaxRetryAfter
-		r.useSettings(next, set)
-		slog.Info("settings taken", "classes", slices.Sorted(maps.Keys(next.current)), "attempts", set.MaxAttempts)
-	})
+//
+// After it has returned nil, every request is judged by these settings. After ErrTooManyClasses the settings before stay in
+// force. After another error, which is that of the context or that the relay has ended, they may still be applied.
+func (r *Relay) ReloadSettings(ctx context.Context, read settings.Settings) error {
+	refused, err := onLoop(ctx, r, func() error { return r.applySettings(read) })
+	return cmp.Or(err, refused)
+}
+
+// applySettings is ReloadSettings on the loop.
+func (r *Relay) applySettings(read settings.Settings) error {
+	next, err := r.classes.Load().withCurrent(read.Classes)
+	if err != nil {
+		return err
+	}
+	set := r.settings
+	set.Classes, set.MaxAttempts, set.MaxHeld, set.Workers = next.all, read.MaxAttempts, read.MaxHeld, read.Workers
+	set.Rules, set.MaxRetryAfter = read.Rules, read.MaxRetryAfter
+	r.useSettings(next, set)
+	slog.Info("settings taken", "classes", slices.Sorted(maps.Keys(next.current)), "attempts", set.MaxAttempts)
+	return nil
 }
 
 // useSettings replaces the settings of clients' requests, the engine and the loop, on the loop.
--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -1,7 +1,11 @@
 package relay
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,6 +24,14 @@
 	return s
 }
 
+// reload applies settings, which are in force then.
+func reload(t *testing.T, r *Relay, s settings.Settings) {
+	t.Helper()
+	if err := r.ReloadSettings(t.Context(), s); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // A class that appears is admitted, one that vanishes is not, a message under way keeps its effect; a lower limit of
 // attempts binds pending messages.
 func TestReloadSettings(t *testing.T) {
@@ -33,7 +45,7 @@
 	safe := wait(t, calls, "call")
 
 	// status-update becomes at_most_once, job-order vanishes, parcel appears.
-	r.ReloadSettings(retuned(t, "status-update", "parcel", "job-order", "status-update", `"deduplicated"`, `"at_most_once"`))
+	reload(t, r, retuned(t, "status-update", "parcel", "job-order", "status-update", `"deduplicated"`, `"at_most_once"`))
 	status, _ = hand(t, r.Addr(), "gone", "job-order")
 	want(t, "status of a class that vanished", status, 400)
 	status, _ = hand(t, r.Addr(), "new", "parcel")
@@ -49,7 +61,7 @@
 	again := wait(t, calls, "second try")
 	want(t, "id", again.id, "safe")
 
-	r.ReloadSettings(retuned(t, `"max-attempts":6`, `"max-attempts":2`))
+	reload(t, r, retuned(t, `"max-attempts":6`, `"max-attempts":2`))
 	again.answer <- 500
 	n := wait(t, p.notices, "notice")
 	want(t, "id of what has used its attempts up", n.ID, "safe")
@@ -62,6 +74,71 @@
 	want(t, "classes known", wait(t, got, "number"), 5) // three, parcel, and the strict status-update
 }
 
+// ReloadSettings returns once the settings are in force: the request that follows is judged by them, however long the loop
+// is busy with other things.
+func TestReloadSettingsReturnsOnceInForce(t *testing.T) {
+	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", make(chan *seen, 10)), "taller")), nil)
+	busy, release := make(chan struct{}), make(chan struct{})
+	r.post(func() { close(busy); <-release })
+	wait(t, busy, "busy loop")
+	returned := make(chan struct{})
+	var releasing sync.WaitGroup
+	releasing.Go(func() {
+		defer close(release)
+		for len(r.inbox) == 0 { // the settings are not posted yet
+			time.Sleep(time.Millisecond)
+		}
+		select {
+		case <-returned: // too early: the next request is judged while the loop is still busy
+			for len(r.admissions) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		case <-time.After(50 * time.Millisecond):
+		}
+	})
+	defer releasing.Wait()
+	reload(t, r, retuned(t, "job-order", "parcel"))
+	close(returned)
+	status, _ := hand(t, r.Addr(), "gone", "job-order")
+	want(t, "status of a class that vanished", status, 400)
+}
+
+// Settings with too many classes are refused with a typed error, and those before stay in force.
+func TestReloadSettingsRefusesTooManyClasses(t *testing.T) {
+	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", make(chan *seen, 10)), "taller")), nil)
+	refused := retuned(t)
+	base := refused.Classes[0]
+	for i := range 2 * maxClasses {
+		class := base
+		class.Name, class.Worth = fmt.Sprint("class-", i), float64(i+1)
+		refused.Classes = append(refused.Classes, class)
+	}
+	if err := r.ReloadSettings(t.Context(), refused); !errors.Is(err, ErrTooManyClasses) {
+		t.Errorf("refused with %v", err)
+	}
+	status, _ := hand(t, r.Addr(), "new", "class-1")
+	want(t, "status of a class of the refused settings", status, 400)
+}
+
+// A reload ends with its context, and with the relay.
+func TestReloadSettingsEnds(t *testing.T) {
+	r := startRelay(t, newPlatform(t, at("s-1", fakeHost(t, "a", make(chan *seen, 10)), "taller")), nil)
+	busy, release := make(chan struct{}), make(chan struct{})
+	r.post(func() { close(busy); <-release })
+	wait(t, busy, "busy loop")
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- r.ReloadSettings(ctx, retuned(t)) }()
+	for len(r.inbox) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if err := wait(t, ended, "end"); !errors.Is(err, context.Canceled) {
+		t.Errorf("ends with %v", err)
+	}
+	close(release)
+}
+
 // A message of an earlier process keeps its effect, also if its class has another one, or does not exist, now.
 func TestRestoreKeepsEffects(t *testing.T) {
 	for name, c := range map[string]struct {
