Register a front's SIGTERM before anything else

Need: a SIGTERM between a front's start and its signal handler, some milliseconds, ended it by the signal instead of with code 0: seen in a soak whose waves of restarts overlapped (two of five fronts exited with -1). Change: the handler is registered before the settings are read. What comes before main runs is left.

--- a/cmd/larch-proxy/main.go
+++ b/cmd/larch-proxy/main.go
@@ -33,6 +33,8 @@
 const exitMarginDivisor = 32
 
 func (program) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt) // first, as SIGTERM may come any time
+	defer stop()
 	s, err := process.Load()
 	if err != nil {
 		return err
@@ -42,8 +44,6 @@
 	}
 	s.TuneRuntime()
 	signal.Ignore(syscall.SIGPIPE)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	ring := process.NewRingHandler(os.Stderr)
 	defer ring.DumpOn(syscall.SIGUSR1)()
 	return serve(ctx, s, slog.New(ring))
