--- a/internal/tier/tiertest/attempt.go
+++ b/internal/tier/tiertest/attempt.go
@@ -86,7 +86,7 @@
 func (r *programRun) attempt(a *Attempt, front *Machine, deadline time.Time, prompt string) (
 	dialFailed bool, retryAfter time.Duration,
 ) {
-	a.Front, a.Incarnation, a.Sent = front.Name, front.Incarnation(), time.Now()
+	a.Front, a.Incarnation, a.Sent, a.Deadline = front.Name, front.Incarnation(), time.Now(), deadline
 	defer func() { a.Ended = time.Now() }()
 	ctx, stop := context.WithDeadline(r.ctx, deadline)
 	defer stop()
--- a/internal/tier/tiertest/check.go
+++ b/internal/tier/tiertest/check.go
@@ -34,6 +34,7 @@
 	{"TWICE", checkTwice},
 	{"REFUSED", checkRefused},
 	{"LOST", checkLost},
+	{"LOST", checkLostByDrain},
 	{"DENIED", checkDenied},
 	{"BUDGET", checkBudget},
 	{"402", checkPrematureExhaustion},
--- a/internal/tier/tiertest/check_requests.go
+++ b/internal/tier/tiertest/check_requests.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"larchrouter/internal/standin/modelhost"
 )
@@ -134,6 +135,33 @@
 	}
 }
 
+// The bounds of checkLostByDrain.
+const (
+	drainCheckMargin   = time.Second            // past the grace period, up to which requests may have been sent
+	longRequestWindow  = 3 * time.Second        // after SIGTERM, in which requests may be sent that outlast the grace period
+	deadlineSlack      = 100 * time.Millisecond // before its deadline, from which a request may end without an answer
+	graceEndProportion = 6                      // of the grace period, whose last part is left to requests that outlast it
+)
+
+// checkLostByDrain checks LOST around the SIGTERM of a front: what it passed on to a host is answered completely, unless the
+// deadline is reached or the request was sent soon after the SIGTERM and outlasts the grace period.
+func checkLostByDrain(h *indexedHistory, report reportFunc) {
+	for _, t := range h.Terminations {
+		for _, a := range h.attemptByID {
+			after := a.Sent.Sub(t.At)
+			switch ended := a.Ended.Sub(t.At); {
+			case a.Front != t.Front || a.Incarnation != t.Incarnation || a.Complete || len(h.runsByAttempt[a.ID]) == 0:
+			case ended < 0 || after > h.GracePeriod+drainCheckMargin:
+			case !a.Deadline.IsZero() && a.Ended.After(a.Deadline.Add(-deadlineSlack)):
+			case after <= longRequestWindow && ended >= h.GracePeriod-h.GracePeriod/graceEndProportion:
+			default:
+				report("%s, sent to %s %v after its SIGTERM, ran and ended %v after it without a complete answer: %s",
+					a.ID, a.Front, after, ended, a.Err)
+			}
+		}
+	}
+}
+
 // checkDenied checks DENIED: the tier itself answers no valid request with a redirect or a client error, except 402, the
 // statuses of requests that were not executed, and 404 where a configuration has no route or for checkLost to judge.
 func checkDenied(h *indexedHistory, report reportFunc) {
--- a/internal/tier/tiertest/check_test.go
+++ b/internal/tier/tiertest/check_test.go
@@ -100,6 +100,49 @@
 	return h
 }
 
+// terminate adds a SIGTERM of the front at a time in ms, with a grace period in ms.
+func (h testHistory) terminate(ms, grace int) {
+	h.Terminations = append(h.Terminations, Termination{"front-1", 1, at(ms)})
+	h.GracePeriod = time.Duration(grace) * time.Millisecond
+}
+
+// addCut adds a call of a tool that a host ran and whose connection ended without an answer, with times in ms.
+func (h testHistory) addCut(attempt string, sent, ended int) {
+	h.addCompleted(attempt, NonIdempotent, ToolService, sent, "")
+	a := h.attempt(attempt)
+	a.Ended, a.Status, a.Complete, a.ResponseID, a.Seal, a.Body, a.Err = at(ended), 0, false, "", "", nil, "EOF"
+	h.run(attempt).Outcome = modelhost.Aborted
+}
+
+// A request around a SIGTERM may end without an answer when it outlasts the grace period, at its deadline, when no host has
+// it, at another process, or at another time.
+func TestDrainMayCut(t *testing.T) {
+	for name, plant := range map[string]func(h testHistory){
+		"outlasts the grace period": func(h testHistory) { h.addCut("a-10", 3900, 8000) },
+		"at its deadline": func(h testHistory) {
+			h.addCut("a-10", 5000, 7000)
+			h.attempt("a-10").Deadline = at(7010)
+		},
+		"no host has it": func(h testHistory) {
+			h.addCut("a-10", 7900, 8000)
+			h.dropRuns("a-10")
+		},
+		"another incarnation": func(h testHistory) {
+			h.addCut("a-10", 7900, 8000)
+			h.attempt("a-10").Incarnation = 2
+		},
+		"before the SIGTERM":     func(h testHistory) { h.addCut("a-10", 800, 900) },
+		"after the grace period": func(h testHistory) { h.addCut("a-10", 10100, 10200) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newTestHistory(t)
+			h.terminate(1000, 8000)
+			plant(h)
+			checkLostByDrain(indexHistory(h.History), func(format string, args ...any) { t.Errorf(format, args...) })
+		})
+	}
+}
+
 func TestNoViolationInCorrectHistory(t *testing.T) {
 	for _, violation := range Check(newTestHistory(t).History) {
 		t.Error(violation)
@@ -159,6 +202,18 @@
 			h.addUnexecuted("a-10", TurnPath, Streaming, 2000, http.StatusNotFound)
 			h.attempt("a-10").Previous = "a-8"
 		}},
+		{"a request that a draining front took late and cut", "LOST", checkLostByDrain, func(h testHistory) {
+			h.terminate(1000, 8000)
+			h.addCut("a-10", 7850, 8000)
+		}},
+		{"a request that a draining front took early and cut too early", "LOST", checkLostByDrain, func(h testHistory) {
+			h.terminate(1000, 8000)
+			h.addCut("a-10", 1100, 7000)
+		}},
+		{"a request from before the SIGTERM that is cut early", "LOST", checkLostByDrain, func(h testHistory) {
+			h.terminate(1000, 8000)
+			h.addCut("a-10", 900, 1100)
+		}},
 		{"a 400 for a valid request", "DENIED", checkDenied, func(h testHistory) {
 			h.addUnexecuted("a-10", ReadPath, Idempotent, 2000, http.StatusBadRequest)
 		}},
--- a/internal/tier/tiertest/eventlog.go
+++ b/internal/tier/tiertest/eventlog.go
@@ -15,6 +15,8 @@
 	attempts []Attempt
 	orders   []Order
 	results  []Result
+
+	terminations []Termination
 }
 
 func (l *EventLog) addAttempt(a Attempt) {
@@ -29,6 +31,12 @@
 	l.results = append(l.results, r)
 }
 
+func (l *EventLog) addTermination(t Termination) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.terminations = append(l.terminations, t)
+}
+
 // orderSent records an order that is about to be sent, and returns its number for orderAnswered.
 func (l *EventLog) orderSent(o Order) (number int) {
 	l.mu.Lock()
@@ -69,6 +77,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return &History{Attempts: slices.Clone(l.attempts), Runs: runs, Orders: slices.Clone(l.orders), Results: slices.Clone(l.results),
+		Terminations: slices.Clone(l.terminations), GracePeriod: gracePeriod,
 		EventTokens: EventTokens, ToolResponseBytes: ToolResponseBytes, Retention: Retention}
 }
 
--- a/internal/tier/tiertest/harness_test.go
+++ b/internal/tier/tiertest/harness_test.go
@@ -104,6 +104,12 @@
 }
 
 func startTestTier(t *testing.T, o Options) *testTier {
+	t.Helper()
+	return startTestTierWithEvents(t, o, eventInterval)
+}
+
+// startTestTierWithEvents starts a tier whose hosts' streams have this time between events.
+func startTestTierWithEvents(t *testing.T, o Options, eventInterval time.Duration) *testTier {
 	t.Helper()
 	var err error
 	o.Programs, err = buildPrograms()
@@ -222,10 +228,13 @@
 
 // startBackground runs programs one after the other, three at a time, until stop. Some are endless: they start sub-agents
 // again and again until their budget is exhausted.
-func (tt *testTier) startBackground() (stop func()) {
+func (tt *testTier) startBackground() (stop func()) { return tt.startBackgroundLanes(3) }
+
+// startBackgroundLanes runs background programs in a number of lanes.
+func (tt *testTier) startBackgroundLanes(lanes int) (stop func()) {
 	done := make(chan struct{})
 	var wg sync.WaitGroup
-	for lane := range 3 {
+	for lane := range lanes {
 		wg.Go(func() {
 			for n := 0; ; n++ {
 				select {
--- a/internal/tier/tiertest/history.go
+++ b/internal/tier/tiertest/history.go
@@ -37,15 +37,23 @@
 	Front        string // name of the machine that it was sent to
 	Incarnation  int    // of the front's process
 	Sent, Ended  time.Time
-	Status       int    // 0 for no answer
-	Complete     bool   // the answer's body was read to its end
-	ResponseID   string // X-Attempt-Id of the answer
-	Seal         string // X-Host-Seal of the answer: set by hosts alone
-	Body         []byte // as far as it was received
+	Deadline     time.Time // by X-Time-Left-Ms
+	Status       int       // 0 for no answer
+	Complete     bool      // the answer's body was read to its end
+	ResponseID   string    // X-Attempt-Id of the answer
+	Seal         string    // X-Host-Seal of the answer: set by hosts alone
+	Body         []byte    // as far as it was received
 	Events       []Event
 	Err          string
 }
 
+// Termination is a SIGTERM of a front.
+type Termination struct {
+	Front       string // name of the machine
+	Incarnation int    // of the front's process
+	At          time.Time
+}
+
 // Outcome is how a program ended.
 type Outcome int
 
@@ -70,8 +78,10 @@
 	Runs              []modelhost.Run // requests that hosts began to execute
 	Orders            []Order
 	Results           []Result
-	ReadBack          []byte // the configuration as read back at the end; nil if it was not read
-	EventTokens       int    // tokens in an event
+	Terminations      []Termination
+	GracePeriod       time.Duration // between SIGTERM and SIGKILL
+	ReadBack          []byte        // the configuration as read back at the end; nil if it was not read
+	EventTokens       int           // tokens in an event
 	ToolResponseBytes int
 	Retention         time.Duration // for which a completed turn can be continued
 }
--- a/internal/tier/tiertest/machine.go
+++ b/internal/tier/tiertest/machine.go
@@ -107,7 +107,12 @@
 func (m *Machine) Kill() { _, _ = m.stop(syscall.SIGKILL) }
 
 // Terminate asks its process to shut down gracefully, waits for its end, and returns its exit code.
-func (m *Machine) Terminate() (exitCode int, err error) { return m.stop(syscall.SIGTERM) }
+func (m *Machine) Terminate() (exitCode int, err error) {
+	if m.Class == Front {
+		m.tier.EventLog.addTermination(Termination{m.Name, m.Incarnation(), time.Now()})
+	}
+	return m.stop(syscall.SIGTERM)
+}
 
 // Signal sends a signal to its process, which must run.
 func (m *Machine) Signal(signal syscall.Signal) error {
