--- a/internal/tier/proxy/request.go
+++ b/internal/tier/proxy/request.go
@@ -134,7 +134,7 @@
 	if plan := r.server().drain.Load(); plan == nil || plan.takes(time.Now(), r.deadline) {
 		return true
 	}
-	r.respondError(http.StatusServiceUnavailable, drainRetryDelay(), "this relay is shutting down: come back, to another one")
+	r.respondError(http.StatusServiceUnavailable, drainRetryDelay(), "this front is shutting down: come back, to another one")
 	return false
 }
 
--- a/internal/tier/proxy/retry.go
+++ b/internal/tier/proxy/retry.go
@@ -221,7 +221,7 @@
 	case r.cancelledBy(clientGone):
 		r.client.abort()
 	case r.cancelledBy(drainExpired) && f.mayHaveRun:
-		r.respondError(http.StatusBadGateway, 0, "this relay is shutting down; the request may have run")
+		r.respondError(http.StatusBadGateway, 0, "this front is shutting down; the request may have run")
 	case !f.mayHaveRun:
 		r.respondError(http.StatusServiceUnavailable, max(retryAfter, minRetryAfter),
 			"no host has room: come back after Retry-After")
