--- a/internal/tier/balancer/balancer.go
+++ b/internal/tier/balancer/balancer.go
@@ -1,4 +1,4 @@
-// Package balancer is load balancing with prefix-cache affinity: it keeps what this relay knows of each incarnation of a
+// Package balancer is load balancing with prefix-cache affinity: it keeps what this front knows of each incarnation of a
 // host and picks one for a call.
 //
 // Policies. A generation (PickInfo.Generation) goes to the host at which a cost model expects the first event soonest. A
@@ -55,8 +55,8 @@
 
 // Balancer keeps the hosts of all services.
 type Balancer struct {
-	zone              string // of this relay
-	maxInFlight       int    // calls of this relay at once, at most
+	zone              string // of this front
+	maxInFlight       int    // calls of this front at once, at most
 	inFlight          int
 	seed              uint64 // state of random
 	byID              map[string]*Host
@@ -66,7 +66,7 @@
 	candidateBuffer   []*Host               // reused by candidates
 }
 
-// New returns a balancer without hosts for a relay in a zone. maxInFlight bounds the calls of the relay at once; seed
+// New returns a balancer without hosts for a front in a zone. maxInFlight bounds the calls of the front at once; seed
 // breaks ties between hosts.
 func New(zone string, maxInFlight int, seed uint64) *Balancer {
 	return &Balancer{zone: zone, maxInFlight: maxInFlight, seed: seed | 1, byID: map[string]*Host{},
@@ -126,7 +126,7 @@
 	return capacity, load
 }
 
-// InFlight returns the number of calls of this relay to the hosts of a service.
+// InFlight returns the number of calls of this front to the hosts of a service.
 func (b *Balancer) InFlight(service string) int { return b.inFlightByService[service] }
 
 // CallStarted counts a call that goes to a host.
--- a/internal/tier/balancer/costmodel.go
+++ b/internal/tier/balancer/costmodel.go
@@ -65,7 +65,7 @@
 	m.samples++
 }
 
-// prefillTokens returns how many tokens of the prompt a host has to prefill, as far as this relay knows.
+// prefillTokens returns how many tokens of the prompt a host has to prefill, as far as this front knows.
 func (m *costModel) prefillTokens(h *Host, generation *Generation, now time.Time) int {
 	if h.ID == generation.CacheHost {
 		return max(0, generation.PromptTokens-generation.CachedTokens)
@@ -96,7 +96,7 @@
 	}
 }
 
-// estimatedCalls estimates the calls at a host: those of this relay, and those of others, which move from the last report
+// estimatedCalls estimates the calls at a host: those of this front, and those of others, which move from the last report
 // towards the mean over all hosts with othersLoadHalfLife.
 func (h *Host) estimatedCalls(now time.Time, meanLoad float64) float64 {
 	weight := math.Exp2(-float64(now.Sub(h.reportedAt)) / float64(othersLoadHalfLife))
--- a/internal/tier/balancer/host.go
+++ b/internal/tier/balancer/host.go
@@ -30,12 +30,12 @@
 	closeAvoidTime = 2 * time.Second // after which it is tried again
 )
 
-// Host is one incarnation of a host as this relay sees it.
+// Host is one incarnation of a host as this front sees it.
 type Host struct {
 	discovery.Host
 	listed            bool      // on the last list
 	draining          bool      // by the last list
-	inFlight          int       // calls of this relay
+	inFlight          int       // calls of this front
 	othersLoad        float64   // calls of others, by the last report
 	reportedAt        time.Time // of othersLoad; zero if there was no report
 	fullUntil         time.Time // no call before, except to the host's own queue
@@ -48,13 +48,13 @@
 	warmAt            time.Time     // end of slow start
 }
 
-// InFlight returns the number of calls of this relay at the host.
+// InFlight returns the number of calls of this front at the host.
 func (h *Host) InFlight() int { return h.inFlight }
 
 // Usable reports whether the host list permits new calls to the host.
 func (h *Host) Usable() bool { return h.listed && !h.draining }
 
-// Load estimates the calls at the host: those of this relay, and those of others by the last report, which fades linearly
+// Load estimates the calls at the host: those of this front, and those of others by the last report, which fades linearly
 // over loadFadeTime.
 func (h *Host) Load(now time.Time) float64 {
 	load := float64(h.inFlight)
--- a/internal/tier/balancer/selection.go
+++ b/internal/tier/balancer/selection.go
@@ -90,7 +90,7 @@
 	return n < 2
 }
 
-// hasSlot reports whether a host has a slot for a call and the relay has one for the host. The bound on a host's share of
+// hasSlot reports whether a host has a slot for a call and the front has one for the host. The bound on a host's share of
 // maxInFlight does not apply to the only host of a service, nor to the first call at a host.
 func (b *Balancer) hasSlot(h *Host, info PickInfo, now time.Time, singleHost bool) bool {
 	capacity := h.effectiveCapacity(now)
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -36,7 +36,7 @@
 
 // Options configures a Server. Source, Ledger and NewOracle are required.
 type Options struct {
-	// Zone of this relay. Hosts in it are preferred.
+	// Zone of this front. Hosts in it are preferred.
 	Zone string
 
 	// Source has the configuration, the host list and the placement of the stores.
@@ -60,7 +60,7 @@
 	// MaxClientConns is the number of client connections, at most; more are closed unread. Default: 2000.
 	MaxClientConns int
 
-	// ConnLimitDivisor divides a service's conn_limit per host among the relays: this relay opens at most
+	// ConnLimitDivisor divides a service's conn_limit per host among the fronts: this front opens at most
 	// conn_limit / ConnLimitDivisor connections to a host, but at least 4. Default: 4.
 	ConnLimitDivisor int
 
@@ -122,7 +122,7 @@
 // draining reports whether the graceful shutdown has begun.
 func (s *Server) draining() bool { return s.drain.Load() != nil }
 
-// Ready reports whether this relay should get new connections: it is not draining and knows the configuration, the hosts
+// Ready reports whether this front should get new connections: it is not draining and knows the configuration, the hosts
 // and, if the configuration has retained routes, the placement of the stores.
 func (s *Server) Ready() bool {
 	t := s.options.Source.Tables()
--- a/internal/tier/proxy/slots.go
+++ b/internal/tier/proxy/slots.go
@@ -98,7 +98,7 @@
 		return endpoint, 0
 	}
 	capacity, _ := d.balancer.Capacity(info.Service, now)
-	if capacity == 0 { // no host is known: this relay has just started, or all hosts are down
+	if capacity == 0 { // no host is known: this front has just started, or all hosts are down
 		return nil, restartDelay()
 	}
 	return nil, admission.RetryAfter(params.latencyTarget, queue.Len(), capacity, rand.Float64())
