Split the stand-in host's call into admission, status and hanging

Need: one function of 85 lines under one lock and with two names for the wait. Behaviour as it was; go test -race of standin, rig and demo passed three times.

--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -201,10 +201,10 @@
 	}
 }
 
-// call treats one call, and tells whether the connection can be used further.
+// call serves one call and reports whether the connection can be used further.
 func (h *Host) call(c net.Conn, req *http.Request, body []byte, first, last time.Time) bool {
-	many := req.URL.Path == "/receive-many"
 	batch := []part{{req.Header.Get("X-Request-Id"), req.Header.Get("Idempotency-Key"), body}}
+	many := req.URL.Path == "/receive-many"
 	if many {
 		var err error
 		if batch, err = parts(body); err != nil {
@@ -213,54 +213,22 @@
 	} else if req.URL.Path != "/receive" || req.Method != http.MethodPost {
 		return answer(c, http.StatusNotFound, "", "")
 	}
-	h.mu.Lock()
-	how, changed := h.how, h.changed
-	wait := how.Wait
-	if s := last.Unix(); s != h.second {
-		h.second, h.count = s, 0
-	}
-	if how.PerSec > 0 && h.count >= how.PerSec {
-		how.Refuse, wait = true, max(time.Until(time.Unix(last.Unix()+1, 0)), time.Millisecond)
-	}
-	if !how.Refuse {
-		h.count++
-	}
-	if h.limit != nil && !how.Refuse {
-		ok, fell := h.limit.admit(last)
-		if ok {
-			defer h.leave()
-		} else {
-			how.Refuse, wait = true, h.limit.Wait
-		}
-		if fell {
-			h.wg.Go(h.fall)
-		}
-	}
-	h.mu.Unlock()
-	status := http.StatusOK
-	switch {
-	case how.Refuse && wait > 0:
-		status = http.StatusTooManyRequests
-	case how.Refuse:
-		status = http.StatusServiceUnavailable
-	case how.Fail:
-		status = http.StatusInternalServerError
-	case how.Hang, how.Break:
-		status = 0
-	}
+	how, changed, leave := h.admit(last)
+	defer leave()
+	status := how.status()
 	if status != http.StatusTooManyRequests {
-		wait = 0
+		how.Wait = 0
 	}
-	var told bytes.Buffer
+	var list bytes.Buffer
 	for _, p := range batch {
 		if !how.Refuse {
 			h.ledger.apply(p, h)
 		}
-		h.remember(Call{h.Name, p.id, p.key, first, last, status, !how.Refuse, wait})
-		fmt.Fprintf(&told, "%s ok\r\n", p.id)
+		h.remember(Call{h.Name, p.id, p.key, first, last, status, !how.Refuse, how.Wait})
+		fmt.Fprintf(&list, "%s ok\r\n", p.id)
 	}
 	if !many {
-		told.Reset()
+		list.Reset()
 	}
 	if how.Latency > 0 {
 		time.Sleep(how.Latency)
@@ -269,19 +237,68 @@
 	case how.Break:
 		return false
 	case how.Hang:
-		gone := make(chan struct{})
-		go func() { c.Read(make([]byte, 1)); close(gone) }() // the relay gives up, or the host closes
-		select {
-		case <-changed:
-		case <-gone:
-		}
+		hang(c, changed)
 		return false
 	}
 	retry := ""
 	if status == http.StatusTooManyRequests {
-		retry = strconv.FormatFloat(max(0.001, wait.Seconds()), 'f', 3, 64)
+		retry = strconv.FormatFloat(max(0.001, how.Wait.Seconds()), 'f', 3, 64)
+	}
+	return answer(c, status, retry, list.String())
+}
+
+// admit returns how a call that came at a time is treated, with the limits applied, and a channel that is closed when the
+// behaviour changes. The caller must call leave once the call has ended.
+func (h *Host) admit(at time.Time) (how Behaviour, changed <-chan struct{}, leave func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	how, leave = h.how, func() {}
+	if second := at.Unix(); second != h.second {
+		h.second, h.count = second, 0
+	}
+	if how.PerSec > 0 && h.count >= how.PerSec {
+		how.Refuse, how.Wait = true, max(time.Until(time.Unix(at.Unix()+1, 0)), time.Millisecond)
+	}
+	if !how.Refuse {
+		h.count++
+	}
+	if h.limit != nil && !how.Refuse {
+		ok, fell := h.limit.admit(at)
+		if ok {
+			leave = h.leave
+		} else {
+			how.Refuse, how.Wait = true, h.limit.Wait
+		}
+		if fell {
+			h.wg.Go(h.fall)
+		}
+	}
+	return how, h.changed, leave
+}
+
+// status returns the status that a call is answered with, 0 for none.
+func (b *Behaviour) status() int {
+	switch {
+	case b.Refuse && b.Wait > 0:
+		return http.StatusTooManyRequests
+	case b.Refuse:
+		return http.StatusServiceUnavailable
+	case b.Fail:
+		return http.StatusInternalServerError
+	case b.Hang, b.Break:
+		return 0
+	}
+	return http.StatusOK
+}
+
+// hang waits until the behaviour changes or the connection ends: the relay gives up, or the host closes.
+func hang(c net.Conn, changed <-chan struct{}) {
+	gone := make(chan struct{})
+	go func() { c.Read(make([]byte, 1)); close(gone) }()
+	select {
+	case <-changed:
+	case <-gone:
 	}
-	return answer(c, status, retry, told.String())
 }
 
 func (h *Host) remember(c Call) {
