--- a/internal/tier/proxy/proxy_test.go
+++ b/internal/tier/proxy/proxy_test.go
@@ -298,21 +298,32 @@
 {"name":"r3","host_name":"shop.example","path_prefix":"/stream/","route_kind":"streaming","deadline_ms":8000,"target_ms":400,"rank":0,"target_service":"plain","max_attempts":3,"gap_aim_ms":400},
 {"name":"r4","host_name":"shop.example","path_prefix":"/turn/","route_kind":"streaming","deadline_ms":8000,"target_ms":400,"rank":0,"target_service":"engine","max_attempts":2,"retained":true,"retain_s":60,"affinity":true,"gap_aim_ms":400},
 {"name":"r5","host_name":"shop.example","path_prefix":"/calm/high/","route_kind":"non_idempotent","deadline_ms":40000,"target_ms":40000,"rank":0,"target_service":"plain","max_attempts":1},
-{"name":"r6","host_name":"shop.example","path_prefix":"/calm/low/","route_kind":"non_idempotent","deadline_ms":40000,"target_ms":40000,"rank":1,"target_service":"plain","max_attempts":1}],
+{"name":"r6","host_name":"shop.example","path_prefix":"/calm/low/","route_kind":"non_idempotent","deadline_ms":40000,"target_ms":40000,"rank":1,"target_service":"plain","max_attempts":1},
+{"name":"r7","host_name":"shop.example","path_prefix":"/draft/","route_kind":"streaming","deadline_ms":8000,"target_ms":400,"rank":1,"target_service":"engine","max_attempts":2,"retained":false,"affinity":true,"resumable":true,"gap_aim_ms":400},
+{"name":"r8","host_name":"shop.example","path_prefix":"/chat/","route_kind":"streaming","deadline_ms":8000,"target_ms":400,"rank":1,"target_service":"engine","max_attempts":2,"affinity":true,"gap_aim_ms":400}],
 "service_table":[{"name":"plain","health_path":"/health","conn_limit":64,"protocol":"h1","tls_mode":false},
 {"name":"engine","health_path":"/health","conn_limit":64,"protocol":"h1","tls_mode":false,"backend":{"capacity":8,"cache_tokens":10000,"event_tokens":2,"model_list":[{"name":"m"}]}}],
 "limits":{"max_header_bytes":6000,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
 func newFront(t *testing.T, hosts ...*host) *front {
 	t.Helper()
-	f := &front{t: t, source: newSource(), ledger: &ledger{}, oracle: &oracle{}}
+	scripted := &ledger{}
+	f := newFrontWithLedger(t, scripted, hosts...)
+	f.ledger = scripted
+	return f
+}
+
+// newFrontWithLedger returns a front whose ledger is not scripted; its field ledger is nil.
+func newFrontWithLedger(t *testing.T, shared Ledger, hosts ...*host) *front {
+	t.Helper()
+	f := &front{t: t, source: newSource(), oracle: &oracle{}}
 	cfg, err := routing.Parse([]byte(testConfig))
 	if err != nil {
 		t.Fatal(err)
 	}
 	f.source.set(func(tb *feed.Tables) { tb.Config, tb.Placement = cfg, &turnstore.Placement{} })
 	f.setHosts(hosts...)
-	f.Server = New(Options{Zone: "z", Source: f.source, Ledger: f.ledger, Seed: 1, GracePeriod: 4 * time.Second,
+	f.Server = New(Options{Zone: "z", Source: f.source, Ledger: shared, Seed: 1, GracePeriod: 4 * time.Second,
 		NewOracle: func(time.Duration) balancer.Oracle { return f.oracle }})
 	f.addr, f.ready = serve(t, f.Server)
 	return f
