Count the tokens of every stream that names a budget, retained or not

Cause: serveStream opened a turn, and so asked the ledger, only on retained routes; on any other route Budget was passed on and never counted. Change: a stream is opened in the ledger if its route is retained or it names a budget; one that is not retained is settled at its end and names no previous turn. retainedTurn becomes openTurn.

--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -11,11 +11,11 @@
 
 const streamBufferSize = 4 << 10 // bytes of a stream that are passed on at once
 
-// serveStream serves a request whose response is an event stream; on a retained route it is a turn.
+// serveStream serves a request whose response is an event stream: a turn of a program, whose tokens count against the budget.
 func (r *request) serveStream() {
-	var turn retainedTurn
+	var turn openTurn
 	f := &forwarder{request: r, info: r.pickInfo()}
-	if r.route.Retained {
+	if r.needsLedger() {
 		if !r.openTurn(&turn) {
 			return
 		}
@@ -41,9 +41,9 @@
 	}
 }
 
-// relayStream relays an event stream. A turn is recorded before the end of its stream is passed on. A stream that breaks off
+// relayStream relays an event stream. A retained turn is recorded before the end of its stream is passed on. A stream that breaks off
 // ends with the connection, so that it does not look complete.
-func (r *request) relayStream(turn *retainedTurn, attempt *attempt, f *forwarder) {
+func (r *request) relayStream(turn *openTurn, attempt *attempt, f *forwarder) {
 	parser := &eventParser{keepOutput: r.route.Retained}
 	p := bufferPool.Get().(*[]byte)
 	out := r.appendResponseHead((*p)[:0], attempt.Response, -1)
@@ -61,7 +61,7 @@
 	}
 	parser.finish()
 	r.attemptSucceeded(attempt)
-	if r.route.Retained && !r.closeTurn(turn, attempt, parser) {
+	if !r.endTurn(turn, attempt, parser) {
 		r.client.abort()
 		return
 	}
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -15,15 +15,19 @@
 // openMargin is the time that the opening of a turn leaves for the host, at most half of the time that is left.
 const openMargin = 100 * time.Millisecond
 
-// retainedTurn is the turn of a request on a retained route. It is zero for other requests.
-type retainedTurn struct {
+// openTurn is the turn of a request in the Ledger. It is zero for requests that need none: see needsLedger.
+type openTurn struct {
 	program  string
 	opened   *turnstore.OpenedTurn
 	reserved bool // opened, and neither recorded nor settled
 }
 
+// needsLedger reports whether the turn is opened in the Ledger before it runs: if it is to be retained, and if its program has a
+// budget, which counts on every route.
+func (r *request) needsLedger() bool { return r.route.Retained || r.get("Budget") != "" }
+
 // openTurn opens the turn in the Ledger. If it returns false the client has its error response.
-func (r *request) openTurn(turn *retainedTurn) bool {
+func (r *request) openTurn(turn *openTurn) bool {
 	budget := Unlimited
 	if v := r.get("Budget"); v != "" {
 		n, err := strconv.Atoi(v)
@@ -35,12 +39,16 @@
 		budget = n
 	}
 	turn.program = cmp.Or(r.get("Program"), r.id)
+	previous := ""
+	if r.route.Retained {
+		previous = r.get("Previous")
+	}
 	ctx, stop := context.WithDeadline(r.server().ctx, r.deadline.Add(-min(openMargin, time.Until(r.deadline)/2)))
 	defer stop()
 	r.setCancelOpen(stop)
 	defer r.setCancelOpen(nil)
 	opened, err := r.server().options.Ledger.Open(ctx, turnstore.OpenRequest{Program: turn.program, Turn: r.id,
-		Previous: r.get("Previous"), MaxTokens: r.maxTokens, Budget: budget})
+		Previous: previous, MaxTokens: r.maxTokens, Budget: budget})
 	switch {
 	case err == nil:
 		turn.opened, turn.reserved = opened, true
@@ -72,16 +80,26 @@
 }
 
 // settleTurn commits the tokens of a turn that is not recorded.
-func (r *request) settleTurn(turn *retainedTurn, used int) {
+func (r *request) settleTurn(turn *openTurn, used int) {
 	if turn.reserved {
 		turn.reserved = false
 		r.server().options.Ledger.Settle(turn.program, r.id, used)
 	}
 }
 
+// endTurn ends a turn whose stream is complete. It reports whether the end of the stream may be passed on: for a retained turn,
+// once its record is durable.
+func (r *request) endTurn(turn *openTurn, attempt *attempt, parser *eventParser) bool {
+	if r.route.Retained {
+		return r.closeTurn(turn, attempt, parser)
+	}
+	r.settleTurn(turn, r.usedTokens(parser))
+	return true
+}
+
 // closeTurn records a turn before the end of its stream is passed on. It reports whether the record is durable; if not, the
 // tokens are settled.
-func (r *request) closeTurn(turn *retainedTurn, attempt *attempt, parser *eventParser) bool {
+func (r *request) closeTurn(turn *openTurn, attempt *attempt, parser *eventParser) bool {
 	used := r.usedTokens(parser)
 	record := turn.opened.Record(r.body, parser.output, used, r.route.Retain)
 	record.CacheHost, record.ContextTokens = attempt.endpoint.connections.ID, r.promptTokens+used
