Move the parser of event streams to a package of its own

Need: streams of several hosts are to be joined by a pure module, which reads events as the proxy does.

--- a/internal/tier/proxy/events.go
+++ b/internal/tier/eventstream/parser.go
@@ -1,9 +1,9 @@
-package proxy
+package eventstream
 
 import "bytes"
 
-// eventParser parses an event stream (text/event-stream) in pieces of any size. It counts the events with data.
-type eventParser struct {
+// Parser parses an event stream in pieces of any size. It counts the events with data.
+type Parser struct {
 	line       []byte // incomplete line
 	data       []byte // of the incomplete event
 	hasData    bool   // the incomplete event has a data field
@@ -13,8 +13,20 @@
 	keepOutput bool
 }
 
-// write parses the next bytes of the stream.
-func (p *eventParser) write(b []byte) {
+// NewParser returns a parser that keeps the output of the stream if keepOutput is set.
+func NewParser(keepOutput bool) *Parser { return &Parser{keepOutput: keepOutput} }
+
+// Count returns the number of complete events with data.
+func (p *Parser) Count() int { return p.count }
+
+// InEvent reports whether some bytes of an incomplete event came.
+func (p *Parser) InEvent() bool { return p.inEvent || len(p.line) > 0 }
+
+// Output returns the data of the complete events, each followed by a line feed; nil unless the parser keeps it.
+func (p *Parser) Output() []byte { return p.output }
+
+// Write parses the next bytes of the stream.
+func (p *Parser) Write(b []byte) {
 	for len(b) > 0 {
 		i := bytes.IndexByte(b, '\n')
 		if i < 0 {
@@ -33,7 +45,7 @@
 }
 
 // processLine processes a complete line without its end.
-func (p *eventParser) processLine(line []byte) {
+func (p *Parser) processLine(line []byte) {
 	if len(line) == 0 {
 		p.endEvent()
 		p.inEvent = false
@@ -52,7 +64,7 @@
 }
 
 // endEvent counts the event that has begun, if it has data.
-func (p *eventParser) endEvent() {
+func (p *Parser) endEvent() {
 	if !p.hasData {
 		return
 	}
@@ -62,8 +74,8 @@
 	p.data, p.hasData = p.data[:0], false
 }
 
-// finish processes the end of the stream, which ends a line and an event.
-func (p *eventParser) finish() {
+// Finish processes the end of the stream, which ends a line and an event.
+func (p *Parser) Finish() {
 	if len(p.line) > 0 {
 		p.processLine(bytes.TrimSuffix(p.line, []byte("\r")))
 		p.line = p.line[:0]
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"larchrouter/internal/tier/eventstream"
 	"larchrouter/internal/tier/upstream"
 )
 
@@ -44,7 +45,7 @@
 // relayStream relays an event stream. A retained turn is recorded before the end of its stream is passed on. A stream that breaks off
 // ends with the connection, so that it does not look complete.
 func (r *request) relayStream(turn *openTurn, attempt *attempt, f *forwarder) {
-	parser := &eventParser{keepOutput: r.route.Retained}
+	parser := eventstream.NewParser(r.route.Retained)
 	p := bufferPool.Get().(*[]byte)
 	out := r.appendResponseHead((*p)[:0], attempt.Response, -1)
 	defer func() { putBuffer(p, out) }()
@@ -59,7 +60,7 @@
 		}
 		return
 	}
-	parser.finish()
+	parser.Finish()
 	r.attemptSucceeded(attempt)
 	if !r.endTurn(turn, attempt, parser) {
 		r.client.abort()
@@ -73,13 +74,13 @@
 
 // copyEvents writes a stream to the client as it comes, ahead of it out, and parses its events. It returns the bytes that
 // are not written yet and whether any were. The error is upstream.ErrCancelled if the client does not take them.
-func (r *request) copyEvents(response *upstream.Response, parser *eventParser, out []byte) (
+func (r *request) copyEvents(response *upstream.Response, parser *eventstream.Parser, out []byte) (
 	left []byte, started bool, err error) {
 	var buffer [streamBufferSize]byte
 	for {
 		n, err := response.Read(buffer[:])
 		if n > 0 {
-			parser.write(buffer[:n])
+			parser.Write(buffer[:n])
 			out = appendChunk(out, buffer[:n])
 			started = true
 			_, writeErr := r.client.Write(out)
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"larchrouter/internal/tier/eventstream"
 	"larchrouter/internal/tier/turnstore"
 )
 
@@ -67,9 +68,9 @@
 
 // usedTokens returns how many tokens were passed on to the client: those of its events, of which one may be partial, at most
 // maxTokens.
-func (r *request) usedTokens(parser *eventParser) int {
-	n := parser.count
-	if parser.inEvent || len(parser.line) > 0 { // part of another event may have been passed on
+func (r *request) usedTokens(parser *eventstream.Parser) int {
+	n := parser.Count()
+	if parser.InEvent() { // part of another event may have been passed on
 		n++
 	}
 	n *= max(1, r.service.EventTokens)
@@ -89,7 +90,7 @@
 
 // endTurn ends a turn whose stream is complete. It reports whether the end of the stream may be passed on: for a retained turn,
 // once its record is durable.
-func (r *request) endTurn(turn *openTurn, attempt *attempt, parser *eventParser) bool {
+func (r *request) endTurn(turn *openTurn, attempt *attempt, parser *eventstream.Parser) bool {
 	if r.route.Retained {
 		return r.closeTurn(turn, attempt, parser)
 	}
@@ -99,9 +100,9 @@
 
 // closeTurn records a turn before the end of its stream is passed on. It reports whether the record is durable; if not, the
 // tokens are settled.
-func (r *request) closeTurn(turn *openTurn, attempt *attempt, parser *eventParser) bool {
+func (r *request) closeTurn(turn *openTurn, attempt *attempt, parser *eventstream.Parser) bool {
 	used := r.usedTokens(parser)
-	record := turn.opened.Record(r.body, parser.output, used, r.route.Retain)
+	record := turn.opened.Record(r.body, parser.Output(), used, r.route.Retain)
 	record.CacheHost, record.ContextTokens = attempt.endpoint.connections.ID, r.promptTokens+used
 	ctx, stop := context.WithDeadline(r.server().ctx, r.deadline)
 	defer stop()
