Continue a resumable stream that breaks off at another host within the same answer

Cause: resumable was read from the configuration and used nowhere; a stream that broke off, before or after its first event, was lost to the client's one retry. Change: streams of resumable routes are idempotent: before the first event they are retried, later another host goes on behind Last-Event-Id, with the version of the weights that gave the last event. eventstream.Splicer passes on complete events only and rejects what is no continuation; the answer keeps the head of the first host, and the budget counts what the client got. streaming.go is split: streamrelay.go relays and resumes.

--- a/internal/tier/proxy/retry.go
+++ b/internal/tier/proxy/retry.go
@@ -9,6 +9,7 @@
 
 	"larchrouter/internal/tier/admission"
 	"larchrouter/internal/tier/balancer"
+	"larchrouter/internal/tier/routing"
 	"larchrouter/internal/tier/upstream"
 )
 
@@ -31,8 +32,10 @@
 type forwarder struct {
 	request        *request
 	info           balancer.PickInfo
-	body           [][]byte      // of the request to the host
-	idempotent     bool          // the request may run more than once
+	header         http.Header   // of the request to the host
+	body           [][]byte      // the same
+	idempotent     bool          // the request may run more than once: it is of an idempotent route, or its stream is resumable
+	headSent       bool          // the client has the head of a response: an error can only end the connection
 	sentAttempts   int           // that reached a host with the complete request; bounded by the route's MaxAttempts
 	unsentAttempts int           // that did not; bounded by maxUnsentAttempts
 	lastTimeout    time.Duration // of the last attempt that could be restarted; 0 if there was none
@@ -94,7 +97,7 @@
 		observeFirstEvent = d.expectFirstEvent(endpoint, f.info.Generation)
 	}
 	attempt := &attempt{endpoint: endpoint, oracle: d.oracle(endpoint, r.route.Deadline), startedAt: time.Now()}
-	outgoing := &upstream.Request{Method: r.method, URI: r.uri, Host: r.host, ID: r.id, Header: r.header, Body: f.body,
+	outgoing := &upstream.Request{Method: r.method, URI: r.uri, Host: r.host, ID: r.id, Header: f.header, Body: f.body,
 		Deadline: r.deadline, PreferNewConn: !f.idempotent}
 	attempt.Result = r.newCall().Do(endpoint.connections, outgoing, f.attemptDeadline(attempt))
 	if attempt.Response != nil {
@@ -111,7 +114,8 @@
 // request.
 func (f *forwarder) attemptDeadline(attempt *attempt) time.Time {
 	r := f.request
-	if canRestart := f.idempotent && f.sentAttempts+1 < r.route.MaxAttempts; !canRestart {
+	canRestart := f.idempotent && r.route.Kind == routing.Idempotent && f.sentAttempts+1 < r.route.MaxAttempts
+	if !canRestart {
 		return r.deadline
 	}
 	left := r.deadline.Sub(attempt.startedAt)
@@ -189,7 +193,7 @@
 			f.respondFailure(0)
 		}
 		return true
-	case response.Status == http.StatusMisdirectedRequest && r.get("Expect-Version") == "":
+	case response.Status == http.StatusMisdirectedRequest && f.header.Get("Expect-Version") == "":
 		r.releaseSlot(attempt, balancer.Misdirected)
 	default:
 		r.releaseSlot(attempt, balancer.AtCapacity)
@@ -218,7 +222,7 @@
 func (f *forwarder) respondFailure(retryAfter time.Duration) {
 	r := f.request
 	switch {
-	case r.cancelledBy(clientGone):
+	case f.headSent || r.cancelledBy(clientGone):
 		r.client.abort()
 	case r.cancelledBy(drainExpired) && f.mayHaveRun:
 		r.respondError(http.StatusBadGateway, 0, "this front is shutting down; the request may have run")
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -6,16 +6,14 @@
 
 	"github.com/cockroachdb/errors"
 
-	"larchrouter/internal/tier/eventstream"
 	"larchrouter/internal/tier/upstream"
 )
 
-const streamBufferSize = 4 << 10 // bytes of a stream that are passed on at once
-
 // serveStream serves a request whose response is an event stream: a turn of a program, whose tokens count against the budget.
+// A resumable stream may run at several hosts, one after the other.
 func (r *request) serveStream() {
 	var turn openTurn
-	f := &forwarder{request: r, info: r.pickInfo()}
+	f := &forwarder{request: r, info: r.pickInfo(), header: r.header, idempotent: r.route.Resumable}
 	if r.needsLedger() {
 		if !r.openTurn(&turn) {
 			return
@@ -30,73 +28,55 @@
 	if len(r.body) > 0 {
 		f.body = append(f.body, r.body)
 	}
-	attempt := f.forward()
-	switch {
-	case attempt == nil:
-		r.settleTurn(&turn, 0)
-	case attempt.Response.Status != http.StatusOK:
-		r.relayNonStream(attempt, f)
-		r.settleTurn(&turn, 0)
-	default:
-		r.relayStream(&turn, attempt, f)
+	for done := false; !done; {
+		attempt := f.forward()
+		switch {
+		case attempt == nil:
+			r.settleTurn(&turn, 0)
+			done = true
+		case attempt.Response.Status != http.StatusOK:
+			if done = r.relayNonStream(attempt, f); done {
+				r.settleTurn(&turn, 0)
+			}
+		default:
+			done = r.relayStream(&turn, attempt, f)
+		}
 	}
 }
 
-// relayStream relays an event stream. A retained turn is recorded before the end of its stream is passed on. A stream that breaks off
-// ends with the connection, so that it does not look complete.
-func (r *request) relayStream(turn *openTurn, attempt *attempt, f *forwarder) {
-	parser := eventstream.NewParser(r.route.Retained)
+// relayStream relays an event stream. A retained turn is recorded before the end of its stream is passed on. A stream that breaks
+// off for good ends with the connection, so that it does not look complete. done is false if nothing was passed on and a retry may
+// follow.
+func (r *request) relayStream(turn *openTurn, attempt *attempt, f *forwarder) (done bool) {
+	s := newStreamRelay(r, f)
 	p := bufferPool.Get().(*[]byte)
-	out := r.appendResponseHead((*p)[:0], attempt.Response, -1)
-	defer func() { putBuffer(p, out) }()
-	out, started, err := r.copyEvents(attempt.Response, parser, out)
-	if err != nil {
-		r.streamFailed(attempt, err)
-		if r.settleTurn(turn, r.usedTokens(parser)); started {
-			r.client.abort()
-		} else {
-			f.mayHaveRun, f.lastErr = true, err
-			f.respondFailure(0)
-		}
-		return
+	s.out = r.appendResponseHead((*p)[:0], attempt.Response, -1)
+	defer func() { putBuffer(p, s.out) }()
+	last, err := s.relay(attempt)
+	switch {
+	case err == nil:
+	case s.started:
+		r.settleTurn(turn, r.usedTokens(s.parser))
+		r.client.abort()
+		return true
+	case f.idempotent && !errors.Is(err, upstream.ErrCancelled):
+		f.mayHaveRun, f.lastErr = true, err
+		return false
+	default:
+		r.settleTurn(turn, 0)
+		f.mayHaveRun, f.lastErr = true, err
+		f.respondFailure(0)
+		return true
 	}
-	parser.Finish()
-	r.attemptSucceeded(attempt)
-	if !r.endTurn(turn, attempt, parser) {
+	if !r.endTurn(turn, last, s.parser) {
 		r.client.abort()
-		return
+		return true
 	}
 	if r.method != http.MethodHead { // the response to HEAD ends with its head
-		out = append(out, lastChunk...)
-	}
-	r.writeFinal(out)
-}
-
-// copyEvents writes a stream to the client as it comes, ahead of it out, and parses its events. It returns the bytes that
-// are not written yet and whether any were. The error is upstream.ErrCancelled if the client does not take them.
-func (r *request) copyEvents(response *upstream.Response, parser *eventstream.Parser, out []byte) (
-	left []byte, started bool, err error) {
-	var buffer [streamBufferSize]byte
-	for {
-		n, err := response.Read(buffer[:])
-		if n > 0 {
-			parser.Write(buffer[:n])
-			out = appendChunk(out, buffer[:n])
-			started = true
-			_, writeErr := r.client.Write(out)
-			out = out[:0]
-			if writeErr != nil {
-				return out, started, upstream.ErrCancelled
-			}
-		}
-		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF):
-			return out, started, nil
-		default:
-			return out, started, err
-		}
+		s.out = append(s.out, lastChunk...)
 	}
+	r.writeFinal(s.out)
+	return true
 }
 
 // streamFailed ends an attempt whose stream broke off on either side.
@@ -109,17 +89,18 @@
 	r.attemptFailed(attempt, err)
 }
 
-// relayNonStream passes on a response that is no event stream, such as an error.
-func (r *request) relayNonStream(attempt *attempt, f *forwarder) {
+// relayNonStream passes on a response that is no event stream, such as an error. done is false if it broke off and a retry may
+// follow.
+func (r *request) relayNonStream(attempt *attempt, f *forwarder) (done bool) {
 	body, err := io.ReadAll(io.LimitReader(attempt.Response, maxBufferedBody+1))
 	if err == nil && len(body) > maxBufferedBody {
 		r.relayLong(attempt, body)
-		return
+		return true
 	}
 	if err != nil {
-		f.handleFailure(attempt, err)
-		return
+		return f.handleFailure(attempt, err)
 	}
 	r.attemptSucceeded(attempt)
 	r.respondBuffered(attempt.Response, body)
+	return true
 }
