Log whether the last call of a lost request went out on a used connection

Change: the line of a lost request has the time of its last call, whether its connection was reused and whether any byte came back.

--- a/internal/tier/proxy/losslog.go
+++ b/internal/tier/proxy/losslog.go
@@ -88,7 +88,8 @@
 	}
 	p := &r.phases
 	r.server().options.Log.Info("request lost", "cause", cause, "kind", r.route.Kind, "route", r.route.Name, "service", r.service.Name,
-		"host", p.host, "status", status, "ms", time.Since(r.arrivedAt).Milliseconds(), "attempts", p.attempts, "omitted", omitted)
+		"host", p.host, "status", status, "ms", time.Since(r.arrivedAt).Milliseconds(), "call", p.calledFor.Milliseconds(),
+		"reused", p.reused, "answered", p.answered, "attempts", p.attempts, "omitted", omitted)
 }
 
 // phases are the times that a request took until the first byte of its response.
@@ -99,12 +100,15 @@
 	calledFor time.Duration // in the last attempt
 	attempts  int
 	host      string // of the last attempt; empty for none
+	reused    bool   // it went out on a connection that was used before
+	answered  bool   // some byte of a response came
 }
 
 // attempted records the end of a call to a host.
-func (p *phases) attempted(host string, took time.Duration) {
+func (p *phases) attempted(a *attempt) {
 	p.triedFor += p.calledFor
-	p.calledFor, p.host = took, host
+	p.calledFor, p.host = time.Since(a.startedAt), a.endpoint.connections.ID
+	p.reused, p.answered = a.ConnReused, a.ResponseStarted
 	p.attempts++
 }
 
--- a/internal/tier/proxy/retry.go
+++ b/internal/tier/proxy/retry.go
@@ -103,7 +103,7 @@
 	outgoing := &upstream.Request{Method: r.method, URI: r.uri, Host: r.host, ID: r.id, Header: f.header, Body: f.body,
 		Deadline: r.deadline, PreferNewConn: !f.idempotent}
 	attempt.Result = r.newCall().Do(endpoint.connections, outgoing, f.attemptDeadline(attempt))
-	r.phases.attempted(endpoint.connections.ID, time.Since(attempt.startedAt))
+	r.phases.attempted(attempt)
 	if attempt.Response != nil {
 		if observeFirstEvent != nil && attempt.Response.Status == http.StatusOK {
 			observeFirstEvent(time.Since(attempt.startedAt))
