Give the balancer its parameters in one documented and checked struct

Change: the constants of balancer become the fields of Params, with meaning, unit, default and Check; New takes the defaults, NewWithParams others, proxy.Options.Balancing hands them in.

--- a/internal/tier/balancer/balancer.go
+++ b/internal/tier/balancer/balancer.go
@@ -39,7 +39,7 @@
 const (
 	// Success is a complete response. It ends an ejection.
 	Success Outcome = iota
-	// AtCapacity is a rejection by the host, which has not run the call. The host gets no call for fullBackoff.
+	// AtCapacity is a rejection by the host, which has not run the call. The host gets no call for LoadParams.FullBackoff.
 	AtCapacity
 	// ConnectFailed is a connection that was refused or timed out. The first ejects the host.
 	ConnectFailed
@@ -47,7 +47,7 @@
 	ResponseBroken
 	// TimedOut is a call that was cut before the first byte of a response. The third in a row ejects the host.
 	TimedOut
-	// Misdirected is a 421 response: another host has the address. It ejects the host for misdirectedEjection.
+	// Misdirected is a 421 response: another host has the address. It ejects the host for EjectionParams.Misdirected.
 	Misdirected
 	// Inconclusive is a call whose end says nothing about the host, such as one that was cancelled.
 	Inconclusive
@@ -55,6 +55,7 @@
 
 // Balancer keeps the hosts of all services.
 type Balancer struct {
+	params            Params
 	zone              string // of this front
 	maxInFlight       int    // calls of this front at once, at most
 	inFlight          int
@@ -67,9 +68,14 @@
 }
 
 // New returns a balancer without hosts for a front in a zone. maxInFlight bounds the calls of the front at once; seed
-// breaks ties between hosts.
+// breaks ties between hosts. The parameters are DefaultParams.
 func New(zone string, maxInFlight int, seed uint64) *Balancer {
-	return &Balancer{zone: zone, maxInFlight: maxInFlight, seed: seed | 1, byID: map[string]*Host{},
+	return NewWithParams(zone, maxInFlight, seed, DefaultParams())
+}
+
+// NewWithParams is New with parameters, which must pass Params.Check.
+func NewWithParams(zone string, maxInFlight int, seed uint64, params Params) *Balancer {
+	return &Balancer{params: params, zone: zone, maxInFlight: maxInFlight, seed: seed | 1, byID: map[string]*Host{},
 		services: map[string][]*Host{}, inFlightByService: map[string]int{}, costModels: map[string]*costModel{}}
 }
 
@@ -81,7 +87,7 @@
 		seen[listed.ID] = true
 		host := b.byID[listed.ID]
 		if host == nil {
-			host = &Host{warmup: time.Duration(listed.WarmupMs) * time.Millisecond}
+			host = &Host{params: &b.params, warmup: time.Duration(listed.WarmupMs) * time.Millisecond}
 			host.warmAt = now.Add(host.warmup)
 			b.byID[listed.ID] = host
 		}
@@ -146,16 +152,16 @@
 		h.failures = 0
 		h.ejectedUntil = time.Time{}
 	case AtCapacity:
-		h.fullUntil = now.Add(fullBackoff)
+		h.fullUntil = now.Add(b.params.Load.FullBackoff)
 		h.othersLoad, h.reportedAt = max(h.othersLoad, h.effectiveCapacity(now)-float64(h.inFlight)), now
 	case ConnectFailed:
-		h.recordFailure(now, connectFailedThreshold)
+		h.recordFailure(now, b.params.Ejection.ConnectFailed)
 	case ResponseBroken:
-		h.recordFailure(now, responseBrokenThreshold)
+		h.recordFailure(now, b.params.Ejection.ResponseBroken)
 	case TimedOut:
-		h.recordFailure(now, timedOutThreshold)
+		h.recordFailure(now, b.params.Ejection.TimedOut)
 	case Misdirected:
-		h.ejectedUntil = now.Add(misdirectedEjection)
+		h.ejectedUntil = now.Add(b.params.Ejection.Misdirected)
 	}
 	if !h.listed && h.inFlight == 0 {
 		delete(b.byID, h.ID)
@@ -170,13 +176,13 @@
 }
 
 // ObserveClose records whether a response of a host closed its connection. A host in graceful shutdown closes with every
-// response, others now and then: after closeThreshold in a row the host is avoided before the list says that it drains.
+// response, others now and then: after EjectionParams.Closes in a row the host is avoided before the list says that it drains.
 func (b *Balancer) ObserveClose(h *Host, closed bool, now time.Time) {
 	if !closed {
 		h.consecutiveCloses = 0
 		return
 	}
-	if h.consecutiveCloses++; h.consecutiveCloses >= closeThreshold {
-		h.avoidUntil = now.Add(closeAvoidTime)
+	if h.consecutiveCloses++; h.consecutiveCloses >= b.params.Ejection.Closes {
+		h.avoidUntil = now.Add(b.params.Ejection.CloseAvoidance)
 	}
 }
--- a/internal/tier/balancer/balancer_test.go
+++ b/internal/tier/balancer/balancer_test.go
@@ -59,7 +59,7 @@
 					Program: rapid.SampledFrom([]string{"", "p", "q"}).Draw(t, "program")}
 				h := b.Pick(info, now)
 				free := slices.ContainsFunc(b.services["a"], func(h *Host) bool {
-					return h.Usable() && !now.Before(h.ejectedUntil) && !now.Before(h.avoidUntil) && !now.Before(h.fullUntil) && h.Load(now) < h.effectiveCapacity(now) && float64(h.inFlight)+1 < contendedHostShare*maxInFlight
+					return h.Usable() && !now.Before(h.ejectedUntil) && !now.Before(h.avoidUntil) && !now.Before(h.fullUntil) && h.Load(now) < h.effectiveCapacity(now) && float64(h.inFlight)+1 < DefaultParams().Selection.ContendedHostShare*maxInFlight
 				})
 				if h == nil {
 					if free && total < maxInFlight {
@@ -71,7 +71,7 @@
 				if i < 0 || hosts[i].Phase != discovery.Ready {
 					t.Fatalf("the call goes to %s, which is draining or unlisted", h.ID)
 				}
-				if capacity := h.effectiveCapacity(now); !info.AllowHostQueue && h.Load(now) >= capacity || h.Load(now) >= capacity+max(1, hostQueueShare*capacity) {
+				if capacity := h.effectiveCapacity(now); !info.AllowHostQueue && h.Load(now) >= capacity || h.Load(now) >= capacity+max(1, DefaultParams().Selection.HostQueueShare*capacity) {
 					t.Fatalf("the call goes to %s, which has no capacity", h.ID)
 				}
 				b.CallStarted(h)
--- a/internal/tier/balancer/costmodel.go
+++ b/internal/tier/balancer/costmodel.go
@@ -5,21 +5,6 @@
 	"time"
 )
 
-const (
-	initialBaseMs      = 60.0 // before the first observation
-	initialPerCallMs   = 8.0
-	initialPerTokenMs  = 0.03
-	learningRate       = 0.05
-	maxResidualMs      = 300.0            // bounds the effect of one observation, such as a stall
-	minPerCallMs       = 0.5              // a host with more calls is never the better one for it
-	minPerTokenMs      = 0.001            // nor one with less of the prompt in its cache
-	sharedPrefixTTL    = 20 * time.Second // a shared prefix that was sent to a host is taken to be in its cache for so long
-	maxSharedPrefixes  = 256              // of a host, from which on old ones are dropped
-	otherZoneMs        = 15.0             // cost of a host in another zone: traffic between zones is paid for
-	othersLoadHalfLife = 1500 * time.Millisecond
-	jitterCalls        = 1.0 // random calls added to each host, so that relays with the same view choose differently
-)
-
 // Generation is the work that a call is for an engine: prefill of its prompt, then decode. Counts are in tokens.
 type Generation struct {
 	// PromptTokens is the length of the prompt: what a host without any of it in its prefix cache has to prefill.
@@ -40,13 +25,14 @@
 //
 // It learns the three by least squares with normalized gradient steps, so that old observations fade.
 type costModel struct {
+	params                        *CostParams
 	baseMs, perCallMs, perTokenMs float64
 	samples                       int                             // observations so far
 	sharedPrefixSent              map[string]map[string]time.Time // by host id and shared prefix: when it was sent there last
 }
 
-func newCostModel() *costModel {
-	return &costModel{baseMs: initialBaseMs, perCallMs: initialPerCallMs, perTokenMs: initialPerTokenMs,
+func newCostModel(params *CostParams) *costModel {
+	return &costModel{params: params, baseMs: params.InitialBaseMs, perCallMs: params.InitialPerCallMs, perTokenMs: params.InitialPerTokenMs,
 		sharedPrefixSent: map[string]map[string]time.Time{}}
 }
 
@@ -56,12 +42,12 @@
 	scaledCalls, scaledTokens := calls/10, float64(tokens)/1000
 	predicted := m.baseMs + m.perCallMs*calls + m.perTokenMs*float64(tokens)
 	residual := ms - predicted
-	residual = max(-maxResidualMs, min(maxResidualMs, residual))
+	residual = max(-m.params.MaxResidualMs, min(m.params.MaxResidualMs, residual))
 	norm := 1 + scaledCalls*scaledCalls + scaledTokens*scaledTokens
-	step := learningRate * residual / norm
+	step := m.params.LearningRate * residual / norm
 	m.baseMs = max(0, m.baseMs+step)
-	m.perCallMs = max(minPerCallMs, m.perCallMs+step*scaledCalls/10)
-	m.perTokenMs = max(minPerTokenMs, m.perTokenMs+step*scaledTokens/1000)
+	m.perCallMs = max(m.params.MinPerCallMs, m.perCallMs+step*scaledCalls/10)
+	m.perTokenMs = max(m.params.MinPerTokenMs, m.perTokenMs+step*scaledTokens/1000)
 	m.samples++
 }
 
@@ -70,7 +56,7 @@
 	if h.ID == generation.CacheHost {
 		return max(0, generation.PromptTokens-generation.CachedTokens)
 	}
-	if sentAt, ok := m.sharedPrefixSent[h.ID][generation.SharedPrefix]; ok && now.Sub(sentAt) < sharedPrefixTTL {
+	if sentAt, ok := m.sharedPrefixSent[h.ID][generation.SharedPrefix]; ok && now.Sub(sentAt) < m.params.SharedPrefixTTL {
 		return max(0, generation.PromptTokens-generation.SharedTokens)
 	}
 	return generation.PromptTokens
@@ -87,9 +73,9 @@
 		m.sharedPrefixSent[h.ID] = sentAt
 	}
 	sentAt[generation.SharedPrefix] = now
-	if len(sentAt) > maxSharedPrefixes {
+	if len(sentAt) > m.params.MaxSharedPrefixes {
 		for prefix, at := range sentAt {
-			if now.Sub(at) >= sharedPrefixTTL {
+			if now.Sub(at) >= m.params.SharedPrefixTTL {
 				delete(sentAt, prefix)
 			}
 		}
@@ -97,9 +83,9 @@
 }
 
 // estimatedCalls estimates the calls at a host: those of this front, and those of others, which move from the last report
-// towards the mean over all hosts with othersLoadHalfLife.
+// towards the mean over all hosts with OthersLoadHalfLife.
 func (h *Host) estimatedCalls(now time.Time, meanLoad float64) float64 {
-	weight := math.Exp2(-float64(now.Sub(h.reportedAt)) / float64(othersLoadHalfLife))
+	weight := math.Exp2(-float64(now.Sub(h.reportedAt)) / float64(h.params.Cost.OthersLoadHalfLife))
 	if h.reportedAt.IsZero() {
 		weight = 0
 	}
@@ -118,18 +104,18 @@
 	return sum / float64(max(1, n))
 }
 
-// pickCheapest returns the host with the lowest predicted time to the first event, plus otherZoneMs in other zones.
+// pickCheapest returns the host with the lowest predicted time to the first event, plus OtherZoneMs in other zones.
 func (b *Balancer) pickCheapest(candidates []*Host, info PickInfo, now time.Time) *Host {
 	model := b.costModelOf(info.Service)
 	meanLoad := b.meanOthersLoad(info.Service)
 	var best *Host
 	lowest := math.Inf(1)
 	for _, h := range candidates {
-		jitter := jitterCalls * float64(b.random()%1024) / 1024
+		jitter := b.params.Cost.JitterCalls * float64(b.random()%1024) / 1024
 		prefill := float64(model.prefillTokens(h, info.Generation, now))
 		cost := model.perCallMs*(h.estimatedCalls(now, meanLoad)+jitter) + model.perTokenMs*prefill
 		if h.Zone != b.zone {
-			cost += otherZoneMs
+			cost += b.params.Cost.OtherZoneMs
 		}
 		if cost < lowest {
 			best, lowest = h, cost
@@ -141,7 +127,7 @@
 // costModelOf returns the cost model of a service.
 func (b *Balancer) costModelOf(service string) *costModel {
 	if b.costModels[service] == nil {
-		b.costModels[service] = newCostModel()
+		b.costModels[service] = newCostModel(&b.params.Cost)
 	}
 	return b.costModels[service]
 }
--- a/internal/tier/balancer/costmodel_test.go
+++ b/internal/tier/balancer/costmodel_test.go
@@ -9,6 +9,8 @@
 	"larchrouter/internal/tier/discovery"
 )
 
+var testParams = DefaultParams()
+
 // newEngineBalancer returns a balancer in zone z with hosts a, b, c, ..., of which the last is in another zone.
 func newEngineBalancer(n int) *Balancer {
 	b := New("z", 1000, 5)
@@ -99,7 +101,7 @@
 	for _, one := range []struct{ base, call, token float64 }{{40, 20, 0.01}, {90, 3, 0.1}, {60, 8, 0.03}} {
 		seed := rand.Uint64()
 		r := rand.New(rand.NewPCG(seed, 1))
-		model := newCostModel()
+		model := newCostModel(&testParams.Cost)
 		for range 3000 {
 			calls, tokens := float64(r.IntN(30)), r.IntN(5000)
 			ms := one.base + one.call*calls + one.token*float64(tokens) + r.NormFloat64()*10
@@ -113,16 +115,16 @@
 }
 
 func TestCostModelBoundsOneObservation(t *testing.T) {
-	model := newCostModel()
+	model := newCostModel(&testParams.Cost)
 	before := model.perCallMs
 	model.observe(30*time.Second, 20, 1000)
-	if model.perCallMs > before*1.5 || model.perTokenMs > initialPerTokenMs*1.5 {
+	if model.perCallMs > before*1.5 || model.perTokenMs > testParams.Cost.InitialPerTokenMs*1.5 {
 		t.Fatalf("%+v after one call of 30 s", model)
 	}
 	for range 1000 {
 		model.observe(0, 20, 4000)
 	}
-	if model.perCallMs < minPerCallMs || model.perTokenMs < minPerTokenMs {
+	if model.perCallMs < testParams.Cost.MinPerCallMs || model.perTokenMs < testParams.Cost.MinPerTokenMs {
 		t.Fatalf("%+v: other calls or prefill cost nothing", model)
 	}
 }
--- a/internal/tier/balancer/host.go
+++ b/internal/tier/balancer/host.go
@@ -6,33 +6,10 @@
 	"larchrouter/internal/tier/discovery"
 )
 
-// Load and slow start.
-const (
-	loadFadeTime       = 2 * time.Second       // over which a reported load fades to none
-	fullBackoff        = 40 * time.Millisecond // without calls after AtCapacity
-	slowStartReduction = 0.5                   // of its capacity that a host lacks when it has just started
-)
-
-// Outlier ejection.
-const (
-	minEjection             = 250 * time.Millisecond // doubled with each further failure in a row
-	maxEjection             = 4 * time.Second
-	misdirectedEjection     = 5 * time.Second
-	connectFailedThreshold  = 1 // failures in a row from which on the outcome ejects
-	responseBrokenThreshold = 2
-	timedOutThreshold       = 3
-	failureMemory           = 10 * time.Second // failures further apart are not in a row
-)
-
-// Graceful shutdown as seen from responses.
-const (
-	closeThreshold = 2               // responses in a row that close their connection, from which on a host is avoided
-	closeAvoidTime = 2 * time.Second // after which it is tried again
-)
-
 // Host is one incarnation of a host as this front sees it.
 type Host struct {
 	discovery.Host
+	params            *Params
 	listed            bool      // on the last list
 	draining          bool      // by the last list
 	inFlight          int       // calls of this front
@@ -55,11 +32,11 @@
 func (h *Host) Usable() bool { return h.listed && !h.draining }
 
 // Load estimates the calls at the host: those of this front, and those of others by the last report, which fades linearly
-// over loadFadeTime.
+// over LoadParams.FadeTime.
 func (h *Host) Load(now time.Time) float64 {
-	load := float64(h.inFlight)
-	if age := now.Sub(h.reportedAt); h.othersLoad > 0 && age < loadFadeTime {
-		load += h.othersLoad * (1 - float64(age)/float64(loadFadeTime))
+	load, fade := float64(h.inFlight), h.params.Load.FadeTime
+	if age := now.Sub(h.reportedAt); h.othersLoad > 0 && age < fade {
+		load += h.othersLoad * (1 - float64(age)/float64(fade))
 	}
 	return load
 }
@@ -68,7 +45,7 @@
 func (h *Host) effectiveCapacity(now time.Time) float64 {
 	capacity := float64(max(1, h.Capacity))
 	if left := h.warmAt.Sub(now); left > 0 && h.warmup > 0 {
-		capacity = max(1, capacity*(1-slowStartReduction*float64(left)/float64(h.warmup)))
+		capacity = max(1, capacity*(1-h.params.Load.SlowStartReduction*float64(left)/float64(h.warmup)))
 	}
 	return capacity
 }
@@ -76,13 +53,14 @@
 // recordFailure counts a failure and ejects the host if it has threshold failures or more in a row, with exponential
 // backoff. An ejection never ends earlier than the one before.
 func (h *Host) recordFailure(now time.Time, threshold int) {
-	if now.Sub(h.lastFailureAt) > failureMemory {
+	if now.Sub(h.lastFailureAt) > h.params.Ejection.FailureMemory {
 		h.failures = 0
 	}
 	h.failures++
 	h.lastFailureAt = now
+	params := &h.params.Ejection
 	if excess := h.failures - threshold; excess >= 0 {
-		if until := now.Add(min(maxEjection, minEjection<<min(excess, 8))); until.After(h.ejectedUntil) {
+		if until := now.Add(min(params.Max, params.Min<<min(excess, 8))); until.After(h.ejectedUntil) {
 			h.ejectedUntil = until
 		}
 	}
--- a/internal/tier/balancer/selection.go
+++ b/internal/tier/balancer/selection.go
@@ -9,17 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	otherZonePenalty   = 0.1 // of utilization, for a host in another zone
-	affinityMaxLoad    = 0.7 // of its capacity up to which a host gets calls by affinity
-	affinityLoadFactor = 1.5 // times the mean load up to which it does
-	affinityMinBound   = 6.0 // calls up to which it does whatever the mean load
-	hostQueueShare     = 0.25
-	// Shares of maxInFlight that one of several hosts may have.
-	maxHostShare       = 3.0 / 4
-	contendedHostShare = 1.0 / 2 // while other calls are queued
-)
-
 // PickInfo describes the call for which a host is picked.
 type PickInfo struct {
 	Service string
@@ -36,7 +25,7 @@
 	Tried []string
 	// Generation is the work of a generation; nil for other calls.
 	Generation *Generation
-	// AllowHostQueue lets the call go to the host's own queue: up to hostQueueShare beyond its slots, at least one.
+	// AllowHostQueue lets the call go to the host's own queue: up to HostQueueShare beyond its slots, at least one.
 	AllowHostQueue bool
 	// Contended reports whether other calls are queued for a slot.
 	Contended bool
@@ -94,8 +83,8 @@
 // maxInFlight does not apply to the only host of a service, nor to the first call at a host.
 func (b *Balancer) hasSlot(h *Host, info PickInfo, now time.Time, singleHost bool) bool {
 	capacity := h.effectiveCapacity(now)
-	if info.AllowHostQueue {
-		capacity += max(1, hostQueueShare*capacity)
+	if info.AllowHostQueue && b.params.Selection.HostQueueShare >= 0 {
+		capacity += max(1, b.params.Selection.HostQueueShare*capacity)
 	}
 	if h.Load(now) >= capacity || now.Before(h.fullUntil) && !info.AllowHostQueue {
 		return false
@@ -105,14 +94,15 @@
 	case singleHost || callsWithThis <= 1:
 		return true
 	case info.Contended:
-		return callsWithThis <= contendedHostShare*float64(b.maxInFlight)
+		return callsWithThis <= b.params.Selection.ContendedHostShare*float64(b.maxInFlight)
 	}
-	return callsWithThis < maxHostShare*float64(b.maxInFlight)
+	return callsWithThis < b.params.Selection.MaxHostShare*float64(b.maxInFlight)
 }
 
 // pickByAffinity is bounded-load rendezvous hashing: it returns the host with the highest score for the key among those
 // below their load bound, own zone first, or nil if all are at their bound.
 func (b *Balancer) pickByAffinity(candidates []*Host, key string, now time.Time) *Host {
+	params := &b.params.Selection
 	totalLoad, capacity := 0.0, 0.0
 	for _, h := range candidates {
 		totalLoad += h.Load(now)
@@ -121,8 +111,8 @@
 	var best *Host
 	bestSameZone, bestScore := false, uint64(0)
 	for _, h := range candidates {
-		byMeanLoad := affinityLoadFactor * (totalLoad + 1) * h.effectiveCapacity(now) / capacity
-		bound := min(affinityMaxLoad*h.effectiveCapacity(now), max(affinityMinBound, byMeanLoad))
+		byMeanLoad := params.AffinityLoadFactor * (totalLoad + 1) * h.effectiveCapacity(now) / capacity
+		bound := min(params.AffinityMaxLoad*h.effectiveCapacity(now), max(params.AffinityMinBound, byMeanLoad))
 		if h.Load(now) >= bound {
 			continue
 		}
@@ -144,7 +134,7 @@
 	return digest.Sum64()
 }
 
-// pickLeastLoaded returns the host with the lowest utilization, with otherZonePenalty for hosts in other zones. Ties are
+// pickLeastLoaded returns the host with the lowest utilization, with OtherZonePenalty for hosts in other zones. Ties are
 // broken at random.
 func (b *Balancer) pickLeastLoaded(candidates []*Host, now time.Time) *Host {
 	var best *Host
@@ -152,7 +142,7 @@
 	for _, h := range candidates {
 		utilization := (h.Load(now) + 1) / h.effectiveCapacity(now)
 		if h.Zone != b.zone {
-			utilization += otherZonePenalty
+			utilization += b.params.Selection.OtherZonePenalty
 		}
 		switch {
 		case utilization < lowest-1e-9:
--- a/internal/tier/proxy/dispatcher.go
+++ b/internal/tier/proxy/dispatcher.go
@@ -47,7 +47,7 @@
 
 func newDispatcher(o Options) *dispatcher {
 	return &dispatcher{connLimitDivisor: o.ConnLimitDivisor, newOracle: o.NewOracle, dial: o.Dial,
-		balancer: balancer.New(o.Zone, o.MaxInFlight, o.Seed), endpoints: map[string]*endpoint{},
+		balancer: balancer.NewWithParams(o.Zone, o.MaxInFlight, o.Seed, o.Balancing), endpoints: map[string]*endpoint{},
 		latencies: map[endpointKey]*latencyTables{}, queues: map[string]*admission.Queue{}}
 }
 
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -67,6 +67,9 @@
 	// Seed breaks ties between hosts.
 	Seed uint64
 
+	// Balancing has the parameters of load balancing; they must pass Params.Check. Default: balancer.DefaultParams.
+	Balancing balancer.Params
+
 	// Dial connects to hosts. Default: TCP.
 	Dial upstream.Dial
 }
@@ -82,6 +85,9 @@
 	if o.ConnLimitDivisor <= 0 {
 		o.ConnLimitDivisor = 4
 	}
+	if o.Balancing == (balancer.Params{}) {
+		o.Balancing = balancer.DefaultParams()
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
