Eject failing hosts for the whole fleet by reports of fronts and verdicts on the feed

Cause: each of 69 fronts learnt of a bad host alone, from some 0.3 requests a second that it sends there. Change: fronts report failures of hosts to the core (a call of its own, best effort, paced); the head's hosthealth.Tracker ejects a host that two fronts report, for a term that doubles with each relapse, then puts it on probation, in which all fronts report what they see and a sound host is not ejected by those that are cut off from it; at most a third of a service's hosts at a time. Verdicts are phases of hosts in the list of the feed, numbered and fenced by its epoch as before; fronts bound them by themselves. Tests: drawn courses and planted faults of the tracker, a cluster of real nodes with a change of the head, a front over sockets.

--- a/cmd/larch-proxy/main.go
+++ b/cmd/larch-proxy/main.go
@@ -65,7 +65,7 @@
 	ledger := turnstore.NewClient(follower.Placement, calls, s.Zone, log)
 	grace := s.TimingBound("grace_period_s", 8*time.Second)
 	server := proxy.New(proxy.Options{
-		Zone: s.Zone, Source: follower, Ledger: ledger, Log: log, GracePeriod: grace, Seed: rand.Uint64(), MaxClientConns: s.Limits.MaxFDs / 2,
+		Zone: s.Zone, Source: follower, Ledger: ledger, ReportHealth: follower.ReportHealth, Log: log, GracePeriod: grace, Seed: rand.Uint64(), MaxClientConns: s.Limits.MaxFDs / 2,
 		NewOracle: func(bound time.Duration) balancer.Oracle { return oracle.NewDestination(bound) },
 	})
 	following, unfollow := context.WithCancel(context.Background())
--- a/internal/tier/balancer/balancer.go
+++ b/internal/tier/balancer/balancer.go
@@ -92,7 +92,7 @@
 			b.byID[listed.ID] = host
 		}
 		usable := host.Usable()
-		host.Host, host.listed, host.draining = listed, true, listed.Phase != discovery.Ready
+		host.setListed(listed, now)
 		if usable && !host.Usable() {
 			closed = append(closed, host)
 		}
--- a/internal/tier/balancer/host.go
+++ b/internal/tier/balancer/host.go
@@ -17,7 +17,8 @@
 	reportedAt        time.Time // of othersLoad; zero if there was no report
 	fullUntil         time.Time // no call before, except to the host's own queue
 	ejectedUntil      time.Time
-	failures          int // in a row
+	verdictUntil      time.Time // ejected by the list; zero if it is not
+	failures          int       // in a row
 	lastFailureAt     time.Time
 	consecutiveCloses int           // responses in a row that closed their connection
 	avoidUntil        time.Time     // probably in graceful shutdown
@@ -41,12 +42,32 @@
 	return load
 }
 
-// effectiveCapacity returns the capacity under slow start: it rises linearly to the listed one until warmAt.
+// healthy reports whether the host is neither ejected, by this front or by the list, nor avoided since it shuts down.
+func (h *Host) healthy(now time.Time) bool {
+	return !now.Before(h.ejectedUntil) && !now.Before(h.verdictUntil) && !now.Before(h.avoidUntil)
+}
+
+// setListed takes the host's entry of a new list.
+func (h *Host) setListed(listed discovery.Host, now time.Time) {
+	switch {
+	case listed.Phase != discovery.Ejected:
+		h.verdictUntil = time.Time{}
+	case h.Phase != discovery.Ejected:
+		h.verdictUntil = now.Add(h.params.Ejection.VerdictTTL)
+	}
+	h.Host, h.listed, h.draining = listed, true, !listed.Serving()
+}
+
+// effectiveCapacity returns the capacity under slow start, where it rises linearly to the listed one until warmAt, and on
+// probation.
 func (h *Host) effectiveCapacity(now time.Time) float64 {
 	capacity := float64(max(1, h.Capacity))
 	if left := h.warmAt.Sub(now); left > 0 && h.warmup > 0 {
 		capacity = max(1, capacity*(1-h.params.Load.SlowStartReduction*float64(left)/float64(h.warmup)))
 	}
+	if h.Phase == discovery.Probation {
+		capacity = max(1, capacity*(1-h.params.Load.ProbationReduction))
+	}
 	return capacity
 }
 
--- a/internal/tier/balancer/params.go
+++ b/internal/tier/balancer/params.go
@@ -23,6 +23,9 @@
 	Misdirected time.Duration
 	// ConnectFailed, ResponseBroken and TimedOut are the failures in a row from which on the outcome of that name ejects.
 	ConnectFailed, ResponseBroken, TimedOut int
+	// VerdictTTL is the time from a list that says that a host is ejected, beyond which that is ignored: the core ends its
+	// verdicts earlier, unless it cannot. 0 ignores all.
+	VerdictTTL time.Duration
 	// FailureMemory is the time between two failures beyond which they are not in a row.
 	FailureMemory time.Duration
 	// Closes is the number of responses in a row that close their connection, from which on a host is taken to shut down;
@@ -39,6 +42,8 @@
 	FullBackoff time.Duration
 	// SlowStartReduction is the share of its capacity, below 1, that a host lacks when it has just started. 0 for none.
 	SlowStartReduction float64
+	// ProbationReduction is the same for a host on probation.
+	ProbationReduction float64
 }
 
 // SelectionParams are the parameters of the choice between hosts.
@@ -86,9 +91,9 @@
 func DefaultParams() Params {
 	return Params{
 		Ejection: EjectionParams{Min: 250 * time.Millisecond, Max: 4 * time.Second, Misdirected: 5 * time.Second,
-			ConnectFailed: 1, ResponseBroken: 2, TimedOut: 3, FailureMemory: 10 * time.Second,
+			ConnectFailed: 1, ResponseBroken: 2, TimedOut: 3, VerdictTTL: 8 * time.Second, FailureMemory: 10 * time.Second,
 			Closes: 2, CloseAvoidance: 2 * time.Second},
-		Load: LoadParams{FadeTime: 2 * time.Second, FullBackoff: 40 * time.Millisecond, SlowStartReduction: 0.5},
+		Load: LoadParams{FadeTime: 2 * time.Second, FullBackoff: 40 * time.Millisecond, SlowStartReduction: 0.5, ProbationReduction: 0.5},
 		Selection: SelectionParams{OtherZonePenalty: 0.1, AffinityMaxLoad: 0.7, AffinityLoadFactor: 1.5, AffinityMinBound: 6,
 			HostQueueShare: 0.25, MaxHostShare: 3.0 / 4, ContendedHostShare: 1.0 / 2},
 		Cost: CostParams{InitialBaseMs: 60, InitialPerCallMs: 8, InitialPerTokenMs: 0.03, LearningRate: 0.05, MaxResidualMs: 300,
@@ -105,10 +110,11 @@
 		remedy string
 	}{
 		{e.Min >= 0 && e.Max >= e.Min, "Ejection: give 0 <= Min <= Max"},
-		{e.Misdirected >= 0 && e.FailureMemory >= 0 && e.CloseAvoidance >= 0, "Ejection: give times of 0 or above"},
+		{e.Misdirected >= 0 && e.FailureMemory >= 0 && e.VerdictTTL >= 0 && e.CloseAvoidance >= 0, "Ejection: give times of 0 or above"},
 		{min(e.ConnectFailed, e.ResponseBroken, e.TimedOut, e.Closes) >= 1, "Ejection: give thresholds of 1 or above"},
 		{l.FadeTime > 0 && l.FullBackoff >= 0, "Load: give a FadeTime above 0 and a FullBackoff of 0 or above"},
-		{l.SlowStartReduction >= 0 && l.SlowStartReduction < 1, "Load.SlowStartReduction: give a share from 0 to below 1"},
+		{min(l.SlowStartReduction, l.ProbationReduction) >= 0 && max(l.SlowStartReduction, l.ProbationReduction) < 1,
+			"Load.SlowStartReduction, ProbationReduction: give shares from 0 to below 1"},
 		{s.OtherZonePenalty >= 0 && s.AffinityMaxLoad >= 0 && s.AffinityLoadFactor >= 0 && s.AffinityMinBound >= 0,
 			"Selection: give penalties and bounds of 0 or above"},
 		{s.ContendedHostShare > 0 && s.ContendedHostShare <= s.MaxHostShare && s.MaxHostShare <= 1,
--- a/internal/tier/balancer/selection.go
+++ b/internal/tier/balancer/selection.go
@@ -58,8 +58,7 @@
 	candidates := b.candidateBuffer[:0]
 	for pass := 0; pass < 3 && len(candidates) == 0; pass++ {
 		for _, h := range b.services[info.Service] {
-			healthy := !now.Before(h.ejectedUntil) && !now.Before(h.avoidUntil)
-			if h.Usable() && (pass > 0 || healthy) && (pass > 1 || !slices.Contains(info.Tried, h.ID)) {
+			if h.Usable() && (pass > 0 || h.healthy(now)) && (pass > 1 || !slices.Contains(info.Tried, h.ID)) {
 				candidates = append(candidates, h)
 			}
 		}
--- a/internal/tier/controlnode/frames_test.go
+++ b/internal/tier/controlnode/frames_test.go
@@ -22,6 +22,7 @@
 	"larchrouter/internal/tier/chain"
 	"larchrouter/internal/tier/discovery"
 	"larchrouter/internal/tier/feed"
+	"larchrouter/internal/tier/hosthealth"
 	"larchrouter/internal/tier/orders"
 	"larchrouter/internal/tier/placement"
 	"larchrouter/internal/tier/turnstore"
@@ -88,6 +89,9 @@
 		{10, "piece", sideRequest, &feed.ChunkRequest{Name: "name", Digest: []byte("digest"), Offset: big + 1, Length: big + 2}},
 		{10, "piece", sideReply, &feed.Chunk{Status: big + 1, Digest: []byte("digest"), Offset: big + 2, Data: []byte("bytes"), Final: true}},
 
+		{11, "health", sideRequest, &feed.HealthReport{Name: "name", Observations: []hosthealth.Observation{{Host: "host-1", Failures: big + 1, Successes: big + 2}, {Host: "host-2", Failures: big + 3, Successes: big + 4}}, Forwarded: true}},
+		{11, "health", sideReply, &feed.Empty{Unused: true}},
+
 		{0, "configuration", sideStored, &feed.ConfigEntry{Version: big + 1, Body: []byte("body"), RecentDigests: [][]byte{[]byte("digest-1"), []byte("digest-2")}}},
 		{0, "placement", sideStored, &turnstore.Placement{Generation: big + 1, ReplicationFactor: big + 2, DurableReplicas: big + 3, FaultTolerance: big + 4, Old: []turnstore.Store{store},
 			New: []turnstore.Store{{ID: "store-id-2", Name: "store-name-2", Addr: "store-addr-2", Zone: "store-zone-2"}}, SweptIDs: []string{"done-1", "done-2"}}},
--- /dev/null
+++ b/internal/tier/controlnode/health_role_test.go
@@ -0,0 +1,135 @@
+package controlnode
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"larchrouter/internal/tier/discovery"
+	"larchrouter/internal/tier/feed"
+	"larchrouter/internal/tier/hosthealth"
+)
+
+// platformOf is a platform that lists six hosts of a service; prefix begins their ids.
+func platformOf(t *testing.T, prefix *atomic.Value) string {
+	t.Helper()
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		var hosts []string
+		for i := range 6 {
+			hosts = append(hosts, fmt.Sprintf(`{"target_service":"s","address":"10.0.0.%d:80","zone_name":"z","capacity":4,"phase":"ready","host_id":"%s%d"}`, i, prefix.Load(), i))
+		}
+		fmt.Fprintf(w, `{"instance_list":[%s],"next_token":null}`, strings.Join(hosts, ","))
+	}))
+	t.Cleanup(platform.Close)
+	return platform.Listener.Addr().String()
+}
+
+// awaitPhase waits until a follower's list has a host in a phase.
+func awaitPhase(t *testing.T, f *feed.Follower, host, phase string) {
+	t.Helper()
+	limit := time.NewTimer(20 * time.Second)
+	defer limit.Stop()
+	for {
+		changed := f.Changed()
+		if list := f.Tables().Hosts; list != nil {
+			for _, h := range list.Hosts {
+				if h.ID == host && h.Phase == phase {
+					return
+				}
+			}
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			t.Fatalf("host %s is not %s; the list is %+v", host, phase, f.Tables().Hosts)
+		}
+	}
+}
+
+// reportUntil has a front report failures of a host until the call is taken.
+func reportUntil(t *testing.T, f *feed.Follower, host string) {
+	t.Helper()
+	var err error
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		err = f.ReportHealth(ctx, []hosthealth.Observation{{Host: host, Failures: 3}})
+		if cancel(); err == nil {
+			return
+		}
+	}
+	t.Fatalf("no report is taken: %v", err)
+}
+
+// The reports of two fronts, whichever nodes they follow, eject a host for all; the verdict ends by itself, and does not pass to
+// another incarnation.
+func TestReportsOfTwoFrontsEjectHostForAll(t *testing.T) {
+	var prefix atomic.Value
+	prefix.Store("i")
+	c := newClusterWith(t, 3, platformOf(t, &prefix))
+	if got := c.put(1, 0, 0, 1, 2); got != http.StatusOK {
+		t.Fatal(got)
+	}
+	var followers []*feed.Follower
+	for i := range 4 { // their orders of nodes differ
+		f, stop := c.follow(fmt.Sprint("front-", i))
+		defer stop()
+		followers = append(followers, f)
+	}
+	for _, f := range followers {
+		awaitPhase(t, f, "i3", discovery.Ready)
+	}
+	reportUntil(t, followers[0], "i3")
+	reportUntil(t, followers[1], "i3")
+	for _, f := range followers {
+		awaitPhase(t, f, "i3", discovery.Ejected)
+		awaitPhase(t, f, "i2", discovery.Ready)
+	}
+	awaitPhase(t, followers[2], "i3", discovery.Probation)
+	awaitPhase(t, followers[2], "i3", discovery.Ready)
+	reportUntil(t, followers[0], "i4")
+	prefix.Store("j")
+	awaitPhase(t, followers[2], "j4", discovery.Ready)
+	reportUntil(t, followers[1], "i4") // late, of the incarnation before
+	if err := followers[3].ReportHealth(context.Background(), []hosthealth.Observation{{Host: "j4", Failures: 1}}); err != nil {
+		t.Fatal(err)
+	}
+	awaitPhase(t, followers[2], "j4", discovery.Ready)
+}
+
+// The head goes between two reports: the next head begins without them, and ejects by those that it gets itself.
+func TestHeadChangesBetweenReports(t *testing.T) {
+	var prefix atomic.Value
+	prefix.Store("i")
+	c := newClusterWith(t, 3, platformOf(t, &prefix))
+	if got := c.put(1, 0, 0, 1, 2); got != http.StatusOK {
+		t.Fatal(got)
+	}
+	one, stop := c.follow("front-1")
+	defer stop()
+	two, stop := c.follow("front-2")
+	defer stop()
+	awaitPhase(t, one, "i0", discovery.Ready)
+	term := one.Tables().Hosts.Term
+	reportUntil(t, one, "i0")
+	c.crash[0]() // the head, as the founding order has it
+	limit := time.Now().Add(20 * time.Second)
+	for one.Tables().Hosts.Term == term && time.Now().Before(limit) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	reportUntil(t, two, "i0")
+	time.Sleep(3 * minHealthInterval)
+	for _, h := range two.Tables().Hosts.Hosts {
+		if h.Phase != discovery.Ready {
+			t.Errorf("%s is %s by one report", h.ID, h.Phase)
+		}
+	}
+	reportUntil(t, one, "i0")
+	reportUntil(t, two, "i0")
+	awaitPhase(t, one, "i0", discovery.Ejected)
+	awaitPhase(t, two, "i0", discovery.Ejected)
+}
--- a/internal/tier/controlnode/peer_calls.go
+++ b/internal/tier/controlnode/peer_calls.go
@@ -53,6 +53,7 @@
 		feed.PutCall:      typedHandler(s.handlePut),
 		feed.ReadCall:     typedHandler(s.handleRead),
 		feed.RegisterCall: typedHandler(s.handleRegister),
+		feed.HealthCall:   typedHandler(s.handleHealth),
 		feed.RetireCall:   typedHandler(s.handleRetire),
 		feed.PhaseCall:    typedHandler(s.handlePhase),
 		feed.StatusCall:   typedHandler(func(context.Context, *feed.Empty) (*Status, error) { return s.status(), nil }),
--- a/internal/tier/controlnode/platform_poller.go
+++ b/internal/tier/controlnode/platform_poller.go
@@ -7,47 +7,92 @@
 	"larchrouter/internal/tier/discovery"
 )
 
-// publishHostsRequest numbers and publishes a list of hosts, if this node is the confirmed head.
+// publishHostsRequest publishes the platform's hosts with the verdicts on them, if this node is the confirmed head and the list differs
+// from the one before.
 type publishHostsRequest struct {
-	list      *discovery.List // its hosts are set by the caller, term and number by handle
-	published bool
+	hosts         []discovery.Host // as the platform lists them
+	lastPublished *discovery.List  // by this node as the head; nil for none
+	published     *discovery.List  // the list in force; nil if this node is not the head
+	nextChange    time.Duration    // until a verdict ends; 0 for none
 }
 
 func (r *publishHostsRequest) handle(s *Server) {
 	if !s.node.IsConfirmedHead() {
 		return
 	}
-	r.list.Term = s.node.View().Epoch
-	r.list.Number = discovery.NextNumber(r.list.Term, s.incarnation, s.node.Hosts())
-	s.mergeReady(s.node.PublishHosts(s.now(), r.list))
-	r.published = true
+	tracker := s.assumeHealthRole()
+	hosts := tracker.Apply(s.now(), r.hosts)
+	if at, ok := tracker.NextChange(s.now()); ok {
+		r.nextChange = at - s.now()
+	}
+	if r.published = r.lastPublished; r.published != nil && slices.EqualFunc(r.published.Hosts, hosts, discovery.Host.Equal) {
+		return
+	}
+	list := &discovery.List{Hosts: hosts, Term: s.node.View().Epoch}
+	list.Number = discovery.NextNumber(list.Term, s.incarnation, s.node.Hosts())
+	s.mergeReady(s.node.PublishHosts(s.now(), list))
+	r.published = list
 }
 
-// pollPlatform is the other singleton role: at the head it polls the platform's list of hosts and publishes
-// each change.
+// pollPlatform is the other singleton role: at the head it polls the platform's list of hosts and publishes each change, of the list
+// or of the verdicts on hosts.
 func (s *Server) pollPlatform() {
 	client := discovery.NewClient(s.settings.Platform.Address)
 	defer client.Close()
 	var lastPublished *discovery.List
+	var hosts []discovery.Host // as fetched last; nil if this node was not the head then
 	for s.ctx.Err() == nil {
 		if !s.isHead.Load() || s.settings.Platform.Address == "" {
-			lastPublished = nil
+			lastPublished, hosts = nil, nil
 			s.sleep(tickInterval)
 			continue
 		}
 		startedAt := time.Now()
-		hosts, err := client.FetchHosts(s.ctx)
-		if err != nil {
+		end := startedAt.Add(hostPollInterval)
+		if fetched, err := client.FetchHosts(s.ctx); err == nil {
+			hosts = fetched
+		} else {
 			s.log.Debug("the platform's list was not fetched", "err", err)
-			s.sleep(hostPollInterval / 3)
+			end = time.Now().Add(hostPollInterval / 3)
+		}
+		if hosts == nil {
+			s.sleep(time.Until(end))
 			continue
 		}
-		if lastPublished == nil || !slices.EqualFunc(lastPublished.Hosts, hosts, discovery.Host.Equal) {
-			request := &publishHostsRequest{list: &discovery.List{Hosts: hosts}}
-			if s.runOnLoop(request) && request.published {
-				lastPublished = request.list
-			}
+		lastPublished = s.publishUntil(end, hosts, lastPublished)
+	}
+}
+
+// publishUntil publishes a list of the platform, and again with each change of the verdicts until a time. It returns the list in force,
+// nil if this node is not the head.
+func (s *Server) publishUntil(end time.Time, hosts []discovery.Host, lastPublished *discovery.List) *discovery.List {
+	for s.ctx.Err() == nil {
+		request := &publishHostsRequest{hosts: hosts, lastPublished: lastPublished}
+		if !s.runOnLoop(request) || request.published == nil {
+			return nil
+		}
+		lastPublished = request.published
+		s.sleep(min(minHealthInterval, time.Until(end)))
+		wait := time.Until(end)
+		if request.nextChange > 0 {
+			wait = min(wait, request.nextChange)
+		}
+		if !s.awaitHealthReport(wait) && !time.Now().Before(end) {
+			break
 		}
-		s.sleep(hostPollInterval - time.Since(startedAt))
 	}
+	return lastPublished
+}
+
+// awaitHealthReport waits for a report of a front, for a time at most. It reports whether one came.
+func (s *Server) awaitHealthReport(wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-s.healthReported:
+		return true
+	case <-timer.C:
+	case <-s.ctx.Done():
+	}
+	return false
 }
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -58,8 +58,11 @@
 	pendingRequests map[int64]pendingRequest                       // by request ID
 	lastRequestID   int64
 	placementRole   placementRole
+	healthRole      healthRole
 	hostListHistory discovery.History
 
+	healthReported chan struct{} // of capacity 1: a front has reported since pollPlatform last looked
+
 	isHead  atomic.Bool             // IsConfirmedHead after the last batch
 	mu      sync.Mutex              // guards changed
 	changed chan struct{}           // closed when there may be something new for followers
@@ -93,6 +96,7 @@
 		pendingRequests: map[int64]pendingRequest{},
 		changed:         make(chan struct{}),
 		senders:         map[string]chan Message{},
+		healthReported:  make(chan struct{}, 1),
 	}
 	server.syncRows = db.Commit
 	server.ctx, server.stop = context.WithCancel(context.Background())
--- a/internal/tier/discovery/list.go
+++ b/internal/tier/discovery/list.go
@@ -5,10 +5,13 @@
 	"slices"
 )
 
-// Phases of a host.
+// Phases of a host. The platform lists ready and draining hosts; a core node publishes some of the ready ones with a verdict of
+// package hosthealth as their phase.
 const (
-	Ready    = "ready"
-	Draining = "draining"
+	Ready     = "ready"
+	Draining  = "draining"
+	Ejected   = "ejected"   // gets calls only if no other host of the service has room for them
+	Probation = "probation" // was ejected, and gets fewer calls at first
 )
 
 // Host is one incarnation of a host, with the platform's values. Its fields are encoded in this order.
@@ -29,6 +32,9 @@
 		h.Capacity == other.Capacity && h.Phase == other.Phase && slices.Equal(h.Models, other.Models)
 }
 
+// Serving reports whether the platform permits new calls to the host.
+func (h Host) Serving() bool { return h.Phase == Ready || h.Phase == Ejected || h.Phase == Probation }
+
 // compareIDs orders hosts by ID.
 func compareIDs(a, b Host) int { return cmp.Compare(a.ID, b.ID) }
 
--- a/internal/tier/feed/follower.go
+++ b/internal/tier/feed/follower.go
@@ -9,6 +9,7 @@
 
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
+	"larchrouter/internal/tier/hosthealth"
 	"larchrouter/internal/tier/turnstore"
 )
 
@@ -87,6 +88,12 @@
 	return f.sources.current()
 }
 
+// ReportHealth sends what this machine has observed of hosts to the core node that is followed, which passes it on to the head.
+func (f *Follower) ReportHealth(ctx context.Context, observations []hosthealth.Observation) error {
+	report := &HealthReport{Name: f.name, Observations: observations}
+	return f.calls.Call(ctx, f.Core(), HealthCall, report, new(Empty))
+}
+
 // Run follows the feed until the context ends. It must be called once.
 func (f *Follower) Run(ctx context.Context) {
 	defer f.wg.Wait()
--- a/internal/tier/feed/messages.go
+++ b/internal/tier/feed/messages.go
@@ -4,6 +4,7 @@
 	"larchrouter/internal/rpc"
 	"larchrouter/internal/tier/chain"
 	"larchrouter/internal/tier/discovery"
+	"larchrouter/internal/tier/hosthealth"
 	"larchrouter/internal/tier/turnstore"
 )
 
@@ -19,6 +20,7 @@
 	StatusCall
 	ChangesCall // a poll, with deltas and references in the response
 	ChunkCall   // a chunk of a large value
+	HealthCall  // a front's report on hosts
 )
 
 // FollowRequest is the poll of a follower of an earlier version, which is sent every value in full. All messages are
@@ -123,6 +125,13 @@
 	Forwarded       bool  // by a core node that is not the head; it is not forwarded again
 }
 
+// HealthReport is what a front has seen of hosts that fail, or are on probation, since its last report.
+type HealthReport struct {
+	Name         string // of the machine
+	Observations []hosthealth.Observation
+	Forwarded    bool // as in Registration
+}
+
 // PutRequest is an operator's order to put a configuration.
 type PutRequest struct {
 	IfMatch   int64 // the version on which it builds
--- a/internal/tier/proxy/dispatcher.go
+++ b/internal/tier/proxy/dispatcher.go
@@ -22,6 +22,7 @@
 	connLimitDivisor int
 	newOracle        func(time.Duration) balancer.Oracle
 	dial             upstream.Dial // nil for TCP
+	health           *healthReporter
 
 	mu         sync.Mutex
 	balancer   *balancer.Balancer
@@ -46,7 +47,7 @@
 }
 
 func newDispatcher(o Options) *dispatcher {
-	return &dispatcher{connLimitDivisor: o.ConnLimitDivisor, newOracle: o.NewOracle, dial: o.Dial,
+	return &dispatcher{connLimitDivisor: o.ConnLimitDivisor, newOracle: o.NewOracle, dial: o.Dial, health: newHealthReporter(o.ReportHealth),
 		balancer: balancer.NewWithParams(o.Zone, o.MaxInFlight, o.Seed, o.Balancing), endpoints: map[string]*endpoint{},
 		latencies: map[endpointKey]*latencyTables{}, queues: map[string]*admission.Queue{}}
 }
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -11,6 +11,7 @@
 
 	"larchrouter/internal/tier/balancer"
 	"larchrouter/internal/tier/feed"
+	"larchrouter/internal/tier/hosthealth"
 	"larchrouter/internal/tier/turnstore"
 	"larchrouter/internal/tier/upstream"
 )
@@ -48,6 +49,9 @@
 	// NewOracle returns the latency table for a destination and a route's deadline.
 	NewOracle func(deadline time.Duration) balancer.Oracle
 
+	// ReportHealth gets what this front observes of hosts that fail. Default: nothing is reported.
+	ReportHealth ReportHealth
+
 	// Log gets faults. Default: nothing is logged.
 	Log *slog.Logger
 
@@ -88,6 +92,9 @@
 	if o.Balancing == (balancer.Params{}) {
 		o.Balancing = balancer.DefaultParams()
 	}
+	if o.ReportHealth == nil {
+		o.ReportHealth = func(context.Context, []hosthealth.Observation) error { return nil }
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -151,6 +158,7 @@
 // platform there. Serve closes both listeners.
 func (s *Server) Serve(front, ready net.Listener) {
 	s.wg.Go(s.followTables)
+	s.wg.Go(func() { s.dispatcher.health.run(s.ctx) })
 	s.wg.Go(func() { <-s.ctx.Done(); front.Close() })
 	if ready != nil {
 		s.serveReadiness(ready)
--- a/internal/tier/proxy/proxy_test.go
+++ b/internal/tier/proxy/proxy_test.go
@@ -331,6 +331,12 @@
 
 // newFrontWithLedger returns a front whose ledger is not scripted; its field ledger is nil.
 func newFrontWithLedger(t *testing.T, shared Ledger, hosts ...*host) *front {
+	t.Helper()
+	return newFrontWithOptions(t, Options{Ledger: shared}, hosts...)
+}
+
+// newFrontWithOptions returns a front with options of which the test sets some; its field ledger is nil.
+func newFrontWithOptions(t *testing.T, o Options, hosts ...*host) *front {
 	t.Helper()
 	f := &front{t: t, source: newSource(), oracle: &oracle{}, log: &logBuffer{}}
 	cfg, err := routing.Parse([]byte(testConfig))
@@ -339,8 +345,9 @@
 	}
 	f.source.set(func(tb *feed.Tables) { tb.Config, tb.Placement = cfg, &turnstore.Placement{} })
 	f.setHosts(hosts...)
-	f.Server = New(Options{Zone: "z", Source: f.source, Ledger: shared, Seed: 1, GracePeriod: 4 * time.Second,
-		Log: process.NewLogger(f.log), NewOracle: func(time.Duration) balancer.Oracle { return f.oracle }})
+	o.Zone, o.Source, o.Seed, o.GracePeriod, o.Log = "z", f.source, 1, 4*time.Second, process.NewLogger(f.log)
+	o.NewOracle = func(time.Duration) balancer.Oracle { return f.oracle }
+	f.Server = New(o)
 	f.addr, f.ready = serve(t, f.Server)
 	return f
 }
--- a/internal/tier/proxy/slots.go
+++ b/internal/tier/proxy/slots.go
@@ -8,6 +8,7 @@
 
 	"larchrouter/internal/tier/admission"
 	"larchrouter/internal/tier/balancer"
+	"larchrouter/internal/tier/discovery"
 )
 
 // recheckInterval is how often queued calls are offered to the balancer although no call ended: reported loads fade, and
@@ -123,6 +124,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.balancer.CallEnded(endpoint.host, outcome, now)
+	d.health.record(endpoint.host.ID, outcome, endpoint.host.Phase == discovery.Probation, now)
 	d.grantAll(now)
 }
 
