Draw the hosts between which the least loaded one is picked

Cause: all fronts see the same host as the least loaded and its load only later, so that a host that is free, or back, gets the calls of all of them at once. Change: the least loaded is picked among two hosts drawn of the own zone and two of the others (power of two choices).

--- a/internal/tier/balancer/params.go
+++ b/internal/tier/balancer/params.go
@@ -48,6 +48,9 @@
 
 // SelectionParams are the parameters of the choice between hosts.
 type SelectionParams struct {
+	// Choices is the number of hosts of the own zone, and of the others, between which the least loaded is picked; they are
+	// drawn at random, since all fronts see the same host as the least loaded one and its load only later. 0 for all hosts.
+	Choices int
 	// OtherZonePenalty is added to the utilization of a host in another zone. 0 for no preference.
 	OtherZonePenalty float64
 	// Affinity is bounded-load rendezvous hashing: a host gets calls by it below AffinityMaxLoad of its capacity, and
@@ -94,7 +97,7 @@
 			ConnectFailed: 1, ResponseBroken: 2, TimedOut: 3, VerdictTTL: 8 * time.Second, FailureMemory: 10 * time.Second,
 			Closes: 2, CloseAvoidance: 2 * time.Second},
 		Load: LoadParams{FadeTime: 2 * time.Second, FullBackoff: 40 * time.Millisecond, SlowStartReduction: 0.5, ProbationReduction: 0.5},
-		Selection: SelectionParams{OtherZonePenalty: 0.1, AffinityMaxLoad: 0.7, AffinityLoadFactor: 1.5, AffinityMinBound: 6,
+		Selection: SelectionParams{Choices: 2, OtherZonePenalty: 0.1, AffinityMaxLoad: 0.7, AffinityLoadFactor: 1.5, AffinityMinBound: 6,
 			HostQueueShare: 0.25, MaxHostShare: 3.0 / 4, ContendedHostShare: 1.0 / 2},
 		Cost: CostParams{InitialBaseMs: 60, InitialPerCallMs: 8, InitialPerTokenMs: 0.03, LearningRate: 0.05, MaxResidualMs: 300,
 			MinPerCallMs: 0.5, MinPerTokenMs: 0.001, SharedPrefixTTL: 20 * time.Second, MaxSharedPrefixes: 256, OtherZoneMs: 15,
@@ -115,7 +118,7 @@
 		{l.FadeTime > 0 && l.FullBackoff >= 0, "Load: give a FadeTime above 0 and a FullBackoff of 0 or above"},
 		{min(l.SlowStartReduction, l.ProbationReduction) >= 0 && max(l.SlowStartReduction, l.ProbationReduction) < 1,
 			"Load.SlowStartReduction, ProbationReduction: give shares from 0 to below 1"},
-		{s.OtherZonePenalty >= 0 && s.AffinityMaxLoad >= 0 && s.AffinityLoadFactor >= 0 && s.AffinityMinBound >= 0,
+		{s.Choices >= 0 && s.OtherZonePenalty >= 0 && s.AffinityMaxLoad >= 0 && s.AffinityLoadFactor >= 0 && s.AffinityMinBound >= 0,
 			"Selection: give penalties and bounds of 0 or above"},
 		{s.ContendedHostShare > 0 && s.ContendedHostShare <= s.MaxHostShare && s.MaxHostShare <= 1,
 			"Selection: give 0 < ContendedHostShare <= MaxHostShare <= 1"},
--- a/internal/tier/balancer/selection.go
+++ b/internal/tier/balancer/selection.go
@@ -49,7 +49,7 @@
 			return h
 		}
 	}
-	return b.pickLeastLoaded(candidates, now)
+	return b.pickLeastLoaded(b.drawChoices(candidates), now)
 }
 
 // candidates returns the usable hosts that are neither ejected nor avoided nor tried. If there is none, ejected and avoided
@@ -133,6 +133,35 @@
 	return digest.Sum64()
 }
 
+// drawChoices draws SelectionParams.Choices candidates of the own zone and as many of the others. It reorders candidates.
+func (b *Balancer) drawChoices(candidates []*Host) []*Host {
+	choices := b.params.Selection.Choices
+	if choices == 0 {
+		return candidates
+	}
+	own := 0
+	for i, h := range candidates {
+		if h.Zone == b.zone {
+			candidates[own], candidates[i] = candidates[i], candidates[own]
+			own++
+		}
+	}
+	drawn := b.draw(candidates[:own], choices)
+	others := b.draw(candidates[own:], choices)
+	copy(candidates[drawn:], candidates[own:own+others])
+	return candidates[:drawn+others]
+}
+
+// draw moves n hosts drawn at random, or all if there are fewer, to the beginning and returns how many those are.
+func (b *Balancer) draw(hosts []*Host, n int) int {
+	n = min(n, len(hosts))
+	for i := range n {
+		j := i + int(b.random()%uint64(len(hosts)-i))
+		hosts[i], hosts[j] = hosts[j], hosts[i]
+	}
+	return n
+}
+
 // pickLeastLoaded returns the host with the lowest utilization, with OtherZonePenalty for hosts in other zones. Ties are
 // broken at random.
 func (b *Balancer) pickLeastLoaded(candidates []*Host, now time.Time) *Host {
--- a/internal/tier/balancer/verdict_test.go
+++ b/internal/tier/balancer/verdict_test.go
@@ -58,3 +58,25 @@
 		t.Error("no host is picked")
 	}
 }
+
+// Many fronts with the same view of a service do not all pick the host that looks free, and still prefer those with less load and of
+// their zone.
+func TestFrontsDoNotAllPickTheFreeHost(t *testing.T) {
+	hosts := parseHosts("a-0 z 8, a-1 z 8, a-2 z 8, a-3 z 8, a-4 z 8, a-5 y 8, a-6 y 8, a-7 y 8")
+	picked := map[string]int{}
+	const fronts = 1000
+	for seed := range uint64(fronts) {
+		b := New("z", 99, (seed+1)*0x9e3779b97f4a7c15)
+		b.UpdateHosts(hosts, start)
+		for _, h := range hosts[1:] {
+			b.ReportLoad(b.Lookup(h.ID), 2, 0, start)
+		}
+		picked[b.Pick(PickInfo{Service: "a"}, start).ID]++
+	}
+	if n := picked["a-0"]; n < fronts*3/10 || n > fronts/2 {
+		t.Errorf("%d of %d fronts pick the free host, want two fifths: %v", n, fronts, picked)
+	}
+	if n := picked["a-5"] + picked["a-6"] + picked["a-7"]; n > 0 {
+		t.Errorf("%d fronts pick another zone with no less load", n)
+	}
+}
