Play drafts, which are not retained and may be resumed, in the tier of real processes

Need: budgets and resuming have to hold with real stores, fronts and hosts, also for programs that mix both kinds of routes and that come back after a kill. Change: tiertest has a route that is not retained and resumable, steps that are drafts, and clients that retry them as idempotent; the stand-in hosts go on behind Last-Event-Id and log how many events they skipped. The checks TWICE, REFUSED and ORDER know resumable attempts.

--- a/internal/standin/modelhost/runlog.go
+++ b/internal/standin/modelhost/runlog.go
@@ -30,6 +30,7 @@
 	URI           string
 	Header        http.Header
 	Body          []byte
+	Skipped       int      // events ahead of the first one, by Last-Event-Id
 	Events        []string // the data of the events that were written
 	PrefillTokens int      // tokens of the prompt that were not cached
 	Outcome       Outcome
--- a/internal/tier/tiertest/attempt.go
+++ b/internal/tier/tiertest/attempt.go
@@ -71,7 +71,7 @@
 			r.OnAttempt(a)
 		}
 		left := time.Until(deadline)
-		retriable := request.Kind == Idempotent || dialFailed || notExecuted(a.Status)
+		retriable := request.Kind == Idempotent || request.Resumable || dialFailed || notExecuted(a.Status)
 		if a.final() || !retriable || n == maxAttempts || left <= 0 || r.ctx.Err() != nil {
 			return &a
 		}
--- a/internal/tier/tiertest/check_requests.go
+++ b/internal/tier/tiertest/check_requests.go
@@ -44,7 +44,7 @@
 			}
 		}
 		completed := func(run *modelhost.Run) bool {
-			return run.Outcome == modelhost.Completed && len(run.Events) == len(a.Events)
+			return run.Outcome == modelhost.Completed && run.Skipped+len(run.Events) == len(a.Events)
 		}
 		if a.Complete && !slices.ContainsFunc(h.runsByAttempt[a.ID], completed) {
 			report("%s ended as complete after %d events, and no host's stream did", a.ID, len(a.Events))
@@ -99,10 +99,13 @@
 	}
 }
 
+// idempotent reports whether the attempt may run more than once.
+func (a *Attempt) idempotent() bool { return a.Kind == Idempotent || a.Resumable }
+
 // checkTwice checks TWICE: an attempt that is not idempotent runs at most once.
 func checkTwice(h *indexedHistory, report reportFunc) {
 	for id, runs := range h.runsByAttempt {
-		if a := h.attemptByID[id]; a != nil && a.Kind != Idempotent && len(runs) > 1 {
+		if a := h.attemptByID[id]; a != nil && !a.idempotent() && len(runs) > 1 {
 			report("%s ran %d times", id, len(runs))
 		}
 	}
@@ -113,7 +116,7 @@
 func checkRefused(h *indexedHistory, report reportFunc) {
 	for id, runs := range h.runsByAttempt {
 		a := h.attemptByID[id]
-		if a == nil || a.Kind == Idempotent {
+		if a == nil || a.idempotent() {
 			continue
 		}
 		if notExecuted(a.Status) || a.Status == http.StatusPaymentRequired {
--- a/internal/tier/tiertest/client.go
+++ b/internal/tier/tiertest/client.go
@@ -103,7 +103,7 @@
 			return last, errProgramEnded
 		}
 		prompt += fmt.Sprintf(",%s.%d:%d", session, i, ownPromptTokens+step.MaxTokens)
-		if last, err = r.takeTurn(session, last, strings.TrimPrefix(prompt, ","), step.MaxTokens); err != nil {
+		if last, err = r.takeStep(session, last, strings.TrimPrefix(prompt, ","), step); err != nil {
 			r.ended.Store(true)
 			return last, err
 		}
@@ -152,13 +152,23 @@
 	})
 }
 
-// takeTurn sends a turn until it is answered completely, at most maxTurnRestarts times again, and returns the attempt that
-// was.
-func (r *programRun) takeTurn(session, previous, prompt string, maxTokens int) (attempt string, err error) {
+// takeStep takes the turn of a step and returns the turn from which the conversation goes on.
+func (r *programRun) takeStep(session, previous, prompt string, step Step) (last string, err error) {
 	turn := Attempt{Program: r.Name, Session: session, Previous: previous, Method: http.MethodPost, Path: r.turnPath,
-		Kind: Streaming, Budget: r.Budget, MaxTokens: maxTokens}
+		Kind: Streaming, Budget: r.Budget, MaxTokens: step.MaxTokens}
+	if !step.Draft {
+		return r.takeTurn(turn, prompt)
+	}
+	turn.Previous, turn.Path, turn.Resumable = "", DraftPath, true
+	_, err = r.takeTurn(turn, prompt)
+	return previous, err
+}
+
+// takeTurn sends a turn until it is answered completely, at most maxTurnRestarts times again, and returns the attempt that
+// was. turn has the fields that all attempts share.
+func (r *programRun) takeTurn(turn Attempt, prompt string) (attempt string, err error) {
 	for restarts := 0; ; restarts++ {
-		turn.Input = fmt.Appendf(nil, "%s asks after %q, time %d\n", session, previous, restarts)
+		turn.Input = fmt.Appendf(nil, "%s asks after %q, time %d\n", turn.Session, turn.Previous, restarts)
 		last := r.send(turn, prompt)
 		if err = last.failure(); err == nil {
 			return last.ID, nil
--- a/internal/tier/tiertest/config.go
+++ b/internal/tier/tiertest/config.go
@@ -31,6 +31,7 @@
 	Service     string  `json:"target_service"`
 	MaxAttempts int     `json:"max_attempts"`
 	Retained    bool    `json:"retained"` // turns can be continued
+	Resumable   bool    `json:"resumable,omitempty"`
 	RetentionS  float64 `json:"retain_s,omitempty"`
 	Affinity    bool    `json:"affinity"`
 	GapTargetMs int64   `json:"gap_aim_ms,omitempty"` // between the events of a stream
--- a/internal/tier/tiertest/history.go
+++ b/internal/tier/tiertest/history.go
@@ -31,6 +31,7 @@
 	Previous     string // attempt id of the turn that this turn continues, "" for none
 	Method, Path string
 	Kind         string // of its route
+	Resumable    bool   // its route may resume streams, so that it may run more than once
 	Input        []byte // body of the request
 	Budget       int    // tokens, of the program
 	MaxTokens    int    // tokens that this turn may generate at most
--- a/internal/tier/tiertest/program.go
+++ b/internal/tier/tiertest/program.go
@@ -18,7 +18,8 @@
 // Step is a turn and what follows it: first tools, all at once, then sub-agents, whose conversations continue the turn in
 // parallel.
 type Step struct {
-	MaxTokens int // that the turn may generate
+	MaxTokens int  // that the turn may generate
+	Draft     bool // the turn is a draft: of a route that is not retained, and may be resumed; the conversation goes on without it
 	Tools     []Tool
 	SubAgents []Conversation
 }
--- a/internal/tier/tiertest/services.go
+++ b/internal/tier/tiertest/services.go
@@ -14,6 +14,7 @@
 	Retention         = 60 * time.Second // of completed turns
 
 	TurnPath  = "/turn/"
+	DraftPath = "/draft/" // of turns that are not retained, and may be resumed
 	ReadPath  = "/read/"  // an idempotent tool
 	WritePath = "/write/" // a tool that is not idempotent
 	AddedPath = "/added/" // of the route that only some configurations have
@@ -44,6 +45,8 @@
 	c.Routes = []Route{
 		{Name: "turns", Host: Hostname, Prefix: TurnPath, Kind: Streaming, DeadlineMs: 8000, TargetMs: 2000,
 			Service: turnService, MaxAttempts: 2, Retained: true, RetentionS: Retention.Seconds(), Affinity: true, GapTargetMs: 500},
+		{Name: "drafts", Host: Hostname, Prefix: DraftPath, Kind: Streaming, DeadlineMs: 8000, TargetMs: 2000,
+			Service: turnService, MaxAttempts: 2, Resumable: true, Affinity: true, GapTargetMs: 500},
 		toolRoute("reads", ReadPath, Idempotent),
 		toolRoute("writes", WritePath, NonIdempotent),
 	}
