Dial another node again while a dial hangs

Change: a dial that has not ended is made again after 100, 250 and 500 ms beside the ones before; the first that succeeds is kept. Result: TestHangingDialIsOvertaken fails before (the call ends unsent after 600 ms).

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -29,15 +28,6 @@
 	nextDial time.Time   // no dial before it
 }
 
-// DialFunc opens a connection to an address. It returns when the context ends.
-type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
-
-// dialTCP is the DialFunc where none is given.
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp4", addr)
-}
-
 // NewClient returns a client for an address HOST:PORT. It connects with the first call.
 func NewClient(addr string) *Client { return newClient(addr, dialTCP) }
 
@@ -127,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	defer context.AfterFunc(c.ctx, cancel)()
-	socket, err := c.dialFunc(ctx, c.addr)
+	socket, err := dialOverlapping(ctx, c.dialFunc, c.addr, redialDelays)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ctx.Err() != nil {
--- a/internal/rpc/dial_test.go
+++ b/internal/rpc/dial_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -39,3 +41,68 @@
 		t.Fatal(err)
 	}
 }
+
+// The opening packet to a machine without power is lost: a dial that hangs does not keep the machine, once it is back, from being
+// reached by the next.
+func TestHangingDialIsOvertaken(t *testing.T) {
+	_, c := serve(t, map[Method]Handler{echo: func(context.Context, []byte) (any, error) { return &struct{ Text string }{"here"}, nil }})
+	var dials atomic.Int32
+	clients := Clients{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		if dials.Add(1) <= 2 {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return dialTCP(ctx, c.addr)
+	}}
+	defer clients.Close()
+	var response struct{ Text string }
+	began := time.Now()
+	if err := clients.To("127.9.9.9:1").Call(t.Context(), echo, &struct{ Text string }{"q"}, &response); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); dials.Load() != 3 || took < redialDelays[0]+redialDelays[1] {
+		t.Errorf("%d dials, %v", dials.Load(), took)
+	}
+}
+
+// closeCounter is a connection that counts how often connections of its kind were closed.
+type closeCounter struct {
+	net.Conn
+	closed *atomic.Int32
+}
+
+func (c closeCounter) Close() error { c.closed.Add(1); return nil }
+
+// Of dials that succeed at the same time one connection stays open.
+func TestOverlappingDialsKeepOneConnection(t *testing.T) {
+	var closed atomic.Int32
+	release := make(chan struct{})
+	var dials atomic.Int32
+	dial := func(context.Context, string) (net.Conn, error) {
+		if dials.Add(1) == 3 {
+			close(release)
+		}
+		<-release
+		return closeCounter{closed: &closed}, nil
+	}
+	conn, err := dialOverlapping(t.Context(), dial, "x", []time.Duration{time.Millisecond, time.Millisecond})
+	if conn == nil || err != nil || dials.Load() != 3 || closed.Load() != 2 {
+		t.Errorf("%v, %v: %d dials, %d closed", conn, err, dials.Load(), closed.Load())
+	}
+}
+
+// A dial that is refused ends at once, and so does one whose context ends.
+func TestRefusedDialIsNotRepeated(t *testing.T) {
+	var dials atomic.Int32
+	refused := errors.New("refused")
+	dial := func(context.Context, string) (net.Conn, error) { dials.Add(1); return nil, refused }
+	if _, err := dialOverlapping(t.Context(), dial, "x", redialDelays); !errors.Is(err, refused) || dials.Load() != 1 {
+		t.Errorf("%v after %d dials", err, dials.Load())
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	hang := func(ctx context.Context, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }
+	if _, err := dialOverlapping(ctx, hang, "x", redialDelays); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("%v", err)
+	}
+}
