Prefer hosts to which a connection is open

Change: hosts without an open connection that is young enough for the call get a penalty, in utilization for calls and in milliseconds for generations; each front so keeps to hosts of its own, and goes beyond them where they have more load. Two hosts each of four groups are drawn: own zone or not, connected or not.

--- a/internal/tier/balancer/costmodel.go
+++ b/internal/tier/balancer/costmodel.go
@@ -117,6 +117,9 @@
 		if h.Zone != b.zone {
 			cost += b.params.Cost.OtherZoneMs
 		}
+		if !info.connected(h) {
+			cost += b.params.Cost.NewConnMs
+		}
 		if cost < lowest {
 			best, lowest = h, cost
 		}
--- a/internal/tier/balancer/params.go
+++ b/internal/tier/balancer/params.go
@@ -53,6 +53,9 @@
 	Choices int
 	// OtherZonePenalty is added to the utilization of a host in another zone. 0 for no preference.
 	OtherZonePenalty float64
+	// NewConnPenalty is added to the utilization of a host to which the front has no open connection: new ones are paid for, by
+	// the host in the first place. 0 for no preference.
+	NewConnPenalty float64
 	// Affinity is bounded-load rendezvous hashing: a host gets calls by it below AffinityMaxLoad of its capacity, and
 	// below AffinityLoadFactor times the mean load or AffinityMinBound calls, whichever is more. AffinityMaxLoad 0 switches
 	// it off.
@@ -83,6 +86,8 @@
 	MaxSharedPrefixes int
 	// OtherZoneMs is the cost of a host in another zone: traffic between zones is paid for.
 	OtherZoneMs float64
+	// NewConnMs is the cost of a host to which the front has no open connection.
+	NewConnMs float64
 	// OthersLoadHalfLife is the time in which the estimate of others' calls at a host moves half the way from its last
 	// report to the mean over all hosts.
 	OthersLoadHalfLife time.Duration
@@ -97,10 +102,10 @@
 			ConnectFailed: 1, ResponseBroken: 2, TimedOut: 3, VerdictTTL: 8 * time.Second, FailureMemory: 10 * time.Second,
 			Closes: 2, CloseAvoidance: 2 * time.Second},
 		Load: LoadParams{FadeTime: 2 * time.Second, FullBackoff: 40 * time.Millisecond, SlowStartReduction: 0.5, ProbationReduction: 0.5},
-		Selection: SelectionParams{Choices: 2, OtherZonePenalty: 0.1, AffinityMaxLoad: 0.7, AffinityLoadFactor: 1.5, AffinityMinBound: 6,
+		Selection: SelectionParams{Choices: 2, OtherZonePenalty: 0.1, NewConnPenalty: 0.5, AffinityMaxLoad: 0.7, AffinityLoadFactor: 1.5, AffinityMinBound: 6,
 			HostQueueShare: 0.25, MaxHostShare: 3.0 / 4, ContendedHostShare: 1.0 / 2},
 		Cost: CostParams{InitialBaseMs: 60, InitialPerCallMs: 8, InitialPerTokenMs: 0.03, LearningRate: 0.05, MaxResidualMs: 300,
-			MinPerCallMs: 0.5, MinPerTokenMs: 0.001, SharedPrefixTTL: 20 * time.Second, MaxSharedPrefixes: 256, OtherZoneMs: 15,
+			MinPerCallMs: 0.5, MinPerTokenMs: 0.001, SharedPrefixTTL: 20 * time.Second, MaxSharedPrefixes: 256, OtherZoneMs: 15, NewConnMs: 40,
 			OthersLoadHalfLife: 1500 * time.Millisecond, JitterCalls: 1},
 	}
 }
@@ -118,13 +123,13 @@
 		{l.FadeTime > 0 && l.FullBackoff >= 0, "Load: give a FadeTime above 0 and a FullBackoff of 0 or above"},
 		{min(l.SlowStartReduction, l.ProbationReduction) >= 0 && max(l.SlowStartReduction, l.ProbationReduction) < 1,
 			"Load.SlowStartReduction, ProbationReduction: give shares from 0 to below 1"},
-		{s.Choices >= 0 && s.OtherZonePenalty >= 0 && s.AffinityMaxLoad >= 0 && s.AffinityLoadFactor >= 0 && s.AffinityMinBound >= 0,
+		{s.Choices >= 0 && s.OtherZonePenalty >= 0 && s.NewConnPenalty >= 0 && s.AffinityMaxLoad >= 0 && s.AffinityLoadFactor >= 0 && s.AffinityMinBound >= 0,
 			"Selection: give penalties and bounds of 0 or above"},
 		{s.ContendedHostShare > 0 && s.ContendedHostShare <= s.MaxHostShare && s.MaxHostShare <= 1,
 			"Selection: give 0 < ContendedHostShare <= MaxHostShare <= 1"},
 		{c.LearningRate >= 0 && c.LearningRate <= 1, "Cost.LearningRate: give a share from 0 to 1"},
 		{min(c.InitialBaseMs, c.InitialPerCallMs, c.InitialPerTokenMs, c.MaxResidualMs, c.MinPerCallMs, c.MinPerTokenMs,
-			c.OtherZoneMs, c.JitterCalls) >= 0, "Cost: give costs of 0 or above"},
+			c.OtherZoneMs, c.NewConnMs, c.JitterCalls) >= 0, "Cost: give costs of 0 or above"},
 		{c.SharedPrefixTTL >= 0 && c.OthersLoadHalfLife > 0 && c.MaxSharedPrefixes >= 0,
 			"Cost: give a SharedPrefixTTL and MaxSharedPrefixes of 0 or above, an OthersLoadHalfLife above 0"},
 	} {
--- a/internal/tier/balancer/selection.go
+++ b/internal/tier/balancer/selection.go
@@ -27,6 +27,10 @@
 	Generation *Generation
 	// AllowHostQueue lets the call go to the host's own queue: up to HostQueueShare beyond its slots, at least one.
 	AllowHostQueue bool
+	// PreferNewConn reports whether the call prefers a new connection to one that was idle for long. Pick does not read it.
+	PreferNewConn bool
+	// Connected reports whether a call to a host would go out on a connection that is open; nil for none.
+	Connected func(h *Host) bool
 	// Contended reports whether other calls are queued for a slot.
 	Contended bool
 }
@@ -49,7 +53,7 @@
 			return h
 		}
 	}
-	return b.pickLeastLoaded(b.drawChoices(candidates), now)
+	return b.pickLeastLoaded(b.drawChoices(candidates, info), info, now)
 }
 
 // candidates returns the usable hosts that are neither ejected nor avoided nor tried. If there is none, ejected and avoided
@@ -133,23 +137,35 @@
 	return digest.Sum64()
 }
 
-// drawChoices draws SelectionParams.Choices candidates of the own zone and as many of the others. It reorders candidates.
-func (b *Balancer) drawChoices(candidates []*Host) []*Host {
+// drawChoices draws SelectionParams.Choices candidates each of four groups: the hosts of the own zone and the others, with an open
+// connection and without one. It reorders candidates.
+func (b *Balancer) drawChoices(candidates []*Host, info PickInfo) []*Host {
 	choices := b.params.Selection.Choices
 	if choices == 0 {
 		return candidates
 	}
-	own := 0
-	for i, h := range candidates {
-		if h.Zone == b.zone {
-			candidates[own], candidates[i] = candidates[i], candidates[own]
-			own++
+	own := moveToFront(candidates, func(h *Host) bool { return h.Zone == b.zone })
+	drawn := candidates[:0]
+	for _, group := range [][]*Host{candidates[:own], candidates[own:]} {
+		connected := moveToFront(group, func(h *Host) bool { return info.connected(h) })
+		drawn = append(drawn, group[:b.draw(group[:connected], choices)]...)
+		drawn = append(drawn, group[connected:connected+b.draw(group[connected:], choices)]...)
+	}
+	return drawn
+}
+
+func (info *PickInfo) connected(h *Host) bool { return info.Connected != nil && info.Connected(h) }
+
+// moveToFront moves the hosts that are in a group to the beginning and returns how many those are.
+func moveToFront(hosts []*Host, in func(h *Host) bool) int {
+	n := 0
+	for i, h := range hosts {
+		if in(h) {
+			hosts[n], hosts[i] = hosts[i], hosts[n]
+			n++
 		}
 	}
-	drawn := b.draw(candidates[:own], choices)
-	others := b.draw(candidates[own:], choices)
-	copy(candidates[drawn:], candidates[own:own+others])
-	return candidates[:drawn+others]
+	return n
 }
 
 // draw moves n hosts drawn at random, or all if there are fewer, to the beginning and returns how many those are.
@@ -164,7 +180,7 @@
 
 // pickLeastLoaded returns the host with the lowest utilization, with OtherZonePenalty for hosts in other zones. Ties are
 // broken at random.
-func (b *Balancer) pickLeastLoaded(candidates []*Host, now time.Time) *Host {
+func (b *Balancer) pickLeastLoaded(candidates []*Host, info PickInfo, now time.Time) *Host {
 	var best *Host
 	lowest, ties := math.Inf(1), uint64(0)
 	for _, h := range candidates {
@@ -172,6 +188,9 @@
 		if h.Zone != b.zone {
 			utilization += b.params.Selection.OtherZonePenalty
 		}
+		if !info.connected(h) {
+			utilization += b.params.Selection.NewConnPenalty
+		}
 		switch {
 		case utilization < lowest-1e-9:
 			best, lowest, ties = h, utilization, 1
--- a/internal/tier/proxy/retry.go
+++ b/internal/tier/proxy/retry.go
@@ -70,6 +70,7 @@
 		f.respondFailure(admission.RetryAfter(r.route.LatencyTarget, 0, 0, neutralRetryJitter))
 		return nil
 	}
+	f.info.PreferNewConn = !f.idempotent
 	queuedAt := time.Now()
 	endpoint, retryAfter := r.server().dispatcher.acquire(f.info, admissionRequest{priority: r.route.Priority,
 		programDeadline: r.programDeadline, latencyTarget: r.route.LatencyTarget,
--- a/internal/tier/proxy/slots.go
+++ b/internal/tier/proxy/slots.go
@@ -107,6 +107,10 @@
 
 // tryAcquire takes a slot if there is one, else returns nil. d.mu must be held.
 func (d *dispatcher) tryAcquire(info balancer.PickInfo, now time.Time) *endpoint {
+	info.Connected = func(h *balancer.Host) bool {
+		endpoint := d.endpoints[h.ID]
+		return endpoint != nil && endpoint.connections.HasIdle(info.PreferNewConn, now)
+	}
 	h := d.balancer.Pick(info, now)
 	if h == nil || d.endpoints[h.ID] == nil {
 		return nil
--- a/internal/tier/upstream/conn.go
+++ b/internal/tier/upstream/conn.go
@@ -49,6 +49,19 @@
 	}
 }
 
+// usableFor reports whether an idle connection is young enough for a call; a call that prefers a new connection asks for a
+// younger one.
+func (c *conn) usableFor(preferNew bool, now time.Time) bool {
+	limit := c.idleLimit
+	switch {
+	case preferNew && c.idleLimitAdvertised:
+		limit /= 2
+	case preferNew:
+		limit = min(limit, preferNewAfter)
+	}
+	return now.Sub(c.idleSince) < limit
+}
+
 // nothingReceived reports whether an idle connection is usable: neither its end was received, nor bytes that would be taken
 // for the next response.
 func (c *conn) nothingReceived() bool {
--- a/internal/tier/upstream/host.go
+++ b/internal/tier/upstream/host.go
@@ -102,18 +102,13 @@
 		if conn == nil {
 			break
 		}
-		age, limit := time.Since(conn.idleSince), conn.idleLimit
-		if age >= limit || !conn.nothingReceived() {
+		now := time.Now()
+		if !conn.usableFor(false, now) || !conn.nothingReceived() {
 			conn.discard()
 			continue
 		}
-		if preferNew {
-			if limit /= 2; !conn.idleLimitAdvertised {
-				limit = preferNewAfter
-			}
-			if age >= limit && h.putBack(conn) {
-				break // left for other calls
-			}
+		if preferNew && !conn.usableFor(true, now) && h.putBack(conn) {
+			break // left for other calls
 		}
 		conn.reused = true
 		return conn, nil
@@ -121,6 +116,14 @@
 	return h.connect(deadline)
 }
 
+// HasIdle reports whether a call would go out on an idle connection, as far as its age tells.
+func (h *Host) HasIdle(preferNew bool, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := len(h.idle)
+	return n > 0 && h.idle[n-1].usableFor(preferNew, now)
+}
+
 // connect returns a new connection.
 func (h *Host) connect(deadline time.Time) (*conn, error) {
 	h.mu.Lock()
