Give admission and retries their parameters in documented structs; smaller connection penalties

Need: the ablation switches off class fairness, the oldest-first admission, queue time-outs, latency time-outs, restarts, resuming and PreferNewConn, one line each. Change: admission.Params with Check, proxy.RetryParams, handed in by Options; QueueTimeout is a method of Params.

--- a/internal/tier/admission/fairness.go
+++ b/internal/tier/admission/fairness.go
@@ -6,7 +6,6 @@
 )
 
 const (
-	minShare      = 0.4  // of the admission rate of all calls that each class is due
 	arrivalWindow = 4096 // arrivals after which the counts of arrivals and admissions are halved
 	maxCredit     = 8    // admissions that a class without room can save up
 	maxDebt       = 2    // admissions beyond its share that count against a class
@@ -26,10 +25,11 @@
 	return c.entries[0]
 }
 
-// fairness guarantees each class minShare of the admission rate of all calls, whatever the priorities. Each arrival adds
+// fairness guarantees each class Params.MinClassShare of the admission rate of all calls, whatever the priorities. Each arrival adds
 // credit to its class in proportion to the rate of all admissions; each admission takes one. A class with a credit of one
 // or more is starved.
 type fairness struct {
+	minShare             float64
 	classes              map[string]*class
 	queued               []*class // those with entries in the queue
 	arrivals, admissions float64  // of all classes, halved together each arrivalWindow
@@ -48,7 +48,7 @@
 	if f.arrivals++; f.arrivals >= arrivalWindow {
 		f.arrivals, f.admissions = f.arrivals/2, f.admissions/2
 	}
-	counted.credit = min(maxCredit, counted.credit+minShare*f.admissions/f.arrivals)
+	counted.credit = min(maxCredit, counted.credit+f.minShare*f.admissions/f.arrivals)
 	if counted.queued++; counted.queued == 1 {
 		f.queued = append(f.queued, counted)
 	}
--- a/internal/tier/admission/fairness_test.go
+++ b/internal/tier/admission/fairness_test.go
@@ -20,7 +20,7 @@
 // simulate runs 20 s in which a slot is released every slotInterval. It returns the admitted share of the requests of each
 // class and of all.
 func simulate(classes []arrivals, slotInterval time.Duration) (each []float64, all float64) {
-	q := NewQueue()
+	q := NewQueue(&testParams)
 	arrived, admitted := make([]float64, len(classes)), make([]float64, len(classes))
 	next := make([]time.Time, len(classes))
 	for i := range next {
@@ -120,7 +120,7 @@
 
 // Classes that come and go, as routes do over many configurations, are not kept without bound.
 func TestClassesAreBounded(t *testing.T) {
-	q := NewQueue()
+	q := NewQueue(&testParams)
 	for i := range 10 * maxClasses {
 		entry := &Entry{Class: fmt.Sprint("class", i), QueueDeadline: start.Add(time.Second)}
 		q.Push(entry)
--- a/internal/tier/admission/queue.go
+++ b/internal/tier/admission/queue.go
@@ -11,10 +11,6 @@
 	"github.com/emirpasic/gods/trees/binaryheap"
 )
 
-// oldestInterval is the number of admissions of which one goes to the entry that has waited longest, whatever its
-// priority, so that no priority starves.
-const oldestInterval = 6
-
 // Entry is a call in a Queue.
 type Entry struct {
 	// Class names the class of requests for fairness between classes (see fairness). The proxy uses the route, with
@@ -35,9 +31,10 @@
 }
 
 // Queue orders the calls of one service: by priority, then by program deadline, then by arrival. Two rules go before that
-// order: an entry of a class that is admitted much less often than all is first, and each oldestInterval-th admission is
+// order: an entry of a class that is admitted much less often than all is first, and each Params.OldestInterval-th admission is
 // that of the oldest entry.
 type Queue struct {
+	params       *Params
 	byPriority   *binaryheap.Heap // of *Entry; may have removed entries
 	byArrival    []*Entry         // oldest first; may have removed entries
 	lastSequence uint64           // of the last Push
@@ -46,11 +43,12 @@
 	fairness     fairness
 }
 
-// NewQueue returns an empty queue.
-func NewQueue() *Queue {
+// NewQueue returns an empty queue. The parameters must pass Params.Check.
+func NewQueue(params *Params) *Queue {
 	return &Queue{
+		params:     params,
 		byPriority: binaryheap.NewWith(func(a, b any) int { return compareEntries(a.(*Entry), b.(*Entry)) }),
-		fairness:   fairness{classes: map[string]*class{}},
+		fairness:   fairness{minShare: params.MinClassShare, classes: map[string]*class{}},
 	}
 }
 
@@ -120,7 +118,7 @@
 	if entry := q.fairness.mostStarved(); entry != nil {
 		return entry
 	}
-	if q.admitted%oldestInterval == oldestInterval-1 {
+	if interval := q.params.OldestInterval; interval > 0 && q.admitted%interval == interval-1 {
 		return q.byArrival[0]
 	}
 	top, _ := q.byPriority.Peek()
--- a/internal/tier/admission/queue_test.go
+++ b/internal/tier/admission/queue_test.go
@@ -24,7 +24,7 @@
 //	len                                                    the number of entries
 func runTimeline(t *testing.T, timeline string) {
 	t.Helper()
-	q := NewQueue()
+	q := NewQueue(&testParams)
 	known := map[string]*Entry{}
 	for n, line := range strings.Split(strings.TrimSpace(timeline), "\n") {
 		line, expected, _ := strings.Cut(line, "->")
@@ -132,7 +132,7 @@
 // The queue against a model: a sorted list of entries.
 func TestQueueAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		q := NewQueue()
+		q := NewQueue(&testParams)
 		var model []*Entry // by arrival
 		admitted, now := 0, 0
 		for i := range rapid.IntRange(1, 120).Draw(t, "steps") {
@@ -167,7 +167,7 @@
 						return cmp.Or(cmp.Compare(a.Priority, b.Priority), fa.Compare(fb))
 					})
 					head := sorted[0]
-					if admitted%oldestInterval == oldestInterval-1 {
+					if uint64(admitted)%testParams.OldestInterval == testParams.OldestInterval-1 {
 						head = model[0]
 					}
 					if at(now).Before(head.QueueDeadline) {
@@ -202,7 +202,7 @@
 
 // Under an endless load of higher priorities, every entry is admitted in the end.
 func TestLowPriorityIsAdmitted(t *testing.T) {
-	q := NewQueue()
+	q := NewQueue(&testParams)
 	low := &Entry{Priority: 9, QueueDeadline: at(1 << 30), Value: "low"}
 	for i := range 20 {
 		q.Push(&Entry{QueueDeadline: at(1 << 30), Value: i})
@@ -224,10 +224,10 @@
 		{200 * time.Millisecond, time.Second, 38 * time.Millisecond},
 		{800 * time.Millisecond, time.Second, 188 * time.Millisecond},
 		{800 * time.Millisecond, 50 * time.Millisecond, 50 * time.Millisecond},
-		{0, time.Second, minQueueTimeout},
+		{0, time.Second, testParams.MinQueueTimeout},
 		{200 * time.Millisecond, 0, 0},
 	} {
-		if got := QueueTimeout(c.target, c.remaining); got != c.want {
+		if got := testParams.QueueTimeout(c.target, c.remaining); got != c.want {
 			t.Errorf("queue time-out with a target of %v and %v remaining is %v, want %v", c.target, c.remaining, got, c.want)
 		}
 	}
--- a/internal/tier/admission/timeout.go
+++ b/internal/tier/admission/timeout.go
@@ -2,19 +2,6 @@
 
 import "time"
 
-const (
-	rejectionMargin = 12 * time.Millisecond // time that a rejection takes to reach the client
-	minQueueTimeout = 5 * time.Millisecond
-)
-
-// QueueTimeout returns how long a call may wait for a slot before it is offered to a host's own queue or rejected: a
-// quarter of the latency target less the time for the rejection, at least minQueueTimeout, at most the time remaining until
-// the deadline of the call.
-func QueueTimeout(target, remaining time.Duration) time.Duration {
-	timeout := target/4 - rejectionMargin
-	return min(max(timeout, minQueueTimeout), remaining)
-}
-
 // RetryAfter returns the time after which a rejected client should retry: half the latency target, and up to one and a half
 // the more calls are queued for each slot of the capacity; between 50 ms and 1 s, then spread by ±25 % with jitter, which
 // is in [0, 1). A capacity of 0 is an unknown one.
--- a/internal/tier/balancer/params.go
+++ b/internal/tier/balancer/params.go
@@ -102,10 +102,10 @@
 			ConnectFailed: 1, ResponseBroken: 2, TimedOut: 3, VerdictTTL: 8 * time.Second, FailureMemory: 10 * time.Second,
 			Closes: 2, CloseAvoidance: 2 * time.Second},
 		Load: LoadParams{FadeTime: 2 * time.Second, FullBackoff: 40 * time.Millisecond, SlowStartReduction: 0.5, ProbationReduction: 0.5},
-		Selection: SelectionParams{Choices: 2, OtherZonePenalty: 0.1, NewConnPenalty: 0.5, AffinityMaxLoad: 0.7, AffinityLoadFactor: 1.5, AffinityMinBound: 6,
+		Selection: SelectionParams{Choices: 2, OtherZonePenalty: 0.1, NewConnPenalty: 0.2, AffinityMaxLoad: 0.7, AffinityLoadFactor: 1.5, AffinityMinBound: 6,
 			HostQueueShare: 0.25, MaxHostShare: 3.0 / 4, ContendedHostShare: 1.0 / 2},
 		Cost: CostParams{InitialBaseMs: 60, InitialPerCallMs: 8, InitialPerTokenMs: 0.03, LearningRate: 0.05, MaxResidualMs: 300,
-			MinPerCallMs: 0.5, MinPerTokenMs: 0.001, SharedPrefixTTL: 20 * time.Second, MaxSharedPrefixes: 256, OtherZoneMs: 15, NewConnMs: 40,
+			MinPerCallMs: 0.5, MinPerTokenMs: 0.001, SharedPrefixTTL: 20 * time.Second, MaxSharedPrefixes: 256, OtherZoneMs: 15, NewConnMs: 15,
 			OthersLoadHalfLife: 1500 * time.Millisecond, JitterCalls: 1},
 	}
 }
--- a/internal/tier/proxy/buffered.go
+++ b/internal/tier/proxy/buffered.go
@@ -14,7 +14,7 @@
 // serveBuffered serves a request whose response is no event stream. The response is buffered, so that a retry can replace it if
 // it breaks off; one longer than maxBufferedBody is relayed as it comes.
 func (r *request) serveBuffered() {
-	f := &forwarder{request: r, info: r.pickInfo(), header: r.header, idempotent: r.route.Kind == routing.Idempotent}
+	f := &forwarder{request: r, info: r.pickInfo(), header: r.header, idempotent: r.mayRepeat()}
 	if len(r.body) > 0 {
 		f.body = [][]byte{r.body}
 	}
@@ -46,6 +46,14 @@
 	}
 }
 
+// mayRepeat reports whether the request may be repeated after an attempt that may have run.
+func (r *request) mayRepeat() bool {
+	if !r.server().options.Retries.Idempotent {
+		return false
+	}
+	return r.route.Kind == routing.Idempotent || r.route.Kind == routing.Streaming && r.route.Resumable
+}
+
 // readBuffered appends the body of a response to b until its end (io.EOF), an error, or more than maxBufferedBody bytes (nil).
 func readBuffered(response *upstream.Response, b []byte) ([]byte, error) {
 	var err error
--- a/internal/tier/proxy/dispatcher.go
+++ b/internal/tier/proxy/dispatcher.go
@@ -23,6 +23,7 @@
 	newOracle        func(time.Duration) balancer.Oracle
 	dial             upstream.Dial // nil for TCP
 	health           *healthReporter
+	admission        admission.Params
 
 	mu         sync.Mutex
 	balancer   *balancer.Balancer
@@ -47,7 +48,7 @@
 }
 
 func newDispatcher(o Options) *dispatcher {
-	return &dispatcher{connLimitDivisor: o.ConnLimitDivisor, newOracle: o.NewOracle, dial: o.Dial, health: newHealthReporter(o.ReportHealth),
+	return &dispatcher{connLimitDivisor: o.ConnLimitDivisor, newOracle: o.NewOracle, dial: o.Dial, health: newHealthReporter(o.ReportHealth), admission: o.Admission,
 		balancer: balancer.NewWithParams(o.Zone, o.MaxInFlight, o.Seed, o.Balancing), endpoints: map[string]*endpoint{},
 		latencies: map[endpointKey]*latencyTables{}, queues: map[string]*admission.Queue{}}
 }
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"larchrouter/internal/tier/admission"
 	"larchrouter/internal/tier/balancer"
 	"larchrouter/internal/tier/feed"
 	"larchrouter/internal/tier/hosthealth"
@@ -74,6 +75,12 @@
 	// Balancing has the parameters of load balancing; they must pass Params.Check. Default: balancer.DefaultParams.
 	Balancing balancer.Params
 
+	// Admission has the parameters of the queues; they must pass Params.Check. Default: admission.DefaultParams.
+	Admission admission.Params
+
+	// Retries has the parameters of retries. Default: DefaultRetryParams.
+	Retries RetryParams
+
 	// Dial connects to hosts. Default: TCP.
 	Dial upstream.Dial
 }
@@ -92,6 +99,12 @@
 	if o.Balancing == (balancer.Params{}) {
 		o.Balancing = balancer.DefaultParams()
 	}
+	if o.Admission == (admission.Params{}) {
+		o.Admission = admission.DefaultParams()
+	}
+	if o.Retries == (RetryParams{}) {
+		o.Retries = DefaultRetryParams()
+	}
 	if o.ReportHealth == nil {
 		o.ReportHealth = func(context.Context, []hosthealth.Observation) error { return nil }
 	}
--- a/internal/tier/proxy/retry.go
+++ b/internal/tier/proxy/retry.go
@@ -70,7 +70,7 @@
 		f.respondFailure(admission.RetryAfter(r.route.LatencyTarget, 0, 0, neutralRetryJitter))
 		return nil
 	}
-	f.info.PreferNewConn = !f.idempotent
+	f.info.PreferNewConn = !f.idempotent && r.server().options.Retries.PreferNewConn
 	queuedAt := time.Now()
 	endpoint, retryAfter := r.server().dispatcher.acquire(f.info, admissionRequest{priority: r.route.Priority,
 		programDeadline: r.programDeadline, latencyTarget: r.route.LatencyTarget,
@@ -87,7 +87,7 @@
 func (f *forwarder) queueTimeout(left time.Duration) time.Duration {
 	target := f.request.route.LatencyTarget
 	if !f.mayHaveRun && f.sentAttempts == 0 {
-		return admission.QueueTimeout(target, left)
+		return f.request.server().options.Admission.QueueTimeout(target, left)
 	}
 	return min(left, max(target/2, minRetryQueueTime))
 }
@@ -102,7 +102,7 @@
 	}
 	attempt := &attempt{endpoint: endpoint, oracle: d.oracle(endpoint, r.route.Deadline), startedAt: time.Now()}
 	outgoing := &upstream.Request{Method: r.method, URI: r.uri, Host: r.host, ID: r.id, Header: f.header, Body: f.body,
-		Deadline: r.deadline, PreferNewConn: !f.idempotent}
+		Deadline: r.deadline, PreferNewConn: f.info.PreferNewConn}
 	attempt.Result = r.newCall().Do(endpoint.connections, outgoing, f.attemptDeadline(attempt))
 	r.phases.attempted(attempt)
 	if attempt.Response != nil {
@@ -119,7 +119,8 @@
 // request.
 func (f *forwarder) attemptDeadline(attempt *attempt) time.Time {
 	r := f.request
-	canRestart := f.idempotent && r.route.Kind == routing.Idempotent && f.sentAttempts+1 < r.route.MaxAttempts
+	canRestart := r.server().options.Retries.LatencyTimeout && r.route.Kind == routing.Idempotent &&
+		f.sentAttempts+1 < r.route.MaxAttempts
 	if !canRestart {
 		return r.deadline
 	}
--- a/internal/tier/proxy/slots.go
+++ b/internal/tier/proxy/slots.go
@@ -37,7 +37,7 @@
 	d.mu.Lock()
 	queue := d.queues[info.Service]
 	if queue == nil {
-		queue = admission.NewQueue()
+		queue = admission.NewQueue(&d.admission)
 		d.queues[info.Service] = queue
 	}
 	if queue.Len() == 0 {
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -13,7 +13,7 @@
 // A resumable stream may run at several hosts, one after the other.
 func (r *request) serveStream() {
 	var turn openTurn
-	f := &forwarder{request: r, info: r.pickInfo(), header: r.header, idempotent: r.route.Resumable}
+	f := &forwarder{request: r, info: r.pickInfo(), header: r.header, idempotent: r.mayRepeat()}
 	if r.needsLedger() {
 		if !r.openTurn(&turn) {
 			return
--- a/internal/tier/proxy/streamrelay.go
+++ b/internal/tier/proxy/streamrelay.go
@@ -27,7 +27,7 @@
 
 func newStreamRelay(r *request, f *forwarder) *streamRelay {
 	s := &streamRelay{request: r, forwarder: f}
-	if r.route.Resumable {
+	if r.route.Resumable && r.server().options.Retries.Resume {
 		s.splicer = eventstream.NewSplicer(r.get("Last-Event-Id"), r.route.Retained)
 		s.parser = s.splicer.Parser()
 	} else {
