Pace a front's reports on hosts: each further one waits twice as long, up to 1.6 s

Cause: with a report each 100 ms from each of 258 fronts, an outage of many hosts would make some 2,600 calls a second to a core node of 0.176 of a processor. Change: the interval doubles with each report in succession, from 100 ms to 1.6 s, and starts again after a rest of 3.2 s: some 160 calls a second at most in the long run. Result: TestReportsArePaced.

--- a/internal/tier/proxy/healthreport.go
+++ b/internal/tier/proxy/healthreport.go
@@ -14,7 +14,8 @@
 const (
 	failureReportDelay = 10 * time.Millisecond  // from a failure to its report, which has others as well
 	successReportDelay = 200 * time.Millisecond // the same for a success at a host that is watched
-	reportInterval     = 100 * time.Millisecond // between two reports
+	minReportInterval  = 100 * time.Millisecond // between the first two reports; doubles with each further one
+	maxReportInterval  = 1600 * time.Millisecond
 	reportTimeout      = 500 * time.Millisecond
 	watchTime          = 2 * time.Second // from a failure of a host, for which its successes are reported as well
 )
@@ -106,8 +107,18 @@
 	return successReportDelay
 }
 
+// nextInterval returns how long the next report has to wait behind one that was made so long after the one before, and waited for an
+// interval: fronts that all have much to report must not keep the core busy.
+func nextInterval(interval, sinceLast time.Duration) time.Duration {
+	if sinceLast > 2*maxReportInterval {
+		return minReportInterval
+	}
+	return min(2*interval, maxReportInterval)
+}
+
 // run reports until the context ends.
 func (r *healthReporter) run(ctx context.Context) {
+	interval, reportedAt := minReportInterval, time.Time{}
 	for {
 		select {
 		case <-r.wake:
@@ -116,11 +127,13 @@
 		}
 		sleepContext(ctx, r.delay())
 		if observations := r.take(time.Now()); len(observations) > 0 {
+			interval = nextInterval(interval, time.Since(reportedAt))
+			reportedAt = time.Now()
 			callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 			_ = r.send(callCtx, observations)
 			cancel()
 		}
-		sleepContext(ctx, reportInterval)
+		sleepContext(ctx, interval)
 	}
 }
 
--- a/internal/tier/proxy/healthreport_test.go
+++ b/internal/tier/proxy/healthreport_test.go
@@ -93,6 +93,18 @@
 	want(t, "calls to the host that is back", one.calls.Load() >= 1, true)
 }
 
+// Reports become rarer while a front goes on reporting, and prompt again after a rest.
+func TestReportsArePaced(t *testing.T) {
+	interval, total := minReportInterval, time.Duration(0)
+	for range 10 {
+		interval = nextInterval(interval, interval)
+		total += interval
+	}
+	want(t, "interval", interval, maxReportInterval)
+	want(t, "ten reports take at least", total > 10*time.Second, true)
+	want(t, "interval after a rest", nextInterval(interval, 2*maxReportInterval+1), minReportInterval)
+}
+
 // What is collected is bounded to hosts that are watched, and forgotten.
 func TestHealthReporterForgets(t *testing.T) {
 	r := newHealthReporter(nil)
