--- a/internal/tier/controlnode/health_role_test.go
+++ b/internal/tier/controlnode/health_role_test.go
@@ -89,6 +89,9 @@
 		awaitPhase(t, f, "i3", discovery.Ejected)
 		awaitPhase(t, f, "i2", discovery.Ready)
 	}
+	if text := c.logs.String(); strings.Count(text, `msg="host ejected" host=i3 service=s`) != 1 {
+		t.Errorf("the verdict is not logged once:\n%s", text)
+	}
 	awaitPhase(t, followers[2], "i3", discovery.Probation)
 	awaitPhase(t, followers[2], "i3", discovery.Ready)
 	reportUntil(t, followers[0], "i4")
--- a/internal/tier/controlnode/platform_poller.go
+++ b/internal/tier/controlnode/platform_poller.go
@@ -31,9 +31,25 @@
 	list := &discovery.List{Hosts: hosts, Term: s.node.View().Epoch}
 	list.Number = discovery.NextNumber(list.Term, s.incarnation, s.node.Hosts())
 	s.mergeReady(s.node.PublishHosts(s.now(), list))
+	s.logVerdicts(r.lastPublished, list)
 	r.published = list
 }
 
+// logVerdicts logs which hosts are ejected by the next list and were not by the last one, nil for none.
+func (s *Server) logVerdicts(last, next *discovery.List) {
+	ejected := map[string]bool{}
+	if last != nil {
+		for _, host := range last.Hosts {
+			ejected[host.ID] = host.Phase == discovery.Ejected
+		}
+	}
+	for _, host := range next.Hosts {
+		if host.Phase == discovery.Ejected && !ejected[host.ID] {
+			s.log.Info("host ejected", "host", host.ID, "service", host.Service, "addr", host.Addr)
+		}
+	}
+}
+
 // pollPlatform is the other singleton role: at the head it polls the platform's list of hosts and publishes each change, of the list
 // or of the verdicts on hosts.
 func (s *Server) pollPlatform() {
--- a/internal/tier/controlnode/server_test.go
+++ b/internal/tier/controlnode/server_test.go
@@ -47,6 +47,7 @@
 	crash []func() // ends a node without a word
 	http  *http.Client
 	cores []*Server
+	logs  syncBuffer // of all nodes
 
 	platform string // its address, empty for none
 }
@@ -110,7 +111,7 @@
 
 func (c *cluster) start(i int, bootstrap bool) {
 	c.t.Helper()
-	core, err := Open(c.settings(i, bootstrap), process.NewLogger(io.Discard))
+	core, err := Open(c.settings(i, bootstrap), process.NewLogger(&c.logs))
 	if err != nil {
 		c.t.Fatal(err)
 	}
