Force a continuation in the test with drafts rather than hope for one

Change: eight programs at once, so that both hosts get calls, in rounds until a host has continued a stream; each must end within a budget that leaves no room for a second run.

--- a/internal/tier/tiertest/drafts_test.go
+++ b/internal/tier/tiertest/drafts_test.go
@@ -1,7 +1,9 @@
 package tiertest
 
 import (
+	"fmt"
 	"slices"
+	"sync"
 	"testing"
 
 	"larchrouter/internal/standin/modelhost"
@@ -29,9 +31,18 @@
 
 	i := slices.IndexFunc(tt.hosts, func(h *modelhost.Host) bool { return h.Options().Service == DraftService })
 	tt.hosts[i].SetFault(modelhost.Fault{Kind: modelhost.Abort, After: 2})
-	run(Program{Name: "resumed", Budget: 64, Conversation: Conversation{Steps: drafts(8)}}, Completed)
-	resumed := slices.ContainsFunc(tt.RunLog.Runs(), func(r modelhost.Run) bool { return r.Skipped == 2 && r.Outcome == modelhost.Completed })
-	if !resumed {
+	resumed := func(r modelhost.Run) bool { return r.Skipped == 2 && r.Outcome == modelhost.Completed }
+	for round := 0; round < 20 && !slices.ContainsFunc(tt.RunLog.Runs(), resumed); round++ {
+		var wg sync.WaitGroup
+		for n := range 8 { // at once, so that both hosts get some
+			wg.Go(func() {
+				name := fmt.Sprintf("resumed-%d-%d", round, n)
+				run(Program{Name: name, Budget: 64, Conversation: Conversation{Steps: drafts(8)}}, Completed)
+			})
+		}
+		wg.Wait()
+	}
+	if !slices.ContainsFunc(tt.RunLog.Runs(), resumed) {
 		t.Error("no host continued a stream")
 	}
 	tt.hosts[i].SetFault(modelhost.Fault{})
