--- a/internal/rpc/dial.go
+++ b/internal/rpc/dial.go
@@ -15,7 +15,7 @@
 	return d.DialContext(ctx, "tcp4", addr)
 }
 
-// redialDelays are the times after which a dial that has not ended is made once more, beside the ones before. The opening packet to a
+// redialDelays are the times after which a dial that has not ended is made once more, in addition to the ones before. The opening packet to a
 // machine that has no power is lost, and is sent again by the kernel a second later only: a machine that comes back meanwhile is
 // reached by the next dial. Dials that were made before stay, since the way to the machine may take longer than a delay.
 var redialDelays = []time.Duration{100 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond}
--- a/internal/tier/balancer/verdict_test.go
+++ b/internal/tier/balancer/verdict_test.go
@@ -20,7 +20,7 @@
 	candidates := func(now time.Time) int { return len(b.candidates(PickInfo{Service: "a"}, now)) }
 	b.UpdateHosts(listOf(discovery.Ejected), start)
 	if n := candidates(start); n != 2 {
-		t.Errorf("%d candidates beside an ejected host, want 2", n)
+		t.Errorf("%d candidates other than an ejected host, want 2", n)
 	}
 	h := b.Lookup("a-0")
 	b.CallStarted(h)
--- a/internal/tier/eventstream/model_test.go
+++ b/internal/tier/eventstream/model_test.go
@@ -201,11 +201,11 @@
 	next := last + 1
 	rest := a.text
 	for rest != "" {
-		event, behind, whole := strings.Cut(rest, "\n\n")
+		event, behind, complete := strings.Cut(rest, "\n\n")
 		if rest = behind; strings.HasPrefix(event, ":") {
 			continue
 		}
-		if !whole {
+		if !complete {
 			return fmt.Sprintf("ORDER: a part of an event: %q", event)
 		}
 		var id, piece, run int
--- a/internal/tier/eventstream/splicer.go
+++ b/internal/tier/eventstream/splicer.go
@@ -29,7 +29,7 @@
 	unnumbered   bool    // an event that was passed on does not follow the one before by its number
 	last         int64   // number of the last event that was passed on
 	hasLast      bool    // there is one
-	version      string  // of the weights, by the last event that told one; empty for none
+	version      string  // of the weights, by the last event that named one; empty for none
 	continuation bool    // the current run continues another one and has had no event yet
 }
 
--- a/internal/tier/hosthealth/tracker.go
+++ b/internal/tier/hosthealth/tracker.go
@@ -1,4 +1,4 @@
-// Package hosthealth decides for the whole fleet which hosts get no calls for a while. Fronts report what they see of hosts that fail;
+// Package hosthealth decides for all fronts which hosts get no calls for a while. Fronts report what they see of hosts that fail;
 // a Tracker at the head of the chain turns the reports into verdicts, which are phases of the hosts in the list that fronts follow. So
 // one front's bad experience saves the others theirs, and one trial of a host that came back serves all.
 //
--- a/internal/tier/proxy/losslog.go
+++ b/internal/tier/proxy/losslog.go
@@ -44,7 +44,7 @@
 	return omitted, true
 }
 
-// Causes of losses that no error of a call tells.
+// Causes of losses that are not errors of a call.
 const (
 	causeClientGone  = "client_gone"
 	causeDrain       = "drain"
--- a/internal/tier/proxy/streamrelay.go
+++ b/internal/tier/proxy/streamrelay.go
@@ -139,7 +139,7 @@
 	return true
 }
 
-// currentVersion returns the version of the weights that gave the last event; empty if no host told one.
+// currentVersion returns the version of the weights that gave the last event; empty if no host named one.
 func (s *streamRelay) currentVersion() string {
 	if version := s.splicer.Version(); version != "" {
 		return version
--- a/internal/tier/upstream/host.go
+++ b/internal/tier/upstream/host.go
@@ -116,7 +116,7 @@
 	return h.connect(deadline)
 }
 
-// HasIdle reports whether a call would go out on an idle connection, as far as its age tells.
+// HasIdle reports whether a call would go out on an idle connection, judged by its age alone.
 func (h *Host) HasIdle(preferNew bool, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
