Repeat a dial that hangs each 100 ms, and at once when its address is heard from

Cause: after all power was lost, dials to machines still dark hang. Change: one interval of 100 ms, and Client.NoteReachable, which the core calls for each message of a peer. At most 12 dials overlap.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -17,11 +17,14 @@
 type Client struct {
 	addr     string
 	dialFunc DialFunc
+	// redialInterval is the time after which a dial that has not ended is made once more.
+	redialInterval time.Duration
 
-	dialing chan struct{}      // has one element while a caller looks for the connection or dials
-	ctx     context.Context    // ends with Close
-	cancel  context.CancelFunc // under mu
-	wg      sync.WaitGroup     // readers of connections
+	dialing   chan struct{}      // has one element while a caller looks for the connection or dials
+	reachable chan struct{}      // has one element after NoteReachable, until a dial that is under way takes it
+	ctx       context.Context    // ends with Close
+	cancel    context.CancelFunc // under mu
+	wg        sync.WaitGroup     // readers of connections
 
 	mu       sync.Mutex
 	conn     *clientConn // the last one, which may have failed; nil before the first
@@ -32,11 +35,23 @@
 func NewClient(addr string) *Client { return newClient(addr, dialTCP) }
 
 func newClient(addr string, dial DialFunc) *Client {
-	c := &Client{addr: addr, dialFunc: dial, dialing: make(chan struct{}, 1)}
+	c := &Client{addr: addr, dialFunc: dial, redialInterval: redialInterval, dialing: make(chan struct{}, 1), reachable: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
 
+// NoteReachable tells the client that its address was heard from just now: a dial that hangs is made once more at once. It does
+// nothing while no dial is under way, and never blocks.
+func (c *Client) NoteReachable() {
+	if len(c.dialing) == 0 {
+		return
+	}
+	select {
+	case c.reachable <- struct{}{}:
+	default:
+	}
+}
+
 // Close closes the connection for good. Calls in flight end in ErrLost, later ones in ErrUnsent.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -117,7 +132,11 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	defer context.AfterFunc(c.ctx, cancel)()
-	socket, err := dialOverlapping(ctx, c.dialFunc, c.addr, redialDelays)
+	select {
+	case <-c.reachable: // a note from before this dial
+	default:
+	}
+	socket, err := dialOverlapping(ctx, c.dialFunc, c.addr, c.redialInterval, c.reachable)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ctx.Err() != nil {
--- a/internal/rpc/dial.go
+++ b/internal/rpc/dial.go
@@ -15,10 +15,14 @@
 	return d.DialContext(ctx, "tcp4", addr)
 }
 
-// redialDelays are the times after which a dial that has not ended is made once more, in addition to the ones before. The opening packet to a
-// machine that has no power is lost, and is sent again by the kernel a second later only: a machine that comes back meanwhile is
-// reached by the next dial. Dials that were made before stay, since the way to the machine may take longer than a delay.
-var redialDelays = []time.Duration{100 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond}
+// redialInterval is the time after which a dial that has not ended is made once more, in addition to the ones before. The opening
+// packet to a machine that has no power is lost, and is sent again by the kernel a second later only: a machine that comes back
+// meanwhile is reached by the next dial. Dials that were made before stay, since the way to the machine may take longer than an
+// interval.
+const redialInterval = 100 * time.Millisecond
+
+// maxOverlappingDials bounds the dials of one connection that are under way at the same time.
+const maxOverlappingDials = 12
 
 // dialOutcome is how one dial ended.
 type dialOutcome struct {
@@ -26,36 +30,47 @@
 	err    error
 }
 
-// dialOverlapping dials an address, and again after each of the delays, until one dial succeeds or one fails. It returns when all its
-// dials have ended, and no more than one connection is open then.
-func dialOverlapping(ctx context.Context, dial DialFunc, addr string, delays []time.Duration) (net.Conn, error) {
+// dialOverlapping dials an address, and again after each interval and with each element of reachable, until one dial succeeds or one
+// fails. It returns when all its dials have ended, and no more than one connection is open then.
+func dialOverlapping(
+	ctx context.Context, dial DialFunc, addr string, interval time.Duration, reachable <-chan struct{},
+) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	outcomes := make(chan dialOutcome, len(delays)+1)
+	outcomes := make(chan dialOutcome, maxOverlappingDials)
+	pending := 0
 	start := func() {
+		if pending == maxOverlappingDials {
+			return
+		}
+		pending++
 		go func() {
 			socket, err := dial(ctx, addr)
 			outcomes <- dialOutcome{socket, err}
 		}()
 	}
 	start()
-	pending := 1
+	redial := time.NewTicker(interval)
+	defer redial.Stop()
 	var first dialOutcome
 	for waiting := true; waiting; {
-		var next <-chan time.Time
-		if pending <= len(delays) {
-			next = time.After(delays[pending-1])
-		}
 		select {
 		case first = <-outcomes:
 			pending--
 			waiting = false
-		case <-next:
+		case <-redial.C:
+			start()
+		case <-reachable:
 			start()
-			pending++
 		}
 	}
 	cancel()
+	return keepOne(first, outcomes, pending)
+}
+
+// keepOne waits for the dials that are pending and returns the outcome that is used: the first one, or if that is an error the first
+// connection. It closes all other connections.
+func keepOne(first dialOutcome, outcomes <-chan dialOutcome, pending int) (net.Conn, error) {
 	for ; pending > 0; pending-- {
 		switch other := <-outcomes; {
 		case other.err != nil:
--- a/internal/rpc/doc.go
+++ b/internal/rpc/doc.go
@@ -56,7 +56,7 @@
 //
 // # Time-outs
 //
-// A dial ends after 600 ms; for 50 ms after a failed one calls fail at once. A write ends after 2 s, or 100 ms past an
+// A dial that hangs is repeated each 100 ms, and at once on NoteReachable; all end after 600 ms. For 50 ms after a failure calls fail at once. A write ends after 2 s, or 100 ms past an
 // earlier deadline of its call, and then the connection is closed. A connection whose bytes stay unacknowledged
 // for 1.5 s, or whose keep-alive probes, one a second, remain without answer, is closed by the kernel.
 package rpc
--- a/internal/tier/controlnode/peer_calls.go
+++ b/internal/tier/controlnode/peer_calls.go
@@ -66,6 +66,9 @@
 	if err := rpc.Decode(body, &m); err != nil {
 		return nil, err
 	}
+	if m.From.Addr != "" {
+		s.clients.To(m.From.Addr).NoteReachable()
+	}
 	select {
 	case s.peerMessages <- m:
 	case <-s.ctx.Done():
