Send configurations compressed to followers that have no base value

Cause: a front without tables downloads a large configuration in chunks, eight transfers at a time at each core node. Change: a follower names the empty body as a base value as well; a core node that knows it sends the value as one compressed delta (format version 2 of bodydelta) in the response, up to 64 KB, else by reference as before. Older nodes and followers are served as before: neither side sends the new format unasked. Tests of downloads keep sources that do not compress.

--- a/internal/tier/bodydelta/apply.go
+++ b/internal/tier/bodydelta/apply.go
@@ -18,12 +18,15 @@
 
 // ApplyWithDigest is Apply for an old body whose digest is known.
 func ApplyWithDigest(old []byte, oldDigest Digest, delta []byte, limit int) ([]byte, error) {
-	if len(delta) < headerSize || delta[0] != formatVersion {
+	if len(delta) < headerSize || delta[0] != formatVersion && !IsCompressed(delta) {
 		return nil, errors.Wrap(ErrCorrupt, "header")
 	}
 	if Digest(delta[1:1+sha256.Size]) != oldDigest {
 		return nil, ErrBase
 	}
+	if IsCompressed(delta) {
+		return decompress(delta, limit)
+	}
 	size, err := resultSize(delta[headerSize:], len(old), limit)
 	if err != nil {
 		return nil, err
--- a/internal/tier/bodydelta/doc.go
+++ b/internal/tier/bodydelta/doc.go
@@ -12,5 +12,8 @@
 //     start of this one in the old body.
 //   - insertBytes: the bytes follow.
 //
+// Version 2 is a delta against the empty body (Compress): after the header come the size of the new body, as an unsigned varint, and the
+// body, compressed with DEFLATE. A receiver that names the empty body as a base can read it.
+//
 // Another program version must be able to read a delta, so a change of the format needs another version byte.
 package bodydelta
--- a/internal/tier/feed/commit_log_test.go
+++ b/internal/tier/feed/commit_log_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"crypto/sha256"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 
 	"larchrouter/internal/rpc"
+	"larchrouter/internal/tier/bodydelta"
 	"larchrouter/internal/tier/chain"
 	"larchrouter/internal/tier/turnstore"
 )
@@ -143,6 +145,13 @@
 type fakeSource struct {
 	commitIndex int64
 	values      ValueCache
+	compresses  bool // unlike a core node of a release that does not know the empty base value
+}
+
+// isEmpty reports whether a base value is the empty one.
+func (b BaseValue) isEmpty() bool {
+	empty := bodydelta.EmptyDigest()
+	return bytes.Equal(b.Digest, empty[:])
 }
 
 // respond responds to a poll as the feed server does.
@@ -150,8 +159,12 @@
 	response := &ChangesResponse{Confirmed: confirmed, Index: s.commitIndex}
 	committed := log.latest(s.commitIndex)
 	s.values.Update(committed)
+	bases := request.BaseValues
+	if !s.compresses {
+		bases = slices.DeleteFunc(slices.Clone(bases), BaseValue.isEmpty)
+	}
 	for _, e := range chain.EntriesAfter(committed, request.ReceivedIndex) {
-		s.values.Add(response, e, request.BaseValues)
+		s.values.Add(response, e, bases)
 	}
 	return wireCopy(response)
 }
--- a/internal/tier/feed/follower_test.go
+++ b/internal/tier/feed/follower_test.go
@@ -294,3 +294,60 @@
 		}
 	})
 }
+
+// A follower that has no value, or one that the source does not know, receives the value compressed, in the response itself.
+func TestValuesAreCompressed(t *testing.T) {
+	timeline := `
+		ms    commits  a                     b                     front
+		0     %s       up,compresses,joins   up,compresses,joins   .
+		1000  .        cut                   cut                   v1
+		1001  x300     .                     .                     .
+		5000  .        %[2]s                 %[2]s                 v1
+		8000  .        .                     .                     v301`
+	for name, test := range map[string]struct {
+		size, wakes string
+		maxBytes    int
+	}{
+		"short values":                {"few", "up", 3 << 10}, // in full
+		"old value cached":            {"some", "up", 8 << 10},
+		"old value not cached":        {"some", "lost,up", 12 << 10},
+		"large, old value cached":     {"large", "up", 76 << 10},
+		"large, old value not cached": {"large", "lost,up", 112 << 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			playTimeline(t, "a+b", fmt.Sprintf(timeline, test.size, test.wakes), func(w *scriptedCluster) {
+				if w.traffic.chunks != 0 || w.traffic.bytes > test.maxBytes || name != "short values" && w.traffic.full != 0 {
+					t.Errorf("%+v, want at most %d bytes", w.traffic, test.maxBytes)
+				}
+			})
+		})
+	}
+}
+
+// A compressed value that arrives damaged is requested in full.
+func TestCorruptCompressedValueIsRequestedInFull(t *testing.T) {
+	for _, size := range []string{"some", "large"} {
+		playTimeline(t, "a", fmt.Sprintf(`
+			ms    commits  a                             front
+			0     %s       up,joins,compresses,garbles   .
+			1500  .        .                             v1
+			1501  edit     honest                        .
+			2000  .        .                             v2`, size), func(w *scriptedCluster) {
+			if w.traffic.patches != 2 || w.traffic.full+w.traffic.refs != 1 {
+				t.Errorf("%+v, want a corrupt compressed value, one in full, and a delta", w.traffic)
+			}
+		})
+	}
+}
+
+// A value that is too large even when compressed is downloaded in chunks.
+func TestHugeValueIsDownloadedInChunks(t *testing.T) {
+	playTimeline(t, "a", `
+		ms    commits  a                     front
+		0     huge     up,joins,compresses   .
+		4000  .        .                     v1`, func(w *scriptedCluster) {
+		if w.traffic.chunks == 0 || w.traffic.patches != 0 {
+			t.Errorf("%+v", w.traffic)
+		}
+	})
+}
--- a/internal/tier/feed/replica.go
+++ b/internal/tier/feed/replica.go
@@ -42,10 +42,15 @@
 	if r.tables.Hosts != nil {
 		request.HostListTerm, request.HostListNumber = r.tables.Hosts.Term, r.tables.Hosts.Number
 	}
-	if r.baseValue != nil && !r.requestFull {
+	if r.requestFull {
+		return request
+	}
+	if r.baseValue != nil {
 		digest := r.baseDigest // a copy: a value may be applied while the request is encoded
-		request.BaseValues = []BaseValue{{Key: ConfigKey, Digest: digest[:]}}
+		request.BaseValues = append(request.BaseValues, BaseValue{Key: ConfigKey, Digest: digest[:]})
 	}
+	empty := bodydelta.EmptyDigest() // the source may send the value compressed
+	request.BaseValues = append(request.BaseValues, BaseValue{Key: ConfigKey, Digest: empty[:]})
 	return request
 }
 
@@ -112,7 +117,11 @@
 	if p.Key != ConfigKey {
 		return errors.Newf("a delta of %s, which has no base value: the full value is requested", p.Key)
 	}
-	value, err := bodydelta.ApplyWithDigest(r.baseValue, r.baseDigest, p.Delta, rpc.MaxFrame)
+	base, baseDigest := r.baseValue, r.baseDigest
+	if bodydelta.IsCompressed(p.Delta) {
+		base, baseDigest = nil, bodydelta.EmptyDigest()
+	}
+	value, err := bodydelta.ApplyWithDigest(base, baseDigest, p.Delta, rpc.MaxFrame)
 	if err != nil {
 		return errors.Wrapf(err, "%s at index %d: the full value is requested", p.Key, p.Index)
 	}
--- a/internal/tier/feed/replica_simulation_test.go
+++ b/internal/tier/feed/replica_simulation_test.go
@@ -63,7 +63,7 @@
 		clock: time.Unix(1000, 0)}
 	sim.routeCount = []int{someRoutes, largeRoutes}[sim.rand.IntN(2)]
 	for range 3 {
-		sim.sources = append(sim.sources, &fakeSource{})
+		sim.sources = append(sim.sources, &fakeSource{compresses: sim.rand.IntN(3) == 0})
 	}
 	sim.log.commitConfig(sim.routeCount, 0)
 	sim.commitTimes, sim.mayLie = []time.Time{sim.clock}, sim.rand.IntN(2) == 0
--- a/internal/tier/feed/scripted_cluster_test.go
+++ b/internal/tier/feed/scripted_cluster_test.go
@@ -36,6 +36,7 @@
 //	          slow             each response takes 300 ms more; quick ends that
 //	          lost             its cached values are dropped
 //	          garbles          each delta has a wrong byte; honest ends that
+//	          compresses       it sends values compressed, as the present release does
 //	          busy             it serves no chunks, since it has its maximum of transfers; serves ends that
 //	          joins leaves     it becomes a member; it is removed
 //	follower  v3               it must have applied the third version by now; v0: none
@@ -271,6 +272,8 @@
 		node.busy = true
 	case "serves":
 		node.busy = false
+	case "compresses":
+		node.compresses = true
 	case "garbles":
 		node.corruptsDeltas = true
 	case "honest":
--- a/internal/tier/feed/value_cache.go
+++ b/internal/tier/feed/value_cache.go
@@ -10,7 +10,7 @@
 
 const (
 	minPatchedValue = 1 << 10  // bytes; shorter values are always sent in full
-	maxPatchSize    = 32 << 10 // bytes; longer deltas are not sent
+	maxPatchSize    = 32 << 10 // bytes; longer deltas between two values are not sent
 	maxInlineValue  = 64 << 10 // bytes; longer values are sent by reference and downloaded in chunks
 	maxValuesPerKey = 8        // cached for each key, the committed one included
 	maxCachedBytes  = 32 << 20 // of all cached values but the committed ones
@@ -118,7 +118,8 @@
 	return nil
 }
 
-// Add adds an entry to a response: as a delta to one of the follower's base values, in full, or by reference.
+// Add adds an entry to a response: as a delta to one of the follower's base values, compressed if the empty body is one of them, in full,
+// or by reference.
 func (v *ValueCache) Add(response *ChangesResponse, entry chain.Entry, baseValues []BaseValue) {
 	v.mu.Lock()
 	target := v.lookup(entry.Key, entry.Index)
@@ -148,8 +149,8 @@
 // once for all followers, without the lock.
 func (v *ValueCache) delta(baseDigest []byte, target *cachedValue) []byte {
 	v.mu.Lock()
-	base := v.findDigest(baseDigest)
-	if base == nil || base.Key != target.Key {
+	base := v.findBase(baseDigest, target.Key)
+	if base == nil {
 		v.mu.Unlock()
 		return nil
 	}
@@ -164,14 +165,33 @@
 	}
 	v.mu.Unlock()
 	cached.once.Do(func() {
-		patch := bodydelta.DiffWithDigests(base.Value, target.Value, key.base, key.target)
-		if len(patch) <= maxPatchSize && len(patch) < len(target.Value) {
+		patch, maxSize := []byte(nil), maxPatchSize
+		if len(base.Value) == 0 {
+			patch, maxSize = bodydelta.Compress(target.Value, key.target), maxInlineValue
+		} else {
+			patch = bodydelta.DiffWithDigests(base.Value, target.Value, key.base, key.target)
+		}
+		if len(patch) <= maxSize && len(patch) < len(target.Value) {
 			cached.bytes = patch
 		}
 	})
 	return cached.bytes
 }
 
+// emptyValue is the base of compressed values.
+var emptyValue = &cachedValue{digest: bodydelta.EmptyDigest()}
+
+// findBase returns the base value of a key with a digest: a cached one or the empty one, nil if it is neither. The caller holds the lock.
+func (v *ValueCache) findBase(digest []byte, key string) *cachedValue {
+	if bytes.Equal(digest, emptyValue.digest[:]) {
+		return emptyValue
+	}
+	if base := v.findDigest(digest); base != nil && base.Key == key {
+		return base
+	}
+	return nil
+}
+
 // Chunk returns the response to a request for a chunk: at most maxChunkSize bytes of the value, or ChunkUnknown.
 func (v *ValueCache) Chunk(request *ChunkRequest) *Chunk {
 	value := v.Find(request.Digest)
--- a/internal/tier/feed/value_cache_test.go
+++ b/internal/tier/feed/value_cache_test.go
@@ -17,17 +17,19 @@
 	source.respond(&log, &ChangesRequest{}, true)
 	log.commitConfig(largeRoutes, 1)
 	source.commitIndex = 3
-	digest := bodydelta.DigestOf(old.Value)
+	digest, empty := bodydelta.DigestOf(old.Value), bodydelta.EmptyDigest()
+	source.compresses = true
 	for name, test := range map[string]struct {
 		base    []BaseValue
 		patches int
 		refs    int
 	}{
-		"no base value":       {nil, 0, 1},
-		"the value before":    {[]BaseValue{{ConfigKey, digest[:]}}, 1, 0},
-		"an unknown value":    {[]BaseValue{{ConfigKey, make([]byte, 32)}}, 0, 1},
-		"another key's value": {[]BaseValue{{PlacementKey, digest[:]}}, 0, 1},
-		"a truncated digest":  {[]BaseValue{{ConfigKey, digest[:7]}}, 0, 1},
+		"no base value":                   {nil, 0, 1},
+		"the value before":                {[]BaseValue{{ConfigKey, digest[:]}}, 1, 0},
+		"an unknown value":                {[]BaseValue{{ConfigKey, make([]byte, 32)}}, 0, 1},
+		"another key's value":             {[]BaseValue{{PlacementKey, digest[:]}}, 0, 1},
+		"a truncated digest":              {[]BaseValue{{ConfigKey, digest[:7]}}, 0, 1},
+		"the value before, or compressed": {[]BaseValue{{ConfigKey, digest[:]}, {ConfigKey, empty[:]}}, 1, 0},
 	} {
 		response := source.respond(&log, &ChangesRequest{BaseValues: test.base}, true)
 		if len(response.Patches) != test.patches || len(response.LargeValues) != test.refs || len(response.Entries) != 0 {
