Keep a core node that starts again and again out of the chain for 3 s

Change: a peer with two restarts within 3 s is unstable for 3 s after the last one. It leaves the chain where more than fault_tolerance stable members stay, and does not join meanwhile; where all start again nobody is left out.

--- a/internal/tier/controlnode/conditions.go
+++ b/internal/tier/controlnode/conditions.go
@@ -16,6 +16,7 @@
 		Failed:         map[string]bool{},
 		Suspected:      map[string]bool{},
 		Leaving:        map[string]bool{},
+		Unstable:       map[string]bool{},
 		FaultTolerance: n.settings.FaultTolerance,
 		ChainLength:    n.settings.ChainLength,
 	}
@@ -51,6 +52,7 @@
 			cond.CaughtUp[n.settings.Self.ID] = false
 		}
 		cond.Leaving[id] = peer.leaving
+		cond.Unstable[id] = n.isUnstable(peer)
 		if !voter && !peer.leaving {
 			cond.Applicants = append(cond.Applicants, peer.member)
 		}
--- a/internal/tier/controlnode/membership.go
+++ b/internal/tier/controlnode/membership.go
@@ -32,15 +32,15 @@
 		if p != nil && !p.heardFrom && n.now-p.lastHeard < n.settings.Timings.SuspectTimeout && l.ID != n.settings.Self.ID {
 			continue // after a start of all, a member that was not heard from yet is no fault
 		}
-		if !cond.Alive[l.ID] || cond.Leaving[l.ID] && n.canShortenChain(cond) {
+		if !cond.Alive[l.ID] || (cond.Leaving[l.ID] || cond.Unstable[l.ID]) && n.canShortenChain(cond) {
 			return true
 		}
 	}
 	return false
 }
 
-// canShortenChain reports whether enough members of the chain have its complete state without those that
-// leave.
+// canShortenChain reports whether enough members of the chain have its complete state without those that leave or start
+// again and again.
 func (n *Node) canShortenChain(cond view.Conditions) bool {
 	staying := 0
 	for _, l := range n.acceptor.View.Chain {
@@ -48,7 +48,7 @@
 		if p := n.peers[l.ID]; p != nil && p.chainAck.Active && p.chainAck.Epoch == n.acceptor.View.Epoch {
 			active = true
 		}
-		if active && cond.Alive[l.ID] && !cond.Leaving[l.ID] {
+		if active && cond.Alive[l.ID] && !cond.Leaving[l.ID] && !cond.Unstable[l.ID] {
 			staying++
 		}
 	}
@@ -63,7 +63,7 @@
 	}
 	for _, m := range v.Voters {
 		if v.Position(m.ID) < 0 && cond.Alive[m.ID] && !cond.Leaving[m.ID] &&
-			(cond.CaughtUp[m.ID] || len(v.Chain) <= n.settings.FaultTolerance) {
+			(cond.CaughtUp[m.ID] && !cond.Unstable[m.ID] || len(v.Chain) <= n.settings.FaultTolerance) {
 			return true
 		}
 	}
--- a/internal/tier/controlnode/peers.go
+++ b/internal/tier/controlnode/peers.go
@@ -25,6 +25,8 @@
 	latestRound    int64 // the newest of its confirmation rounds that has come; this node echoes it
 	confirmedRound int64 // the newest of this node's rounds that it has confirmed in this epoch
 
+	restarts [2]time.Duration // when the last two incarnations after the first one were heard of; 0 for none
+
 	commitReported bool  // it has reported, in this epoch, what is committed
 	reportedCommit int64 // valid if commitReported
 }
@@ -47,12 +49,26 @@
 		return nil
 	}
 	if m.Incarnation > p.incarnation {
-		*p = peer{member: m.From, incarnation: m.Incarnation, lastHeardUs: n.now, epoch: p.epoch, leaving: false}
+		restarts := p.restarts
+		if p.heardFrom {
+			restarts = [2]time.Duration{restarts[1], n.now}
+		}
+		*p = peer{member: m.From, incarnation: m.Incarnation, lastHeardUs: n.now, epoch: p.epoch, leaving: false, restarts: restarts}
 	}
 	p.member, p.lastHeard, p.heardFrom = m.From, n.now, true
 	return p
 }
 
+// unstableFor is how long a peer counts as unstable after a restart that follows on another within the same time.
+const unstableFor = 3 * time.Second
+
+// isUnstable reports whether a peer starts again and again. Each of its deaths holds up the chain until it is suspected, and one
+// that starts again before that is never suspected.
+func (n *Node) isUnstable(p *peer) bool {
+	last, before := p.restarts[1], p.restarts[0]
+	return before > 0 && last-before < unstableFor && n.now-last < unstableFor
+}
+
 // recentlyHeard reports whether a message of a peer has come within three heartbeat intervals.
 func (n *Node) recentlyHeard(p *peer) bool {
 	return p.heardFrom && n.now-p.lastHeard < 3*n.settings.Timings.HeartbeatInterval
--- a/internal/tier/controlnode/timeline_test.go
+++ b/internal/tier/controlnode/timeline_test.go
@@ -235,6 +235,29 @@
 			3100  x . x . . . . .   | ? *
 			5000  x . x . . . . .   | w bde
 			8000  . . . . . . . .   | w bde`},
+		"a member that dies and starts again before it is suspected is a learner from its second start on": {5, `
+			1200  . . . . .   | w abc
+			1500  . x . . .   | - *
+			2000  . . . . .   | w abc
+			2300  . x . . .   | - *
+			2800  . . . . .   | w acd
+			3700  . x . . .   | w acd
+			4300  . . . . .   | w acd
+			9000  . . . . .   | w acd`},
+		"one restart is no reason to leave": {5, `
+			1200  . . . . .   | w abc
+			1500  . . x . .   | - *
+			9000  . . . . .   | w abc
+			9300  . . x . .   | - *
+			12000 . . . . .   | w abc`},
+		"all start again and again: nobody is left out": {4, `
+			1200  . . . .   | w abc
+			1700  x x x x   | - *
+			2500  . . . .   | w abc
+			3000  x x x x   | - *
+			3900  . . . .   | w abc
+			4400  x x x x   | - *
+			5200  . . . .   | w abc`},
 		"the tail receives nothing: a learner takes its place": {5, `
 			1200  . . . . .   | w abc
 			3200  . . < . .   | w abd
--- a/internal/tier/view/proposer.go
+++ b/internal/tier/view/proposer.go
@@ -11,6 +11,7 @@
 	Failed         map[string]bool // voters that may lose their vote: unresponsive for long, or since they were leaving
 	Suspected      map[string]bool // voters that are unresponsive, but not failed
 	Leaving        map[string]bool // members that are about to stop
+	Unstable       map[string]bool // members that start again and again: learners until they have run for a while
 	FaultTolerance int             // replicas that may be lost at once
 	ChainLength    int             // members that the chain should have, more than FaultTolerance; 0: all voters that have caught up
 }
@@ -52,6 +53,9 @@
 func nextChain(current, next *View, promises []Promise, conditions Conditions) []ChainMember {
 	complete := completeMembers(current, next, promises)
 	remaining := slices.DeleteFunc(slices.Clone(complete), func(l ChainMember) bool { return conditions.Leaving[l.ID] })
+	if stable := slices.DeleteFunc(slices.Clone(remaining), func(l ChainMember) bool { return conditions.Unstable[l.ID] }); len(stable) > conditions.FaultTolerance {
+		remaining = stable
+	}
 	if len(remaining) <= conditions.FaultTolerance { // a leaving member may have one of the last replicas: it stays for now
 		remaining = complete
 	}
@@ -73,7 +77,7 @@
 			}
 		}
 	}
-	add(func(id string) bool { return conditions.CaughtUp[id] })
+	add(func(id string) bool { return conditions.CaughtUp[id] && !conditions.Unstable[id] })
 	// A chain of no more than FaultTolerance members may not be proposed: fill it with members that have to catch up.
 	add(func(string) bool { return len(members) <= conditions.FaultTolerance })
 	return members
