Keep a core node with a full disk up: it waits for room, and the others go on without it

Nothing of the batch has left, so to the others it stands still: they remove it from the chain, and it catches up once it can write. Requests get 503 with the cause, new settings are taken. A start on a full disk waits as well. Another failed write or sync ends the process as before: what the disk has is known only after it is opened again. Tests: TestNodeWithFullDiskWaitsForRoom, TestOthersGoOnWithoutNodeWithFullDisk (head, tail, learner), TestStartOnFullDisk.

--- a/internal/tier/controlnode/event_loop.go
+++ b/internal/tier/controlnode/event_loop.go
@@ -6,12 +6,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"larchrouter/internal/sqlitelog"
 	"larchrouter/internal/tier/discovery"
 )
 
 // eventLoop owns the node. It takes events in batches: what a batch changed is synced once, before any of its
 // messages, completions and reads leave the node. It returns an error if the disk fails, as a node that can
-// not sync cannot promise anything.
+// not sync cannot promise anything; where the disk is full it waits for room.
 func (s *Server) eventLoop() error {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -92,7 +93,12 @@
 	if !s.ready.MustSync {
 		return nil
 	}
-	return s.syncRows(s.ctx, s.changedRows(s.node.Durable()))
+	rows := s.changedRows(s.node.Durable())
+	err := s.syncRows(s.ctx, rows)
+	if errors.Is(err, sqlitelog.ErrFull) {
+		return s.syncWhenRoom(rows, err)
+	}
+	return err
 }
 
 // deliver sends the messages of the batch, wakes the callers of completed requests, and then the callers of
@@ -108,8 +114,13 @@
 		}
 	}
 	s.ready = Ready{}
+	s.reportSynced(true)
+}
+
+// reportSynced reports to the callers of runOnLoop in this batch whether what they have read is on disk.
+func (s *Server) reportSynced(ok bool) {
 	for _, synced := range s.awaitingSync {
-		close(synced)
+		synced <- ok
 	}
 	s.awaitingSync = s.awaitingSync[:0]
 }
--- /dev/null
+++ b/internal/tier/controlnode/full_disk_test.go
@@ -0,0 +1,116 @@
+package controlnode
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"larchrouter/internal/process"
+	"larchrouter/internal/sqlitelog"
+)
+
+// fillDisk makes a node's disk full until the returned function is called.
+func fillDisk(t *testing.T, core *Server) (empty func()) {
+	t.Helper()
+	var full atomic.Bool
+	full.Store(true)
+	if !core.onLoop(func() {
+		core.syncRows = func(ctx context.Context, rows []sqlitelog.Write) error {
+			if full.Load() {
+				return errors.Mark(errors.New("no room"), sqlitelog.ErrFull)
+			}
+			return core.db.Commit(ctx, rows)
+		}
+	}) {
+		t.Fatal("the node has stopped")
+	}
+	return func() { full.Store(false) }
+}
+
+// A node whose disk is full stays up, says so, promises nothing, and goes on once there is room.
+func TestNodeWithFullDiskWaitsForRoom(t *testing.T) {
+	core := startAlone(t)
+	empty := fillDisk(t, core)
+	completed := make(chan Completion, 1)
+	core.requests <- onLoopRequest(func() {
+		core.mergeReady(core.node.Write(core.now(), core.newRequestID(t.Context(), completed), "key", []byte("value")))
+	})
+	for !core.diskFull.Load() {
+		core.sleep(tickInterval)
+	}
+	if core.onLoop(func() {}) {
+		t.Error("a read is answered while the disk is full")
+	}
+	answer := httptest.NewRecorder()
+	core.operatorAPI().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, configPath, nil))
+	if answer.Code != http.StatusServiceUnavailable || !strings.Contains(answer.Body.String(), "disk is full") {
+		t.Errorf("status %d: %s", answer.Code, answer.Body)
+	}
+	settings := *core.settings
+	settings.Seeds = []string{core.settings.Seeds[0], "127.0.0.99:4"}
+	core.UpdateSeeds(&settings)
+	if len(completed) > 0 {
+		t.Error("a write is complete that is not on disk")
+	}
+	empty()
+	if completion := <-completed; completion.Outcome != Committed {
+		t.Errorf("the write ends as %+v", completion)
+	}
+	seeds := 0
+	if !core.onLoop(func() { seeds = len(core.node.settings.Seeds) }) || seeds != 2 {
+		t.Errorf("%d seeds after new settings came while the disk was full", seeds)
+	}
+}
+
+// The others go on without a node whose disk is full, and it has all again once there is room: the head, the tail, a learner.
+func TestOthersGoOnWithoutNodeWithFullDisk(t *testing.T) {
+	for _, node := range []int{0, 2, 3} {
+		c := newCluster(t, 4)
+		if status := c.put(1, 0, 0, 1, 2, 3); status != http.StatusOK {
+			t.Fatal(status)
+		}
+		empty := fillDisk(t, c.cores[node])
+		others := slices.DeleteFunc([]int{0, 1, 2, 3}, func(i int) bool { return i == node })
+		for version := 2; version <= 4; version++ {
+			if status := c.put(version, version-1, others...); status != http.StatusOK {
+				t.Fatalf("node %d is full: version %d: %d", node, version, status)
+			}
+		}
+		empty()
+		c.until("it has all again", func() bool {
+			status, body := c.send(node, http.MethodGet, "/api/status", "", nil)
+			return status == http.StatusOK && strings.Contains(body, `"config_version":4`) &&
+				(strings.Contains(body, `"role":"member"`) || strings.Contains(body, `"role":"learner"`))
+		})
+	}
+}
+
+// A start on a full disk waits for room, and ends with its context.
+func TestStartOnFullDisk(t *testing.T) {
+	full := errors.Mark(errors.New("no room"), sqlitelog.ErrFull)
+	broken := errors.New("another fault")
+	attempts := 0
+	open := func(outcomes ...error) func() (*Server, error) {
+		attempts = 0
+		return func() (*Server, error) { attempts++; return &Server{}, outcomes[attempts-1] }
+	}
+	log := process.NewLogger(io.Discard)
+	if server, err := openWhenRoom(t.Context(), log, open(full, full, nil)); err != nil || server == nil || attempts != 3 {
+		t.Errorf("%v after %d attempts", err, attempts)
+	}
+	if _, err := openWhenRoom(t.Context(), log, open(full, broken)); !errors.Is(err, broken) || attempts != 2 {
+		t.Errorf("%v after %d attempts", err, attempts)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := openWhenRoom(ctx, log, open(full, nil)); !errors.Is(err, sqlitelog.ErrFull) || attempts != 1 {
+		t.Errorf("%v after %d attempts", err, attempts)
+	}
+}
--- a/internal/tier/controlnode/loop_requests.go
+++ b/internal/tier/controlnode/loop_requests.go
@@ -15,22 +15,32 @@
 // queuedRequest is a request on its way to the event loop.
 type queuedRequest struct {
 	request loopRequest
-	synced  chan struct{} // closed once everything that the request could read is on disk; nil where nobody waits
+	synced  chan bool // has room for one: true once everything that the request could read is on disk, false if it was rejected; may be nil
+}
+
+// reject ends a request that is not handled, as the disk is full.
+func (q queuedRequest) reject() {
+	if q.synced != nil {
+		q.synced <- false
+	}
+	if p, ok := q.request.(*submission); ok {
+		p.completed <- Completion{Outcome: OutcomeUnknown}
+	}
 }
 
 // runOnLoop has the event loop handle a request, and waits until the batch of the request is on disk: the
-// caller may then report what the request has read. It returns false if the server stops; the request may run
-// later then, and its results must not be used.
+// caller may then report what the request has read. It returns false if the server stops or its disk is full; the
+// request may run later then, and its results must not be used.
 func (s *Server) runOnLoop(request loopRequest) bool {
-	synced := make(chan struct{})
+	synced := make(chan bool, 1)
 	select {
 	case s.requests <- queuedRequest{request: request, synced: synced}:
 	case <-s.ctx.Done():
 		return false
 	}
 	select {
-	case <-synced:
-		return true
+	case ok := <-synced:
+		return ok
 	case <-s.ctx.Done():
 		return false
 	}
--- a/internal/tier/controlnode/operator_api.go
+++ b/internal/tier/controlnode/operator_api.go
@@ -38,7 +38,11 @@
 func (s *Server) operatorAPI() http.Handler {
 	mux := http.NewServeMux()
 	for _, call := range operatorCalls {
-		mux.HandleFunc(call.Pattern, func(w http.ResponseWriter, r *http.Request) { call.Serve(s, w, r) })
+		mux.HandleFunc(call.Pattern, func(w http.ResponseWriter, r *http.Request) {
+			if !s.rejectIfDiskFull(w) {
+				call.Serve(s, w, r)
+			}
+		})
 	}
 	return mux
 }
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -51,7 +51,7 @@
 	// Owned by the event loop; only loopRequest.handle and nodeRequest.start use them elsewhere.
 	node            *Node
 	ready           Ready                                          // merged from the steps of the batch
-	awaitingSync    []chan struct{}                                // of runOnLoop, closed once the batch is on disk
+	awaitingSync    []chan bool                                    // of runOnLoop, see queuedRequest
 	syncRows        func(context.Context, []sqlitelog.Write) error // db.Commit
 	savedHashes     map[int64]uint64                               // of the entries on disk, by index
 	savedState      chain.State                                    // on disk
@@ -63,10 +63,11 @@
 
 	healthReported chan struct{} // of capacity 1: a front has reported since pollPlatform last looked
 
-	isHead  atomic.Bool             // IsConfirmedHead after the last batch
-	mu      sync.Mutex              // guards changed
-	changed chan struct{}           // closed when there may be something new for followers
-	senders map[string]chan Message // by address; owned by the event loop
+	isHead   atomic.Bool             // IsConfirmedHead after the last batch
+	diskFull atomic.Bool             // the event loop waits for room on the disk
+	mu       sync.Mutex              // guards changed
+	changed  chan struct{}           // closed when there may be something new for followers
+	senders  map[string]chan Message // by address; owned by the event loop
 
 	followers sync.Map // name to *Follower
 	feed      feedServer
