Name the cause of an undecided order, log it, and answer 413 with the limit

Cause: a PUT that stayed undecided logged nothing and its 503 had one text for all causes; a body over the limit was answered 400 'send it again'; a node with a full disk asked callers to come back in 0.2 s. Change: the 503 carries the reason of the last try, which is logged with the order; 413 names the limit; Retry-After is left out where another node has to be asked.

--- a/internal/tier/controlnode/decisions.go
+++ b/internal/tier/controlnode/decisions.go
@@ -149,21 +149,40 @@
 	return query.decision, "", query.err
 }
 
-// retryUntilTimeout repeats a call until there is a reply or requestTimeout is over; then the reply is 503.
-func retryUntilTimeout(ctx context.Context, call func(ctx context.Context) (*feed.Reply, error)) *feed.Reply {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+// retryUntilTimeout repeats a call until there is a reply or requestTimeout is over. Then the reply is 503 with the reason of the last
+// try, which is logged too.
+func (s *Server) retryUntilTimeout(
+	ctx context.Context, order string, call func(ctx context.Context) (*feed.Reply, error),
+) *feed.Reply {
+	callCtx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
+	var cause error
 	for {
-		reply, err := call(ctx)
+		reply, err := call(callCtx)
 		if err == nil {
 			return reply
 		}
+		if cause == nil || callCtx.Err() == nil { // the end of the time is no cause
+			cause = err
+		}
 		timer := time.NewTimer(retryInterval)
 		select {
 		case <-timer.C:
-		case <-ctx.Done():
+		case <-callCtx.Done():
 			timer.Stop()
-			return &feed.Reply{Status: http.StatusServiceUnavailable, Text: errOutcomeUnknown.Error()}
+			return s.undecided(ctx, order, cause)
 		}
 	}
 }
+
+// undecided returns the reply to an order that was not decided in time, and logs why, unless its caller has left.
+func (s *Server) undecided(ctx context.Context, order string, cause error) *feed.Reply {
+	text := errOutcomeUnknown.Error()
+	if !errors.Is(cause, errOutcomeUnknown) {
+		text += " (last: " + cause.Error() + ")"
+	}
+	if ctx.Err() == nil {
+		s.log.Info("order undecided", "order", order, "cause", cause)
+	}
+	return &feed.Reply{Status: http.StatusServiceUnavailable, Text: text}
+}
--- a/internal/tier/controlnode/full_disk.go
+++ b/internal/tier/controlnode/full_disk.go
@@ -81,11 +81,12 @@
 	q.reject()
 }
 
-// rejectIfDiskFull answers a call of the operator API where the disk is full, and reports whether it did.
+// rejectIfDiskFull answers a call of the operator API where the disk is full, and reports whether it did. There is no Retry-After: the
+// caller is to ask another node.
 func (s *Server) rejectIfDiskFull(w http.ResponseWriter) bool {
 	if !s.diskFull.Load() {
 		return false
 	}
-	writeReply(w, &feed.Reply{Status: http.StatusServiceUnavailable, Text: errDiskFull.Error()})
+	writeResponse(w, &feed.Reply{Status: http.StatusServiceUnavailable, Text: errDiskFull.Error()})
 	return true
 }
--- a/internal/tier/controlnode/operator_api.go
+++ b/internal/tier/controlnode/operator_api.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"larchrouter/internal/tier/feed"
 )
 
@@ -47,8 +50,19 @@
 	return mux
 }
 
-// writeReply writes a reply as an HTTP response.
+// retryAfterUndecided is the Retry-After, in seconds, of an order that another try may decide.
+const retryAfterUndecided = "0.2"
+
+// writeReply writes a reply as an HTTP response. A 503 asks the caller to try again here.
 func writeReply(w http.ResponseWriter, reply *feed.Reply) {
+	if reply.Status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfterUndecided)
+	}
+	writeResponse(w, reply)
+}
+
+// writeResponse writes a reply as an HTTP response, without Retry-After.
+func writeResponse(w http.ResponseWriter, reply *feed.Reply) {
 	body := reply.Body
 	if len(body) == 0 { // a forwarded reply has an empty body instead of nil
 		body, _ = json.Marshal(struct {
@@ -57,9 +71,6 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if reply.Status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", "0.2")
-	}
 	if reply.Location != "" {
 		w.Header().Set("Location", reply.Location)
 	}
@@ -67,6 +78,17 @@
 	_, _ = w.Write(body)
 }
 
+// badBody answers a request whose body could not be read: 413 with the limit if it is longer than that, else 400 with a text.
+func badBody(w http.ResponseWriter, err error, text string) {
+	var tooLong *http.MaxBytesError
+	if !errors.As(err, &tooLong) {
+		badRequest(w, text)
+		return
+	}
+	text = fmt.Sprintf("the body is longer than %d bytes: send a shorter one", tooLong.Limit)
+	writeReply(w, &feed.Reply{Status: http.StatusRequestEntityTooLarge, Text: text})
+}
+
 // badRequest answers 400 with a text.
 func badRequest(w http.ResponseWriter, text string) {
 	writeReply(w, &feed.Reply{Status: http.StatusBadRequest, Text: text})
@@ -93,7 +115,7 @@
 func (s *Server) putConfig(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBody))
 	if err != nil {
-		badRequest(w, "the configuration did not come whole: send it again")
+		badBody(w, err, "the configuration did not come whole: send it again")
 		return
 	}
 	match, err := strconv.ParseInt(strings.Trim(strings.TrimSpace(r.Header.Get("If-Match")), `"`), 10, 64)
@@ -103,7 +125,7 @@
 	}
 	request := &feed.PutRequest{IfMatch: match, Body: body}
 	order := putOrder(request)
-	writeReply(w, retryUntilTimeout(r.Context(), func(ctx context.Context) (*feed.Reply, error) {
+	writeReply(w, s.retryUntilTimeout(r.Context(), r.Method+" "+r.URL.Path, func(ctx context.Context) (*feed.Reply, error) {
 		return s.put(ctx, request, order)
 	}))
 }
@@ -111,7 +133,7 @@
 // getConfig serves GET /api/config.
 func (s *Server) getConfig(w http.ResponseWriter, r *http.Request) {
 	request := &feed.OrderRequest{}
-	writeReply(w, retryUntilTimeout(r.Context(), func(ctx context.Context) (*feed.Reply, error) {
+	writeReply(w, s.retryUntilTimeout(r.Context(), r.Method+" "+r.URL.Path, func(ctx context.Context) (*feed.Reply, error) {
 		return s.handleRead(ctx, request)
 	}))
 }
@@ -119,11 +141,11 @@
 // postRetire serves POST /api/retire/{node}.
 func (s *Server) postRetire(w http.ResponseWriter, r *http.Request) {
 	if _, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxOrderBody)); err != nil {
-		badRequest(w, "the order did not come whole: send it again")
+		badBody(w, err, "the order did not come whole: send it again")
 		return
 	}
 	request := &feed.OrderRequest{Name: r.PathValue("node")}
-	writeReply(w, retryUntilTimeout(r.Context(), func(ctx context.Context) (*feed.Reply, error) {
+	writeReply(w, s.retryUntilTimeout(r.Context(), r.Method+" "+r.URL.Path, func(ctx context.Context) (*feed.Reply, error) {
 		return s.handleRetire(ctx, request)
 	}))
 }
@@ -131,7 +153,7 @@
 // getRetire serves GET /api/retire/{node}.
 func (s *Server) getRetire(w http.ResponseWriter, r *http.Request) {
 	request := &feed.OrderRequest{Name: r.PathValue("node")}
-	writeReply(w, retryUntilTimeout(r.Context(), func(ctx context.Context) (*feed.Reply, error) {
+	writeReply(w, s.retryUntilTimeout(r.Context(), r.Method+" "+r.URL.Path, func(ctx context.Context) (*feed.Reply, error) {
 		return s.handlePhase(ctx, request)
 	}))
 }
