Let learners into a short chain before two of its members leave

The chain was full, so that the learner stayed out, and the members stopped with their votes after 1.5 s: two of four voters lived. Change: members that leave or start again and again do not count towards the length of the chain. TestMembersOfShortChainLeaveTogether and a row of TestChooseViewKeepsChainLength fail without it.

--- a/internal/tier/controlnode/membership.go
+++ b/internal/tier/controlnode/membership.go
@@ -58,7 +58,7 @@
 // wantsChainExtension reports whether a voter should be added to the chain.
 func (n *Node) wantsChainExtension(cond view.Conditions) bool {
 	v := &n.acceptor.View
-	if cond.ChainIsFull(len(v.Chain)) {
+	if cond.ChainIsFull(v.Chain) {
 		return false
 	}
 	for _, m := range v.Voters {
--- a/internal/tier/controlnode/timeline_test.go
+++ b/internal/tier/controlnode/timeline_test.go
@@ -300,6 +300,31 @@
 	}
 }
 
+// Two of the three members of a chain leave at once: a learner is complete before they go, within the time that they wait.
+func TestMembersOfShortChainLeaveTogether(t *testing.T) {
+	c := newSimulationWith(t, 1, 4, 1, ChainLength(1), plantedFaults{})
+	c.withoutChance = true
+	c.run(1500 * time.Millisecond)
+	leaving := []*machine{c.machines["m0"], c.machines["m1"]}
+	for _, m := range leaving {
+		c.handleReady(m, m.node.StartLeaving(c.now))
+	}
+	began := c.now
+	for !leaving[0].node.CanStop() || !leaving[1].node.CanStop() {
+		if c.step(); c.now-began > leaveTimeout {
+			t.Fatalf("they may not stop after %v: chain %v\n%s", leaveTimeout, c.newest.Chain, c.trace())
+		}
+	}
+	for _, m := range leaving {
+		c.stop(m)
+	}
+	writes := c.writes
+	c.run(2 * time.Second)
+	if c.failure != "" || c.writes == writes || len(c.newest.Chain) != 2 {
+		t.Fatalf("%s, %d writes, chain %v", c.failure, c.writes-writes, c.newest.Chain)
+	}
+}
+
 // A 412 names a version: it may not be answered before that one is committed, and not at all if it never is.
 func TestWaitForUncommittedIndexEndsUnknown(t *testing.T) {
 	c := newSimulation(t, 3, 3, plantedFaults{})
--- a/internal/tier/view/proposer.go
+++ b/internal/tier/view/proposer.go
@@ -16,8 +16,21 @@
 	ChainLength    int             // members that the chain should have, more than FaultTolerance; 0: all voters that have caught up
 }
 
-// ChainIsFull reports whether a chain of n members needs no further ones.
-func (c *Conditions) ChainIsFull(n int) bool { return c.ChainLength > 0 && n >= c.ChainLength }
+// ChainIsFull reports whether a chain needs no further members. Members that leave, or start again and again, do not count: others have
+// to be complete before they can go.
+func (c *Conditions) ChainIsFull(chain []ChainMember) bool {
+	return c.ChainLength > 0 && c.staying(chain) >= c.ChainLength
+}
+
+// staying returns how many members of a chain neither leave nor start again and again.
+func (c *Conditions) staying(chain []ChainMember) (count int) {
+	for _, member := range chain {
+		if !c.Leaving[member.ID] && !c.Unstable[member.ID] {
+			count++
+		}
+	}
+	return count
+}
 
 // ChooseView returns the view to propose for the next epoch. It returns false if fewer than a majority of the voters have
 // promised, or if no view is safe: one whose head has all committed entries and which keeps more than FaultTolerance
@@ -63,13 +76,13 @@
 		return nil
 	}
 	members := remaining
-	if conditions.ChainIsFull(len(members)) {
-		members = members[:conditions.ChainLength] // all of them are complete: any part of them is a valid chain
+	for conditions.ChainLength > 0 && conditions.staying(members) == len(members) && len(members) > conditions.ChainLength {
+		members = members[:len(members)-1] // all of them are complete: any part of them is a valid chain
 	}
 	add := func(eligible func(id string) bool) {
 		for _, m := range next.Voters {
 			present := slices.ContainsFunc(members, func(l ChainMember) bool { return l.ID == m.ID })
-			if conditions.ChainIsFull(len(members)) {
+			if conditions.ChainIsFull(members) {
 				return
 			}
 			if !present && conditions.Alive[m.ID] && !conditions.Leaving[m.ID] && eligible(m.ID) {
--- a/internal/tier/view/proposer_test.go
+++ b/internal/tier/view/proposer_test.go
@@ -124,6 +124,8 @@
 		"full":                               {[]string{"a", "b", "c"}, []string{"a", "b", "c"}, 3, []string{"d"}, nil, []string{"a", "b", "c"}},
 		"a lost member is replaced":          {[]string{"a", "b", "c"}, []string{"a", "c", "d"}, 3, []string{"d", "e"}, nil, []string{"a", "c", "d"}},
 		"a leaving member is replaced":       {[]string{"a", "b", "c"}, []string{"a", "b", "c"}, 3, []string{"d"}, []string{"a"}, []string{"b", "c", "d"}},
+		"two leave: others come in first": {[]string{"a", "b", "c"}, []string{"a", "b", "c", "d"}, 3, []string{"d", "e"}, []string{"a", "b"},
+			[]string{"a", "b", "c", "d", "e"}},
 		"a longer one is cut, its head stays": {[]string{"c", "a", "b", "d", "e"}, []string{"a", "b", "c", "d", "e"}, 3, nil, nil,
 			[]string{"c", "a", "b"}},
 		"nobody has caught up": {[]string{"a", "b", "c"}, []string{"a", "b", "d"}, 3, nil, nil, []string{"a", "b"}},
