Simulate equal halves of a core with overlapping losses

Change: drawn courses of 4, 6 and 8 nodes with the checks of the other simulations; five planted faults are found.

--- /dev/null
+++ b/internal/tier/controlnode/halves_test.go
@@ -0,0 +1,106 @@
+package controlnode
+
+import (
+	"flag"
+	"testing"
+	"time"
+)
+
+// halvesSimulations is the number of simulations of TestHalvesAndOverlappingLosses.
+var halvesSimulations = flag.Int("halves", 12, "simulations of halves and overlapping losses")
+
+// playHalves cuts the core into two halves; followers and operators reach both. Machines die and start again in either half meanwhile,
+// more of them than may be lost at once, and one may lose its disk. The cut may end in the middle of an agreement.
+func (c *simulation) playHalves(span time.Duration) {
+	inFirst := map[string]bool{}
+	for _, i := range c.rng.Perm(len(c.order))[:len(c.order)/2] {
+		inFirst[c.order[i]] = true
+	}
+	c.logf("cut into halves, %v in the first", inFirst)
+	c.boundsFrom = time.Hour // service may rest
+	for _, a := range c.order {
+		for _, b := range c.order {
+			if inFirst[a] != inFirst[b] {
+				c.blockedLinks[[2]string{a, b}] = true
+			}
+		}
+	}
+	disk := c.rng.IntN(3) == 0 // one disk is lost
+	for end := c.now + span; c.now < end && c.failure == ""; {
+		m := c.machines[c.order[c.rng.IntN(len(c.order))]]
+		switch {
+		case m.up && c.rng.IntN(3) == 0:
+			c.logf("%s dies in its half", m.addr)
+			c.stop(m)
+			if disk {
+				disk = false
+				c.logf("%s loses its disk", m.addr)
+				c.loseDisk(m)
+			}
+		case !m.up:
+			c.start(m)
+		}
+		c.run(time.Duration(c.rng.IntN(100)) * 5 * time.Millisecond)
+	}
+	c.logf("the halves are joined")
+	c.blockedLinks = map[[2]string]bool{}
+}
+
+// playHalvesCourse plays halves in turn with losses of power of all machines, of which one may lose its disk.
+func playHalvesCourse(t testing.TB, seed uint64, fault plantedFaults) *simulation {
+	c := newSimulation(t, seed, 4+2*int(seed%3), fault)
+	c.faultyMachine = "none" // no machine loses power by itself: this counts what is lost
+	c.run(3 * time.Second)
+	for round := 0; round < 5 && c.failure == ""; round++ {
+		c.playHalves(time.Duration(100+c.rng.IntN(4000)) * time.Millisecond)
+		c.restartAll()
+		if c.rng.IntN(2) == 0 {
+			c.playPowerLoss(c.machines[c.order[c.rng.IntN(len(c.order))]])
+			c.restartAll()
+		}
+		c.boundsFrom = c.now + 2*maxFollowerLag
+		c.checkProgress()
+	}
+	return c
+}
+
+// Even numbers of core nodes cut into equal halves, while more are lost than may be at once: no index is acknowledged twice, nothing
+// acknowledged is lost, and no half shows an older state.
+func TestHalvesAndOverlappingLosses(t *testing.T) {
+	t.Parallel()
+	base := uint64(time.Now().UnixNano())
+	t.Logf("seeds from %d", base)
+	writes, reads := 0, 0
+	for i := range *halvesSimulations {
+		c := playHalvesCourse(t, base+uint64(i), plantedFaults{})
+		if c.failure != "" {
+			t.Fatalf("seed %d, %d machines: %s\n%s", c.seed, len(c.order), c.failure, c.trace())
+		}
+		writes, reads = writes+c.writes, reads+c.reads
+	}
+	t.Logf("%d simulations: %d writes and %d reads acknowledged", *halvesSimulations, writes, reads)
+	if writes < *halvesSimulations || reads < *halvesSimulations {
+		t.Fatalf("only %d writes and %d reads: they show nothing", writes, reads)
+	}
+}
+
+func TestHalvesFindPlantedFaults(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]plantedFaults{
+		"a read from an old tail":                      {readsWithoutConfirmation: true},
+		"acknowledged by the head alone":               {acknowledgesEarly: true},
+		"a lost disk that comes back under its old id": {keepsIDAfterDiskLoss: true},
+		"entries not on disk":                          {losesEntries: true},
+		"a source that does not know it is cut off":    {servesStaleFeed: true, followerRegresses: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(400) {
+				if c := playHalvesCourse(t, seed+1, fault); c.failure != "" {
+					return
+				}
+			}
+			t.Fatal("not found in 400 simulations")
+		})
+	}
+}
