--- a/internal/relay/chaostest/scheduling.go
+++ b/internal/relay/chaostest/scheduling.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"larchrouter/internal/ctxtime"
 	"larchrouter/internal/starvation"
 )
 
@@ -46,7 +47,7 @@
 	last, before := t.recorder.now(), t.readAccount()
 	for {
 		began := time.Now()
-		if !sleep(ctx, starvation.Interval) {
+		if !ctxtime.Sleep(ctx, starvation.Interval) {
 			return
 		}
 		late := time.Since(began) - starvation.Interval
--- a/internal/relay/chaostest/steps.go
+++ b/internal/relay/chaostest/steps.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"larchrouter/internal/ctxtime"
 	"larchrouter/internal/relay/scenario"
 	"larchrouter/internal/standin"
 )
@@ -13,7 +14,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for _, step := range t.plan.Steps {
-		if !sleep(ctx, step.At-t.recorder.now()) {
+		if !ctxtime.Sleep(ctx, step.At-t.recorder.now()) {
 			return
 		}
 		switch action := step.Action.(type) {
--- a/internal/relay/chaostest/trial.go
+++ b/internal/relay/chaostest/trial.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"larchrouter/internal/ctxtime"
 	"larchrouter/internal/relay/scenario"
 	"larchrouter/internal/standin"
 )
@@ -133,7 +134,7 @@
 			rest = max(rest, load.Timeout)
 		}
 	}
-	sleep(ctx, rest+recoveryTime+settleTime)
+	ctxtime.Sleep(ctx, rest+recoveryTime+settleTime)
 	if t.plan.Scenario.Appliances {
 		t.queryOutcomes(ctx)
 	}
@@ -143,22 +144,10 @@
 	return err
 }
 
-// sleep waits and reports whether the context did not end meanwhile.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // sampleCapacity records the hosts' capacity until the context ends.
 func (t *trial) sampleCapacity(ctx context.Context) {
 	last := t.recorder.now()
-	for sleep(ctx, sampleInterval) {
+	for ctxtime.Sleep(ctx, sampleInterval) {
 		now := t.recorder.now()
 		for dest, hosts := range t.hosts {
 			sample := CapacitySample{Dest: dest, From: last, Duration: now - last}
@@ -179,7 +168,7 @@
 // reportProgress reports the counts of each second until the context ends.
 func (t *trial) reportProgress(ctx context.Context) {
 	handed, effects := 0, 0
-	for n := 1; sleep(ctx, time.Duration(n)*time.Second-t.recorder.now()); n++ {
+	for n := 1; ctxtime.Sleep(ctx, time.Duration(n)*time.Second-t.recorder.now()); n++ {
 		var now int
 		t.recorder.update(func(b *EventLog) { now = len(b.Messages) })
 		done, _ := t.effects.Total()
--- a/internal/standin/modelhost/admission.go
+++ b/internal/standin/modelhost/admission.go
@@ -98,21 +98,6 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// sleep sleeps for a time; it returns false if the context ends before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // requestTokens returns the tokens of memory that a request needs while it runs.
 func requestTokens(req *http.Request) int {
 	in, out := parseTokenUsage(req.Header.Get("X-Token-Usage"))
--- a/internal/standin/modelhost/execution.go
+++ b/internal/standin/modelhost/execution.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"larchrouter/internal/ctxtime"
 )
 
 var errClientClosed = errors.New("the caller closed the connection")
@@ -154,7 +156,7 @@
 
 // call executes a call of a tool.
 func (e *execution) call(ctx context.Context) {
-	if !sleep(ctx, e.host.opts.CallDuration) || !e.stall(ctx, e.fault.After) {
+	if !ctxtime.Sleep(ctx, e.host.opts.CallDuration) || !e.stall(ctx, e.fault.After) {
 		e.interrupt(ctx, false)
 		return
 	}
@@ -195,7 +197,7 @@
 		if id == first {
 			delay = o.FirstEventDelay + o.PrefillPerToken*time.Duration(e.run.PrefillTokens)
 		}
-		if !sleep(ctx, delay) || !e.stall(ctx, id-1) {
+		if !ctxtime.Sleep(ctx, delay) || !e.stall(ctx, id-1) {
 			e.interrupt(ctx, id > first)
 			return
 		}
--- a/internal/tier/feed/backoff.go
+++ b/internal/tier/feed/backoff.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -18,13 +17,3 @@
 	bound := min(longest, initialBackoff<<min(step, maxBackoffStep))
 	return bound/2 + rand.N(bound/2+1)
 }
-
-// sleep waits for a duration or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/tier/feed/bootstrap.go
+++ b/internal/tier/feed/bootstrap.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"larchrouter/internal/ctxtime"
 )
 
 // initialPollWait is how long a core node may delay its response to a follower's first poll until it is confirmed.
@@ -16,7 +18,7 @@
 		if f.pollAllSources(ctx) {
 			return
 		}
-		sleep(ctx, backoff(attempt, maxBackoff))
+		ctxtime.Sleep(ctx, backoff(attempt, maxBackoff))
 	}
 }
 
--- a/internal/tier/feed/fetchers.go
+++ b/internal/tier/feed/fetchers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"larchrouter/internal/ctxtime"
 )
 
 const (
@@ -51,7 +53,7 @@
 		f.mu.Lock()
 		core = f.sources.next(core)
 		f.mu.Unlock()
-		sleep(ctx, backoff(failures, maxBackoff))
+		ctxtime.Sleep(ctx, backoff(failures, maxBackoff))
 		failures = min(failures+1, maxChunkBackoffStep)
 	}
 }
--- a/internal/tier/feed/follower.go
+++ b/internal/tier/feed/follower.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"larchrouter/internal/ctxtime"
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
 	"larchrouter/internal/tier/hosthealth"
@@ -110,7 +111,7 @@
 		}
 		wait = 0 // no long polls until a source is confirmed
 		f.failover()
-		sleep(ctx, backoff(failures+firstPollBackoffStep, maxPollBackoff))
+		ctxtime.Sleep(ctx, backoff(failures+firstPollBackoffStep, maxPollBackoff))
 		failures++
 	}
 }
--- a/internal/tier/feed/link_simulation_test.go
+++ b/internal/tier/feed/link_simulation_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"larchrouter/internal/ctxtime"
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
 )
@@ -192,12 +193,12 @@
 	sim.mu.Lock()
 	sim.callCounts[to]++
 	sim.mu.Unlock()
-	sleep(ctx, linkDelay)
+	ctxtime.Sleep(ctx, linkDelay)
 	if !f.awaitOpen(ctx, to, requests) {
 		return rpc.ErrLost
 	}
 	encoded := sim.handle(ctx, node, m, body)
-	sleep(ctx, linkDelay)
+	ctxtime.Sleep(ctx, linkDelay)
 	if encoded == nil || !f.awaitOpen(ctx, to, responses) {
 		return rpc.ErrLost
 	}
@@ -292,7 +293,7 @@
 	s.logf("index %d is committed", e.Index)
 	s.updateLocked()
 	s.wg.Go(func() {
-		sleep(s.ctx, applyTime)
+		ctxtime.Sleep(s.ctx, applyTime)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.ctx.Err() != nil {
--- a/internal/tier/feed/poll.go
+++ b/internal/tier/feed/poll.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"larchrouter/internal/ctxtime"
 )
 
 const (
@@ -126,7 +128,7 @@
 	}
 	empty := result.response.Index == 0 && len(result.response.Entries) == 0
 	if empty && result.request.ReceivedIndex == 0 { // there is no control state yet
-		sleep(ctx, initialBackoff)
+		ctxtime.Sleep(ctx, initialBackoff)
 	}
 	return true
 }
--- a/internal/tier/feed/scripted_cluster_test.go
+++ b/internal/tier/feed/scripted_cluster_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"larchrouter/internal/ctxtime"
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
 )
@@ -95,7 +96,7 @@
 	c.mu.Lock()
 	c.calls++
 	c.mu.Unlock()
-	sleep(ctx, linkDelay)
+	ctxtime.Sleep(ctx, linkDelay)
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		reach, changed := "down", c.changed
@@ -107,7 +108,7 @@
 			delay := node.delay + node.transmit(len(encoded))
 			c.mu.Unlock()
 			if encoded != nil {
-				sleep(ctx, delay+linkDelay)
+				ctxtime.Sleep(ctx, delay+linkDelay)
 				return c.deliver(ctx, node, encoded, response)
 			}
 		} else {
--- a/internal/tier/proxy/healthreport.go
+++ b/internal/tier/proxy/healthreport.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"larchrouter/internal/ctxtime"
 	"larchrouter/internal/tier/balancer"
 	"larchrouter/internal/tier/hosthealth"
 )
@@ -125,7 +126,7 @@
 		case <-ctx.Done():
 			return
 		}
-		sleepContext(ctx, r.delay())
+		ctxtime.Sleep(ctx, r.delay())
 		if observations := r.take(time.Now()); len(observations) > 0 {
 			interval = nextInterval(interval, time.Since(reportedAt))
 			reportedAt = time.Now()
@@ -133,16 +134,6 @@
 			_ = r.send(callCtx, observations)
 			cancel()
 		}
-		sleepContext(ctx, interval)
-	}
-}
-
-// sleepContext returns after a time, or when the context ends.
-func sleepContext(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		ctxtime.Sleep(ctx, interval)
 	}
 }
