Ask the tier's tests for a replica at every core node instead of a chain of all

Change: AwaitReplicas asks each core node: fresh, one view, a chain of ChainLength members, and the role of a member or of a learner with all that is committed, at every node, where the tests asked one node for its view before.

--- a/internal/tier/tiertest/await.go
+++ b/internal/tier/tiertest/await.go
@@ -46,6 +46,27 @@
 	return errors.Wrapf(err, "the last status is %+v", last)
 }
 
+// AwaitReplicas waits until every core node has all that is committed, in one view whose chain has as many members as it should: the
+// others are learners.
+func (t *Tier) AwaitReplicas(ctx context.Context) error {
+	cores := t.Class(Core)
+	members := min(len(cores), controlnode.ChainLength(machineLosses))
+	return Await(ctx, "all core nodes have a replica", func(ctx context.Context) bool {
+		epochs := map[int64]bool{}
+		for _, m := range cores {
+			status, err := m.Status(ctx)
+			if err != nil || !status.Fresh || len(status.Chain) != members {
+				return false
+			}
+			if status.Role != controlnode.RoleMember && status.Role != controlnode.RoleLearner {
+				return false
+			}
+			epochs[status.Epoch] = true
+		}
+		return len(epochs) == 1
+	})
+}
+
 // AwaitReady waits until fronts are ready.
 func (t *Tier) AwaitReady(ctx context.Context, fronts ...*Machine) error {
 	for _, m := range fronts {
