Log at a follower that no core node can be followed; test halves with real processes

Cause: a front or store without a usable core node logged nothing about it. Change: after 5 s one line names the nodes and the reason of the last failure, and one line ends it; sourceWatch is pure.

--- a/internal/tier/controlnode/partition_test.go
+++ b/internal/tier/controlnode/partition_test.go
@@ -151,6 +151,34 @@
 	f.requireCaughtUp(f.all()...)
 }
 
+// TestEqualHalvesWithLosses cuts four nodes into drawn halves while operators race, kills a node of each half, so that more are lost than
+// may be at once, and heals the cut before or after the nodes know of it, with one of them still down.
+func TestEqualHalvesWithLosses(t *testing.T) {
+	t.Parallel()
+	seed, r := newSeed(t)
+	f := newFleet(t, 4, 4)
+	follower, unfollow := f.follower(r.IntN(4), false)
+	defer unfollow()
+	stop := f.operators(seed, f.all()...)
+	for round := range 3 {
+		order := r.Perm(4)
+		f.partitionGroups(order[0], order[1])
+		if round != 1 { // else the cut ends in the middle of what it began
+			f.halvesDecided()
+		}
+		f.kill(order[0])
+		f.kill(order[2])
+		f.start(order[2], false)
+		f.heal(r.IntN(2) == 0)
+		f.goesOn(f.allExcept(order[0])...)
+		f.start(order[0], false)
+		f.until("all nodes are members", f.allMembers)
+	}
+	stop()
+	f.requireCaughtUp(f.all()...)
+	f.actsOnNewest(follower)
+}
+
 // halvesDecided waits until each node knows of its half: none takes itself for fresh.
 func (f *fleet) halvesDecided() {
 	f.t.Helper()
--- a/internal/tier/feed/bootstrap.go
+++ b/internal/tier/feed/bootstrap.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"larchrouter/internal/ctxtime"
@@ -16,8 +15,10 @@
 func (f *Follower) bootstrap(ctx context.Context) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		if f.pollAllSources(ctx) {
+			f.watch.noteUsable(time.Now())
 			return
 		}
+		f.watch.noteUnusable(time.Now(), f.knownCores())
 		ctxtime.Sleep(ctx, backoff(attempt, maxBackoff))
 	}
 }
@@ -25,9 +26,7 @@
 // pollAllSources polls all known core nodes and reports whether a response was applied. It applies the first confirmed
 // one that is not empty and cancels the other polls.
 func (f *Follower) pollAllSources(ctx context.Context) (applied bool) {
-	f.mu.Lock()
-	cores := slices.Clone(f.sources.cores)
-	f.mu.Unlock()
+	cores := f.knownCores()
 	pollCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan pollResult, len(cores))
@@ -39,10 +38,12 @@
 		result := <-results
 		switch {
 		case result.err != nil:
+			f.watch.noteFailure(result.err)
 		case !applied && (result.response.Index > 0 || len(result.response.Hosts) > 0) && f.handleResponse(ctx, result):
 			applied = true
 			cancel()
 		default:
+			f.watch.noteFailure(errUnconfirmed)
 			f.addSources(result.response.CoreAddrs)
 		}
 	}
--- a/internal/tier/feed/follower.go
+++ b/internal/tier/feed/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,7 @@
 	replica      *replica   // guarded by replicaMu
 	fetchers     int        // goroutines that fetch chunks; guarded by replicaMu
 	nextFailback time.Time  // no failback before it; used by Run only
+	watch        sourceWatch
 	wg           sync.WaitGroup
 }
 
@@ -48,7 +50,7 @@
 
 func newFollower(s *process.Settings, calls Caller, log *slog.Logger) *Follower {
 	f := &Follower{name: s.NodeName, class: s.MachineClass, calls: calls, log: log,
-		changed: make(chan struct{}), replica: newReplica()}
+		changed: make(chan struct{}), replica: newReplica(), watch: sourceWatch{log: log}}
 	f.tables.Store(f.replica.tables)
 	f.sources = newSources(s.NodeName, coreSeeds(s))
 	return f
@@ -102,6 +104,7 @@
 	wait := pollWait
 	for failures := 0; ctx.Err() == nil; {
 		if f.poll(ctx, wait) {
+			f.watch.noteUsable(time.Now())
 			failures, wait = 0, pollWait
 			f.failback(ctx)
 			continue
@@ -109,6 +112,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		f.watch.noteUnusable(time.Now(), f.knownCores())
 		wait = 0 // no long polls until a source is confirmed
 		f.failover()
 		ctxtime.Sleep(ctx, backoff(failures+firstPollBackoffStep, maxPollBackoff))
@@ -116,6 +120,13 @@
 	}
 }
 
+// knownCores returns the addresses of the known core nodes, in the follower's order.
+func (f *Follower) knownCores() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.sources.cores)
+}
+
 // failover selects the next core node as the source, after all known ones have failed. The seeds are added again, since
 // all other core nodes may have been replaced.
 func (f *Follower) failover() {
--- a/internal/tier/feed/poll.go
+++ b/internal/tier/feed/poll.go
@@ -118,12 +118,14 @@
 // acceptResult applies a response and reports whether its core node is the source now.
 func (f *Follower) acceptResult(ctx context.Context, result pollResult) bool {
 	if result.err != nil {
+		f.watch.noteFailure(result.err)
 		if ctx.Err() == nil {
 			f.log.Debug("core node does not answer", "node", result.core, "err", result.err)
 		}
 		return false
 	}
 	if !f.handleResponse(ctx, result) {
+		f.watch.noteFailure(errUnconfirmed)
 		return false
 	}
 	empty := result.response.Index == 0 && len(result.response.Entries) == 0
--- a/internal/tier/feed/scripted_cluster_test.go
+++ b/internal/tier/feed/scripted_cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"math"
 	"slices"
 	"strconv"
@@ -331,6 +332,12 @@
 // playTimeline executes a timeline with a follower that starts with the seeds, and calls check after it. The follower
 // starts after the first line.
 func playTimeline(t *testing.T, seeds, timeline string, check func(cluster *scriptedCluster)) {
+	t.Helper()
+	playTimelineWithLog(t, seeds, timeline, process.NewLogger(io.Discard), check)
+}
+
+// playTimelineWithLog is playTimeline with the follower's log.
+func playTimelineWithLog(t *testing.T, seeds, timeline string, log *slog.Logger, check func(cluster *scriptedCluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		var rows [][]string
@@ -339,7 +346,7 @@
 		}
 		names := rows[0][2 : len(rows[0])-1]
 		cluster := newScriptedCluster(t, names)
-		cluster.follower = newFollower(settingsFor(strings.Split(seeds, "+")), cluster, process.NewLogger(io.Discard))
+		cluster.follower = newFollower(settingsFor(strings.Split(seeds, "+")), cluster, log)
 		ctx, stop := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
 		start := time.Now()
