Leave the platform's list alone while the disk is full

Cause, by re-reading: with a full disk the last confirmed headship stayed set, and the poller asked the platform again without a pause, as its results were rejected at once. Change: the role is given up until the next batch is on disk. Test: TestNodeWithFullDiskWaitsForRoom fails without it.

--- a/internal/rpc/doc.go
+++ b/internal/rpc/doc.go
@@ -56,7 +56,8 @@
 //
 // # Time-outs
 //
-// A dial that hangs is repeated each 100 ms, and at once on NoteReachable; all end after 600 ms. For 50 ms after a failure calls fail at once. A write ends after 2 s, or 100 ms past an
-// earlier deadline of its call, and then the connection is closed. A connection whose bytes stay unacknowledged
-// for 1.5 s, or whose keep-alive probes, one a second, remain without answer, is closed by the kernel.
+// A dial that hangs is repeated each 100 ms, and at once on NoteReachable; all dials end after 600 ms. For 50 ms after a
+// failed one calls fail at once. A write ends after 2 s, or 100 ms past an earlier deadline of its call, and then the connection
+// is closed. A connection whose bytes stay unacknowledged for 1.5 s, or whose keep-alive probes, one a second, remain without
+// answer, is closed by the kernel.
 package rpc
--- a/internal/tier/controlnode/full_disk.go
+++ b/internal/tier/controlnode/full_disk.go
@@ -48,6 +48,7 @@
 	s.log.Error("the disk is full: this node takes no part until there is room", "err", full)
 	s.diskFull.Store(true)
 	defer s.diskFull.Store(false)
+	s.isHead.Store(false) // the platform is not polled meanwhile
 	s.reportSynced(false)
 	retry := time.NewTicker(fullDiskRetryInterval)
 	defer retry.Stop()
--- a/internal/tier/controlnode/full_disk_test.go
+++ b/internal/tier/controlnode/full_disk_test.go
@@ -48,6 +48,9 @@
 	if core.onLoop(func() {}) {
 		t.Error("a read is answered while the disk is full")
 	}
+	if core.isHead.Load() {
+		t.Error("it goes on with the roles of the head while the disk is full")
+	}
 	answer := httptest.NewRecorder()
 	core.operatorAPI().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, configPath, nil))
 	if answer.Code != http.StatusServiceUnavailable || !strings.Contains(answer.Body.String(), "disk is full") {
