Use the shared wait in the control node

Cause, by re-reading the change: openWhenRoom and Server.sleep wrote again what package ctxtime has. Behaviour is the same; the tests of full disks, shutdown and the restarted head passed.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -40,7 +40,7 @@
 	return c
 }
 
-// NoteReachable tells the client that its address was heard from just now: a dial that hangs is made once more at once. It does
+// NoteReachable records that the client's address was heard from just now: a dial that hangs is made once more at once. It does
 // nothing while no dial is under way, and never blocks.
 func (c *Client) NoteReachable() {
 	if len(c.dialing) == 0 {
--- a/internal/tier/controlnode/full_disk.go
+++ b/internal/tier/controlnode/full_disk.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"larchrouter/internal/ctxtime"
 	"larchrouter/internal/process"
 	"larchrouter/internal/sqlitelog"
 	"larchrouter/internal/tier/feed"
@@ -33,9 +34,7 @@
 		if attempt == 0 {
 			log.Error("the disk is full: the node starts once there is room", "err", err)
 		}
-		select {
-		case <-time.After(fullDiskRetryInterval):
-		case <-ctx.Done():
+		if !ctxtime.Sleep(ctx, fullDiskRetryInterval) {
 			return nil, err
 		}
 	}
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"larchrouter/internal/ctxtime"
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
 	"larchrouter/internal/sqlitelog"
@@ -207,11 +208,4 @@
 func (q *canStopQuery) handle(s *Server) { q.canStop = s.node.CanStop() }
 
 // sleep returns after a duration, or at once when the server stops.
-func (s *Server) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-s.ctx.Done():
-	}
-}
+func (s *Server) sleep(d time.Duration) { ctxtime.Sleep(s.ctx, d) }
