Log configurations that are not taken, with version, base, outcome and reason

Need: in the incident on the duties' sites an invalid configuration was acknowledged, and the next valid one was then refused with 412; the head logged what it took and nothing of what it refused, so that the second had no trace. Change: a line for each order that is decided and neither applied now nor before.

--- a/internal/tier/controlnode/operator_orders.go
+++ b/internal/tier/controlnode/operator_orders.go
@@ -51,8 +51,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if decision.Kind == orders.Accept {
+	switch {
+	case decision.Kind == orders.Accept:
 		s.log.Info("configuration taken", "version", order().Version, "ms", time.Since(startedAt).Milliseconds())
+	case !decision.Kind.IsAcknowledgement():
+		s.log.Info("configuration not taken", "version", order().Version, "if_match", request.IfMatch, "outcome", decision.Kind,
+			"reason", decision.Reason)
 	}
 	return replyFor(decision), nil
 }
