--- a/internal/tier/routing/config.go
+++ b/internal/tier/routing/config.go
@@ -36,6 +36,7 @@
 	Retain        time.Duration // how long the record of a turn is kept
 	Affinity      bool          // requests of a program prefer the same host
 	Resumable     bool
+	Public        bool // requests need no key
 }
 
 // Service is one element of service_table. Capacity, CacheTokens, EventTokens and Models are zero unless it is a model
@@ -48,6 +49,14 @@
 	CacheTokens int // of a host's prefix cache
 	EventTokens int // tokens of one event of a stream
 	Models      []string
+	Scaling     Scaling
+}
+
+// Scaling bounds how many hosts of a service may be ordered in each zone. It is zero for a service whose hosts the tier does not
+// order.
+type Scaling struct {
+	Min, Max int           // hosts in a zone; Max is above 0
+	BootTime time.Duration // until an ordered host serves
 }
 
 // Limits bound what a client may send.
@@ -65,6 +74,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	Tenants  []Tenant
+	byKey    map[string]int   // by key: position in Tenants; nil without tenant_table
 	byHost   map[string][]int // by host: positions in Routes, the longest prefix first
 }
 
--- a/internal/tier/routing/node.go
+++ b/internal/tier/routing/node.go
@@ -75,6 +75,27 @@
 	}
 }
 
+// strings returns an array of strings; none if it is absent or null.
+func (n node) strings(name string) (values []string) {
+	v := n.Get(name)
+	if v.Type == gjson.Null {
+		return nil
+	}
+	if !v.IsArray() {
+		n.fail(name, v.Raw, "give an array of strings")
+		return nil
+	}
+	v.ForEach(func(_, element gjson.Result) bool {
+		if element.Type != gjson.String {
+			n.fail(name+"."+strconv.Itoa(len(values)), element.Raw, "give a string")
+			return false
+		}
+		values = append(values, strings.Clone(element.Str))
+		return true
+	})
+	return values
+}
+
 func (n node) boolField(name string) bool {
 	v := n.Get(name)
 	if v.Type != gjson.Null && !v.IsBool() {
--- a/internal/tier/routing/parse.go
+++ b/internal/tier/routing/parse.go
@@ -58,6 +58,7 @@
 		config.addRoute(route, positions)
 	}
 	config.Limits = parseLimits(document)
+	config.parseTenants(document)
 	if fault != nil {
 		return nil, fault
 	}
--- a/internal/tier/routing/parse_tables.go
+++ b/internal/tier/routing/parse_tables.go
@@ -37,9 +37,24 @@
 			service.Models = append(service.Models, model.stringField("name", ""))
 		}
 	}
+	if scaling, ok := n.objectField("scaling"); ok {
+		service.Scaling = parseScaling(scaling)
+	}
 	c.Services[service.Name] = service
 }
 
+func parseScaling(n node) Scaling {
+	scaling := Scaling{
+		Min:      n.intField("min_count", 0, 0),
+		Max:      n.intField("max_count", 1, 0),
+		BootTime: n.durationField("boot_time_s", time.Second, true, 0),
+	}
+	if scaling.Max < scaling.Min {
+		n.fail("max_count", scaling.Max, "give %d, min_count, or more", scaling.Min)
+	}
+	return scaling
+}
+
 // routeKey identifies a route: no two routes have the same host and prefix.
 type routeKey struct{ host, path string }
 
@@ -58,6 +73,7 @@
 		Retain:      n.durationField("retain_s", time.Second, true, 0),
 		Affinity:    n.boolField("affinity"),
 		Resumable:   n.boolField("resumable"),
+		Public:      n.boolField("public"),
 		Targets:     c.parseTargets(n),
 	}
 	route.LatencyTarget = n.durationField("target_ms", time.Millisecond, false, route.Deadline)
