Reject requests whose key no tenant holds, and give hosts the tenant in place of the key

Cause: a request was admitted by host and path alone, and its fields were passed on as ordinary end-to-end fields.

Change: where the configuration has tenants, a front looks the key up in the tables by which it routes: 401 if no tenant has it, 503 while the tables may be too old to know a new key, 400 for two keys. The host gets the tenant's name in X-Tenant and no key, whatever the client sent or named in its Connection field; public routes need no key. A tenant's rank goes before the route's in the queues. Rejections have causes of their own in the log of lost requests, without the key.

--- a/internal/tier/proxy/losslog.go
+++ b/internal/tier/proxy/losslog.go
@@ -54,6 +54,10 @@
 	causeBudget      = "budget"
 	causeNoTurn      = "no_such_turn"
 	causeHostFailed  = "host_failed" // it answered with a failure of its own
+	causeUnknownKey  = "unknown_key" // no tenant has the request's key, or it has none
+
+	// causeUncheckedKey: the key cannot be checked, as the tables may be too old.
+	causeUncheckedKey = "unchecked_key"
 )
 
 // errorCause returns the cause of a loss by the error of the last call, or of the opening of the turn.
--- a/internal/tier/proxy/request.go
+++ b/internal/tier/proxy/request.go
@@ -31,6 +31,7 @@
 	id              string // X-Attempt-Id
 	tables          *feed.Tables
 	route           *routing.Route
+	tenant          *routing.Tenant // that holds the request's key; nil for none
 	service         routing.Service
 	deadline        time.Time     // when it is answered at the latest
 	programDeadline time.Time     // when its program should be over; zero for none
@@ -110,7 +111,7 @@
 // handle serves a request that was read completely.
 func (r *request) handle() {
 	r.closeAfter = r.close
-	if !r.findRoute() || !r.parseHeaders() || !r.admitDuringDrain() {
+	if !r.findRoute() || !r.authenticate() || !r.parseHeaders() || !r.admitDuringDrain() {
 		return
 	}
 	weights := make([]int, len(r.route.Targets))
--- a/internal/tier/proxy/retry.go
+++ b/internal/tier/proxy/retry.go
@@ -72,7 +72,7 @@
 	}
 	f.info.PreferNewConn = !f.idempotent && r.server().options.Retries.PreferNewConn
 	queuedAt := time.Now()
-	endpoint, retryAfter := r.server().dispatcher.acquire(f.info, admissionRequest{priority: r.route.Priority,
+	endpoint, retryAfter := r.server().dispatcher.acquire(f.info, admissionRequest{priority: r.priority(),
 		programDeadline: r.programDeadline, latencyTarget: r.route.LatencyTarget,
 		queueTimeout: f.queueTimeout(left), cancelled: r.cancelled})
 	r.phases.queuedFor += time.Since(queuedAt)
--- /dev/null
+++ b/internal/tier/proxy/tenant.go
@@ -0,0 +1,65 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+)
+
+// Header fields by which a client names its tenant, and a host is told.
+const (
+	keyHeader    = "Api-Key"
+	tenantHeader = "X-Tenant"
+)
+
+// tenantRankStep is the number of ranks of routes that are told apart within one rank of a tenant.
+const tenantRankStep = 1 << 10
+
+// authenticate sets the tenant that holds the request's key, and gives the host the tenant's name in place of the key. If it
+// returns false the client has its error response.
+func (r *request) authenticate() bool {
+	config := r.tables.Config
+	if !config.HasTenants() {
+		return true
+	}
+	keys := r.header[keyHeader]
+	if len(keys) > 1 {
+		r.respondError(http.StatusBadRequest, 0, "header Api-Key: send it once")
+		return false
+	}
+	now := time.Now()
+	if len(keys) == 1 {
+		r.tenant = config.TenantOf(keys[0])
+	}
+	delete(r.header, keyHeader)
+	delete(r.header, tenantHeader)
+	if r.tenant != nil {
+		r.header[tenantHeader] = []string{r.tenant.Name}
+	}
+	if r.tenant != nil || r.route.Public {
+		return true
+	}
+	r.rejectKey(now)
+	return false
+}
+
+// rejectKey answers a request whose key is not known to belong to a tenant: 401 if no tenant has it, 503 if this front cannot be
+// sure.
+func (r *request) rejectKey(now time.Time) {
+	if isStale(r.tables, now) {
+		r.logLoss(causeUncheckedKey, http.StatusServiceUnavailable)
+		r.respondError(http.StatusServiceUnavailable, restartDelay(),
+			"this front is cut off from the core and cannot check the key: come back after Retry-After")
+		return
+	}
+	r.logLoss(causeUnknownKey, http.StatusUnauthorized)
+	r.respondError(http.StatusUnauthorized, 0, "header Api-Key: send a key that a tenant of the configuration has")
+}
+
+// priority returns the priority of a request: that of its tenant first, then that of its route.
+func (r *request) priority() int {
+	rank := min(r.route.Priority, tenantRankStep-1)
+	if r.tenant != nil {
+		rank += min(r.tenant.Priority, tenantRankStep-1) * tenantRankStep
+	}
+	return rank
+}
--- a/internal/tier/upstream/headers.go
+++ b/internal/tier/upstream/headers.go
@@ -13,7 +13,7 @@
 // endToEndHeaders are the fields that decide what runs, or prove whose response it is: a Connection field cannot make them
 // hop-by-hop.
 var endToEndHeaders = map[string]bool{"X-Attempt-Id": true, "Program": true, "Previous": true, "Budget": true,
-	"X-Host-Seal": true}
+	"X-Host-Seal": true, "X-Tenant": true}
 
 // IsHopByHop reports whether a field, by its canonical name, is not passed on. named has the values of the message's
 // Connection field.
