Keep the turns of tenants apart in the stores

Callers saw: a turn whose Previous names a turn of another tenant ran with that tenant's history (UNASKED). Cause: stores and the history caches of fronts know turns by X-Attempt-Id alone. Change: the identifier of a turn in the ledger is that of its tenant and its X-Attempt-Id, joined by a NUL, which neither has. A turn of another tenant is thereby one that does not exist, by the proof that stores give for 404, and no cache has it; stored rows and messages keep their form. Budgets stay with the program, as a key may be passed on to another tenant in the middle of it.

--- a/internal/tier/proxy/tenant.go
+++ b/internal/tier/proxy/tenant.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"larchrouter/internal/tier/routing"
 )
 
 // Header fields by which a client names its tenant, and a host is told.
@@ -63,3 +65,15 @@
 	}
 	return rank
 }
+
+// tenantSeparator stands between the name of a tenant and the id of a turn. Neither has it: both are values of header fields.
+const tenantSeparator = "\x00"
+
+// turnID returns the identifier of a turn of a tenant in the Ledger. A turn of another tenant has another identifier, so that it is
+// not found.
+func turnID(tenant *routing.Tenant, attemptID string) string {
+	if tenant == nil || attemptID == "" {
+		return attemptID
+	}
+	return tenant.Name + tenantSeparator + attemptID
+}
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -19,6 +19,7 @@
 // openTurn is the turn of a request in the Ledger. It is zero for requests that need none: see needsLedger.
 type openTurn struct {
 	program  string
+	id       string // of the turn, see turnID
 	opened   *turnstore.OpenedTurn
 	reserved bool // opened, and neither recorded nor settled
 }
@@ -39,16 +40,16 @@
 		}
 		budget = n
 	}
-	turn.program = cmp.Or(r.get("Program"), r.id)
+	turn.program, turn.id = cmp.Or(r.get("Program"), r.id), turnID(r.tenant, r.id)
 	previous := ""
 	if r.route.Retained {
-		previous = r.get("Previous")
+		previous = turnID(r.tenant, r.get("Previous"))
 	}
 	ctx, stop := context.WithDeadline(r.server().ctx, r.deadline.Add(-min(openMargin, time.Until(r.deadline)/2)))
 	defer stop()
 	r.setCancelOpen(stop)
 	defer r.setCancelOpen(nil)
-	opened, err := r.server().options.Ledger.Open(ctx, turnstore.OpenRequest{Program: turn.program, Turn: r.id,
+	opened, err := r.server().options.Ledger.Open(ctx, turnstore.OpenRequest{Program: turn.program, Turn: turn.id,
 		Previous: previous, MaxTokens: r.maxTokens, Budget: budget})
 	switch {
 	case err == nil:
@@ -88,7 +89,7 @@
 func (r *request) settleTurn(turn *openTurn, used int) {
 	if turn.reserved {
 		turn.reserved = false
-		r.server().options.Ledger.Settle(turn.program, r.id, used)
+		r.server().options.Ledger.Settle(turn.program, turn.id, used)
 	}
 }
 
