Refuse keys while the tables may lack a revocation that is older than revoke_max_ms

Cause: nothing bound the age of the tables by which a key is trusted. Change: a front trusts keys until revoke_max_ms after the sending of the poll by which a majority confirmed its tables, by its monotonic clock, and answers 503 with Retry-After from then on; tables that were never confirmed count as too old. Why it holds: if the key is in the tables and its removal was acknowledged at a, the tables were confirmed before a; a request that is sent after a + revoke_max_ms is checked later still.

--- a/cmd/larch-proxy/main.go
+++ b/cmd/larch-proxy/main.go
@@ -65,7 +65,7 @@
 	ledger := turnstore.NewClient(follower.Placement, calls, s.Zone, log)
 	grace := s.TimingBound("grace_period_s", 8*time.Second)
 	server := proxy.New(proxy.Options{
-		Zone: s.Zone, Source: follower, Ledger: ledger, ReportHealth: follower.ReportHealth, Log: log, GracePeriod: grace, Seed: rand.Uint64(), MaxClientConns: s.Limits.MaxFDs / 2,
+		Zone: s.Zone, Source: follower, Ledger: ledger, ReportHealth: follower.ReportHealth, Log: log, GracePeriod: grace, RevocationBound: revocationBound(s), Seed: rand.Uint64(), MaxClientConns: s.Limits.MaxFDs / 2,
 		NewOracle: func(bound time.Duration) balancer.Oracle { return oracle.NewDestination(bound) },
 	})
 	following, unfollow := context.WithCancel(context.Background())
@@ -85,6 +85,14 @@
 	return nil
 }
 
+// revocationBound returns the time after which a revoked key runs nothing any more, 0 where that is not asked for.
+func revocationBound(s *process.Settings) time.Duration {
+	if s.Bounds["revocation"] == 0 {
+		return 0
+	}
+	return s.TimingBound("revoke_max_ms", 0)
+}
+
 func main() {
 	var p program
 	k := kong.Must(&p, kong.Name("larch-proxy"), kong.Description("The data plane of the serving tier. Its settings file is named by "+process.SettingsVariable+"."))
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -59,6 +59,10 @@
 	// GracePeriod is the time between SIGTERM and SIGKILL, which bounds Drain. Default: 8 s.
 	GracePeriod time.Duration
 
+	// RevocationBound is the time after the acknowledgement of a configuration from which no request runs with a key that it took
+	// away, whether this front is in touch with the core or not. Default: keys are trusted for as long as they are in the tables.
+	RevocationBound time.Duration
+
 	// MaxInFlight is the number of calls to hosts at once, at most. Default: 768.
 	MaxInFlight int
 
--- a/internal/tier/proxy/revocation_test.go
+++ b/internal/tier/proxy/revocation_test.go
@@ -74,13 +74,16 @@
 	t.Run("a key while the tables may be older than a revocation allows", func(t *testing.T) {
 		h := newHost(t, "i-1", respondsOK("x"))
 		scripted := &ledger{}
-		options := Options{Ledger: scripted} // the bound, revoke_max_ms, belongs here once the front has an option for it
+		options := Options{Ledger: scripted, RevocationBound: 5 * time.Second}
 		f := newFrontWithOptions(t, options, h)
 		setConfig(t, f, "2", tenantsBefore, time.Now())
 		c := f.dial()
 		c.send(requestText("POST", "/order/x", "fresh", key("key-1"), "x"))
 		want(t, "status while the tables are fresh", c.read().status, 200)
 
+		setConfig(t, f, "2", tenantsBefore, time.Time{}) // not confirmed yet, as after the download of a large configuration
+		refused(t, "a key of tables that were never confirmed", f.do("POST", "/order/x", "unconfirmed", key("key-1"), "x"), 503, h, 1)
+
 		setConfig(t, f, "2", tenantsBefore, time.Now().Add(-time.Hour))
 		for _, path := range paths {
 			got := f.do("POST", path, "stale"+path, key("key-1"), "x")
--- a/internal/tier/proxy/tenant.go
+++ b/internal/tier/proxy/tenant.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"larchrouter/internal/tier/feed"
 	"larchrouter/internal/tier/routing"
 )
 
@@ -29,7 +30,7 @@
 		return false
 	}
 	now := time.Now()
-	if len(keys) == 1 {
+	if len(keys) == 1 && !r.server().mayHoldRevokedKeys(r.tables, now) {
 		r.tenant = config.TenantOf(keys[0])
 	}
 	delete(r.header, keyHeader)
@@ -47,7 +48,7 @@
 // rejectKey answers a request whose key is not known to belong to a tenant: 401 if no tenant has it, 503 if this front cannot be
 // sure.
 func (r *request) rejectKey(now time.Time) {
-	if isStale(r.tables, now) {
+	if isStale(r.tables, now) || r.server().mayHoldRevokedKeys(r.tables, now) {
 		r.logLoss(causeUncheckedKey, http.StatusServiceUnavailable)
 		r.respondError(http.StatusServiceUnavailable, restartDelay(),
 			"this front is cut off from the core and cannot check the key: come back after Retry-After")
@@ -57,6 +58,13 @@
 	r.respondError(http.StatusUnauthorized, 0, "header Api-Key: send a key that a tenant of the configuration has")
 }
 
+// mayHoldRevokedKeys reports whether the tables may have a key that was revoked so long ago that no request with it may run: the
+// core has not confirmed them for RevocationBound, or never has. now must be read after the tables.
+func (s *Server) mayHoldRevokedKeys(t *feed.Tables, now time.Time) bool {
+	bound := s.options.RevocationBound
+	return bound > 0 && now.Sub(t.ConfirmedAt) > bound
+}
+
 // priority returns the priority of a request: that of its tenant first, then that of its route.
 func (r *request) priority() int {
 	rank := min(r.route.Priority, tenantRankStep-1)
