Split the rate limit of the stand-in platform into a type of its own

Need: the calls of duties get a rate of their own beside that of the list.

Change: rateLimit has what Platform.allowCall had; behaviour is the same.

Measured: go vet and go test -race ./internal/standin/cloudapi pass; TestRateLimit is unchanged.

--- a/internal/standin/cloudapi/platform.go
+++ b/internal/standin/cloudapi/platform.go
@@ -46,9 +46,8 @@
 	mu        sync.Mutex
 	snapshots []snapshot                 // by time; the last one is current
 	hosts     map[string]*modelhost.Host // by id
-	tokens    float64                    // of the rate limit: calls that it accepts at once
-	tokensAt  time.Time                  // when tokens was computed
-	calls     int                        // accepted
+	rate      rateLimit
+	calls     int // accepted
 	rejected  int
 	down      bool
 }
@@ -69,7 +68,7 @@
 		return nil, err
 	}
 	p := &Platform{opts: o, addr: listener.Addr().String(), snapshots: []snapshot{{}}, hosts: map[string]*modelhost.Host{},
-		tokens: max(1, o.Rate), tokensAt: o.Now()}
+		rate: newRateLimit(o.Rate, o.Now())}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /instances", p.instances)
 	p.server = &http.Server{Handler: mux}
@@ -192,25 +191,11 @@
 	return p.snapshots[0].entries
 }
 
-// allowCall reports whether a call is within the rate, and counts it against the rate. The caller has locked mu.
-func (p *Platform) allowCall() bool {
-	if p.opts.Rate <= 0 {
-		return true
-	}
-	now := p.opts.Now()
-	p.tokens, p.tokensAt = min(max(1, p.opts.Rate), p.tokens+p.opts.Rate*now.Sub(p.tokensAt).Seconds()), now
-	if p.tokens < 1 {
-		return false
-	}
-	p.tokens--
-	return true
-}
-
 // instances serves one page of the list. The token of a page is "p-" and the last id of the page before.
 func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
 	zone, after := r.FormValue("zone_name"), r.FormValue("page_token")
 	p.mu.Lock()
-	allowed, down, entries := p.allowCall(), p.down, p.visibleEntries()
+	allowed, down, entries := p.rate.allow(p.opts.Now()), p.down, p.visibleEntries()
 	if allowed {
 		p.calls++
 	} else {
