Test of the stand-in platform what altered code showed to be untested

Need: deliberate alterations of the new code, one at a time, showed lines that no test missed.

Change: tests of health checks of drained hosts, hosts that are replaced while they drain, orders without effect, payment of hosts that fail to start or are added twice, a second repeat of a differing report, and a TCP reset as against a close.

--- a/internal/standin/cloudapi/duties_test.go
+++ b/internal/standin/cloudapi/duties_test.go
@@ -7,8 +7,11 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -261,18 +264,19 @@
 func TestDutyFaultsThatCloseConnection(t *testing.T) {
 	for name, c := range map[string]struct {
 		kind   DutyFaultKind
+		err    error
 		record string
 		next   int // status of a lower token
 	}{
-		"reset":        {DutyReset, "0:false", 200},
-		"lost answers": {DutyLostAnswers, "200:true", 409},
+		"reset":        {DutyReset, syscall.ECONNRESET, "0:false", 200},
+		"lost answers": {DutyLostAnswers, io.EOF, "200:true", 409},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := platform(t, Options{FenceChecks: true})
 			p.SetDutyFault(DutyFault{Kind: c.kind})
 			status, err := send(dutyRequest(t.Context(), p, "usage", "front-1", "9", usageBody))
 			want(t, "status", status, 0)
-			want(t, "there is an error", err != nil, true)
+			want(t, fmt.Sprintf("error %v is %v", err, c.err), errors.Is(err, c.err), true)
 			want(t, "record", outcomes(p), c.record)
 			p.SetDutyFault(DutyFault{})
 			want(t, "status of a lower token", call(t, p, "usage", "front-2", "8", usageBody), c.next)
--- a/internal/standin/cloudapi/duty_checks_test.go
+++ b/internal/standin/cloudapi/duty_checks_test.go
@@ -52,6 +52,7 @@
 		"two counts with a window between":    {history{}.usage(0, "A", 1, 200, 7, one).usage(1, "A", 1, 200, 8, one).usage(2, "A", 1, 200, 7, other), "one report a window"},
 		"another tenant":                      {history{}.usage(0, "A", 1, 200, 7, one).usage(1, "A", 1, 200, 7, third), "one report a window"},
 		"two counts in turn":                  {history{}.usage(0, "A", 1, 200, 7, one).usage(1, "A", 1, 200, 7, other).usage(2, "A", 1, 200, 7, one), "one report a window"},
+		"two counts, the second one twice":    {history{}.usage(0, "A", 1, 200, 7, one).usage(1, "A", 1, 200, 7, other).usage(2, "A", 1, 200, 7, other), "one report a window"},
 		"three counts":                        {history{}.usage(0, "A", 1, 200, 7, one).usage(1, "A", 1, 200, 7, other).usage(2, "A", 1, 200, 7, third), "one report a window, one report a window"},
 		"a token of one holder, used again":   {history{}.scale(0, "A", 1, 200, "pier").scale(1, "A", 1, 200, "pier"), ""},
 		"a token in two zones":                {history{}.scale(0, "A", 1, 200, "pier").scale(1, "B", 1, 200, "hill"), ""},
--- a/internal/standin/cloudapi/scaling_test.go
+++ b/internal/standin/cloudapi/scaling_test.go
@@ -43,6 +43,16 @@
 	want(t, "list", got, hosts)
 }
 
+func health(t *testing.T, h *modelhost.Host) int {
+	t.Helper()
+	resp, err := client.Get("http://" + h.Addr() + "/health")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
 func scale(t *testing.T, p *Platform, service, zone string, desired int) {
 	t.Helper()
 	want(t, "status", call(t, p, "scale", "front-1", "1", order(service, zone, desired)), 200)
@@ -60,16 +70,12 @@
 	c.advance(time.Millisecond)
 	wantHosts(t, p, "i-1:ready i-2:ready i-3:ready")
 	want(t, "zones", p.Host("i-1").Options().Zone+p.Host("i-2").Options().Zone+p.Host("i-3").Options().Zone, "pierpierhill")
-	h := p.Host("i-2")
-	resp, err := client.Get("http://" + h.Addr() + "/health")
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp.Body.Close()
-	want(t, "health", resp.StatusCode, http.StatusOK)
+	want(t, "health", health(t, p.Host("i-2")), http.StatusOK)
 
 	scale(t, p, "draft", "pier", 1)
 	wantHosts(t, p, "i-1:ready i-2:draining i-3:ready")
+	want(t, "health of one that drains", health(t, p.Host("i-2")), http.StatusServiceUnavailable)
+	want(t, "health of one that does not", health(t, p.Host("i-1")), http.StatusOK)
 	c.advance(time.Second - time.Millisecond)
 	scale(t, p, "draft", "pier", 2) // the one that drains does not count
 	wantHosts(t, p, "i-1:ready i-2:draining i-3:ready")
@@ -88,6 +94,20 @@
 	want(t, "error", p.StartErr(), nil)
 }
 
+func TestDrainingHostsAreReplaced(t *testing.T) {
+	c := &clock{now: time.Unix(100, 0)}
+	p := platform(t, Options{Now: c.Now, StartHost: new(starter).start, DrainTime: time.Second})
+	scale(t, p, "draft", "pier", 2)
+	wantHosts(t, p, "i-1:ready i-2:ready")
+	scale(t, p, "draft", "pier", 1)
+	scale(t, p, "draft", "pier", 2)
+	wantHosts(t, p, "i-1:ready i-2:draining i-3:ready")
+	p.Drain("i-1") // by the test, without an end
+	scale(t, p, "draft", "pier", 2)
+	c.advance(time.Second)
+	wantHosts(t, p, "i-1:draining i-3:ready i-4:ready")
+}
+
 func TestScaleIsKeptWithinBounds(t *testing.T) {
 	s := new(starter)
 	p := platform(t, Options{StartHost: s.start, Scaling: map[string]ScaleBounds{"draft": {1, 3}, "proof": {MinCount: 1}}})
@@ -115,9 +135,13 @@
 	p := platform(t, Options{StartHost: s.start, FenceChecks: true, Now: c.Now})
 	scale(t, p, "draft", "pier", 1)
 	want(t, "a lower token", call(t, p, "scale", "front-2", "0", order("draft", "pier", 5)), 409)
+	wantHosts(t, p, "i-1:ready")
 	want(t, "a malformed order", call(t, p, "scale", "front-2", "2", order("draft", "pier", -5)), 400)
+	wantHosts(t, p, "i-1:ready")
 	p.SetDutyFault(DutyFault{Kind: DutyDown})
 	want(t, "platform down", call(t, p, "scale", "front-2", "2", order("draft", "pier", 5)), 500)
+	wantHosts(t, p, "i-1:ready")
+	want(t, "hosts started", s.started(), 1)
 	p.SetDutyFault(DutyFault{Kind: DutyLostAnswers})
 	_, err := send(dutyRequest(t.Context(), p, "scale", "front-2", "2", order("draft", "pier", 2)))
 	want(t, "the answer is lost", err != nil, true)
@@ -152,6 +176,8 @@
 		want(t, "host-seconds after a call", p.HostSeconds("draft"), total)
 	}
 	step(10*time.Second, 2) // those from the start
+	p.Add(p.Host("i-pier")) // again
+	step(time.Second, 2)
 	scale(t, p, "draft", "pier", 3)
 	step(time.Second, 4) // two that boot
 	scale(t, p, "draft", "pier", 2)
@@ -166,25 +192,28 @@
 	scale(t, p, "draft", "hill", 1)
 	step(5*time.Second, 1)
 	p.Close()
-	step2 := p.HostSeconds("draft")
 	c.advance(time.Hour)
-	want(t, "host-seconds after Close", p.HostSeconds("draft"), step2)
+	want(t, "host-seconds after Close", p.HostSeconds("draft"), total)
 }
 
 func TestHostFailsToStart(t *testing.T) {
 	s := new(starter)
 	failing := true
-	p := platform(t, Options{StartHost: func(service, zone string) (*modelhost.Host, error) {
+	c := &clock{now: time.Unix(100, 0)}
+	p := platform(t, Options{Now: c.Now, BootTime: 2 * time.Second, StartHost: func(service, zone string) (*modelhost.Host, error) {
 		if failing {
 			return nil, errors.New("no memory")
 		}
 		return s.start(service, "moor")
 	}})
 	scale(t, p, "draft", "pier", 1)
+	c.advance(3 * time.Second)
 	wantHosts(t, p, "")
+	want(t, "host-seconds", p.HostSeconds("draft"), 2)
 	want(t, "error", p.StartErr().Error(), "start a host of draft in pier: no memory")
 	failing = false
 	scale(t, p, "draft", "pier", 1)
+	c.advance(3 * time.Second)
 	wantHosts(t, p, "")
 	want(t, "error of another zone", strings.Contains(p.StartErr().Error(), "host i-1 is of draft in moor"), true)
 }
