Count requests by tenant and window at a front

The platform wants, for each window, the requests of each tenant that hosts began. Fronts count them, and their reports may be lost, repeated and overtaken, while the collector changes.

A Counter counts cumulatively for an incarnation and a window, and returns what the current collector has not acknowledged. A receipt of another collector makes all retained windows pending again. It also adds up how long calls took by service and zone. What it retains is bounded.

--- /dev/null
+++ b/internal/tier/usage/counter.go
@@ -0,0 +1,137 @@
+package usage
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Counter counts the requests that one source began, and how long its calls took. It is safe for concurrent use. Its memory is
+// bounded by the number of windows that it retains, of tenants, and of services with their zones.
+type Counter struct {
+	incarnation int64
+	maxWindows  int
+
+	mu        sync.Mutex
+	windows   []*counted // in the order in which they were begun
+	busy      map[destination]time.Duration
+	collector string // that gave the last receipt; empty before the first
+}
+
+// counted is a window in which requests were counted.
+type counted struct {
+	number       int64
+	counts       map[string]int64 // by tenant
+	total        int64            // of all counts
+	acknowledged int64            // of total, by the current collector
+}
+
+// destination is the hosts of a service in a zone.
+type destination struct{ service, zone string }
+
+// NewCounter returns a counter of an incarnation of a front. It retains the windows that were begun last, up to maxWindows, which
+// is 1 or above.
+func NewCounter(incarnation int64, maxWindows int) *Counter {
+	return &Counter{incarnation: incarnation, maxWindows: max(1, maxWindows), busy: map[destination]time.Duration{}}
+}
+
+// Record counts a request of a tenant that began in a window.
+func (c *Counter) Record(tenant string, window int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.find(window)
+	if w == nil {
+		w = &counted{number: window, counts: map[string]int64{}}
+		c.windows = append(c.windows, w)
+		if excess := len(c.windows) - c.maxWindows; excess > 0 {
+			c.windows = slices.Delete(c.windows, 0, excess)
+		}
+	}
+	w.counts[tenant]++
+	w.total++
+}
+
+// AddBusy adds the time that a call to a host of a service in a zone took.
+func (c *Counter) AddBusy(service, zone string, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy[destination{service, zone}] += max(0, took)
+}
+
+// Pending returns a report of the windows that the current collector has not acknowledged with their present counts, and of all
+// loads. Without such a window there is nothing that has to be reported.
+func (c *Counter) Pending() Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	report := Report{Incarnation: c.incarnation}
+	for _, w := range c.windows {
+		if w.acknowledged < w.total {
+			report.Windows = append(report.Windows, w.report())
+		}
+	}
+	slices.SortFunc(report.Windows, func(a, b Window) int { return cmp.Compare(a.Number, b.Number) })
+	for to, busy := range c.busy {
+		report.Loads = append(report.Loads, ServiceLoad{to.service, to.zone, busy.Milliseconds()})
+	}
+	slices.SortFunc(report.Loads, func(a, b ServiceLoad) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
+	})
+	return report
+}
+
+// Newest returns the highest number of a retained window; ok is false if there is none.
+func (c *Counter) Newest() (window int64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.windows {
+		if !ok || w.number > window {
+			window, ok = w.number, true
+		}
+	}
+	return window, ok
+}
+
+// Acknowledge records that a collector has added a report of this counter. If it is another collector than that of the last
+// receipt, it is the current one from now on and lacks all other windows.
+func (c *Counter) Acknowledge(collector string, report Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if collector != c.collector {
+		c.collector = collector
+		for _, w := range c.windows {
+			w.acknowledged = 0
+		}
+	}
+	for _, reported := range report.Windows {
+		if w := c.find(reported.Number); w != nil {
+			w.acknowledged = max(w.acknowledged, reported.total())
+		}
+	}
+}
+
+// find returns a retained window, nil if there is none of this number. c.mu must be held.
+func (c *Counter) find(window int64) *counted {
+	for _, w := range slices.Backward(c.windows) {
+		if w.number == window {
+			return w
+		}
+	}
+	return nil
+}
+
+func (w *counted) report() Window {
+	reported := Window{Number: w.number, Counts: make([]TenantCount, 0, len(w.counts))}
+	for _, tenant := range slices.Sorted(maps.Keys(w.counts)) {
+		reported.Counts = append(reported.Counts, TenantCount{tenant, w.counts[tenant]})
+	}
+	return reported
+}
+
+func (w *Window) total() (total int64) {
+	for _, c := range w.Counts {
+		total += c.Count
+	}
+	return total
+}
