Add the messages by which fronts report usage

Fronts have to send what they count to the head, and to learn where it is and what the true time is.

UsageCall is method 12, with UsageReport and UsageReceipt; Follower.ReportUsage sends one, to the head's address or to the core node that is followed. No message that was there has changed. Until the head serves the method, it answers with an unknown call.

--- a/internal/tier/feed/follower.go
+++ b/internal/tier/feed/follower.go
@@ -13,6 +13,7 @@
 	"larchrouter/internal/rpc"
 	"larchrouter/internal/tier/hosthealth"
 	"larchrouter/internal/tier/turnstore"
+	"larchrouter/internal/tier/usage"
 )
 
 const (
@@ -97,6 +98,17 @@
 	return f.calls.Call(ctx, f.Core(), HealthCall, report, new(Empty))
 }
 
+// ReportUsage sends a report of this machine to a core node: to the one that is followed if addr is empty.
+func (f *Follower) ReportUsage(ctx context.Context, addr string, report usage.Report) (UsageReceipt, error) {
+	if addr == "" {
+		addr = f.Core()
+	}
+	message := &UsageReport{Name: f.name, Incarnation: report.Incarnation, Windows: report.Windows, Loads: report.Loads}
+	var receipt UsageReceipt
+	err := f.calls.Call(ctx, addr, UsageCall, message, &receipt)
+	return receipt, err
+}
+
 // Run follows the feed until the context ends. It must be called once.
 func (f *Follower) Run(ctx context.Context) {
 	defer f.wg.Wait()
--- a/internal/tier/feed/messages.go
+++ b/internal/tier/feed/messages.go
@@ -6,6 +6,7 @@
 	"larchrouter/internal/tier/discovery"
 	"larchrouter/internal/tier/hosthealth"
 	"larchrouter/internal/tier/turnstore"
+	"larchrouter/internal/tier/usage"
 )
 
 // Methods of core nodes. Those of stores begin at 20. The numbers are part of the protocol.
@@ -21,6 +22,7 @@
 	ChangesCall // a poll, with deltas and references in the response
 	ChunkCall   // a chunk of a large value
 	HealthCall  // a front's report on hosts
+	UsageCall   // a front's report on the requests of tenants
 )
 
 // FollowRequest is the poll of a follower of an earlier version, which is sent every value in full. All messages are
@@ -132,6 +134,22 @@
 	Forwarded    bool // as in Registration
 }
 
+// UsageReport is what a front has counted and the collector at the head has not acknowledged, as in usage.Report.
+type UsageReport struct {
+	Name        string // of the machine
+	Incarnation int64
+	Windows     []usage.Window
+	Loads       []usage.ServiceLoad
+	Forwarded   bool // as in Registration
+}
+
+// UsageReceipt is the response to UsageReport.
+type UsageReceipt struct {
+	Collector  string // that added the report; empty if the node is not the head and has only the head's address to give
+	HeadAddr   string // where reports are to be sent; empty if the node knows of no head
+	TrueTimeMs int64  // the node's estimate of the true time, since the beginning of 1970; 0 if it has none
+}
+
 // PutRequest is an operator's order to put a configuration.
 type PutRequest struct {
 	IfMatch   int64 // the version on which it builds
