Count at the front the requests that hosts begin to run

Usage by tenant is the requests that hosts began: a stream at its first token, another request when its host began.

A front calls Options.Usage for each attempt in which a host began: of a stream with its first bytes, of another request when its answer shows that it ran or the call may have run; and for each call that ended. The tenant is empty until requests have one.

--- a/internal/tier/proxy/attempt.go
+++ b/internal/tier/proxy/attempt.go
@@ -19,6 +19,8 @@
 
 // releaseSlot gives the slot of an attempt back.
 func (r *request) releaseSlot(attempt *attempt, outcome balancer.Outcome) {
+	host := attempt.endpoint.host
+	r.server().options.Usage.CallEnded(host.Service, host.Zone, time.Since(attempt.startedAt))
 	r.server().dispatcher.release(attempt.endpoint, outcome)
 }
 
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -53,6 +53,9 @@
 	// ReportHealth gets what this front observes of hosts that fail. Default: nothing is reported.
 	ReportHealth ReportHealth
 
+	// Usage counts the requests that hosts begin to run, and the calls to them. Default: nothing is counted.
+	Usage UsageRecorder
+
 	// Log gets faults. Default: nothing is logged.
 	Log *slog.Logger
 
@@ -108,6 +111,9 @@
 	if o.ReportHealth == nil {
 		o.ReportHealth = func(context.Context, []hosthealth.Observation) error { return nil }
 	}
+	if o.Usage == nil {
+		o.Usage = noUsage{}
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
--- a/internal/tier/proxy/retry.go
+++ b/internal/tier/proxy/retry.go
@@ -132,6 +132,7 @@
 // handleResult decides by the outcome of a call. done reports that no retry follows: either the attempt has a response to
 // pass on, or the result is nil and the client has its response.
 func (f *forwarder) handleResult(attempt *attempt) (answered *attempt, done bool) {
+	f.recordBegan(attempt)
 	switch {
 	case attempt.Outcome == upstream.Answered:
 		f.sentAttempts++
@@ -148,6 +149,16 @@
 	return nil, false
 }
 
+// recordBegan counts the request if the host may have begun to run it in an attempt. A stream counts with its first event bytes.
+func (f *forwarder) recordBegan(attempt *attempt) {
+	switch {
+	case f.request.route.Kind == routing.Streaming, attempt.Outcome == upstream.NotRun:
+	case attempt.Response != nil && statusPromisesNotRun(attempt.Response.Status):
+	default:
+		f.request.requestBegan()
+	}
+}
+
 // handleResponse decides about the response of a host that ran the request; results as of handleResult.
 func (f *forwarder) handleResponse(attempt *attempt) (answered *attempt, done bool) {
 	if !hasRequiredSeal(attempt.Response) {
--- a/internal/tier/proxy/streamrelay.go
+++ b/internal/tier/proxy/streamrelay.go
@@ -57,9 +57,13 @@
 // written yet. The error is upstream.ErrCancelled if the client does not take them.
 func (s *streamRelay) copyEvents(response *upstream.Response) error {
 	var buffer [streamBufferSize]byte
-	for {
+	for began := false; ; {
 		n, err := response.Read(buffer[:])
 		if n > 0 {
+			if !began {
+				began = true
+				s.requestBegan()
+			}
 			if err := s.pass(buffer[:n]); err != nil {
 				return err
 			}
