Report the usage of tenants from fronts, also while they are idle

Need: the duty of usage wants, for each tenant and window, the requests that hosts began; orders of hosts want the calls in flight. Change: larch-proxy runs the reporter where the settings name duties; a request counts for the tenant of its key; a front that has counted nothing reports every 2 s, so that the head can tell an idle fleet from one that it does not hear, and a new head gets what it lacks. Counter.Newest, which nothing needs any more, is gone with its assertions.

--- a/cmd/larch-proxy/main.go
+++ b/cmd/larch-proxy/main.go
@@ -29,6 +29,9 @@
 // program is the command line, which has no flags: the settings file is named by a variable.
 type program struct{}
 
+// defaultUsageWindow is the length of the windows in which usage is counted, where the settings name none.
+const defaultUsageWindow = 5 * time.Second
+
 // exitMarginDivisor divides the grace period: that part of it is left at its end for the process to exit.
 const exitMarginDivisor = 32
 
@@ -64,12 +67,26 @@
 	follower := feed.NewFollower(s, calls, log)
 	ledger := turnstore.NewClient(follower.Placement, calls, s.Zone, log)
 	grace := s.TimingBound("grace_period_s", 8*time.Second)
-	server := proxy.New(proxy.Options{
-		Zone: s.Zone, Source: follower, Ledger: ledger, ReportHealth: follower.ReportHealth, Log: log, GracePeriod: grace, RevocationBound: revocationBound(s), Seed: rand.Uint64(), MaxClientConns: s.Limits.MaxFDs / 2,
-		NewOracle: func(bound time.Duration) balancer.Oracle { return oracle.NewDestination(bound) },
-	})
+	options := proxy.Options{
+		Zone:            s.Zone,
+		Source:          follower,
+		Ledger:          ledger,
+		ReportHealth:    follower.ReportHealth,
+		Log:             log,
+		GracePeriod:     grace,
+		RevocationBound: revocationBound(s),
+		Seed:            rand.Uint64(),
+		MaxClientConns:  s.Limits.MaxFDs / 2,
+		NewOracle:       func(bound time.Duration) balancer.Oracle { return oracle.NewDestination(bound) },
+	}
 	following, unfollow := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
+	if len(s.Platform.Duties) > 0 {
+		reporter := proxy.NewUsageReporter(follower.ReportUsage, s.TimingBound("usage_window_s", defaultUsageWindow))
+		options.Usage = reporter
+		wg.Go(func() { reporter.Run(following) })
+	}
+	server := proxy.New(options)
 	wg.Go(func() { follower.Run(following) })
 	wg.Go(func() { process.WatchSettings(following, log, follower.UpdateSeeds) })
 	wg.Go(func() { server.Serve(front, ready) })
--- a/internal/tier/proxy/usagerecord.go
+++ b/internal/tier/proxy/usagerecord.go
@@ -16,5 +16,10 @@
 func (noUsage) RequestBegan(string)                     {}
 func (noUsage) CallEnded(string, string, time.Duration) {}
 
-// requestBegan counts the request as one that a host has just begun to run. It is called for each attempt in which one does.
-func (r *request) requestBegan() { r.server().options.Usage.RequestBegan("") }
+// requestBegan counts the request as one that a host has just begun to run, if it is one of a tenant. It is called for each attempt
+// in which one does.
+func (r *request) requestBegan() {
+	if r.tenant != nil {
+		r.server().options.Usage.RequestBegan(r.tenant.Name)
+	}
+}
--- a/internal/tier/proxy/usagereport.go
+++ b/internal/tier/proxy/usagereport.go
@@ -13,13 +13,13 @@
 
 const (
 	usageReportInterval   = time.Second
+	idleReportInterval    = 2 * time.Second // while nothing is counted: a report shows the head that this front is there
 	usageReportTimeout    = 500 * time.Millisecond
 	minUsageReportBackoff = 200 * time.Millisecond // bound of the first pause after a failure; doubled with each further one
 	maxUsageReportBackoff = time.Second
 	maxUsageBackoffStep   = 8 // keeps the shift in range
 	maxUsageCalls         = 4 // of one report: to a node that names the head, to the head, and what a new collector lacks
 	retainedUsageWindows  = 6 // that a new collector may get
-	recentUsageWindows    = 3 // from the last request on, for which reports go on without one, since the collector may change
 	startUsageJitter      = 100 * time.Millisecond
 	headClock             = "head" // name of the head's estimate of the true time, whichever node is the head
 )
@@ -39,6 +39,8 @@
 	headAddr  string // where reports go; empty for the core node that is followed
 	collector string // of the last receipt
 	synced    bool   // a head has given its estimate of the true time
+
+	reportedAt time.Time // when the last report was made
 }
 
 var _ UsageRecorder = (*UsageReporter)(nil)
@@ -85,13 +87,10 @@
 	}
 }
 
-// due reports whether there is something to report, or to learn: the true time, or that another collector lacks counts.
+// due reports whether a report is to be made: something is counted, the true time is not known yet, or the last one was made
+// idleReportInterval ago, so that the head hears that this front is idle, and a new head gets what it lacks.
 func (u *UsageReporter) due() bool {
-	if !u.synced || len(u.counter.Pending().Windows) > 0 {
-		return true
-	}
-	newest, ok := u.counter.Newest()
-	return ok && newest >= u.window()-recentUsageWindows
+	return !u.synced || len(u.counter.Pending().Windows) > 0 || time.Since(u.reportedAt) >= idleReportInterval
 }
 
 // usageBackoff returns a random pause after a number of failures, between half of a bound that doubles with each and the bound.
@@ -102,6 +101,7 @@
 
 // report sends what is pending to the head, also what only a new collector lacks. It reports whether the head has it.
 func (u *UsageReporter) report(ctx context.Context) bool {
+	u.reportedAt = time.Now()
 	for range maxUsageCalls {
 		report, sentAt := u.counter.Pending(), time.Now()
 		receipt, err := u.call(ctx, report)
--- a/internal/tier/usage/counter.go
+++ b/internal/tier/usage/counter.go
@@ -81,18 +81,6 @@
 	return report
 }
 
-// Newest returns the highest number of a retained window; ok is false if there is none.
-func (c *Counter) Newest() (window int64, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, w := range c.windows {
-		if !ok || w.number > window {
-			window, ok = w.number, true
-		}
-	}
-	return window, ok
-}
-
 // Acknowledge records that a collector has added a report of this counter. If it is another collector than that of the last
 // receipt, it is the current one from now on and lacks all other windows.
 func (c *Counter) Acknowledge(collector string, report Report) {
--- a/internal/tier/usage/counter_test.go
+++ b/internal/tier/usage/counter_test.go
@@ -85,11 +85,6 @@
 	wantEqual(t, "windows", numbers(c.Pending()), []int64{2, 3, 4})
 	c.Acknowledge("x", Report{Windows: []Window{{0, []TenantCount{{"a", 9}}}}}) // of a window that is gone
 	wantEqual(t, "windows", numbers(c.Pending()), []int64{2, 3, 4})
-	newest, ok := c.Newest()
-	wantEqual(t, "newest", newest, int64(4))
-	wantEqual(t, "there is one", ok, true)
-	_, ok = NewCounter(7, 3).Newest()
-	wantEqual(t, "there is none", ok, false)
 }
 
 func TestCounterAddsLoads(t *testing.T) {
