Add the lease on singleton duties as a pure module

Need: calls to the platform that one node at a time may make.

Measured: go test -race ./internal/tier/lease.

--- /dev/null
+++ b/internal/tier/lease/lease.go
@@ -0,0 +1,160 @@
+package lease
+
+import "time"
+
+// Params are the figures of the lease.
+type Params struct {
+	// Term is how long a grant lasts from the time at which its round was sent.
+	Term time.Duration
+	// MaxDrift bounds by how much a monotonic clock may be faster or slower than true time, as a share of it.
+	MaxDrift float64
+}
+
+// DefaultMaxDrift is the bound on the drift of monotonic clocks: well beyond that of quartz clocks, which is below 0.0005.
+const DefaultMaxDrift = 0.01
+
+// Takeover returns how long a new head waits for the grants of earlier heads to end: Term, if the clock of the earlier head is the
+// slowest and that of the new one the fastest that MaxDrift permits.
+func (p Params) Takeover() time.Duration {
+	return time.Duration(float64(p.Term)*(1+p.MaxDrift)/(1-p.MaxDrift)) + 1
+}
+
+// Observation is what a node knows of the view and of its own place in it.
+type Observation struct {
+	Epoch  int64
+	IsHead bool // of the view of Epoch
+	// Active: the node is the head, takes part in the chain, has not promised to the next epoch, and is not about to stop.
+	Active bool
+	// ConfirmedAt is when the newest confirmation round of this epoch was sent that a majority has confirmed; HasConfirmed
+	// reports whether there is one.
+	ConfirmedAt  time.Duration
+	HasConfirmed bool
+}
+
+// Release tells the head of the next epoch that the sender does not act any more.
+type Release struct {
+	Epoch int64 // the last epoch in which the sender was the head
+	// Wait is what the sender itself still had to wait for the grants of heads before it; 0 if it could act.
+	Wait time.Duration
+}
+
+// Grant is the right to act.
+type Grant struct {
+	Epoch int64
+	Until time.Duration // by this node's clock; not after it
+}
+
+// headship is an unbroken run of epochs with this node as the head.
+type headship struct {
+	firstEpoch int64
+	since      time.Duration // when the node adopted the view of firstEpoch
+}
+
+// Lease is a node's part in the lease. It is not safe for concurrent use. Times are of the node's monotonic clock and do not go
+// back.
+type Lease struct {
+	params    Params
+	startedAt time.Duration
+
+	epoch    int64     // newest that was observed
+	headship *headship // nil while another node is the head
+	active   bool
+	until    time.Duration // of the newest grant in this epoch; 0 for none
+
+	lostAt  time.Duration // when the last headship ended
+	hadHead bool          // there was an earlier headship
+
+	received *Release      // for this headship
+	endsAt   time.Duration // when what the sender of received waited for is over
+	refused  int64         // newest epoch in which the platform has refused this node's token; 0 for none
+}
+
+// New returns the lease of a node that starts now and knows no view.
+func New(params Params, now time.Duration) *Lease {
+	return &Lease{params: params, startedAt: now}
+}
+
+// Observe takes a new observation. It returns the release to send to the head of the view, if this node was the head of the
+// view before.
+func (l *Lease) Observe(now time.Duration, o Observation) (release Release, ok bool) {
+	if o.Epoch < l.epoch {
+		return Release{}, false
+	}
+	if o.Epoch > l.epoch {
+		release, ok = l.enterEpoch(now, o)
+	}
+	l.active = o.IsHead && o.Active
+	if o.IsHead && o.HasConfirmed {
+		l.until = max(l.until, o.ConfirmedAt+l.params.Term)
+	}
+	return release, ok
+}
+
+// enterEpoch adopts a newer epoch.
+func (l *Lease) enterEpoch(now time.Duration, o Observation) (release Release, ok bool) {
+	consecutive := o.Epoch == l.epoch+1
+	if l.headship != nil && !(consecutive && o.IsHead) {
+		release = Release{Epoch: l.epoch, Wait: max(0, l.mayActFrom()-now)}
+		ok = !o.IsHead
+		l.headship, l.lostAt, l.hadHead = nil, now, true
+	}
+	l.epoch, l.until = o.Epoch, 0
+	if !o.IsHead {
+		return release, ok
+	}
+	if l.headship == nil {
+		l.headship, l.received = &headship{firstEpoch: o.Epoch, since: now}, nil
+	}
+	return release, ok
+}
+
+// HandleRelease takes a release of the head of the epoch before this node's headship.
+func (l *Lease) HandleRelease(now time.Duration, r Release) {
+	if l.headship == nil || r.Epoch != l.headship.firstEpoch-1 || r.Wait < 0 {
+		return
+	}
+	if ends := now + l.stretch(r.Wait); l.received == nil || ends < l.endsAt {
+		l.received, l.endsAt = &r, ends
+	}
+}
+
+// stretch returns how long this node waits by its own clock for a time of another node's clock.
+func (l *Lease) stretch(d time.Duration) time.Duration {
+	if d == 0 {
+		return 0
+	}
+	return time.Duration(float64(d)*(1+l.params.MaxDrift)/(1-l.params.MaxDrift)) + 1
+}
+
+// mayActFrom returns from when on a grant may be used. The node must be the head.
+func (l *Lease) mayActFrom() time.Duration {
+	from := l.headship.since + l.params.Takeover()
+	if l.received != nil {
+		from = min(from, l.endsAt)
+	}
+	from = max(from, l.startedAt+l.params.Takeover())
+	if l.hadHead {
+		from = max(from, l.lostAt+l.params.Takeover())
+	}
+	return from
+}
+
+// Refused notes that the platform has refused a call of an epoch, as it has seen a higher token. The node does not act any more
+// before the next epoch.
+func (l *Lease) Refused(epoch int64) { l.refused = max(l.refused, epoch) }
+
+// Grant returns the right to act that this node has now, if it has one.
+func (l *Lease) Grant(now time.Duration) (g Grant, ok bool) {
+	if l.headship == nil || !l.active || l.refused >= l.epoch || now < l.mayActFrom() || now >= l.until {
+		return Grant{}, false
+	}
+	return Grant{Epoch: l.epoch, Until: l.until}, true
+}
+
+// WaitsFor returns how long the head still waits for earlier grants to end; 0 if it does not, or is not the head.
+func (l *Lease) WaitsFor(now time.Duration) time.Duration {
+	if l.headship == nil {
+		return 0
+	}
+	return max(0, l.mayActFrom()-now)
+}
--- /dev/null
+++ b/internal/tier/lease/lease_test.go
@@ -0,0 +1,143 @@
+package lease
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	testTerm = 3 * time.Second
+	second   = time.Second
+)
+
+var testParams = Params{Term: testTerm, MaxDrift: DefaultMaxDrift}
+
+// head is the observation of the active head of an epoch, whose newest confirmed round was sent at a time.
+func head(epoch int64, confirmedAt time.Duration) Observation {
+	return Observation{Epoch: epoch, IsHead: true, Active: true, ConfirmedAt: confirmedAt, HasConfirmed: true}
+}
+
+func wantGrant(t *testing.T, l *Lease, now time.Duration, epoch int64) {
+	t.Helper()
+	g, ok := l.Grant(now)
+	if ok != (epoch > 0) || g.Epoch != epoch {
+		t.Errorf("at %s the grant is %+v, %v; want epoch %d", now, g, ok, epoch)
+	}
+}
+
+func TestTakeoverOutlastsTermOnDriftingClocks(t *testing.T) {
+	p := Params{Term: testTerm, MaxDrift: 0.01}
+	slowest := float64(p.Term) / (1 - p.MaxDrift)       // true time in which the slowest clock counts Term
+	fastest := float64(p.Takeover()) / (1 + p.MaxDrift) // true time in which the fastest clock counts Takeover
+	if fastest < slowest {
+		t.Errorf("Takeover lasts %v of true time, Term up to %v", time.Duration(fastest), time.Duration(slowest))
+	}
+}
+
+func TestHeadWaitsForEarlierGrants(t *testing.T) {
+	l := New(testParams, 0)
+	l.Observe(10*second, head(5, 10*second))
+	wantGrant(t, l, 10*second+testTerm, 0)
+	at := 10*second + testParams.Takeover()
+	l.Observe(at, head(5, at))
+	wantGrant(t, l, at, 5)
+}
+
+func TestGrantLastsForTermFromSendingOfRound(t *testing.T) {
+	l := New(testParams, 0)
+	l.Observe(0, head(1, 0))
+	l.Observe(10*second, head(1, 9*second)) // the echoes took a second
+	wantGrant(t, l, 9*second+testTerm-1, 1)
+	wantGrant(t, l, 9*second+testTerm, 0)
+}
+
+func TestGrantNeedsActiveConfirmedHead(t *testing.T) {
+	at := 10 * second
+	for name, o := range map[string]Observation{
+		"another node is the head": {Epoch: 2},
+		"not confirmed":            {Epoch: 2, IsHead: true, Active: true},
+		"sealed or leaving":        {Epoch: 2, IsHead: true, ConfirmedAt: at, HasConfirmed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New(testParams, 0)
+			l.Observe(0, head(1, 0))
+			l.Observe(at, o)
+			wantGrant(t, l, at, 0)
+		})
+	}
+}
+
+func TestHeadOfConsecutiveEpochsDoesNotWaitAgain(t *testing.T) {
+	l := New(testParams, 0)
+	l.Observe(0, head(1, 0))
+	l.Observe(10*second, head(2, 10*second))
+	wantGrant(t, l, 10*second, 2)
+	l.Observe(11*second, head(4, 11*second)) // epoch 3 may have had another head
+	wantGrant(t, l, 11*second, 0)
+}
+
+func TestReleaseShortensWait(t *testing.T) {
+	old := New(testParams, 0)
+	old.Observe(0, head(1, 0))
+	release, ok := old.Observe(10*second, Observation{Epoch: 2})
+	if !ok || release != (Release{Epoch: 1}) {
+		t.Fatalf("released %+v, %v", release, ok)
+	}
+	wantGrant(t, old, 10*second, 0)
+
+	next := New(testParams, 0)
+	next.Observe(10*second, head(2, 10*second))
+	next.HandleRelease(10*second, Release{Epoch: 3}) // of another headship
+	wantGrant(t, next, 10*second, 0)
+	next.HandleRelease(10*second, release)
+	wantGrant(t, next, 10*second, 2)
+}
+
+func TestReleasePassesOnWhatItsSenderWaitedFor(t *testing.T) {
+	old := New(testParams, 0)
+	old.Observe(10*second, head(2, 10*second))
+	release, _ := old.Observe(11*second, Observation{Epoch: 3})
+	if want := testParams.Takeover() - second; release.Wait != want {
+		t.Fatalf("the wait that is passed on is %v, want %v", release.Wait, want)
+	}
+	next := New(testParams, 0)
+	next.Observe(11*second, head(3, 11*second))
+	next.HandleRelease(11*second, release)
+	from := 11*second + next.stretch(release.Wait)
+	next.Observe(from, head(3, from))
+	wantGrant(t, next, from-1, 0)
+	wantGrant(t, next, from, 3)
+}
+
+// The rule ONE: holders do not act in the order A, B, A within a term.
+func TestReleaseDoesNotReturnLeaseWithinTerm(t *testing.T) {
+	l := New(testParams, 0)
+	l.Observe(0, head(1, 0))
+	l.Observe(10*second, head(1, 10*second))
+	wantGrant(t, l, 10*second, 1)
+	l.Observe(10*second, Observation{Epoch: 2})
+	l.Observe(11*second, head(3, 11*second))
+	l.HandleRelease(11*second, Release{Epoch: 2})
+	wantGrant(t, l, 10*second+testTerm, 0)
+	at := 10*second + testParams.Takeover()
+	l.Observe(at, head(3, at))
+	wantGrant(t, l, at, 3)
+}
+
+// A node that has just started does not know what it did before.
+func TestStartedNodeWaitsWhateverWasReleased(t *testing.T) {
+	l := New(testParams, 20*second)
+	l.Observe(20*second, head(7, 20*second))
+	l.HandleRelease(20*second, Release{Epoch: 6})
+	wantGrant(t, l, 20*second+testTerm, 0)
+}
+
+func TestRefusedHolderWaitsForNextEpoch(t *testing.T) {
+	l := New(testParams, 0)
+	l.Observe(0, head(1, 0))
+	l.Observe(10*second, head(1, 10*second))
+	l.Refused(1)
+	wantGrant(t, l, 10*second, 0)
+	l.Observe(11*second, head(2, 11*second))
+	wantGrant(t, l, 11*second, 2)
+}
