Decide the records of singleton duties as orders on the chain

Need: the platform must never get two different reports of a window, nor tokens that go back over a control plane that is founded anew. Change: RecordUsage keeps the first report of a window, whose bytes any holder sends; RecordTokenBase is kept once. The settings have the platform's duties.

Measured: go test ./internal/tier/orders ./internal/process.

--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -61,14 +62,19 @@
 
 	Bounds TimingBounds `yaml:"timing_bounds"` // see TimingBound
 
-	// The platform's list of hosts.
+	// The platform: its list of hosts, and the duties that it expects of one node at a time.
 	Platform struct {
-		Address  string  `yaml:"address"`    // HOST:PORT; empty where there is none
-		Rate     float64 `yaml:"rate_per_s"` // not used
-		MaxLagMs float64 `yaml:"max_lag_ms"` // not used
+		Address  string   `yaml:"address"`    // HOST:PORT; empty where there is none
+		Rate     float64  `yaml:"rate_per_s"` // not used
+		MaxLagMs float64  `yaml:"max_lag_ms"` // not used
+		Duties   []string `yaml:"duty_list"`
+		DutyRate float64  `yaml:"duty_per_s"` // calls a second that it takes for all duties; not used: the tier makes a few
 	} `yaml:"cloud_api"`
 }
 
+// HasDuty reports whether the platform expects a duty.
+func (s *Settings) HasDuty(name string) bool { return slices.Contains(s.Platform.Duties, name) }
+
 // Load reads and checks the file that SettingsVariable names. Its errors are ErrSettings.
 func Load() (*Settings, error) {
 	path := os.Getenv(SettingsVariable)
--- a/internal/tier/orders/decision.go
+++ b/internal/tier/orders/decision.go
@@ -57,11 +57,11 @@
 	Kind      Kind
 	DependsOn int64   // index of the last entry that was read for it, committed or not; 0 if there was none
 	Append    []Write // with Accept only: the entries to append, in this order
-	Body      []byte  // with Found only
+	Body      []byte  // of Found, and of RecordUsage if it is acknowledged
 	Reason    string  // for the operator: the cause and the remedy
 }
 
-// Order is one of PutConfig, ReadConfig, RetireStore and StorePhase.
+// Order is one of PutConfig, ReadConfig, RetireStore, StorePhase, RecordTokenBase and RecordUsage.
 type Order interface{ decide(s *State) Decision }
 
 // Decide returns the outcome of an order in the state that the chain's entries make. It returns an error if an entry
