Carry out the singleton duties at the holder of the lease

The true time is a median over the voters' clocks. Three new calls between nodes, with fixtures of their bytes; no existing message changes.

--- /dev/null
+++ b/internal/tier/controlnode/duty_clock.go
@@ -0,0 +1,66 @@
+package controlnode
+
+import (
+	"context"
+	"time"
+
+	"larchrouter/internal/tier/feed"
+	"larchrouter/internal/tier/usage"
+)
+
+const (
+	clockInterval = 2 * time.Second // between two rounds of calls for the clocks of other nodes
+	clockTimeout  = 500 * time.Millisecond
+)
+
+// trueNow returns the true time, as this node estimates it by the clocks of the voters.
+func (s *Server) trueNow() time.Time { return s.trueTime.At(s.now()) }
+
+// handleClock answers with the wall clock of this node.
+func (s *Server) handleClock(context.Context, *feed.Empty) (*feed.ClockReading, error) {
+	return &feed.ClockReading{UnixMicros: time.Now().UnixMicro()}, nil
+}
+
+// votersQuery reads the addresses of the other voters, by name.
+type votersQuery struct{ addrs map[string]string }
+
+func (q *votersQuery) handle(s *Server) {
+	q.addrs = map[string]string{}
+	view := s.node.View()
+	for _, m := range view.Voters {
+		if addr := s.node.addr(m.ID); m.ID != s.self.ID && addr != "" {
+			q.addrs[m.ID] = addr
+		}
+	}
+}
+
+// sampleClocks asks the other voters for their clocks at intervals, until the server stops. The head needs them for the windows of
+// usage reports; every node asks, so that a new head has an estimate.
+func (s *Server) sampleClocks() {
+	if !s.settings.HasDuty(usageDutyName) {
+		return
+	}
+	for s.ctx.Err() == nil {
+		query := &votersQuery{}
+		if s.runOnLoop(query) {
+			for id, addr := range query.addrs {
+				s.wg.Go(func() { s.sampleClock(id, addr) })
+			}
+		}
+		s.sleep(clockInterval)
+	}
+}
+
+// sampleClock asks one node for its clock.
+func (s *Server) sampleClock(id, addr string) {
+	ctx, cancel := context.WithTimeout(s.ctx, clockTimeout)
+	defer cancel()
+	startedAt := s.now()
+	var reading feed.ClockReading
+	if s.clients.To(addr).Call(ctx, feed.ClockCall, &feed.Empty{}, &reading) != nil {
+		return
+	}
+	received := s.now()
+	s.trueTime.Observe(usage.ClockSample{Node: id, Wall: time.UnixMicro(reading.UnixMicros), RoundTrip: received - startedAt,
+		ReceivedAt: received})
+}
--- /dev/null
+++ b/internal/tier/controlnode/duty_scale.go
@@ -0,0 +1,178 @@
+package controlnode
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"larchrouter/internal/rpc"
+	"larchrouter/internal/tier/discovery"
+	"larchrouter/internal/tier/duty"
+	"larchrouter/internal/tier/feed"
+	"larchrouter/internal/tier/routing"
+	"larchrouter/internal/tier/scaling"
+	"larchrouter/internal/tier/usage"
+)
+
+const (
+	scalePath         = "/scale"
+	scaleInterval     = time.Second
+	loadSpan          = 3 * time.Second // over which calls in flight are averaged
+	evidenceSpan      = 4 * time.Second // in which fronts have to have reported
+	evidenceDivisor   = 2               // of the most fronts that have reported, one in so many has to have reported lately
+	defaultHostSlots  = 1               // of a host that lists no capacity
+	scaleCallsPerStep = 8               // so that a step takes a bounded time
+)
+
+// scaleDuty orders how many hosts of a service run in a zone, for each service whose configuration has a scaling.
+type scaleDuty struct {
+	*dutyRunner
+	planner    *scaling.Planner
+	mostFronts int                              // that have reported lately, at most so far
+	plannedAt  time.Time                        // zero before the first plan
+	backoff    map[scaling.Subject]*callBackoff // of the platform's answers
+	config     *routing.Config                  // as last parsed
+}
+
+func newScaleDuty(d *dutyRunner) *scaleDuty { return &scaleDuty{dutyRunner: d} }
+
+// begin forgets what another holder may have ordered: the list of hosts shows it.
+func (d *scaleDuty) begin() {
+	d.planner, d.mostFronts, d.plannedAt = scaling.NewPlanner(scaling.DefaultParams()), 0, time.Time{}
+	d.backoff = map[scaling.Subject]*callBackoff{}
+}
+
+// step plans all subjects once in scaleInterval, and makes the orders.
+func (d *scaleDuty) step(grant *dutyGrant) {
+	now := time.Now()
+	if now.Sub(d.plannedAt) < scaleInterval {
+		return
+	}
+	d.plannedAt = now
+	query := &demandQuery{}
+	if !d.server.runOnLoop(query) || !query.ok {
+		return
+	}
+	if d.mostFronts = max(d.mostFronts, query.fronts); query.fronts == 0 || query.fronts < d.mostFronts/evidenceDivisor {
+		return // the fronts are not heard: the last orders stand
+	}
+	d.parseConfig(query.config)
+	calls := 0
+	for _, subject := range d.subjects(query) {
+		hosts, ok := d.planner.Plan(d.server.now(), subject.Subject, subject.Demand)
+		if ok && calls < scaleCallsPerStep && d.order(grant, subject.Subject, hosts) {
+			calls++
+		}
+	}
+}
+
+// parseConfig parses the value of the configuration, unless it is that of the last step.
+func (d *scaleDuty) parseConfig(value []byte) {
+	var entry feed.ConfigEntry
+	if len(value) == 0 || rpc.Decode(value, &entry) != nil || d.config != nil && d.config.Version == entry.Version {
+		return
+	}
+	if config, err := routing.Parse(entry.Body); err == nil {
+		d.config = config
+	}
+}
+
+// demandQuery reads what the plan needs: the configuration, the hosts and the load.
+type demandQuery struct {
+	ok     bool // this node is the confirmed head and has a configuration
+	config []byte
+	hosts  []discovery.Host
+	loads  []usage.Load
+	fronts int // that have reported lately
+}
+
+func (q *demandQuery) handle(s *Server) {
+	hosts := s.node.Hosts()
+	entry, known := s.node.Chain().LastEntry(feed.ConfigKey)
+	if !s.node.IsConfirmedHead() || hosts == nil || !known {
+		return
+	}
+	collector := s.assumeUsageRole().collector
+	q.ok, q.config, q.hosts = true, entry.Value, hosts.Hosts
+	q.loads = collector.LoadSince(s.now() - loadSpan)
+	q.fronts = len(collector.FrontsSince(s.now() - evidenceSpan))
+}
+
+// scaleSubject is a subject with its demand.
+type scaleSubject struct {
+	scaling.Subject
+	scaling.Demand
+}
+
+// subjects returns the subjects with their demands, sorted: each service that is to be scaled, in each zone in which hosts of it
+// are listed.
+func (d *scaleDuty) subjects(query *demandQuery) (subjects []scaleSubject) {
+	if d.config == nil {
+		return nil
+	}
+	demands := map[scaling.Subject]*scaling.Demand{}
+	for _, host := range query.hosts {
+		bounds := d.config.Services[host.Service].Scaling
+		if bounds.Max == 0 {
+			continue
+		}
+		subject := scaling.Subject{Service: host.Service, Zone: host.Zone}
+		demand := demands[subject]
+		if demand == nil {
+			demand = &scaling.Demand{Min: bounds.Min, Max: bounds.Max, Slots: defaultHostSlots}
+			demands[subject] = demand
+		}
+		demand.Slots = max(demand.Slots, host.Capacity)
+		if host.Serving() {
+			demand.Hosts++
+		}
+	}
+	for _, load := range query.loads {
+		if demand := demands[scaling.Subject{Service: load.Service, Zone: load.Zone}]; demand != nil {
+			demand.Concurrency = load.Concurrency
+		}
+	}
+	for subject, demand := range demands {
+		subjects = append(subjects, scaleSubject{subject, *demand})
+	}
+	slices.SortFunc(subjects, func(a, b scaleSubject) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
+	})
+	return subjects
+}
+
+// scaleBody is the body of the call, with the names of the platform's page.
+type scaleBody struct {
+	Service string `json:"target_service"`
+	Zone    string `json:"zone_name"`
+	Desired int    `json:"desired"`
+}
+
+// order makes an order. It reports whether a call was made.
+func (d *scaleDuty) order(grant *dutyGrant, subject scaling.Subject, hosts int) bool {
+	backoff := d.backoff[subject]
+	if backoff == nil {
+		backoff = &callBackoff{}
+		d.backoff[subject] = backoff
+	}
+	if !backoff.ready(time.Now()) {
+		return false
+	}
+	body, err := json.Marshal(scaleBody{Service: subject.Service, Zone: subject.Zone, Desired: hosts})
+	if err != nil {
+		return false
+	}
+	switch outcome, _ := d.post(grant, scalePath, body); outcome {
+	case duty.Accepted:
+		backoff.succeeded()
+		before, _ := d.planner.InForce(subject)
+		d.server.log.Info("hosts ordered", "service", subject.Service, "zone", subject.Zone, "hosts", hosts, "before", before)
+		d.planner.Ordered(subject, hosts)
+	case duty.Invalid: // the bounds may be those of a newer configuration
+		backoff.failed(time.Now())
+	default:
+		backoff.failed(time.Now())
+	}
+	return true
+}
--- /dev/null
+++ b/internal/tier/controlnode/duty_usage.go
@@ -0,0 +1,248 @@
+package controlnode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"larchrouter/internal/tier/duty"
+	"larchrouter/internal/tier/feed"
+	"larchrouter/internal/tier/orders"
+	"larchrouter/internal/tier/usage"
+)
+
+const (
+	usagePath          = "/usage"
+	defaultUsageWindow = 5 * time.Second
+	defaultUsageLate   = 10 * time.Second
+)
+
+// usageRole is the head's collection of what fronts have counted. It is soft state of a headship: fronts report what they retain to
+// a new collector once more. It is owned by the event loop.
+type usageRole struct {
+	epoch     int64
+	id        string // of the collector, in receipts
+	collector *usage.Collector
+	beganAt   time.Duration
+}
+
+// assumeUsageRole returns the collector of this headship. It runs on the event loop of the confirmed head.
+func (s *Server) assumeUsageRole() *usageRole {
+	role, epoch := &s.usageRole, s.node.View().Epoch
+	if role.collector == nil || epoch > role.epoch+1 { // consecutive epochs of one head share a collector
+		*role = usageRole{id: fmt.Sprintf("%s/%d/%d", s.self.ID, s.incarnation, epoch), beganAt: s.now(),
+			collector: usage.NewCollector(usage.DefaultCollectorParams(s.usageWindow(), s.usageLate()))}
+	}
+	role.epoch = epoch
+	return role
+}
+
+func (s *Server) usageWindow() time.Duration {
+	return s.settings.TimingBound("usage_window_s", defaultUsageWindow)
+}
+
+func (s *Server) usageLate() time.Duration {
+	return s.settings.TimingBound("usage_late_s", defaultUsageLate)
+}
+
+// usageNow returns the time for the collector. It runs on the event loop.
+func (s *Server) usageNow() usage.Now {
+	now := s.now()
+	return usage.Now{Mono: now, True: s.trueTime.At(now)}
+}
+
+// reportUsageRequest adds a front's report, if this node is the confirmed head.
+type reportUsageRequest struct {
+	report  *feed.UsageReport
+	receipt feed.UsageReceipt
+}
+
+func (r *reportUsageRequest) handle(s *Server) {
+	r.receipt.HeadAddr = s.node.HeadAddr()
+	if !s.node.IsConfirmedHead() {
+		return
+	}
+	role, now := s.assumeUsageRole(), s.usageNow()
+	role.collector.Add(now, r.report.Name, usage.Report{Incarnation: r.report.Incarnation, Windows: r.report.Windows, Loads: r.report.Loads})
+	role.collector.Forget(now)
+	r.receipt.Collector = role.id
+	if view := s.node.View(); s.trueTime.Clocks() >= view.Majority() { // otherwise it is this node's clock alone
+		r.receipt.TrueTimeMs = now.True.UnixMilli()
+	}
+}
+
+// handleUsage takes a front's report at the head. Another node answers with the head's address.
+func (s *Server) handleUsage(_ context.Context, report *feed.UsageReport) (*feed.UsageReceipt, error) {
+	request := &reportUsageRequest{report: report}
+	if !s.runOnLoop(request) {
+		return nil, errStopping
+	}
+	return &request.receipt, nil
+}
+
+// usageDuty reports the requests of each tenant to the platform, once for each window.
+type usageDuty struct {
+	*dutyRunner
+	schedule usage.Schedule
+	first    int64            // windows before it are not this holder's to record; 0 until it is known
+	recorded []int64          // windows that are recorded, by rising number
+	unsent   map[int64][]byte // bodies of recorded windows that the platform has not acknowledged
+	accepted map[int64]bool   // windows that the platform has acknowledged to this process
+	backoff  callBackoff
+}
+
+func newUsageDuty(d *dutyRunner) *usageDuty {
+	return &usageDuty{dutyRunner: d, schedule: usage.DefaultSchedule(d.server.usageWindow(), d.server.usageLate()),
+		accepted: map[int64]bool{}}
+}
+
+// begin forgets what another holder may have changed.
+func (u *usageDuty) begin() {
+	u.first, u.recorded, u.unsent, u.backoff = 0, nil, nil, callBackoff{}
+}
+
+// step records the windows that are due and sends what is recorded.
+func (u *usageDuty) step(grant *dutyGrant) {
+	now := u.server.trueNow()
+	if u.unsent == nil && !u.readRecorded(now) {
+		return
+	}
+	if window, ok := u.schedule.Due(now, usage.Progress{First: u.first, Recorded: u.recorded, CollectAt: u.collectedSince(now)}); ok {
+		u.record(window)
+	}
+	u.drop(u.schedule.Oldest(now))
+	u.send(grant)
+}
+
+// readRecorded reads which windows earlier holders have recorded. They are sent once more: the platform ignores an exact repeat.
+func (u *usageDuty) readRecorded(now time.Time) bool {
+	query := &dutyStateQuery{}
+	if !u.server.runOnLoop(query) || query.state == nil {
+		return false
+	}
+	u.unsent = map[int64][]byte{}
+	newest := int64(0)
+	for _, report := range query.state.UsageReports() {
+		newest = max(newest, report.Window)
+		u.addRecorded(report.Window, report.Body)
+	}
+	if u.first = newest + 1; newest == 0 {
+		u.first = usage.WindowAt(now, u.schedule.WindowLength)
+	}
+	return true
+}
+
+// addRecorded notes a recorded window.
+func (u *usageDuty) addRecorded(window int64, body []byte) {
+	u.recorded = append(u.recorded, window)
+	slices.Sort(u.recorded)
+	if !u.accepted[window] {
+		u.unsent[window] = body
+	}
+}
+
+// usageCountsQuery reads the counts of a window at the head.
+type usageCountsQuery struct {
+	window int64
+	counts map[string]int
+	ok     bool
+}
+
+func (q *usageCountsQuery) handle(s *Server) {
+	if s.node.IsConfirmedHead() {
+		q.counts, q.ok = s.assumeUsageRole().collector.Counts(q.window), true
+	}
+}
+
+// collectedSinceQuery reads for how long the collector of this headship has taken reports.
+type collectedSinceQuery struct{ age time.Duration }
+
+func (q *collectedSinceQuery) handle(s *Server) { q.age = s.now() - s.assumeUsageRole().beganAt }
+
+// collectedSince returns since when the collector has taken reports, in true time.
+func (u *usageDuty) collectedSince(now time.Time) time.Time {
+	query := &collectedSinceQuery{}
+	if !u.server.runOnLoop(query) {
+		return now
+	}
+	return now.Add(-query.age)
+}
+
+// usageBody is the body of the call, with the names of the platform's page.
+type usageBody struct {
+	Window int64          `json:"window_no"`
+	Counts map[string]int `json:"server_counts"`
+}
+
+// record records what is known of a window in the agreed state.
+func (u *usageDuty) record(window int64) {
+	query := &usageCountsQuery{window: window}
+	if !u.server.runOnLoop(query) || !query.ok {
+		return
+	}
+	if query.counts == nil {
+		query.counts = map[string]int{}
+	}
+	body, err := json.Marshal(usageBody{Window: window, Counts: query.counts})
+	if err != nil {
+		return
+	}
+	decision, err := u.server.decideAtHead(u.server.ctx, orders.RecordUsage{Window: window, Body: body})
+	switch {
+	case err != nil: // it may be recorded or not: the next step asks again
+	case decision.Kind.IsAcknowledgement():
+		u.addRecorded(window, decision.Body)
+	default:
+		u.recorded = append(u.recorded, window)
+	}
+}
+
+// drop forgets windows before the oldest one that still matters.
+func (u *usageDuty) drop(oldest int64) {
+	u.recorded = slices.DeleteFunc(u.recorded, func(window int64) bool { return window < oldest })
+	u.first = max(u.first, oldest)
+	for window := range u.unsent {
+		if window < oldest {
+			u.server.log.Error("usage not reported in time", "window", window)
+			delete(u.unsent, window)
+		}
+	}
+	for window := range u.accepted {
+		if window < oldest {
+			delete(u.accepted, window)
+		}
+	}
+}
+
+// send sends the oldest recorded window that the platform has not acknowledged.
+func (u *usageDuty) send(grant *dutyGrant) {
+	if len(u.unsent) == 0 || !u.backoff.ready(time.Now()) {
+		return
+	}
+	window := oldestKey(u.unsent)
+	switch outcome, _ := u.post(grant, usagePath, u.unsent[window]); outcome {
+	case duty.Accepted:
+		u.backoff.succeeded()
+		u.accepted[window] = true
+		delete(u.unsent, window)
+	case duty.Invalid:
+		u.server.log.Error("the platform rejects a usage report", "window", window)
+		delete(u.unsent, window)
+	default:
+		u.backoff.failed(time.Now())
+	}
+}
+
+// oldestKey returns the lowest window; there must be one.
+func oldestKey(windows map[int64][]byte) int64 {
+	first := true
+	oldest := int64(0)
+	for window := range windows {
+		if first || window < oldest {
+			oldest, first = window, false
+		}
+	}
+	return oldest
+}
--- a/internal/tier/controlnode/event_loop.go
+++ b/internal/tier/controlnode/event_loop.go
@@ -28,6 +28,8 @@
 		s.deliver()
 		s.wakeConfirmedPolls()
 		s.isHead.Store(s.node.IsConfirmedHead())
+		s.viewEpoch.Store(s.node.View().Epoch)
+		s.updateLease()
 		s.publishChanges(&lastPublished)
 	}
 	return nil
--- a/internal/tier/controlnode/frames_test.go
+++ b/internal/tier/controlnode/frames_test.go
@@ -26,6 +26,7 @@
 	"larchrouter/internal/tier/orders"
 	"larchrouter/internal/tier/placement"
 	"larchrouter/internal/tier/turnstore"
+	"larchrouter/internal/tier/usage"
 	"larchrouter/internal/tier/view"
 )
 
@@ -91,6 +92,13 @@
 
 		{11, "health", sideRequest, &feed.HealthReport{Name: "name", Observations: []hosthealth.Observation{{Host: "host-1", Failures: big + 1, Successes: big + 2}, {Host: "host-2", Failures: big + 3, Successes: big + 4}}, Forwarded: true}},
 		{11, "health", sideReply, &feed.Empty{Unused: true}},
+		{12, "usage", sideRequest, &feed.UsageReport{Name: "name", Incarnation: big + 1, Windows: []usage.Window{{Number: big + 2, Counts: []usage.TenantCount{{Tenant: "tenant-1", Count: big + 3}, {Tenant: "tenant-2", Count: big + 4}}}},
+			Loads: []usage.ServiceLoad{{Service: "service", Zone: "zone", BusyMs: big + 5}}, Forwarded: true}},
+		{12, "usage", sideReply, &feed.UsageReceipt{Collector: "collector", HeadAddr: "addr", TrueTimeMs: big + 1}},
+		{13, "lease release", sideRequest, &feed.LeaseRelease{Epoch: big + 1, WaitMicros: big + 2}},
+		{13, "lease release", sideReply, &feed.Empty{Unused: true}},
+		{14, "clock", sideRequest, &feed.Empty{Unused: true}},
+		{14, "clock", sideReply, &feed.ClockReading{UnixMicros: big + 1}},
 
 		{0, "configuration", sideStored, &feed.ConfigEntry{Version: big + 1, Body: []byte("body"), RecentDigests: [][]byte{[]byte("digest-1"), []byte("digest-2")}}},
 		{0, "placement", sideStored, &turnstore.Placement{Generation: big + 1, ReplicationFactor: big + 2, DurableReplicas: big + 3, FaultTolerance: big + 4, Old: []turnstore.Store{store},
@@ -99,6 +107,8 @@
 		{0, "page of orders", sideStored, &orders.Page{Records: []orders.Record{{Sequence: big + 1, Version: big + 2, BaseVersion: big + 3, Digest: []byte("digest-1")},
 			{Sequence: big + 4, Version: big + 5, BaseVersion: big + 6, Digest: []byte("digest-2")}}}},
 		{0, "earlier orders", sideStored, &orders.LegacyHistory{Version: big + 1, Digests: [][]byte{[]byte("digest-1"), []byte("digest-2")}, Complete: true}},
+		{0, "token base", sideStored, &orders.TokenBaseEntry{Base: big + 1}},
+		{0, "usage", sideStored, &orders.UsageEntry{Window: big + 1, Body: []byte("body")}},
 		{0, "entry", sideStored, &entry},
 		{0, "acceptor", sideStored, &view.Acceptor{View: fullView("a", 100), Promised: view.Ballot{Number: big + 1, Proposer: "promised"}, AcceptedAt: view.Ballot{Number: big + 2, Proposer: "accepted"}, Accepted: fullView("b", 200)}},
 		{0, "meta", sideStored, &chainMeta{ActivatedEpoch: big + 1, LastIndex: big + 2, Commit: big + 3}},
@@ -256,8 +266,9 @@
 
 // The numbers of methods, kinds of messages and states of pieces are on the wire.
 func TestNumbersOnTheWire(t *testing.T) {
-	methods := []rpc.Method{feed.PeerCall, feed.FollowCall, feed.PutCall, feed.ReadCall, feed.RegisterCall, feed.RetireCall, feed.PhaseCall, feed.StatusCall, feed.ChangesCall, feed.ChunkCall}
-	if want := []rpc.Method{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}; !reflect.DeepEqual(methods, want) {
+	methods := []rpc.Method{feed.PeerCall, feed.FollowCall, feed.PutCall, feed.ReadCall, feed.RegisterCall, feed.RetireCall, feed.PhaseCall, feed.StatusCall, feed.ChangesCall, feed.ChunkCall,
+		feed.HealthCall, feed.UsageCall, feed.LeaseReleaseCall, feed.ClockCall}
+	if want := []rpc.Method{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14}; !reflect.DeepEqual(methods, want) {
 		t.Errorf("methods are %v, want %v", methods, want)
 	}
 	kinds := []int{msgHeartbeat, msgPrepare, msgPromise, msgAccept, msgAccepted, msgDecide, msgChainUpdate, msgChainAck, msgConfirm, msgConfirmed, msgHostList, msgLearnerUpdate, msgLearnerAck}
--- a/internal/tier/controlnode/peer_calls.go
+++ b/internal/tier/controlnode/peer_calls.go
@@ -46,17 +46,20 @@
 // handlers returns the handlers of the calls of other nodes and of followers.
 func (s *Server) handlers() map[rpc.Method]rpc.Handler {
 	return map[rpc.Method]rpc.Handler{
-		feed.PeerCall:     s.handlePeerMessage,
-		feed.FollowCall:   s.handleFollow,
-		feed.ChangesCall:  typedHandler(s.handleChanges),
-		feed.ChunkCall:    typedHandler(s.handleChunk),
-		feed.PutCall:      typedHandler(s.handlePut),
-		feed.ReadCall:     typedHandler(s.handleRead),
-		feed.RegisterCall: typedHandler(s.handleRegister),
-		feed.HealthCall:   typedHandler(s.handleHealth),
-		feed.RetireCall:   typedHandler(s.handleRetire),
-		feed.PhaseCall:    typedHandler(s.handlePhase),
-		feed.StatusCall:   typedHandler(func(context.Context, *feed.Empty) (*Status, error) { return s.status(), nil }),
+		feed.PeerCall:         s.handlePeerMessage,
+		feed.FollowCall:       s.handleFollow,
+		feed.ChangesCall:      typedHandler(s.handleChanges),
+		feed.ChunkCall:        typedHandler(s.handleChunk),
+		feed.PutCall:          typedHandler(s.handlePut),
+		feed.ReadCall:         typedHandler(s.handleRead),
+		feed.RegisterCall:     typedHandler(s.handleRegister),
+		feed.HealthCall:       typedHandler(s.handleHealth),
+		feed.UsageCall:        typedHandler(s.handleUsage),
+		feed.LeaseReleaseCall: typedHandler(s.handleRelease),
+		feed.ClockCall:        typedHandler(s.handleClock),
+		feed.RetireCall:       typedHandler(s.handleRetire),
+		feed.PhaseCall:        typedHandler(s.handlePhase),
+		feed.StatusCall:       typedHandler(func(context.Context, *feed.Empty) (*Status, error) { return s.status(), nil }),
 	}
 }
 
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -18,6 +18,8 @@
 	"larchrouter/internal/sqlitelog"
 	"larchrouter/internal/tier/chain"
 	"larchrouter/internal/tier/discovery"
+	"larchrouter/internal/tier/lease"
+	"larchrouter/internal/tier/usage"
 	"larchrouter/internal/tier/view"
 )
 
@@ -60,15 +62,22 @@
 	lastRequestID   int64
 	placementRole   placementRole
 	healthRole      healthRole
+	lease           *lease.Lease // on the singleton duties
+	usageRole       usageRole
 	hostListHistory discovery.History
 
+	trueTime  *usage.TrueTime // over the clocks of the voters
+	dutyCalls dutyCallLog     // for operators
+
 	healthReported chan struct{} // of capacity 1: a front has reported since pollPlatform last looked
 
-	isHead   atomic.Bool             // IsConfirmedHead after the last batch
-	diskFull atomic.Bool             // the event loop waits for room on the disk
-	mu       sync.Mutex              // guards changed
-	changed  chan struct{}           // closed when there may be something new for followers
-	senders  map[string]chan Message // by address; owned by the event loop
+	isHead    atomic.Bool               // IsConfirmedHead after the last batch
+	viewEpoch atomic.Int64              // of the view after the last batch
+	dutyGrant atomic.Pointer[dutyGrant] // that this node has on the singleton duties; nil for none
+	diskFull  atomic.Bool               // the event loop waits for room on the disk
+	mu        sync.Mutex                // guards changed
+	changed   chan struct{}             // closed when there may be something new for followers
+	senders   map[string]chan Message   // by address; owned by the event loop
 
 	followers sync.Map // name to *Follower
 	feed      feedServer
@@ -115,6 +124,8 @@
 		ChainLength:    chainLength(s),
 		Timings:        DefaultTimings(),
 	}, durable, 0)
+	server.lease = lease.New(server.leaseParams(), 0)
+	server.trueTime = usage.NewTrueTime(server.startedAt, 0)
 	return server, nil
 }
 
@@ -166,6 +177,8 @@
 	s.wg.Go(func() { server.Serve(peers) })
 	s.wg.Go(func() { _ = operators.Serve(control) })
 	s.wg.Go(s.pollPlatform)
+	s.wg.Go(s.sampleClocks)
+	s.wg.Go(s.runDuties)
 	loopEnded := make(chan error, 1)
 	s.wg.Go(func() { loopEnded <- s.eventLoop() })
 	select {
--- a/internal/tier/feed/messages.go
+++ b/internal/tier/feed/messages.go
@@ -19,10 +19,12 @@
 	RetireCall
 	PhaseCall
 	StatusCall
-	ChangesCall // a poll, with deltas and references in the response
-	ChunkCall   // a chunk of a large value
-	HealthCall  // a front's report on hosts
-	UsageCall   // a front's report on the requests of tenants
+	ChangesCall      // a poll, with deltas and references in the response
+	ChunkCall        // a chunk of a large value
+	HealthCall       // a front's report on hosts
+	UsageCall        // a front's report on requests that hosts began
+	LeaseReleaseCall // from the head of an epoch to that of the next
+	ClockCall        // the wall clock of a core node
 )
 
 // FollowRequest is the poll of a follower of an earlier version, which is sent every value in full. All messages are
@@ -134,6 +136,18 @@
 	Forwarded    bool // as in Registration
 }
 
+// LeaseRelease tells the head of the next epoch that the sender, the head of an epoch, does not act under the lease on the singleton
+// duties any more; see package lease.
+type LeaseRelease struct {
+	Epoch      int64
+	WaitMicros int64 // that the sender itself still had to wait for
+}
+
+// ClockReading is the wall clock of a node.
+type ClockReading struct {
+	UnixMicros int64 // since 1970
+}
+
 // UsageReport is what a front has counted and the collector at the head has not acknowledged, as in usage.Report.
 type UsageReport struct {
 	Name        string // of the machine
