--- a/internal/tier/proxy/usagereport.go
+++ b/internal/tier/proxy/usagereport.go
@@ -40,7 +40,7 @@
 	collector string // of the last receipt
 	synced    bool   // a head has given its estimate of the true time
 
-	reportedAt time.Time // when the last report was made
+	reportedAt time.Time // when the head took the last report
 }
 
 var _ UsageRecorder = (*UsageReporter)(nil)
@@ -74,7 +74,7 @@
 			continue
 		}
 		if u.report(ctx) {
-			failures = 0
+			failures, u.reportedAt = 0, time.Now()
 			continue
 		}
 		pause = usageBackoff(failures)
@@ -87,7 +87,7 @@
 	}
 }
 
-// due reports whether a report is to be made: something is counted, the true time is not known yet, or the last one was made
+// due reports whether a report is to be made: something is counted, the true time is not known yet, or the head took the last one
 // idleReportInterval ago, so that the head hears that this front is idle, and a new head gets what it lacks.
 func (u *UsageReporter) due() bool {
 	return !u.synced || len(u.counter.Pending().Windows) > 0 || time.Since(u.reportedAt) >= idleReportInterval
@@ -101,7 +101,6 @@
 
 // report sends what is pending to the head, also what only a new collector lacks. It reports whether the head has it.
 func (u *UsageReporter) report(ctx context.Context) bool {
-	u.reportedAt = time.Now()
 	for range maxUsageCalls {
 		report, sentAt := u.counter.Pending(), time.Now()
 		receipt, err := u.call(ctx, report)
