Count a release that comes before the view does

Need: the former head releases the lease as soon as it has adopted the next view, and the new head may be notified of that view later: the release and the decision come by different messages, and from different nodes where a third one has proposed the view. HandleRelease dropped a release that came while its receiver was not the head, so that a planned hand-over took Takeover, 3 s.

Change: a release of the newest epoch that this node knows or of a later one is kept, and counts if the node becomes the head in the epoch after it. Its wait ends as counted from its arrival. A release for a later headship leaves that of the present one.

--- a/internal/tier/lease/doc.go
+++ b/internal/tier/lease/doc.go
@@ -16,7 +16,7 @@
 // # Release
 //
 // A holder that learns of a view with another head stops at once and sends a Release to that head, which then need not
-// wait. The release passes on what its sender itself still had to wait for.
+// wait. The release passes on what its sender itself still had to wait for. It may come before the view does.
 //
 // # What a node waits for on its own account
 //
--- a/internal/tier/lease/lease.go
+++ b/internal/tier/lease/lease.go
@@ -64,9 +64,15 @@
 	lostAt  time.Duration // when the last headship ended
 	hadHead bool          // there was an earlier headship
 
-	received *Release      // for this headship
-	endsAt   time.Duration // when what the sender of received waited for is over
-	refused  int64         // newest epoch in which the platform has refused this node's token; 0 for none
+	received *receivedRelease // for this headship
+	early    *receivedRelease // of an epoch after which this node may become the head; it came before the view
+	refused  int64            // newest epoch in which the platform has refused this node's token; 0 for none
+}
+
+// receivedRelease is a release that has come.
+type receivedRelease struct {
+	epoch  int64
+	endsAt time.Duration // when what its sender waited for is over
 }
 
 // New returns the lease of a node that starts now and knows no view.
@@ -104,18 +110,35 @@
 	}
 	if l.headship == nil {
 		l.headship, l.received = &headship{firstEpoch: o.Epoch, since: now}, nil
+		if l.early != nil && l.early.epoch == o.Epoch-1 {
+			l.received = l.early
+		}
 	}
 	return release, ok
 }
 
-// HandleRelease takes a release of the head of the epoch before this node's headship.
+// HandleRelease takes a release of the head of the epoch before this node's headship. It may come before this node has adopted
+// the view that begins the headship, as the sender may be notified of that view earlier.
 func (l *Lease) HandleRelease(now time.Duration, r Release) {
-	if l.headship == nil || r.Epoch != l.headship.firstEpoch-1 || r.Wait < 0 {
+	if r.Wait < 0 {
 		return
 	}
-	if ends := now + l.stretch(r.Wait); l.received == nil || ends < l.endsAt {
-		l.received, l.endsAt = &r, ends
+	received := &receivedRelease{epoch: r.Epoch, endsAt: now + l.stretch(r.Wait)}
+	switch {
+	case l.headship != nil && r.Epoch == l.headship.firstEpoch-1:
+		l.received = earlier(l.received, received)
+	case r.Epoch >= l.epoch:
+		l.early = earlier(l.early, received)
+	}
+}
+
+// earlier returns the release of the newer epoch, and of two releases of one epoch the one whose wait ends first. The first may
+// be nil.
+func earlier(a, b *receivedRelease) *receivedRelease {
+	if a == nil || a.epoch < b.epoch || a.epoch == b.epoch && b.endsAt < a.endsAt {
+		return b
 	}
+	return a
 }
 
 // stretch returns how long this node waits by its own clock for a time of another node's clock.
@@ -130,7 +153,7 @@
 func (l *Lease) mayActFrom() time.Duration {
 	from := l.headship.since + l.params.Takeover()
 	if l.received != nil {
-		from = min(from, l.endsAt)
+		from = min(from, l.received.endsAt)
 	}
 	from = max(from, l.startedAt+l.params.Takeover())
 	if l.hadHead {
--- a/internal/tier/lease/lease_test.go
+++ b/internal/tier/lease/lease_test.go
@@ -93,6 +93,48 @@
 	wantGrant(t, next, 10*second, 2)
 }
 
+// The sender of a release may be notified of the new view before its receiver is.
+func TestReleaseBeforeAdoptionCounts(t *testing.T) {
+	const wait = second
+	for name, test := range map[string]struct {
+		releases []Release
+		adopted  int64         // epoch
+		from     time.Duration // the node has a grant from then on
+	}{
+		"of the epoch before":      {[]Release{{Epoch: 4}}, 5, 11 * second},
+		"of two, the shorter wait": {[]Release{{Epoch: 4, Wait: wait}, {Epoch: 4}, {Epoch: 4, Wait: wait}}, 5, 11 * second},
+		"of two, the newer":        {[]Release{{Epoch: 5}, {Epoch: 4}}, 6, 11 * second},
+		"what is passed on":        {[]Release{{Epoch: 4, Wait: 2 * second}}, 5, 10*second + testParams.Takeover()*2/3},
+		"of an earlier epoch":      {[]Release{{Epoch: 3}}, 5, 11*second + testParams.Takeover()},
+		"of a later epoch":         {[]Release{{Epoch: 5}}, 5, 11*second + testParams.Takeover()},
+		"with the view missed":     {[]Release{{Epoch: 4}}, 6, 11*second + testParams.Takeover()},
+		"of a negative wait":       {[]Release{{Epoch: 4, Wait: -1}}, 5, 11*second + testParams.Takeover()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New(testParams, 0)
+			l.Observe(0, Observation{Epoch: 4})
+			for _, r := range test.releases {
+				l.HandleRelease(10*second, r)
+			}
+			l.Observe(11*second, head(test.adopted, 11*second))
+			wait := max(0, test.from-11*second)
+			if got := l.WaitsFor(11 * second); got < wait || got > wait+2 {
+				t.Errorf("waits for %s, want %s", got, wait)
+			}
+		})
+	}
+}
+
+// A release that a head holds for a later headship leaves what it waits for in this one.
+func TestEarlyReleaseDoesNotCountForPresentHeadship(t *testing.T) {
+	l := New(testParams, 0)
+	l.Observe(10*second, head(5, 10*second))
+	l.HandleRelease(10*second, Release{Epoch: 6})
+	wantGrant(t, l, 10*second, 0)
+	l.Observe(11*second, head(7, 11*second)) // after epoch 6 of another head; it waits on its own account
+	wantGrant(t, l, 11*second, 0)
+}
+
 func TestReleasePassesOnWhatItsSenderWaitedFor(t *testing.T) {
 	old := New(testParams, 0)
 	old.Observe(10*second, head(2, 10*second))
