Have calls of a lost headship delay the return of the lease

A node that had lost the lease waited for Takeover from the loss; but a call whose grant was checked before the loss may leave, or be accepted, much later: its process freezes twice, once between the check and the sending and again just after it has observed the next view, or the platform is slow. As long as the other holder has made no call for that subject the token does not stop it. Then B acts, and A again within the term.

Change: the caller notes when a call starts and ends. A node does not act while a call of an earlier headship is in flight, and waits for Takeover from its end. Calls of the present headship delay nothing.

A call that was given up, or whose process was killed, may still arrive later: that no lease can prevent.

--- a/internal/tier/lease/doc.go
+++ b/internal/tier/lease/doc.go
@@ -21,7 +21,10 @@
 // # What a node waits for on its own account
 //
 // A node that has just started does not know what it did before, and one that has lost the lease and gets it back must not
-// act again shortly after the holder between the two: both wait for Takeover, whatever was released.
+// act again shortly after the holder between the two: both wait for Takeover, whatever was released. A call
+// that was begun before the lease was lost may be accepted until it ends, as long as the platform has seen no higher token for its
+// subject. So a node that gets the lease back does not act while such a call is in flight (CallStarted, CallEnded), and waits for
+// Takeover from its end.
 //
 // # Fencing token
 //
--- a/internal/tier/lease/lease.go
+++ b/internal/tier/lease/lease.go
@@ -61,9 +61,12 @@
 	active   bool
 	until    time.Duration // of the newest grant in this epoch; 0 for none
 
-	lostAt  time.Duration // when the last headship ended
+	lostAt  time.Duration // when the last headship ended, or the last call of one that had ended
 	hadHead bool          // there was an earlier headship
 
+	calls     int // in flight, of the present headship
+	lateCalls int // in flight, of headships that have ended
+
 	received *receivedRelease // for this headship
 	early    *receivedRelease // of an epoch after which this node may become the head; it came before the view
 	refused  int64            // newest epoch in which the platform has refused this node's token; 0 for none
@@ -103,6 +106,7 @@
 		release = Release{Epoch: l.epoch, Wait: max(0, l.mayActFrom()-now)}
 		ok = !o.IsHead
 		l.headship, l.lostAt, l.hadHead = nil, now, true
+		l.lateCalls, l.calls = l.lateCalls+l.calls, 0
 	}
 	l.epoch, l.until = o.Epoch, 0
 	if !o.IsHead {
@@ -166,15 +170,38 @@
 // before the next epoch.
 func (l *Lease) Refused(epoch int64) { l.refused = max(l.refused, epoch) }
 
+// CallStarted notes that a call begins under a grant. CallEnded has to follow.
+func (l *Lease) CallStarted(g Grant) {
+	if l.isCurrent(g) {
+		l.calls++
+	} else {
+		l.lateCalls++
+	}
+}
+
+// CallEnded notes that a call under a grant was answered or given up, so that it cannot leave this node any more.
+func (l *Lease) CallEnded(now time.Duration, g Grant) {
+	if l.isCurrent(g) {
+		l.calls--
+		return
+	}
+	l.lateCalls--
+	l.lostAt = max(l.lostAt, now)
+}
+
+// isCurrent reports whether a grant is one of the present headship.
+func (l *Lease) isCurrent(g Grant) bool { return l.headship != nil && g.Epoch >= l.headship.firstEpoch }
+
 // Grant returns the right to act that this node has now, if it has one.
 func (l *Lease) Grant(now time.Duration) (g Grant, ok bool) {
-	if l.headship == nil || !l.active || l.refused >= l.epoch || now < l.mayActFrom() || now >= l.until {
+	if l.headship == nil || !l.active || l.lateCalls > 0 || l.refused >= l.epoch || now < l.mayActFrom() || now >= l.until {
 		return Grant{}, false
 	}
 	return Grant{Epoch: l.epoch, Until: l.until}, true
 }
 
-// WaitsFor returns how long the head still waits for earlier grants to end; 0 if it does not, or is not the head.
+// WaitsFor returns how long the head still waits for earlier grants to end; 0 if it does not, or is not the head. The wait begins
+// anew when a call of a lost headship ends.
 func (l *Lease) WaitsFor(now time.Duration) time.Duration {
 	if l.headship == nil {
 		return 0
--- a/internal/tier/lease/lease_test.go
+++ b/internal/tier/lease/lease_test.go
@@ -183,3 +183,52 @@
 	l.Observe(11*second, head(2, 11*second))
 	wantGrant(t, l, 11*second, 2)
 }
+
+// The platform may accept a call long after its grant was checked, as long as it has not seen a higher token for its subject.
+func TestCallOfLostHeadshipDelaysReturn(t *testing.T) {
+	l := New(testParams, 0)
+	l.Observe(0, head(1, 0))
+	l.Observe(10*second, head(1, 10*second))
+	g, _ := l.Grant(10 * second)
+	l.CallStarted(g)
+	l.CallStarted(g)
+	l.CallEnded(10*second, g)
+	l.Observe(10*second, Observation{Epoch: 2})
+	l.Observe(15*second, head(3, 15*second))
+	l.HandleRelease(15*second, Release{Epoch: 2})
+	wantGrant(t, l, 15*second, 0) // the call is in flight
+	l.CallEnded(16*second, g)
+	at := 16*second + testParams.Takeover()
+	l.Observe(at, head(3, at))
+	wantGrant(t, l, at-1, 0)
+	wantGrant(t, l, at, 3)
+}
+
+func TestCallOfPresentHeadshipDelaysNothing(t *testing.T) {
+	l := New(testParams, 0)
+	l.Observe(0, head(1, 0))
+	l.Observe(10*second, head(1, 10*second))
+	g, _ := l.Grant(10 * second)
+	l.CallStarted(g)
+	l.Observe(10*second, head(2, 10*second))
+	wantGrant(t, l, 10*second, 2)
+	l.CallEnded(11*second, g)
+	wantGrant(t, l, 11*second, 2)
+}
+
+func TestCallStartedAfterLossIsLate(t *testing.T) {
+	l := New(testParams, 0)
+	l.Observe(0, head(1, 0))
+	l.Observe(10*second, head(1, 10*second))
+	g, _ := l.Grant(10 * second)
+	l.Observe(10*second, Observation{Epoch: 2})
+	l.CallStarted(g)
+	l.Observe(15*second, head(3, 15*second))
+	l.HandleRelease(15*second, Release{Epoch: 2})
+	wantGrant(t, l, 15*second, 0)
+	l.CallEnded(15*second, g)
+	at := 15*second + testParams.Takeover()
+	l.Observe(at, head(3, at))
+	wantGrant(t, l, at-1, 0)
+	wantGrant(t, l, at, 3)
+}
