Test the lease with a model of control nodes that fail

Need: the reasons why one node at most may act rest on confirmation rounds, promises, drifting clocks and releases together, which unit tests show one by one only.

Change: a model in true time of 3 to 7 nodes with clocks that drift up to MaxDrift, links that lose, delay, duplicate and are cut one way or both, freezes (also between the check of a grant and the sending, and just after the clock was read), kills, lost disks, planned leaving, late and doubled releases, views decided by Paxos with durable promises, and a platform with and without fence checks. It checks in true time: one holder, one holder of a token, rising tokens, no A, B, A within the term, and that without faults the head gets the lease and hands it over. Courses come from a seed; one with a violation is shrunk to the fewest kinds of faults. Fifteen planted faults have to be found.

--- /dev/null
+++ b/internal/tier/lease/model_check_test.go
@@ -0,0 +1,92 @@
+package lease
+
+import "time"
+
+// checks are the invariants, in true time.
+type checks struct {
+	sim          *simulation
+	holderOf     map[int64]*node // by token
+	highestSent  int64
+	bySending    map[string]*history // by subject: calls that were sent without a freeze, as they were sent
+	byAcceptance map[string]*history // by subject: accepted calls, as they were accepted
+}
+
+func (c *checks) init(sim *simulation) {
+	*c = checks{sim: sim, holderOf: map[int64]*node{}, bySending: map[string]*history{}, byAcceptance: map[string]*history{}}
+	for _, subject := range subjects {
+		c.bySending[subject], c.byAcceptance[subject] = &history{}, &history{}
+	}
+}
+
+// holders checks that one node at most has a grant.
+func (c *checks) holders() {
+	var holder *node
+	for _, n := range c.sim.nodes {
+		if !n.holds() {
+			continue
+		}
+		if holder != nil {
+			c.sim.fail("two holders: %s in epoch %d, %s in epoch %d", holder, holder.disk.view.epoch, n, n.disk.view.epoch)
+		}
+		holder = n
+	}
+}
+
+// sent checks a call when it leaves.
+func (c *checks) sent(sent call) {
+	c.sim.logEvent("%s calls %s with token %d, stood still %v", sent.holder, sent.subject, sent.token, sent.stoodStill)
+	if sent.token > 0 {
+		if other := c.holderOf[sent.token]; other != nil && other != sent.holder {
+			c.sim.fail("one token: %s and %s use %d", other, sent.holder, sent.token)
+		}
+		c.holderOf[sent.token] = sent.holder
+	}
+	if sent.stoodStill {
+		return
+	}
+	if sent.token > 0 && sent.token < c.highestSent {
+		c.sim.fail("token order: %s sends %d after %d", sent.holder, sent.token, c.highestSent)
+	}
+	c.highestSent = max(c.highestSent, sent.token)
+	if c.bySending[sent.subject].returns(sent.holder, sent.sentAt, sent.sentAt, c.sim.params.Term) {
+		c.sim.fail("A, B, A: %s is sent by %s, by another holder, and by it again within the term", sent.subject, sent.holder)
+	}
+}
+
+// accepted checks a call when the platform accepts it. Rule ONE on the order of holders needs a platform that checks fences.
+func (c *checks) accepted(accepted call) {
+	if !c.sim.platform.fenceChecks {
+		return
+	}
+	until := accepted.mayHaveActedUntil(c.sim.now)
+	c.sim.logEvent("%s of %s with token %d is accepted", accepted.subject, accepted.holder, accepted.token)
+	if c.byAcceptance[accepted.subject].returns(accepted.holder, accepted.sentAt, until, c.sim.params.Term) {
+		c.sim.fail("A, B, A: %s is accepted from %s, from another holder, and from it again within the term", accepted.subject,
+			accepted.holder)
+	}
+}
+
+// run is a sequence of calls of one holder.
+type run struct {
+	holder *node
+	last   time.Duration
+}
+
+// history is the order of the holders of one subject.
+type history struct{ runs []run }
+
+// returns adds a call that began at a time and acted up to another one. It reports whether its holder had acted within the term
+// before it began, with another holder in between.
+func (h *history) returns(holder *node, began, until, term time.Duration) bool {
+	if last := len(h.runs) - 1; last >= 0 && h.runs[last].holder == holder {
+		h.runs[last].last = max(h.runs[last].last, until)
+	} else {
+		h.runs = append(h.runs, run{holder, until})
+	}
+	for _, earlier := range h.runs[:len(h.runs)-1] {
+		if earlier.holder == holder && began-earlier.last < term {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/tier/lease/model_faults_test.go
@@ -0,0 +1,97 @@
+package lease
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// fault names a fault that is planted into the model; empty for none.
+type fault string
+
+const (
+	termFromReply         fault = "the term counts from the reply to the round"
+	noTakeoverWait        fault = "a new head does not wait"
+	noDriftAllowance      fault = "the wait of a new head does not allow for drift"
+	noFence               fault = "calls carry no token"
+	tokenFromMemory       fault = "tokens are counted in memory"
+	releaseWithoutWait    fault = "a release does not pass on what its sender waits for"
+	releaseOfAnyEpoch     fault = "a release of any epoch counts"
+	leaseReturnedAtOnce   fault = "a node that lost the lease gets it back at once"
+	startedNodeActs       fault = "a started node does not wait on its own account"
+	promiseIgnored        fault = "a head goes on after its promise to the next epoch"
+	adoptionIgnored       fault = "a head goes on after it has adopted another head"
+	echoAfterPromise      fault = "a voter echoes after its promise"
+	echoOtherEpoch        fault = "echoes of another epoch count"
+	releaseBeforeAdoption fault = "a release that comes before the view is lost"
+	lateCallsIgnored      fault = "calls that end after the lease was lost do not count"
+)
+
+// underFault returns the parameters of a lease under a planted fault.
+func (p Params) underFault(planted fault) Params {
+	if planted == noDriftAllowance {
+		p.MaxDrift = 0
+	}
+	return p
+}
+
+// observeUnderFault gives an observation to the lease, changed as the planted fault asks for.
+func (n *node) observeUnderFault(now time.Duration, o Observation) (release Release, ok bool) {
+	l := n.lease
+	if n.sim.fault == adoptionIgnored && l.headship != nil && !o.IsHead {
+		ok = o.Epoch > l.epoch
+		release = Release{Epoch: l.epoch}
+		l.epoch = o.Epoch // the headship and its grant stay
+		return release, ok
+	}
+	before := l.headship
+	release, ok = l.Observe(now, o)
+	switch n.sim.fault {
+	case noTakeoverWait:
+		if l.headship != before && l.headship != nil {
+			l.HandleRelease(now, Release{Epoch: l.headship.firstEpoch - 1})
+		}
+	case releaseWithoutWait:
+		release.Wait = 0
+	case leaseReturnedAtOnce:
+		l.hadHead = false
+	}
+	return release, ok
+}
+
+// TestModelFindsPlantedFaults checks that the model finds each planted fault, by the invariant that it violates. Only a violation of
+// liveness needs a course's end.
+func TestModelFindsPlantedFaults(t *testing.T) {
+	for planted, violation := range map[fault]string{
+		termFromReply:         "two holders",
+		noTakeoverWait:        "two holders",
+		noDriftAllowance:      "two holders",
+		noFence:               "A, B, A",
+		tokenFromMemory:       "token",
+		releaseWithoutWait:    "two holders",
+		releaseOfAnyEpoch:     "two holders",
+		leaseReturnedAtOnce:   "A, B, A",
+		startedNodeActs:       "A, B, A",
+		promiseIgnored:        "two holders",
+		adoptionIgnored:       "two holders",
+		echoAfterPromise:      "two holders",
+		lateCallsIgnored:      "A, B, A",
+		echoOtherEpoch:        "two holders",
+		releaseBeforeAdoption: "liveness",
+	} {
+		t.Run(string(planted), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(*faultCourses) {
+				sim := newSimulation(1+seed, allFaultClasses, planted, false)
+				if sim.runUntil(faultPhase + convergence); violation == "liveness" {
+					sim = runCourse(1+seed, allFaultClasses, planted, false)
+				}
+				if strings.Contains(sim.violation, violation) {
+					t.Logf("found by course %d at %s: %s", 1+seed, sim.violatedAt, sim.violation)
+					return
+				}
+			}
+			t.Errorf("not found by %d courses", *faultCourses)
+		})
+	}
+}
--- /dev/null
+++ b/internal/tier/lease/model_platform_test.go
@@ -0,0 +1,133 @@
+package lease
+
+import "time"
+
+// subjects are what the platform fences for itself: usage, and two services in two zones each.
+var subjects = []string{"usage", "scale a/1", "scale a/2", "scale b/1", "scale b/2"}
+
+// call is a call of a holder to the platform.
+type call struct {
+	holder      *node // the machine: one machine makes one holder
+	grant       Grant
+	token       int64 // 0 for none
+	subject     string
+	sentAt      time.Duration
+	incarnation int  // of the process
+	stoodStill  bool // the process was frozen between the check of its grant and the sending
+}
+
+// platform accepts calls, and refuses those with a lower token than it has seen for their subject if it checks fences.
+type platform struct {
+	fenceChecks bool
+	highest     map[string]int64
+}
+
+func newPlatform(fenceChecks bool) platform {
+	return platform{fenceChecks: fenceChecks, highest: map[string]int64{}}
+}
+
+func (p *platform) accepts(c call) bool {
+	if p.fenceChecks && c.token > 0 && c.token < p.highest[c.subject] {
+		return false
+	}
+	p.highest[c.subject] = max(p.highest[c.subject], c.token)
+	return true
+}
+
+// act begins a call for one subject if the node has a grant. The process may freeze before the call leaves.
+func (n *node) act() {
+	n.observe()
+	now := n.clock()
+	grant, ok := n.lease.Grant(now)
+	if !ok {
+		return
+	}
+	stale := now != n.clockNow()
+	subject := subjects[n.sim.rng.IntN(len(subjects))]
+	checkedAt := n.sim.now
+	if n.sim.fault != lateCallsIgnored {
+		n.lease.CallStarted(grant)
+	}
+	if n.sim.oneIn(40, freezes) {
+		n.freeze(n.sim.between(time.Millisecond, 6*time.Second))
+	}
+	var wait time.Duration // of the thread that sends
+	if n.sim.oneIn(4, freezes) {
+		wait = n.sim.between(0, 2*modelStep)
+	}
+	n.sim.schedule(wait, n, n.incarnation, func() {
+		n.call(call{
+			holder: n, grant: grant, token: n.token(grant.Epoch), subject: subject,
+			stoodStill: stale || n.sim.now > checkedAt,
+		})
+	})
+}
+
+// callTimeout is how long a node waits for the answer to a call before it gives it up.
+const callTimeout = 2 * time.Second
+
+// call sends a call, which arrives at any time.
+func (n *node) call(c call) {
+	sim := n.sim
+	c.sentAt, c.incarnation = sim.now, n.incarnation
+	sim.stats.calls++
+	sim.checks.sent(c)
+	delay := sim.between(10*time.Microsecond, 5*time.Millisecond)
+	if sim.oneIn(6, slowCalls) {
+		delay += sim.between(0, 5*time.Second)
+		sim.stats.slowCalls++
+	}
+	lost := sim.oneIn(20, losses)
+	sim.after(delay, func() {
+		if !lost {
+			n.arrive(c)
+		}
+	})
+	answered := delay + sim.between(10*time.Microsecond, 5*time.Millisecond)
+	if lost || answered > callTimeout {
+		answered = callTimeout
+	}
+	sim.schedule(answered, n, n.incarnation, func() { n.endCall(c) })
+}
+
+// arrive has a call arrive at the platform.
+func (n *node) arrive(c call) {
+	sim := n.sim
+	if sim.platform.accepts(c) {
+		sim.stats.accepted++
+		sim.checks.accepted(c)
+		return
+	}
+	sim.stats.refused++
+	sim.schedule(sim.between(10*time.Microsecond, 5*time.Millisecond), n, c.incarnation, func() { n.lease.Refused(c.grant.Epoch) })
+}
+
+func (n *node) endCall(c call) {
+	if n.sim.fault != lateCallsIgnored {
+		n.lease.CallEnded(n.clock(), c.grant)
+	}
+}
+
+// mayHaveActedUntil returns until when a call that is accepted now may have acted as far as its process can know: up to its
+// answer, or until it was given up; with a process that was killed, up to its sending.
+func (c call) mayHaveActedUntil(now time.Duration) time.Duration {
+	if !c.holder.up || c.holder.incarnation != c.incarnation {
+		return c.sentAt
+	}
+	return min(now, c.sentAt+callTimeout)
+}
+
+// token returns the token of a call in an epoch.
+func (n *node) token(epoch int64) int64 {
+	switch n.sim.fault {
+	case noFence:
+		return 0
+	case tokenFromMemory: // a counter of epochs that restarts with the process
+		if epoch != n.memoryEpoch {
+			n.memoryEpoch = epoch
+			n.memoryToken++
+		}
+		return n.sim.tokenBase + n.memoryToken
+	}
+	return n.sim.tokenBase + epoch
+}
--- /dev/null
+++ b/internal/tier/lease/model_test.go
@@ -0,0 +1,338 @@
+package lease
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// The model: three to seven machines with a control node each, on links that lose, delay, duplicate and so reorder messages, and
+// that are cut in one direction or both. Machines freeze, are killed, lose their disks and leave as planned; views are decided by
+// single-decree Paxos with durable promises, and every node drives a Lease and calls a platform while it has a Grant. Time is
+// true time; each node reads a clock of its own that drifts. At the end there are no faults: the head has to get the lease, and
+// to hand it over.
+const (
+	modelStep = time.Millisecond
+
+	faultPhase     = 20 * time.Second
+	convergence    = 4 * time.Second // after the faults, until there is a head that stays
+	quietDelay     = 4 * time.Millisecond
+	quietRounds    = 4 // a head without faults holds the lease this many rounds after its wait
+	handoverDelays = 8 // a planned hand-over lasts no longer than this many one-way delays and a round
+
+	minPatience      = 400 * time.Millisecond
+	maxQuietPatience = 1200 * time.Millisecond
+)
+
+// faultClass is a set of kinds of faults. A course that shows a violation is shrunk by leaving kinds out.
+type faultClass uint
+
+const (
+	freezes faultClass = 1 << iota
+	kills
+	lostDisks
+	leaves
+	cuts
+	losses
+	slowLinks
+	slowReleases
+	slowCalls
+	replacements
+	drift
+	allFaultClasses = 1<<iota - 1
+)
+
+var faultClassNames = []string{"freezes", "kills", "lost disks", "leaves", "cuts", "losses", "slow links", "slow releases", "slow calls",
+	"replaced voters", "drift"}
+
+// String returns the names of the kinds in the set.
+func (c faultClass) String() string {
+	var names []string
+	for i, name := range faultClassNames {
+		if c&(1<<i) != 0 {
+			names = append(names, name)
+		}
+	}
+	return fmt.Sprint(names)
+}
+
+// event is something that happens at a time. An event of a machine waits while the machine is frozen, and is lost with its
+// incarnation.
+type event struct {
+	at          time.Duration
+	order       int
+	machine     *node         // nil for an event of the model
+	incarnation int           // of the machine; 0 for a message, which any incarnation takes
+	clock       time.Duration // the machine's, if it was read before the machine froze
+	do          func()
+}
+
+// eventQueue is a heap of events by time.
+type eventQueue []*event
+
+func (q eventQueue) Len() int { return len(q) }
+
+// Less orders events by time, and those of one time as they were scheduled.
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+
+// Swap swaps two events.
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push appends an event.
+func (q *eventQueue) Push(x any) { *q = append(*q, x.(*event)) }
+
+// Pop removes the last event.
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// simulation is one course of the model.
+type simulation struct {
+	rng     *rand.Rand
+	classes faultClass
+	fault   fault // planted
+
+	now    time.Duration
+	quiet  bool
+	queue  eventQueue
+	events int
+
+	profile   profile
+	params    Params
+	tokenBase int64
+	interval  time.Duration // between confirmation rounds, and observations
+	linkDelay time.Duration // at most, without slow links
+	// maxPatience is how long a node waits at most before it proposes another view.
+	maxPatience time.Duration
+
+	nodes      []*node
+	cutUntil   map[[2]int]time.Duration // by sender and receiver
+	platform   platform
+	decided    map[int64]modelView
+	checks     checks
+	stats      stats
+	violation  string
+	violatedAt time.Duration
+	trace      []string // nil if it is not wanted
+	tracing    bool
+}
+
+// stats shows that courses exercise what they are meant to.
+type stats struct {
+	views, calls, accepted, refused, releases, heldAfterRelease, slowCalls int
+}
+
+func (s *stats) add(o stats) {
+	s.views += o.views
+	s.calls += o.calls
+	s.accepted += o.accepted
+	s.refused += o.refused
+	s.releases += o.releases
+	s.heldAfterRelease += o.heldAfterRelease
+	s.slowCalls += o.slowCalls
+}
+
+func newSimulation(seed uint64, classes faultClass, planted fault, tracing bool) *simulation {
+	sim := &simulation{
+		rng: rand.New(rand.NewPCG(seed, 0)), classes: classes, fault: planted, tracing: tracing,
+		params:   Params{Term: testTerm, MaxDrift: DefaultMaxDrift},
+		cutUntil: map[[2]int]time.Duration{}, decided: map[int64]modelView{},
+	}
+	sim.checks.init(sim)
+	sim.tokenBase = int64(sim.rng.IntN(3)) * 1_000_000
+	sim.interval = sim.oneOf(50*time.Millisecond, sim.between(50*time.Millisecond, 300*time.Millisecond))
+	sim.linkDelay = sim.oneOf(time.Millisecond, sim.between(time.Millisecond, 20*time.Millisecond))
+	sim.maxPatience = sim.oneOf(1200*time.Millisecond, 6*time.Second)
+	sim.platform = newPlatform(sim.rng.IntN(3) > 0)
+	machines := 3 + sim.rng.IntN(5)
+	sim.profile = profile(sim.rng.IntN(int(profiles)))
+	extremeClocks := sim.profile == takeovers || sim.rng.IntN(3) == 0
+	for i := range machines {
+		sim.nodes = append(sim.nodes, newNode(sim, i, extremeClocks))
+	}
+	first := modelView{epoch: 1}
+	voters := 3
+	if sim.rng.IntN(2) == 0 {
+		voters += sim.rng.IntN(machines - 2)
+	}
+	for _, n := range sim.nodes[:voters] {
+		first.voters = append(first.voters, n.id)
+	}
+	first.head = first.voters[sim.rng.IntN(len(first.voters))]
+	sim.decided[1] = first
+	for _, n := range sim.nodes {
+		n.disk.view = first
+		n.start()
+	}
+	sim.scheduleFaults()
+	return sim
+}
+
+// between returns a random duration in a range.
+func (sim *simulation) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(sim.rng.Int64N(int64(high-low)+1))
+}
+
+// oneOf returns one of two durations.
+func (sim *simulation) oneOf(a, b time.Duration) time.Duration {
+	if sim.rng.IntN(2) == 0 {
+		return a
+	}
+	return b
+}
+
+// patience draws how long a node waits before it proposes another view.
+func (sim *simulation) patience() time.Duration {
+	if sim.quiet {
+		return sim.between(minPatience, maxQuietPatience)
+	}
+	return sim.between(minPatience, sim.maxPatience)
+}
+
+// oneIn reports true once in so many calls, while there are faults of a kind.
+func (sim *simulation) oneIn(n int, class faultClass) bool {
+	drawn := sim.rng.IntN(n) == 0 // drawn in any case: a course keeps the rest of its draws without the kind
+	return drawn && !sim.quiet && sim.classes&class != 0
+}
+
+// after schedules an event of the model.
+func (sim *simulation) after(d time.Duration, do func()) { sim.schedule(d, nil, 0, do) }
+
+func (sim *simulation) schedule(d time.Duration, machine *node, incarnation int, do func()) {
+	sim.events++
+	heap.Push(&sim.queue, &event{at: sim.now + d, order: sim.events, machine: machine, incarnation: incarnation, do: do})
+}
+
+// runUntil runs the events up to a time, or to a violation.
+func (sim *simulation) runUntil(end time.Duration) {
+	for len(sim.queue) > 0 && sim.queue[0].at <= end && sim.violation == "" {
+		e := heap.Pop(&sim.queue).(*event)
+		sim.now = e.at
+		switch n := e.machine; {
+		case n == nil:
+			e.do()
+		case !n.up || e.incarnation != 0 && e.incarnation != n.incarnation:
+			continue
+		case sim.isFrozen(e):
+			e.at = n.frozenUntil + sim.between(0, modelStep) // threads of the process go on in any order
+			heap.Push(&sim.queue, e)
+			continue
+		default:
+			n.readClock = e.clock
+			e.do()
+			n.readClock = 0
+		}
+		sim.checks.holders()
+	}
+	if sim.violation == "" {
+		sim.now = end
+	}
+}
+
+// isFrozen reports whether the machine of an event is frozen. It may freeze just as it has read the clock for the event.
+func (sim *simulation) isFrozen(e *event) bool {
+	n := e.machine
+	if n.frozenUntil <= sim.now && e.clock == 0 && sim.oneIn(4000, freezes) {
+		e.clock = n.clockNow()
+		n.freeze(sim.between(time.Millisecond, 6*time.Second))
+	}
+	return n.frozenUntil > sim.now
+}
+
+func (sim *simulation) fail(format string, args ...any) {
+	if sim.violation == "" {
+		sim.violation, sim.violatedAt = fmt.Sprintf(format, args...), sim.now
+		sim.logEvent("VIOLATION: %s", sim.violation)
+	}
+}
+
+func (sim *simulation) logEvent(format string, args ...any) {
+	if sim.tracing {
+		sim.trace = append(sim.trace, fmt.Sprintf("%12s ", sim.now)+fmt.Sprintf(format, args...))
+	}
+}
+
+// send sends a message to a member, by the machine on which it runs.
+func (sim *simulation) send(from *node, to int, extraDelay time.Duration, m message) {
+	m.from, m.to = from.id, to
+	copies := 1
+	if sim.oneIn(20, losses) {
+		copies = 2
+	}
+	for range copies {
+		delay := sim.between(10*time.Microsecond, min(sim.linkDelay, quietDelay))
+		if !sim.quiet {
+			delay = sim.between(10*time.Microsecond, sim.linkDelay)
+		}
+		if sim.oneIn(25, slowLinks) {
+			delay += sim.between(0, 2*time.Second)
+		}
+		target := sim.member(to)
+		lost := sim.oneIn(20, losses)
+		if target == nil || lost || sim.cutUntil[[2]int{from.machine, target.machine}] > sim.now {
+			continue
+		}
+		sim.schedule(delay+extraDelay, target, 0, func() {
+			if target.id == to {
+				target.receive(m)
+			}
+		})
+	}
+}
+
+// member returns the machine on which a member runs; nil if its disk was lost.
+func (sim *simulation) member(id int) *node {
+	for _, n := range sim.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// newestView returns the newest view that was decided.
+func (sim *simulation) newestView() modelView { return sim.decided[int64(len(sim.decided))] }
+
+// runCourse runs a course to its end or to a violation.
+func runCourse(seed uint64, classes faultClass, planted fault, tracing bool) *simulation {
+	sim := newSimulation(seed, classes, planted, tracing)
+	sim.runUntil(faultPhase)
+	if sim.violation == "" {
+		sim.endFaults()
+		sim.runUntil(sim.lastThaw() + convergence)
+	}
+	if sim.violation == "" {
+		sim.checkLiveness()
+	}
+	return sim
+}
+
+// checkLiveness checks that without faults the head gets the lease, and that a planned hand-over passes it on.
+func (sim *simulation) checkLiveness() {
+	settled := sim.newestView()
+	slowest := time.Duration(float64(sim.params.Takeover()) / (1 - sim.params.MaxDrift))
+	sim.runUntil(sim.now + slowest + quietRounds*2*sim.interval)
+	head := sim.member(settled.head)
+	switch newest := sim.newestView(); {
+	case sim.violation != "":
+		return
+	case newest.epoch != settled.epoch || head == nil:
+		sim.fail("liveness: epoch %d follows epoch %d without faults", newest.epoch, settled.epoch)
+		return
+	case !head.holds():
+		sim.fail("liveness: head %s of epoch %d does not hold the lease, waits for %s", head, settled.epoch, head.lease.WaitsFor(head.clock()))
+		return
+	}
+	head.leave()
+	sim.runUntil(sim.now + handoverDelays*quietDelay + 2*sim.interval)
+	newest := sim.newestView()
+	if next := sim.member(newest.head); sim.violation == "" && (newest.epoch == settled.epoch || !next.holds()) {
+		sim.fail("liveness: head %s of epoch %d does not hold the lease after a planned hand-over of epoch %d, waits for %s", next,
+			newest.epoch, settled.epoch, next.lease.WaitsFor(next.clock()))
+	}
+}
