Note at the lease when a call to the platform begins and ends

Change: the control node asks for the grant and notes the call in one step on its event loop, and notes its end, whatever the outcome; calls have a time-out.

--- a/internal/tier/controlnode/duty_lease.go
+++ b/internal/tier/controlnode/duty_lease.go
@@ -116,3 +116,34 @@
 	s.lease.Refused(r.epoch)
 	s.publishGrant(s.now())
 }
+
+// dutyCallRequest notes that a call to the platform begins, if the grant under which it was decided is still in force.
+type dutyCallRequest struct {
+	epoch int64
+	grant lease.Grant
+	held  bool
+}
+
+func (r *dutyCallRequest) handle(s *Server) {
+	if r.grant, r.held = s.lease.Grant(s.now()); r.held && r.grant.Epoch == r.epoch {
+		s.lease.CallStarted(r.grant)
+		return
+	}
+	r.held = false
+}
+
+// endDutyCall notes the end of a call, which the lease must not miss: it tries again while the event loop takes no requests, as the
+// disk is full.
+func (s *Server) endDutyCall(grant lease.Grant) {
+	for !s.runOnLoop(&dutyCallEndedRequest{grant: grant}) && s.ctx.Err() == nil {
+		s.sleep(retryInterval)
+	}
+}
+
+// dutyCallEndedRequest notes that a call under a grant has ended, so that it cannot leave this node any more.
+type dutyCallEndedRequest struct{ grant lease.Grant }
+
+func (r *dutyCallEndedRequest) handle(s *Server) {
+	s.lease.CallEnded(s.now(), r.grant)
+	s.publishGrant(s.now())
+}
--- a/internal/tier/controlnode/duty_role.go
+++ b/internal/tier/controlnode/duty_role.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"larchrouter/internal/tier/duty"
 	"larchrouter/internal/tier/orders"
 )
@@ -119,6 +121,14 @@
 
 // post makes a call under a grant. It steps down if the platform has seen a higher token.
 func (d *dutyRunner) post(grant *dutyGrant, path string, body []byte) (duty.Outcome, error) {
+	call := &dutyCallRequest{epoch: grant.epoch}
+	if !d.server.runOnLoop(call) {
+		return duty.NotSent, errStopping
+	}
+	if !call.held {
+		return duty.NotSent, errLeaseLost
+	}
+	defer d.server.endDutyCall(call.grant)
 	ctx, cancel := context.WithTimeout(d.server.ctx, dutyCallTimeout)
 	defer cancel()
 	startedAt := time.Now()
@@ -154,3 +164,6 @@
 
 // succeeded notes a call with a clear answer.
 func (b *callBackoff) succeeded() { *b = callBackoff{} }
+
+// errLeaseLost reports that the lease under which a call was decided is over.
+var errLeaseLost = errors.New("the lease is over: the call was not made")
