Serve the state of the duties at GET /api/duties of every core node

Operators could not see who calls the platform, nor what holds the calls up. Change: GET /api/duties answers with the state of the head, whichever node is asked: a new call, DutiesCall (the next number after ClockCall), goes over one hop at most; a node that the head does not answer says so with its own state. DutyStatus.Summary tells it in one line. Two fields of scaleDuty keep what was read last.

--- a/internal/tier/controlnode/duty_calls.go
+++ b/internal/tier/controlnode/duty_calls.go
@@ -24,7 +24,13 @@
 type dutyCallLog struct {
 	mu     sync.Mutex
 	newest []dutyCall // the oldest first
-	counts map[duty.Outcome]int
+	counts map[countedCalls]int
+}
+
+// countedCalls is what calls are counted by.
+type countedCalls struct {
+	path    string
+	outcome duty.Outcome
 }
 
 // record adds a call.
@@ -32,9 +38,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.counts == nil {
-		l.counts = map[duty.Outcome]int{}
+		l.counts = map[countedCalls]int{}
 	}
-	l.counts[outcome]++
+	l.counts[countedCalls{path, outcome}]++
 	l.newest = append(l.newest, dutyCall{time.Now(), path, token, outcome, body})
 	if len(l.newest) > maxLoggedCalls {
 		l.newest = slices.Delete(l.newest, 0, 1)
--- a/internal/tier/controlnode/duty_role.go
+++ b/internal/tier/controlnode/duty_role.go
@@ -55,6 +55,7 @@
 	}
 	for s.ctx.Err() == nil {
 		d.step()
+		d.publishSnapshot()
 		s.sleep(dutyInterval)
 	}
 }
--- a/internal/tier/controlnode/duty_scale.go
+++ b/internal/tier/controlnode/duty_scale.go
@@ -33,6 +33,8 @@
 	plannedAt  time.Time                        // zero before the first plan
 	backoff    map[scaling.Subject]*callBackoff // of the platform's answers
 	config     *routing.Config                  // as last parsed
+	fronts     int                              // that have reported lately, as last read
+	seen       []scaleSubject                   // as last planned, for operators
 }
 
 func newScaleDuty(d *dutyRunner) *scaleDuty { return &scaleDuty{dutyRunner: d} }
@@ -41,6 +43,7 @@
 func (d *scaleDuty) begin() {
 	d.planner, d.mostFronts, d.plannedAt = scaling.NewPlanner(scaling.DefaultParams()), 0, time.Time{}
 	d.backoff = map[scaling.Subject]*callBackoff{}
+	d.fronts, d.seen = 0, nil
 }
 
 // step plans all subjects once in scaleInterval, and makes the orders.
@@ -54,12 +57,14 @@
 	if !d.server.runOnLoop(query) || !query.ok {
 		return
 	}
+	d.fronts = query.fronts
 	if d.mostFronts = max(d.mostFronts, query.fronts); query.fronts == 0 || query.fronts < d.mostFronts/evidenceDivisor {
 		return // the fronts are not heard: the last orders stand
 	}
 	d.parseConfig(query.config)
 	calls := 0
-	for _, subject := range d.subjects(query) {
+	d.seen = d.subjects(query)
+	for _, subject := range d.seen {
 		hosts, ok := d.planner.Plan(d.server.now(), subject.Subject, subject.Demand)
 		if ok && calls < scaleCallsPerStep && d.order(grant, subject.Subject, hosts) {
 			calls++
--- /dev/null
+++ b/internal/tier/controlnode/duty_status_test.go
@@ -0,0 +1,202 @@
+package controlnode
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"larchrouter/internal/process"
+	"larchrouter/internal/rpc"
+	"larchrouter/internal/tier/duty"
+	"larchrouter/internal/tier/lease"
+	"larchrouter/internal/tier/scaling"
+	"larchrouter/internal/tier/usage"
+	"larchrouter/internal/tier/view"
+)
+
+// newDutyServer returns a node that runs nothing, whose settings name a platform with some duties.
+func newDutyServer(duties ...string) *Server {
+	settings := &process.Settings{}
+	settings.Platform.Address, settings.Platform.Duties = "127.0.0.1:1", duties
+	now := time.Now()
+	return &Server{settings: settings, self: view.Member{Name: "core-1"}, startedAt: now, trueTime: usage.NewTrueTime(now, 0)}
+}
+
+func TestDutyStatusInEachState(t *testing.T) {
+	const base = 1 << 20
+	held := lease.Status{Epoch: 7, Held: true, Left: 1500 * time.Millisecond}
+	rest := func(cause lease.Cause) lease.Status { return lease.Status{Epoch: 7, Cause: cause} }
+	wait := func(cause lease.Cause) lease.Status {
+		return lease.Status{Epoch: 7, Wait: 2 * time.Second, Cause: cause}
+	}
+	for name, c := range map[string]struct {
+		query  leaseStatusQuery
+		duties string
+		want   DutyStatus // the fields of the lease
+	}{
+		"holder": {leaseStatusQuery{lease: held, head: "core-1"}, "usage_report autoscale",
+			DutyStatus{Head: "core-1", Held: true, Holder: "core-1", Token: base + 7, LeftMs: 1500}},
+		"holder of one duty": {leaseStatusQuery{lease: held, head: "core-1"}, "autoscale",
+			DutyStatus{Head: "core-1", Held: true, Holder: "core-1", Token: base + 7, LeftMs: 1500}},
+		"no duty in the settings": {leaseStatusQuery{lease: held, head: "core-1"}, "",
+			DutyStatus{Head: "core-1", Held: true, Holder: "core-1", Token: base + 7, LeftMs: 1500, Cause: DutiesNotExpected}},
+		"duties that are not known": {leaseStatusQuery{lease: held, head: "core-1"}, "sweep",
+			DutyStatus{Head: "core-1", Held: true, Holder: "core-1", Token: base + 7, LeftMs: 1500, Cause: DutiesNotExpected}},
+		"no view":  {leaseStatusQuery{lease: rest(lease.NotHead)}, "autoscale", DutyStatus{Cause: DutiesNoView}},
+		"not head": {leaseStatusQuery{lease: rest(lease.NotHead), head: "core-2"}, "autoscale", DutyStatus{Head: "core-2", Cause: DutiesNotHead}},
+		"refused": {leaseStatusQuery{lease: rest(lease.TokenRefused), head: "core-1"}, "autoscale",
+			DutyStatus{Head: "core-1", Token: base + 7, Cause: DutiesRefused}},
+		"view changes": {leaseStatusQuery{lease: rest(lease.NotActive), head: "core-1"}, "autoscale",
+			DutyStatus{Head: "core-1", Token: base + 7, Cause: DutiesViewChanges}},
+		"stopping": {leaseStatusQuery{lease: rest(lease.NotActive), head: "core-1", leaving: true}, "autoscale",
+			DutyStatus{Head: "core-1", Token: base + 7, Cause: DutiesStopping}},
+		"no majority": {leaseStatusQuery{lease: rest(lease.NotConfirmed), head: "core-1"}, "autoscale",
+			DutyStatus{Head: "core-1", Token: base + 7, Cause: DutiesNoMajority}},
+		"just started": {leaseStatusQuery{lease: wait(lease.JustStarted), head: "core-1"}, "autoscale",
+			DutyStatus{Head: "core-1", Token: base + 7, WaitMs: 2000, Cause: DutiesJustStarted}},
+		"waits for the lease of the head before": {leaseStatusQuery{lease: wait(lease.EarlierHead), head: "core-1"}, "autoscale",
+			DutyStatus{Head: "core-1", Token: base + 7, WaitMs: 2000, Cause: DutiesEarlierHead}},
+		"lost the lease and got it back": {leaseStatusQuery{lease: wait(lease.LeaseLost), head: "core-1"}, "autoscale",
+			DutyStatus{Head: "core-1", Token: base + 7, WaitMs: 2000, Cause: DutiesLeaseLost}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newDutyServer(strings.Fields(c.duties)...)
+			s.dutySnapshot.Store(&dutySnapshot{at: time.Now(), tokenBase: base})
+			status := s.dutyStatus(&c.query)
+			got := DutyStatus{Head: status.Head, Held: status.Held, Holder: status.Holder, Token: status.Token, LeftMs: status.LeftMs,
+				WaitMs: status.WaitMs, Cause: status.Cause}
+			if !reflect.DeepEqual(got, c.want) {
+				t.Errorf("%+v\nwant %+v", got, c.want)
+			}
+			if status.Node != "core-1" || status.Epoch != c.query.lease.Epoch {
+				t.Errorf("node %q, epoch %d", status.Node, status.Epoch)
+			}
+		})
+	}
+}
+
+// A node that has not looked at its duties yet, and one without a platform, have a status as well.
+func TestDutyStatusBeforeFirstStep(t *testing.T) {
+	s := newDutyServer(usageDutyName)
+	s.settings.Platform.Address = ""
+	status := s.dutyStatus(&leaseStatusQuery{lease: lease.Status{Epoch: 1, Held: true}, head: "core-1"})
+	if status.Cause != DutiesNotExpected || status.Token != 0 {
+		t.Errorf("cause %q, token %d", status.Cause, status.Token)
+	}
+	body, err := json.Marshal(status)
+	if err != nil || strings.Contains(string(body), "null") {
+		t.Errorf("%v %s", err, body)
+	}
+}
+
+// The goroutine of the duties publishes what it holds, and nothing of it once the lease is lost.
+func TestSnapshotOfDuties(t *testing.T) {
+	s := newDutyServer(usageDutyName, scaleDutyName)
+	d := &dutyRunner{server: s, tokenBase: 5, heldEpoch: 2}
+	d.usage, d.scale = newUsageDuty(d), newScaleDuty(d)
+	d.usage.begin()
+	d.scale.begin()
+	ended := usage.WindowAt(time.Now().Add(-time.Minute), s.usageWindow())
+	d.usage.recorded = []int64{ended, ended + 1, ended + 11}
+	d.usage.unsent = map[int64][]byte{ended + 11: nil, ended + 1: nil}
+	d.usage.accepted[ended] = true
+	subject := scaling.Subject{Service: "engine", Zone: "pier"}
+	demand := scaling.Demand{Min: 1, Max: 9, Hosts: 3, Slots: 2, Concurrency: 2.5}
+	d.scale.planner.Plan(0, subject, demand)
+	d.scale.planner.Ordered(subject, 4)
+	d.scale.fronts, d.scale.mostFronts, d.scale.seen = 2, 6, []scaleSubject{{subject, demand}}
+	d.publishSnapshot()
+
+	query := &leaseStatusQuery{lease: lease.Status{Epoch: 2, Held: true}, head: "core-1"}
+	status := s.dutyStatus(query)
+	if windows := status.Usage.Unacknowledged; len(windows) != 2 || windows[0].Window != ended+1 || !windows[0].Late ||
+		windows[1].Window != ended+11 || windows[1].Late || windows[0].EndedMs < 50_000 {
+		t.Errorf("windows %+v", windows)
+	}
+	if status.Usage.LastRecorded != ended+11 || status.Usage.LastAcknowledged != ended || status.Token != 7 {
+		t.Errorf("recorded %d, acknowledged %d, token %d", status.Usage.LastRecorded, status.Usage.LastAcknowledged, status.Token)
+	}
+	want := []ScaleSubjectStatus{{Service: "engine", Zone: "pier", InForce: 4, Listed: 3, Min: 1, Max: 9, Concurrency: 2.5}}
+	if !reflect.DeepEqual(status.Scale.Subjects, want) || status.Scale.Fronts != 2 || status.Scale.MostFronts != 6 {
+		t.Errorf("scale %+v", status.Scale)
+	}
+
+	d.heldEpoch = 0
+	d.publishSnapshot()
+	status = s.dutyStatus(query)
+	if len(status.Usage.Unacknowledged)+len(status.Scale.Subjects) != 0 || status.Token != 7 {
+		t.Errorf("without a lease: %+v", status)
+	}
+}
+
+func TestCallsAreShownByDuty(t *testing.T) {
+	var l dutyCallLog
+	long := []byte(strings.Repeat("x", maxShownBody-1) + "ä and more")
+	l.record(usagePath, 3, duty.Accepted, []byte("{}"))
+	l.record(scalePath, 3, duty.Busy, nil)
+	l.record(usagePath, 4, duty.Refused, long)
+	for range 2 * maxLoggedCalls {
+		l.record(scalePath, 4, duty.Unknown, nil)
+	}
+	l.record(usagePath, 4, duty.NotSent, long)
+	l.record(usagePath, 4, duty.Invalid, nil)
+
+	calls := l.newestOf(usagePath)
+	if len(calls) != 2 || calls[0].Outcome != "invalid" || calls[1].Outcome != "not sent" || calls[1].Token != 4 {
+		t.Errorf("%+v", calls)
+	}
+	if body := calls[1].Body; body != strings.Repeat("x", maxShownBody-1) { // no half of a letter
+		t.Errorf("body of %d bytes: %s", len(body), body)
+	}
+	if _, err := time.Parse(time.RFC3339, calls[0].Time); err != nil {
+		t.Error(err)
+	}
+	if calls := l.newestOf(scalePath); len(calls) != maxLoggedCalls-2 {
+		t.Errorf("%d calls", len(calls))
+	}
+	if got, want := l.countsOf(usagePath), (DutyCallsByResult{Accepted: 1, Refused: 1, Invalid: 1, NotSent: 1}); got != want {
+		t.Errorf("%+v", got)
+	}
+	if got, want := l.countsOf(usagePath, scalePath), (DutyCallsByResult{Accepted: 1, Refused: 1, Busy: 1, Invalid: 1, NotSent: 1,
+		Unknown: 2 * maxLoggedCalls}); got != want {
+		t.Errorf("%+v", got)
+	}
+}
+
+// dutyStatusJSON has all keys of the status: programs of operators read them.
+const dutyStatusJSON = `{"node":"core-1","head":"core-1","epoch":7,"held":true,"holder":"core-1","token":1048583,"left_ms":1500,"wait_ms":2,` +
+	`"cause":"refused","step_age_ms":3,"clock_offset_ms":-4,` +
+	`"usage_report":{"expected":true,"unacknowledged_windows":[{"window":9,"ended_ms":11000,"late":true}],"last_recorded_window":9,` +
+	`"last_acknowledged_window":8,"outcomes":{"accepted":1,"refused":2,"busy":3,"invalid":4,"not_sent":5,"unknown":6},` +
+	`"calls":[{"time":"2026-01-02T03:04:05.006Z","age_ms":7,"path":"/usage","token":1048583,"outcome":"accepted","body":"{}"}]},` +
+	`"autoscale":{"expected":true,"fronts":2,"most_fronts":3,` +
+	`"subjects":[{"service":"engine","zone":"pier","in_force":4,"listed":3,"min":1,"max":9,"in_flight":2.5}],` +
+	`"outcomes":{"accepted":0,"refused":0,"busy":0,"invalid":0,"not_sent":0,"unknown":0},"calls":[]},` +
+	`"outcomes":{"accepted":1,"refused":2,"busy":3,"invalid":4,"not_sent":5,"unknown":6}}`
+
+func TestKeysOfDutyStatusAreStable(t *testing.T) {
+	counts := DutyCallsByResult{Accepted: 1, Refused: 2, Busy: 3, Invalid: 4, NotSent: 5, Unknown: 6}
+	status := &DutyStatus{
+		Node: "core-1", Head: "core-1", Epoch: 7, Held: true, Holder: "core-1", Token: 1<<20 + 7, LeftMs: 1500, WaitMs: 2,
+		Cause: DutiesRefused, StepAgeMs: 3, ClockOffsetMs: -4, Outcomes: counts,
+		Usage: UsageDutyStatus{Expected: true, Unacknowledged: []WindowStatus{{Window: 9, EndedMs: 11000, Late: true}}, LastRecorded: 9,
+			LastAcknowledged: 8, Outcomes: counts, Calls: []DutyCallStatus{{Time: "2026-01-02T03:04:05.006Z", AgeMs: 7, Path: "/usage",
+				Token: 1<<20 + 7, Outcome: "accepted", Body: "{}"}}},
+		Scale: ScaleDutyStatus{Expected: true, Fronts: 2, MostFronts: 3, Subjects: []ScaleSubjectStatus{{Service: "engine", Zone: "pier",
+			InForce: 4, Listed: 3, Min: 1, Max: 9, Concurrency: 2.5}}, Calls: []DutyCallStatus{}},
+	}
+	body, err := json.Marshal(status)
+	if err != nil || string(body) != dutyStatusJSON {
+		t.Errorf("%v\n%s\nwant\n%s", err, body, dutyStatusJSON)
+	}
+	forwarded := new(DutyStatus)
+	if err := rpc.Decode(rpc.Encode(status), forwarded); err != nil {
+		t.Fatal(err)
+	}
+	body, err = json.Marshal(forwarded)
+	if err != nil || string(body) != dutyStatusJSON {
+		t.Errorf("forwarded: %v\n%s", err, body)
+	}
+}
--- /dev/null
+++ b/internal/tier/controlnode/duty_status_text.go
@@ -0,0 +1,98 @@
+package controlnode
+
+import (
+	"fmt"
+
+	"larchrouter/internal/tier/duty"
+)
+
+// Summary returns in one line whether the duties are done and by whom, or why they rest and what to do.
+func (s *DutyStatus) Summary() string {
+	if s.Cause != "" {
+		return s.restSummary()
+	}
+	if trouble := s.trouble(); trouble != "" {
+		return s.Holder + " does the duties, but " + trouble
+	}
+	return s.Holder + " does the duties"
+}
+
+// restSummary returns why the duties rest, or why the node cannot tell.
+func (s *DutyStatus) restSummary() string {
+	wait := fmt.Sprintf("the duties rest for %.1f s more: ", float64(s.WaitMs)/1000)
+	switch s.Cause {
+	case DutiesNotExpected:
+		return "no duties are expected: the settings of " + s.Node + " name none (cloud_api.address, cloud_api.duty_list)"
+	case DutiesNoView:
+		return s.Node + " knows no head: ask another core node; at the very first start, set bootstrap: true"
+	case DutiesNotHead:
+		return "the view changes: " + s.Node + " is not the head any more, " + s.Head + " is; ask again"
+	case DutiesHeadSilent:
+		return "not known: the head, " + s.Head + ", does not answer " + s.Node + "; ask again in a second, then another core node"
+	case DutiesRefused:
+		return fmt.Sprintf("the duties rest: the platform has refused token %d of %s, as it has seen a higher one; "+
+			"look for another control plane that calls it, or a core that was founded anew from an older clock", s.Token, s.Head)
+	case DutiesStopping:
+		return "the duties rest: " + s.Node + " is about to stop; the next head goes on at once"
+	case DutiesViewChanges:
+		return "the duties rest: the view changes; ask again, and look at larch-control status if it stays"
+	case DutiesNoMajority:
+		return "the duties rest: no majority of the core nodes confirms " + s.Node + "; bring enough of them back, or ask another node"
+	case DutiesJustStarted:
+		return wait + s.Node + " has just started; nothing is to be done"
+	case DutiesEarlierHead:
+		return wait + s.Node + " waits for the end of the lease of the head before; nothing is to be done"
+	case DutiesLeaseLost:
+		return wait + s.Node + " lost the lease and has just got it back; nothing is to be done, unless the head changes often"
+	}
+	return "the duties rest: " + s.Cause
+}
+
+// trouble returns what holds up a duty of the holder, empty for nothing.
+func (s *DutyStatus) trouble() string {
+	if s.Token == 0 {
+		return "its fencing token is not recorded yet: ask again, and look at larch-control status if it stays"
+	}
+	if trouble := callTrouble(s.Usage.Calls); trouble != "" {
+		return "usage reports wait: " + trouble
+	}
+	for _, window := range s.Usage.Unacknowledged {
+		if window.Late {
+			return fmt.Sprintf("window %d is late: the platform has not acknowledged it; see the calls and the log", window.Window)
+		}
+	}
+	if trouble := callTrouble(s.Scale.Calls); trouble != "" {
+		return "orders of hosts wait: " + trouble
+	}
+	if s.Scale.lacksFronts() {
+		return fmt.Sprintf("hosts are not ordered: %d fronts have reported lately, of %d; see that a configuration is taken and that fronts reach the core",
+			s.Scale.Fronts, s.Scale.MostFronts)
+	}
+	return ""
+}
+
+// lacksFronts reports whether too few fronts report for orders of hosts.
+func (s *ScaleDutyStatus) lacksFronts() bool {
+	return s.Expected && (s.Fronts == 0 || s.Fronts < s.MostFronts/evidenceDivisor)
+}
+
+// recentCallMs is for how long a call without success is worth a line: calls are repeated sooner than that.
+const recentCallMs = 10_000
+
+// callTrouble returns what the newest of some calls tells of the platform, empty if it has accepted it or the call is not recent.
+func callTrouble(calls []DutyCallStatus) string {
+	if len(calls) == 0 || calls[0].AgeMs > recentCallMs {
+		return ""
+	}
+	switch calls[0].Outcome {
+	case duty.Busy.String():
+		return "the platform asks for fewer calls; the tier tries again by itself"
+	case duty.Invalid.String():
+		return "the platform rejects the last call as not valid; see its body, and report it"
+	case duty.NotSent.String():
+		return "the last call could not be sent; look whether the platform can be reached"
+	case duty.Unknown.String():
+		return "the platform has not answered the last call, or with 5xx; look whether it is down or slow"
+	}
+	return ""
+}
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -69,6 +69,8 @@
 	trueTime  *usage.TrueTime // over the clocks of the voters
 	dutyCalls dutyCallLog     // for operators
 
+	dutySnapshot atomic.Pointer[dutySnapshot] // of the duties after their last step, for operators; nil before the first
+
 	healthReported chan struct{} // of capacity 1: a front has reported since pollPlatform last looked
 
 	isHead    atomic.Bool               // IsConfirmedHead after the last batch
--- a/internal/tier/controlnode/server_test.go
+++ b/internal/tier/controlnode/server_test.go
@@ -111,7 +111,12 @@
 
 func (c *cluster) start(i int, bootstrap bool) {
 	c.t.Helper()
-	core, err := Open(c.settings(i, bootstrap), process.NewLogger(&c.logs))
+	c.startWith(i, c.settings(i, bootstrap))
+}
+
+func (c *cluster) startWith(i int, settings *process.Settings) {
+	c.t.Helper()
+	core, err := Open(settings, process.NewLogger(&c.logs))
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/tier/feed/messages.go
+++ b/internal/tier/feed/messages.go
@@ -25,6 +25,7 @@
 	UsageCall        // a front's report on requests that hosts began
 	LeaseReleaseCall // from the head of an epoch to that of the next
 	ClockCall        // the wall clock of a core node
+	DutiesCall       // the state of the singleton duties, at the head
 )
 
 // FollowRequest is the poll of a follower of an earlier version, which is sent every value in full. All messages are
