Record usage windows that an earlier holder left out

Need: windows are not always recorded in order: a new collector lets one that is late already wait until it has warmed up (3.5 s) and records the next ones first. A holder that came then began after the newest record, so that the one left out was never reported. Change: a holder begins after the oldest record that is retained.

--- a/internal/tier/controlnode/duty_usage.go
+++ b/internal/tier/controlnode/duty_usage.go
@@ -123,17 +123,28 @@
 		return false
 	}
 	u.unsent = map[int64][]byte{}
-	newest := int64(0)
-	for _, report := range query.state.UsageReports() {
-		newest = max(newest, report.Window)
+	reports := query.state.UsageReports()
+	for _, report := range reports {
 		u.addRecorded(report.Window, report.Body)
 	}
-	if u.first = newest + 1; newest == 0 {
-		u.first = usage.WindowAt(now, u.schedule.WindowLength)
-	}
+	u.first = firstUnrecorded(reports, usage.WindowAt(now, u.schedule.WindowLength))
 	return true
 }
 
+// firstUnrecorded returns the first window that may have to be recorded: the one after the oldest one that is recorded, or the
+// present one if none is. Windows are not always recorded in order: a new collector waits longer for one that is late already than
+// for the next one, and may not come to record it.
+func firstUnrecorded(reports []orders.UsageEntry, present int64) int64 {
+	if len(reports) == 0 {
+		return present
+	}
+	first := reports[0].Window
+	for _, report := range reports {
+		first = min(first, report.Window)
+	}
+	return first + 1
+}
+
 // addRecorded notes a recorded window.
 func (u *usageDuty) addRecorded(window int64, body []byte) {
 	u.recorded = append(u.recorded, window)
