Test the duties with paused holders as processes

Need: nothing showed with real processes that a holder that was paused does not act beside the one that took over. Change: fleets of 3 to 5 core nodes at a stand-in platform, each through a relay of its own, with a front that reports known counts. TestPausedHoldersDoNotActTwice pauses the holder with SIGSTOP, also while the platform holds a call, and checks all calls: the platform's rules, tokens, bounds of orders, each window reported once with the front's counts.

--- /dev/null
+++ b/internal/tier/controlnode/duty_checks_test.go
@@ -0,0 +1,138 @@
+package controlnode
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"time"
+
+	"larchrouter/internal/standin/cloudapi"
+	"larchrouter/internal/tier/usage"
+)
+
+// checkDuties checks all calls of a run: the platform's rules, that tokens never go back, what was ordered and what was reported.
+func (d *dutyFleet) checkDuties() {
+	d.t.Helper()
+	calls := d.platform.DutyCalls()
+	for _, violation := range cloudapi.CheckDuties(calls, cloudapi.DutyParams{LeaseTerm: d.term, FenceChecks: true}) {
+		d.t.Errorf("%s: %s", violation.Rule, violation.Text)
+	}
+	for _, fault := range checkTokens(calls) {
+		d.t.Error(fault)
+	}
+	for _, fault := range checkOrders(calls) {
+		d.t.Error(fault)
+	}
+	d.checkReports(calls)
+	d.t.Log(summarizeCalls(calls))
+}
+
+// checkTokens finds accepted calls with a lower token than one before for the same duty and subject, and calls that the platform
+// takes for malformed.
+func checkTokens(calls []cloudapi.DutyCall) (faults []string) {
+	highest := map[string]int64{}
+	for _, c := range calls {
+		switch key := c.Duty + " " + c.Subject; {
+		case c.Status == http.StatusBadRequest:
+			faults = append(faults, fmt.Sprintf("%v: malformed", c))
+		case c.Applied && c.Token < highest[key]:
+			faults = append(faults, fmt.Sprintf("%v: accepted after token %d", c, highest[key]))
+		case c.Applied:
+			highest[key] = c.Token
+		}
+	}
+	return faults
+}
+
+// checkOrders finds orders of hosts outside the bounds.
+func checkOrders(calls []cloudapi.DutyCall) (faults []string) {
+	for _, c := range calls {
+		if order, ok := c.Body.(cloudapi.ScaleOrder); ok && (order.Desired < minScaledHosts || order.Desired > maxScaledHosts) {
+			faults = append(faults, fmt.Sprintf("%v: %d hosts ordered, bounds are %d and %d", c, order.Desired, minScaledHosts, maxScaledHosts))
+		}
+	}
+	return faults
+}
+
+// checkReports finds windows of the run that were not reported, or with counts that are not those of the front. A window may be
+// missing if no collector became old enough while it could have been reported: one that begins when the window is late already
+// waits for all fronts.
+func (d *dutyFleet) checkReports(calls []cloudapi.DutyCall) {
+	d.t.Helper()
+	newest := usage.WindowAt(time.Now().Add(-dutyLate), dutyWindow) - 1
+	for _, c := range calls {
+		report, ok := c.Body.(cloudapi.UsageReport)
+		if !ok || !c.Applied {
+			continue
+		}
+		if counted := d.front.counted(report.WindowNo); !maps.Equal(report.ServerCounts, counted) {
+			d.t.Errorf("%v: window %d, which ended %v before, has counts %v, want %v", c, report.WindowNo,
+				c.At.Sub(usage.WindowEnd(report.WindowNo, dutyWindow)), report.ServerCounts, counted)
+		}
+	}
+	enough := d.schedule.WarmUp + dutyWindow
+	for _, window := range missingWindows(calls, newest) {
+		end := usage.WindowEnd(window, dutyWindow)
+		if span := longestHeld(calls, end.Add(d.schedule.Settle), end.Add(2*dutyLate)); span > enough {
+			d.t.Errorf("window %d is not reported, though one holder reported others for %v meanwhile", window, span)
+		} else {
+			d.t.Logf("window %d is not reported: no holder reported for longer than %v", window, span)
+		}
+	}
+}
+
+// missingWindows returns the windows from the first one that was accepted up to the newest one that were not accepted. All are
+// missing if none was accepted.
+func missingWindows(calls []cloudapi.DutyCall, newest int64) (missing []int64) {
+	accepted, first := map[int64]bool{}, newest
+	for _, c := range calls {
+		if report, ok := c.Body.(cloudapi.UsageReport); ok && c.Applied {
+			if len(accepted) == 0 || report.WindowNo < first {
+				first = report.WindowNo
+			}
+			accepted[report.WindowNo] = true
+		}
+	}
+	for window := first; window <= newest; window++ {
+		if !accepted[window] {
+			missing = append(missing, window)
+		}
+	}
+	return missing
+}
+
+// longestHeld returns the longest time between two times from the first to the last accepted report of one holder without one of
+// another between them.
+func longestHeld(calls []cloudapi.DutyCall, from, until time.Time) (longest time.Duration) {
+	var first cloudapi.DutyCall
+	for _, c := range calls {
+		if c.Duty != cloudapi.UsageDuty || !c.Applied || c.At.Before(from) || c.At.After(until) {
+			continue
+		}
+		if c.Holder != first.Holder {
+			first = c
+		}
+		longest = max(longest, c.At.Sub(first.At))
+	}
+	return longest
+}
+
+// summarizeCalls returns the figures of a run.
+func summarizeCalls(calls []cloudapi.DutyCall) string {
+	statuses, holders, overtaken := map[int]int{}, 0, 0
+	var holder string
+	highest := int64(0)
+	for _, c := range calls {
+		statuses[c.Status]++
+		if c.Token < highest {
+			overtaken++
+			continue
+		}
+		if c.Holder != holder {
+			holders, holder = holders+1, c.Holder
+		}
+		highest = c.Token
+	}
+	return fmt.Sprintf("%d calls by status %v, %d holders in turn, %d calls decided after one with a higher token", len(calls), statuses,
+		holders, overtaken)
+}
--- a/internal/tier/controlnode/fleet_test.go
+++ b/internal/tier/controlnode/fleet_test.go
@@ -53,10 +53,19 @@
 	hist   *history
 	http   *http.Client
 	calls  *rpc.Clients
+
+	moreBounds   string             // of timing_bounds, each after a comma
+	moreSettings func(i int) string // lines of a node's settings; nil for none
 }
 
 // newFleet starts n nodes out of room for more, and waits until all of them are caught-up members.
 func newFleet(t *testing.T, n, room int) *fleet {
+	t.Helper()
+	return newFleetWith(t, n, room, func(*fleet) {})
+}
+
+// newFleetWith is newFleet for a fleet that is prepared by a function before its nodes start.
+func newFleetWith(t *testing.T, n, room int, prepare func(f *fleet)) *fleet {
 	t.Helper()
 	f := &fleet{t: t, n: room, losses: (n - 1) / 2, base: freePorts(t), dirs: make([]string, room), nodes: make([]*child, room), relays: map[[2]int]*cutproxy.Relay{},
 		hist: newHistory(), calls: &rpc.Clients{},
@@ -75,6 +84,7 @@
 		}
 	}
 	t.Cleanup(f.report)
+	prepare(f)
 	for i := range n {
 		f.start(i, true)
 	}
@@ -151,10 +161,14 @@
 }
 
 func (f *fleet) settings(i int, bootstrap bool) string {
+	more := ""
+	if f.moreSettings != nil {
+		more = f.moreSettings(i)
+	}
 	return fmt.Sprintf("node_name: core-%d\nip_addr: %s\nzone_name: z\nregion_name: r\nzones: {z: r}\nbind_addrs: {control_addr: '%s'}\nport_range: [%d, %d]\n"+
 		"seed_nodes: ['%s', '%s', '%s']\nbootstrap: %v\ndata_dir: '%s'\nlimits: {memory_mb: 200, max_fds: 256, disk_mb: 64}\n"+
-		"fault_tolerance: {machine_losses: %d}\ntiming_bounds: {contact_ms: 3000, catch_up_s: 4.2}\n",
-		i, f.ip(i), f.control(i), f.base+1, f.base+10, f.control(0), f.control(1), f.control(2), bootstrap, f.dirs[i], f.losses)
+		"fault_tolerance: {machine_losses: %d}\ntiming_bounds: {contact_ms: 3000, catch_up_s: 4.2%s}\n%s",
+		i, f.ip(i), f.control(i), f.base+1, f.base+10, f.control(0), f.control(1), f.control(2), bootstrap, f.dirs[i], f.losses, f.moreBounds, more)
 }
 
 // start starts a node; the settings name it as a newcomer unless bootstrap is set.
