Read the age of the usage collector at the confirmed head only

Cause, by reading: a node that had just lost the headship asked for the age, which made it assume the role once more and kept its old collector for its next headship, so that a window could be recorded before the fronts had reported again. Change: the query answers at the confirmed head alone; elsewhere nothing is collected yet. Measured: go vet; not reproduced.

--- a/internal/tier/controlnode/duty_usage.go
+++ b/internal/tier/controlnode/duty_usage.go
@@ -168,14 +168,21 @@
 }
 
 // collectedSinceQuery reads for how long the collector of this headship has taken reports.
-type collectedSinceQuery struct{ age time.Duration }
+type collectedSinceQuery struct {
+	age    time.Duration
+	isHead bool // otherwise nothing is collected here
+}
 
-func (q *collectedSinceQuery) handle(s *Server) { q.age = s.now() - s.assumeUsageRole().beganAt }
+func (q *collectedSinceQuery) handle(s *Server) {
+	if q.isHead = s.node.IsConfirmedHead(); q.isHead {
+		q.age = s.now() - s.assumeUsageRole().beganAt
+	}
+}
 
 // collectedSince returns since when the collector has taken reports, in true time.
 func (u *usageDuty) collectedSince(now time.Time) time.Time {
 	query := &collectedSinceQuery{}
-	if !u.server.runOnLoop(query) {
+	if !u.server.runOnLoop(query) || !query.isHead {
 		return now
 	}
 	return now.Add(-query.age)
