Hold the bytes of the call for the state of the duties

The state of the duties goes between nodes by the order of its fields, as all calls do, and had no fixture: TestEachMethodHasFixtures failed on it. Measured: it passes.

--- a/internal/tier/controlnode/frames_test.go
+++ b/internal/tier/controlnode/frames_test.go
@@ -99,6 +99,8 @@
 		{13, "lease release", sideReply, &feed.Empty{Unused: true}},
 		{14, "clock", sideRequest, &feed.Empty{Unused: true}},
 		{14, "clock", sideReply, &feed.ClockReading{UnixMicros: big + 1}},
+		{15, "duties", sideRequest, &feed.OrderRequest{Name: "name", Forwarded: true}},
+		{15, "duties", sideReply, fullDutyStatus()},
 
 		{0, "configuration", sideStored, &feed.ConfigEntry{Version: big + 1, Body: []byte("body"), RecentDigests: [][]byte{[]byte("digest-1"), []byte("digest-2")}}},
 		{0, "placement", sideStored, &turnstore.Placement{Generation: big + 1, ReplicationFactor: big + 2, DurableReplicas: big + 3, FaultTolerance: big + 4, Old: []turnstore.Store{store},
@@ -140,6 +142,10 @@
 	{8, "status, sealed", sideReply, &Status{Sealed: true}},
 	{8, "status, fresh", sideReply, &Status{Fresh: true}},
 	{8, "status, joint", sideReply, &Status{Joint: true}},
+	{15, "duties, held", sideReply, &DutyStatus{Held: true}},
+	{15, "duties, usage expected", sideReply, &DutyStatus{Usage: UsageDutyStatus{Expected: true}}},
+	{15, "duties, scale expected", sideReply, &DutyStatus{Scale: ScaleDutyStatus{Expected: true}}},
+	{15, "duties, late", sideReply, &DutyStatus{Usage: UsageDutyStatus{Unacknowledged: []WindowStatus{{Late: true}}}}},
 }
 
 func fullView(name string, n int64) view.View {
@@ -156,6 +162,21 @@
 		Transfers: []Transfer{{To: "to", Place: big + 13, Target: big + 14, Bytes: big + 15}}}
 }
 
+func fullDutyStatus() *DutyStatus {
+	outcomes := func(n int64) DutyCallsByResult {
+		return DutyCallsByResult{Accepted: n, Refused: n + 1, Busy: n + 2, Invalid: n + 3, NotSent: n + 4, Unknown: n + 5}
+	}
+	call := func(name string, n int64) []DutyCallStatus {
+		return []DutyCallStatus{{Time: name + "-time", AgeMs: n, Path: name + "-path", Token: n + 1, Outcome: name + "-outcome", Body: name + "-body"}}
+	}
+	return &DutyStatus{Node: "node", Head: "head", Epoch: big + 1, Held: true, Holder: "holder", Token: big + 2, LeftMs: big + 3, WaitMs: big + 4, Cause: "cause", StepAgeMs: big + 5, ClockOffsetMs: big + 6,
+		Usage: UsageDutyStatus{Expected: true, Unacknowledged: []WindowStatus{{Window: big + 7, EndedMs: big + 8, Late: true}}, LastRecorded: big + 9, LastAcknowledged: big + 10,
+			Outcomes: outcomes(big + 20), Calls: call("usage", big+30)},
+		Scale: ScaleDutyStatus{Expected: true, Fronts: big + 40, MostFronts: big + 41, Subjects: []ScaleSubjectStatus{{Service: "service", Zone: "zone", InForce: big + 42, Listed: big + 43, Min: big + 44, Max: big + 45, Concurrency: 1.5}},
+			Outcomes: outcomes(big + 50), Calls: call("scale", big+60)},
+		Outcomes: outcomes(big + 70)}
+}
+
 // The bytes of each message are those of the code before it was renamed: Avro has fields in their order and without names, so
 // that a field that was moved, added, dropped or given another type shows here and nowhere else.
 func TestFramesKeepTheirBytes(t *testing.T) {
@@ -267,8 +288,8 @@
 // The numbers of methods, kinds of messages and states of pieces are on the wire.
 func TestNumbersOnTheWire(t *testing.T) {
 	methods := []rpc.Method{feed.PeerCall, feed.FollowCall, feed.PutCall, feed.ReadCall, feed.RegisterCall, feed.RetireCall, feed.PhaseCall, feed.StatusCall, feed.ChangesCall, feed.ChunkCall,
-		feed.HealthCall, feed.UsageCall, feed.LeaseReleaseCall, feed.ClockCall}
-	if want := []rpc.Method{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14}; !reflect.DeepEqual(methods, want) {
+		feed.HealthCall, feed.UsageCall, feed.LeaseReleaseCall, feed.ClockCall, feed.DutiesCall}
+	if want := []rpc.Method{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15}; !reflect.DeepEqual(methods, want) {
 		t.Errorf("methods are %v, want %v", methods, want)
 	}
 	kinds := []int{msgHeartbeat, msgPrepare, msgPromise, msgAccept, msgAccepted, msgDecide, msgChainUpdate, msgChainAck, msgConfirm, msgConfirmed, msgHostList, msgLearnerUpdate, msgLearnerAck}
