Keep a silent platform from holding up usage reports, and log windows that are given up

Cause, by reading: after an order of hosts without an answer the next zones were tried in the same step, up to 20 s in which no usage report was sent; fronts that were taken away for good counted for ever among those that have to report before hosts are ordered; a window that no holder had recorded left no line; and the token base came from the clock of one node. Change: a step makes no further order after one without a clear answer; fronts count for 20 s; a line names the windows; the base is made by the median of the voters' clocks. Measured: the tests of the duties in controlnode pass; not reproduced with a platform.

--- a/internal/tier/controlnode/duty_role.go
+++ b/internal/tier/controlnode/duty_role.go
@@ -90,7 +90,7 @@
 
 // readTokenBase sets the token base, and records one if there is none. It reports whether there is one that is committed.
 func (d *dutyRunner) readTokenBase() bool {
-	base := time.Now().Unix() << tokenBaseShift
+	base := d.server.trueNow().Unix() << tokenBaseShift
 	if _, err := d.server.decideAtHead(d.server.ctx, orders.RecordTokenBase{Base: base}); err != nil {
 		return false
 	}
--- a/internal/tier/controlnode/duty_scale.go
+++ b/internal/tier/controlnode/duty_scale.go
@@ -20,16 +20,17 @@
 	scaleInterval     = time.Second
 	loadSpan          = 3 * time.Second // over which calls in flight are averaged
 	evidenceSpan      = 4 * time.Second // in which fronts have to have reported
-	evidenceDivisor   = 2               // of the most fronts that have reported, one in so many has to have reported lately
-	defaultHostSlots  = 1               // of a host that lists no capacity
-	scaleCallsPerStep = 8               // so that a step takes a bounded time
+	knownSpan         = 20 * time.Second
+	evidenceDivisor   = 2 // of the fronts that have reported within knownSpan, one in so many has to have reported lately
+	defaultHostSlots  = 1 // of a host that lists no capacity
+	scaleCallsPerStep = 8 // so that a step takes a bounded time
 )
 
 // scaleDuty orders how many hosts of a service run in a zone, for each service whose configuration has a scaling.
 type scaleDuty struct {
 	*dutyRunner
 	planner    *scaling.Planner
-	mostFronts int                              // that have reported lately, at most so far
+	mostFronts int                              // that have reported within knownSpan
 	plannedAt  time.Time                        // zero before the first plan
 	backoff    map[scaling.Subject]*callBackoff // of the platform's answers
 	config     *routing.Config                  // as last parsed
@@ -58,20 +59,40 @@
 		return
 	}
 	d.fronts = query.fronts
-	if d.mostFronts = max(d.mostFronts, query.fronts); query.fronts == 0 || query.fronts < d.mostFronts/evidenceDivisor {
+	if d.mostFronts = query.known; query.fronts == 0 || query.fronts < d.mostFronts/evidenceDivisor {
 		return // the fronts are not heard: the last orders stand
 	}
 	d.parseConfig(query.config)
-	calls := 0
 	d.seen = d.subjects(query)
+	d.orderWanted(grant)
+}
+
+// orderWanted plans the subjects and makes the orders. It makes no further call in this step after one without a clear answer, since
+// each may take dutyCallTimeout and usage reports wait meanwhile.
+func (d *scaleDuty) orderWanted(grant *dutyGrant) {
+	calls := 0
 	for _, subject := range d.seen {
 		hosts, ok := d.planner.Plan(d.server.now(), subject.Subject, subject.Demand)
-		if ok && calls < scaleCallsPerStep && d.order(grant, subject.Subject, hosts) {
-			calls++
+		if !ok || calls >= scaleCallsPerStep || !d.backoffOf(subject.Subject).ready(time.Now()) {
+			continue
+		}
+		calls++
+		if !d.order(grant, subject.Subject, hosts) {
+			calls = scaleCallsPerStep
 		}
 	}
 }
 
+// backoffOf returns the backoff of a subject.
+func (d *scaleDuty) backoffOf(subject scaling.Subject) *callBackoff {
+	backoff := d.backoff[subject]
+	if backoff == nil {
+		backoff = &callBackoff{}
+		d.backoff[subject] = backoff
+	}
+	return backoff
+}
+
 // parseConfig parses the value of the configuration, unless it is that of the last step.
 func (d *scaleDuty) parseConfig(value []byte) {
 	var entry feed.ConfigEntry
@@ -89,7 +110,8 @@
 	config []byte
 	hosts  []discovery.Host
 	loads  []usage.Load
-	fronts int // that have reported lately
+	fronts int // that have reported within evidenceSpan
+	known  int // that have reported within knownSpan
 }
 
 func (q *demandQuery) handle(s *Server) {
@@ -101,7 +123,7 @@
 	collector := s.assumeUsageRole().collector
 	q.ok, q.config, q.hosts = true, entry.Value, hosts.Hosts
 	q.loads = collector.LoadSince(s.now() - loadSpan)
-	q.fronts = len(collector.FrontsSince(s.now() - evidenceSpan))
+	q.fronts, q.known = len(collector.FrontsSince(s.now()-evidenceSpan)), len(collector.FrontsSince(s.now()-knownSpan))
 }
 
 // scaleSubject is a subject with its demand.
@@ -154,30 +176,19 @@
 	Desired int    `json:"desired"`
 }
 
-// order makes an order. It reports whether a call was made.
+// order makes an order. It reports whether the platform has accepted it.
 func (d *scaleDuty) order(grant *dutyGrant, subject scaling.Subject, hosts int) bool {
-	backoff := d.backoff[subject]
-	if backoff == nil {
-		backoff = &callBackoff{}
-		d.backoff[subject] = backoff
-	}
-	if !backoff.ready(time.Now()) {
-		return false
-	}
 	body, err := json.Marshal(scaleBody{Service: subject.Service, Zone: subject.Zone, Desired: hosts})
 	if err != nil {
 		return false
 	}
-	switch outcome, _ := d.post(grant, scalePath, body); outcome {
-	case duty.Accepted:
-		backoff.succeeded()
-		before, _ := d.planner.InForce(subject)
-		d.server.log.Info("hosts ordered", "service", subject.Service, "zone", subject.Zone, "hosts", hosts, "before", before)
-		d.planner.Ordered(subject, hosts)
-	case duty.Invalid: // the bounds may be those of a newer configuration
-		backoff.failed(time.Now())
-	default:
-		backoff.failed(time.Now())
+	if outcome, _ := d.post(grant, scalePath, body); outcome != duty.Accepted {
+		d.backoffOf(subject).failed(time.Now())
+		return false
 	}
+	d.backoffOf(subject).succeeded()
+	before, _ := d.planner.InForce(subject)
+	d.server.log.Info("hosts ordered", "service", subject.Service, "zone", subject.Zone, "hosts", hosts, "before", before)
+	d.planner.Ordered(subject, hosts)
 	return true
 }
--- a/internal/tier/controlnode/duty_usage.go
+++ b/internal/tier/controlnode/duty_usage.go
@@ -213,14 +213,15 @@
 	case decision.Kind.IsAcknowledgement():
 		u.addRecorded(window, decision.Body)
 	default:
+		u.server.log.Error("usage not recorded", "window", window, "reason", decision.Reason)
 		u.recorded = append(u.recorded, window)
 	}
 }
 
 // drop forgets windows before the oldest one that still matters.
 func (u *usageDuty) drop(oldest int64) {
+	u.giveUp(oldest)
 	u.recorded = slices.DeleteFunc(u.recorded, func(window int64) bool { return window < oldest })
-	u.first = max(u.first, oldest)
 	for window := range u.unsent {
 		if window < oldest {
 			u.server.log.Error("usage not reported in time", "window", window)
@@ -234,6 +235,21 @@
 	}
 }
 
+// giveUp gives up the windows before the oldest one that still matters, and logs the first and the last of those that no node has
+// recorded.
+func (u *usageDuty) giveUp(oldest int64) {
+	if u.first >= oldest {
+		return
+	}
+	for u.first < oldest && slices.Contains(u.recorded, u.first) {
+		u.first++
+	}
+	if u.first < oldest {
+		u.server.log.Error("usage not recorded", "window", u.first, "last", oldest-1, "reason", "no node had the lease in time")
+	}
+	u.first = oldest
+}
+
 // send sends the oldest recorded window that the platform has not acknowledged.
 func (u *usageDuty) send(grant *dutyGrant) {
 	if len(u.unsent) == 0 || !u.backoff.ready(time.Now()) {
