--- a/internal/tier/routing/parse_test.go
+++ b/internal/tier/routing/parse_test.go
@@ -287,6 +287,9 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(completeConfig))
 	f.Add([]byte(`{"config_version":1,"route_table":[],"service_table":[]}`))
+	f.Add([]byte(tenantConfig))
+	f.Add([]byte(`{"config_version":2,"route_table":[],"service_table":[{"name":"a","scaling":{"min_count":1,"max_count":2,` +
+		`"boot_time_s":0.5}}],"tenant_table":[{"name":"a","api_keys":["\u006b","k"]},{"name":"b","api_keys":["K"],"rank":1e3}]}`))
 	f.Add([]byte(`{"config_version":1e3,"route_table":[{"host_name":"[::1]:8","path_prefix":"/","deadline_ms":1e300,` +
 		`"target_service":"\u0061"}],"service_table":[{"name":"a"}]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
@@ -300,6 +303,7 @@
 		if c.Version <= 0 || c.Follows(c.Version-1) != nil || c.Follows(c.Version) == nil {
 			t.Fatal("version", c.Version)
 		}
+		checkTenants(t, c)
 		for i := range c.Routes {
 			r := &c.Routes[i]
 			all := 0
