--- a/internal/tier/tiertest/attempt.go
+++ b/internal/tier/tiertest/attempt.go
@@ -125,6 +125,12 @@
 	header.Set("Program", a.Program)
 	header.Set("Session", a.Session)
 	header.Set("Finish-Ms", strconv.FormatInt(time.Until(r.deadline).Milliseconds(), 10))
+	if a.Key != "" {
+		header.Set("Api-Key", a.Key)
+	}
+	if a.ClaimedName != "" {
+		header.Set("X-Tenant", a.ClaimedName)
+	}
 	if a.Kind != Streaming {
 		return
 	}
--- a/internal/tier/tiertest/check.go
+++ b/internal/tier/tiertest/check.go
@@ -31,6 +31,7 @@
 	{"MIXED", checkMixed},
 	{"ORDER", checkOrder},
 	{"UNASKED", checkUnasked},
+	{"UNASKED", checkTenant},
 	{"TWICE", checkTwice},
 	{"REFUSED", checkRefused},
 	{"LOST", checkLost},
@@ -39,10 +40,12 @@
 	{"BUDGET", checkBudget},
 	{"402", checkPrematureExhaustion},
 	{"ROUTE", checkRoute},
+	{"ROUTE", checkKeyKnown},
 	{"CONFIG", checkConfigApplied},
 	{"CONFIG", checkConfigMonotonic},
 	{"CONFIG", checkConfigReadBack},
 	{"CONFIG", checkConfigAcknowledged},
+	{"CONFIG", checkRevocation},
 	{"SERVED", checkServed},
 }
 
@@ -79,30 +82,44 @@
 	return h
 }
 
-// versionsAllowing returns the versions that were sent by a time and not rejected and that route a path to a service, or
-// that have no route for it if service is "".
-func (h *indexedHistory) versionsAllowing(path, service string, by time.Time) (versions []int64) {
+// versions returns the versions that were sent by a time and not rejected and that meet a condition.
+func (h *indexedHistory) versions(by time.Time, met func(c *Config) bool) (versions []int64) {
 	for i := range h.Orders {
-		order := &h.Orders[i]
-		if order.Sent.After(by) || order.Rejected {
-			continue
-		}
-		route := order.routeFor(path)
-		if route == nil && service == "" || route != nil && route.Service == service {
+		if order := &h.Orders[i]; !order.Sent.After(by) && !order.Rejected && met(&order.Config) {
 			versions = append(versions, order.Version)
 		}
 	}
 	return versions
 }
 
-// versionsUsed returns the versions by which the tier may have handled an attempt, as shown by the service that ran it or
-// by the answer 404. It returns nil if neither shows anything.
+// versionsAllowing returns the versions that were sent by a time and not rejected and that route a path to a service, or
+// that have no route for it if service is "".
+func (h *indexedHistory) versionsAllowing(path, service string, by time.Time) []int64 {
+	return h.versions(by, func(c *Config) bool {
+		route := c.routeFor(path)
+		return route == nil && service == "" || route != nil && route.Service == service
+	})
+}
+
+// versionsUsed returns the versions by which the tier may have handled an attempt, as shown by the service and the tenant
+// that it ran for, or by the answers 404 and 401. It returns nil if none of them shows anything.
 func (h *indexedHistory) versionsUsed(a *Attempt) []int64 {
 	if runs := h.runsByAttempt[a.ID]; len(runs) > 0 {
-		return h.versionsAllowing(a.Path, runs[len(runs)-1].Service, a.Ended)
+		last := runs[len(runs)-1]
+		return h.versions(a.Ended, func(c *Config) bool {
+			route := c.routeFor(a.Path)
+			return route != nil && route.Service == last.Service && c.admits(route, a.Key) &&
+				(len(c.Tenants) == 0 || c.holderOf(a.Key) == tenantOf(last))
+		})
 	}
-	if a.Status == http.StatusNotFound && a.Previous == "" {
+	switch {
+	case a.Status == http.StatusNotFound && a.Previous == "":
 		return h.versionsAllowing(a.Path, "", a.Ended)
+	case a.Status == http.StatusUnauthorized:
+		return h.versions(a.Ended, func(c *Config) bool {
+			route := c.routeFor(a.Path)
+			return route != nil && !c.admits(route, a.Key)
+		})
 	}
 	return nil
 }
--- a/internal/tier/tiertest/check_requests.go
+++ b/internal/tier/tiertest/check_requests.go
@@ -125,14 +125,15 @@
 	}
 }
 
-// checkLost checks LOST: a turn that was answered completely can be continued for the retention time.
+// checkLost checks LOST: a turn that was answered completely can be continued for the retention time, by its tenant.
 func checkLost(h *indexedHistory, report reportFunc) {
 	for _, a := range h.attemptByID {
 		if a.Status != http.StatusNotFound && a.Status != http.StatusGone || a.Previous == "" {
 			continue
 		}
 		previous := h.attemptByID[a.Previous]
-		if previous != nil && previous.Complete && previous.Status == http.StatusOK && a.Ended.Sub(previous.Ended) < h.Retention {
+		if previous != nil && previous.Complete && previous.Status == http.StatusOK && a.Ended.Sub(previous.Ended) < h.Retention &&
+			!h.mayBeOfOtherTenant(a, previous) {
 			report("%s was answered %d, though %s was answered whole %v before", a.ID, a.Status, a.Previous, a.Sent.Sub(previous.Ended))
 		}
 	}
@@ -166,7 +167,8 @@
 }
 
 // checkDenied checks DENIED: the tier itself answers no valid request with a redirect or a client error, except 402, the
-// statuses of requests that were not executed, and 404 where a configuration has no route or for checkLost to judge.
+// statuses of requests that were not executed, 404 where a configuration has no route or for checkLost to judge, and 401 where
+// one has tenants and none of them holds the key.
 func checkDenied(h *indexedHistory, report reportFunc) {
 	for _, a := range h.attemptByID {
 		if a.Status/100 != 3 && a.Status/100 != 4 || notExecuted(a.Status) || a.Status == http.StatusPaymentRequired {
@@ -175,6 +177,9 @@
 		if a.Status == http.StatusNotFound && (a.Previous != "" || len(h.versionsUsed(a)) > 0) {
 			continue
 		}
+		if a.Status == http.StatusUnauthorized && len(h.versionsUsed(a)) > 0 {
+			continue
+		}
 		if len(h.runsByAttempt[a.ID]) == 0 {
 			report("%s of %s was answered %d by the tier: %s", a.ID, a.Path, a.Status, bytes.TrimSpace(a.Body))
 		}
--- a/internal/tier/tiertest/check_test.go
+++ b/internal/tier/tiertest/check_test.go
@@ -100,6 +100,48 @@
 	return h
 }
 
+// withTenants gives all configurations two tenants, of which the attempts so far use the first key of the first,
+// except for the only one of the route that is added.
+func (h testHistory) withTenants() {
+	for i := range h.Orders {
+		h.Orders[i].Tenants = []Tenant{{Name: "alpha", Keys: []string{"k1", "k2"}}, {Name: "beta", Keys: []string{"k3"}}}
+	}
+	for i := range h.Attempts {
+		h.Attempts[i].Key = "k1"
+	}
+	for i := range h.Runs {
+		h.Runs[i].Header = http.Header{tenantHeader: {"alpha"}}
+	}
+	h.attempt("a-9").Key = "k3"
+	h.ranFor("a-9", "beta")
+}
+
+// ranFor sets the tenant for which an attempt ran.
+func (h testHistory) ranFor(attempt, tenant string) {
+	h.run(attempt).Header = http.Header{tenantHeader: {tenant}}
+}
+
+// moveKeys has version 5 move a key to the second tenant, and the attempts after it run for that, except for a turn that
+// continues an earlier one.
+func (h testHistory) moveKeys() {
+	h.Orders[1].Tenants = []Tenant{{Name: "alpha", Keys: []string{"k2"}}, {Name: "beta", Keys: []string{"k1", "k3"}}}
+	for i := range h.Attempts {
+		if a := &h.Attempts[i]; a.Sent.After(h.Orders[1].Acknowledged) && len(indexHistory(h.History).runsByAttempt[a.ID]) > 0 {
+			h.ranFor(a.ID, "beta")
+		}
+	}
+	h.attempt("a-8").Key = "k2"
+	h.ranFor("a-8", "alpha")
+}
+
+// revoke has version 5 take a key away, with a bound in ms. The last run with it was sent 700 ms after the acknowledgement.
+func (h testHistory) revoke(key string, bound int) {
+	h.RevocationBound = time.Duration(bound) * time.Millisecond
+	tenants := slices.Clone(h.Orders[1].Tenants)
+	tenants[0].Keys = slices.DeleteFunc(slices.Clone(tenants[0].Keys), func(k string) bool { return k == key })
+	h.Orders[1].Tenants = tenants
+}
+
 // terminate adds a SIGTERM of the front at a time in ms, with a grace period in ms.
 func (h testHistory) terminate(ms, grace int) {
 	h.Terminations = append(h.Terminations, Termination{"front-1", 1, at(ms)})
@@ -277,6 +319,91 @@
 		{"two configurations that replace the same version", "CONFIG", checkConfigAcknowledged, func(h testHistory) {
 			h.Orders[1].BaseVersion = 0
 		}},
+		{"a run for no tenant", "UNASKED", checkTenant, func(h testHistory) { h.withTenants(); delete(h.run("a-3").Header, tenantHeader) }},
+		{"a run for another tenant", "UNASKED", checkTenant, func(h testHistory) { h.withTenants(); h.ranFor("a-3", "beta") }},
+		{"a run for the tenant that a client claims", "UNASKED", checkTenant, func(h testHistory) {
+			h.withTenants()
+			h.attempt("a-3").ClaimedName = "beta"
+			h.ranFor("a-3", "beta")
+		}},
+		{"a run for two tenants", "UNASKED", checkTenant, func(h testHistory) {
+			h.withTenants()
+			h.run("a-3").Header.Add(tenantHeader, "beta")
+		}},
+		{"a run for a tenant before its key is moved there", "UNASKED", checkTenant, func(h testHistory) {
+			h.withTenants()
+			h.moveKeys()
+			h.ranFor("a-3", "beta")
+		}},
+		{"a rejected move of a key", "UNASKED", checkTenant, func(h testHistory) {
+			h.withTenants()
+			h.moveKeys()
+			h.Orders[1].Acknowledged, h.Orders[1].Rejected = time.Time{}, true
+			h.ranFor("b-3", "beta")
+		}},
+		{"a host that was shown the key", "UNASKED", checkTenant, func(h testHistory) {
+			h.withTenants()
+			h.run("a-3").Header.Set(keyHeader, "k1")
+		}},
+		{"a turn that continues another tenant's", "UNASKED", checkTenant, func(h testHistory) {
+			h.withTenants()
+			h.attempt("a-6").Key = "k3"
+			h.ranFor("a-6", "beta")
+		}},
+		{"a run with an unknown key", "ROUTE", checkKeyKnown, func(h testHistory) { h.withTenants(); h.attempt("a-3").Key = "k9" }},
+		{"a run without a key", "ROUTE", checkKeyKnown, func(h testHistory) { h.withTenants(); h.attempt("a-3").Key = "" }},
+		{"a run with a key of a later configuration only", "ROUTE", checkKeyKnown, func(h testHistory) {
+			h.withTenants()
+			h.Orders[0].Tenants = []Tenant{{Name: "alpha", Keys: []string{"k2"}}}
+		}},
+		{"a run with a key of a rejected configuration only", "ROUTE", checkKeyKnown, func(h testHistory) {
+			h.withTenants()
+			h.Orders[1].Tenants = append(h.Orders[1].Tenants, Tenant{Name: "late", Keys: []string{"k9"}})
+			h.Orders[1].Acknowledged, h.Orders[1].Rejected = time.Time{}, true
+			h.attempt("b-4").Key = "k9"
+			h.ranFor("b-4", "late")
+		}},
+		{"a run with a revoked key after the bound", "CONFIG", checkRevocation, func(h testHistory) { h.withTenants(); h.revoke("k1", 690) }},
+		{"a run with a revoked key after the bound, at another front", "CONFIG", checkRevocation, func(h testHistory) {
+			h.withTenants()
+			h.revoke("k1", 690)
+			for i := range h.Attempts {
+				h.Attempts[i].Front = fmt.Sprint("front-", i)
+			}
+		}},
+		{"a 401 for a key that every version has", "DENIED", checkDenied, func(h testHistory) {
+			h.withTenants()
+			h.addUnexecuted("a-10", ReadPath, Idempotent, 2000, http.StatusUnauthorized)
+			h.attempt("a-10").Key = "k2"
+		}},
+		{"a 401 where there are no tenants", "DENIED", checkDenied, func(h testHistory) {
+			h.addUnexecuted("a-10", ReadPath, Idempotent, 2000, http.StatusUnauthorized)
+		}},
+		{"a 401 for an added key after the time to apply", "CONFIG", checkConfigApplied, func(h testHistory) {
+			h.withTenants()
+			h.Orders[0].Tenants = h.Orders[0].Tenants[:1]
+			h.addUnexecuted("c-1", ReadPath, Idempotent, 1001+int(ApplyTimeout.Milliseconds()), http.StatusUnauthorized)
+			h.attempt("c-1").Key = "k3"
+		}},
+		{"a run for the former tenant after the time to apply", "CONFIG", checkConfigApplied, func(h testHistory) {
+			h.withTenants()
+			h.moveKeys()
+			h.addCompleted("c-1", Idempotent, ToolService, 1001+int(ApplyTimeout.Milliseconds()), "")
+			h.attempt("c-1").Key = "k1"
+			h.ranFor("c-1", "alpha")
+		}},
+		{"a process that goes back to a former tenant", "CONFIG", checkConfigMonotonic, func(h testHistory) {
+			h.withTenants()
+			h.moveKeys()
+			h.addCompleted("c-1", Idempotent, ToolService, 1950, "")
+			h.attempt("c-1").Key = "k1"
+			h.ranFor("c-1", "alpha")
+		}},
+		{"a 404 for a turn of the same tenant", "LOST", checkLost, func(h testHistory) {
+			h.withTenants()
+			h.addUnexecuted("a-10", TurnPath, Streaming, 2000, http.StatusNotFound)
+			h.attempt("a-10").Previous, h.attempt("a-10").Key = "a-6", "k2"
+		}},
 		{"a program that failed", "SERVED", checkServed, func(h testHistory) { h.Results[0].Outcome = Failed }},
 		{"an endless program that completes", "SERVED", checkServed, func(h testHistory) { h.Results[1].Outcome = Completed }},
 	}
@@ -336,6 +463,57 @@
 			h.Results[0].Outcome = Failed
 			h.attempt("a-3").Status, h.attempt("a-3").Seal, h.run("a-3").Outcome = http.StatusBadGateway, "", modelhost.Aborted
 		},
+		"tenants": func(h testHistory) { h.withTenants() },
+		"tenants, and a key that is claimed in vain": func(h testHistory) {
+			h.withTenants()
+			h.attempt("a-3").ClaimedName = "beta"
+		},
+		"a public route without a key": func(h testHistory) {
+			h.withTenants()
+			for i := range h.Orders {
+				h.Orders[i].routeFor(ReadPath).Public = true
+			}
+			h.attempt("a-2").Key = "k9"
+			delete(h.run("a-2").Header, tenantHeader)
+		},
+		"another key of the tenant": func(h testHistory) { h.withTenants(); h.attempt("a-6").Key = "k2" },
+		"a key that is moved, and used by its former tenant within the time to apply": func(h testHistory) {
+			h.withTenants()
+			h.moveKeys()
+			h.addCompleted("c-1", Idempotent, ToolService, 1050, "")
+			h.attempt("c-1").Key = "k1"
+			h.ranFor("c-1", "alpha")
+		},
+		"a run with a revoked key within the bound": func(h testHistory) {
+			h.withTenants()
+			h.revoke("k1", 710)
+		},
+		"a run with a revoked key where there is no bound": func(h testHistory) {
+			h.withTenants()
+			h.revoke("k1", 100)
+			h.RevocationBound = 0
+		},
+		"a run with a key that a later version may have given back": func(h testHistory) {
+			h.withTenants()
+			h.revoke("k1", 100)
+			back := h.Orders[1]
+			back.Version, back.BaseVersion, back.Sent, back.Acknowledged = 7, 5, at(1090), time.Time{}
+			back.Tenants = h.Orders[0].Tenants
+			h.Orders = append(h.Orders, back)
+		},
+		"a 401 for a revoked key, and for one of no configuration": func(h testHistory) {
+			h.withTenants()
+			h.revoke("k2", 100)
+			for id, key := range map[string]string{"a-10": "k2", "a-11": "k9", "a-12": ""} {
+				h.addUnexecuted(id, ReadPath, Idempotent, 2000, http.StatusUnauthorized)
+				h.attempt(id).Key = key
+			}
+		},
+		"a 404 for a turn of another tenant": func(h testHistory) {
+			h.withTenants()
+			h.addUnexecuted("a-10", TurnPath, Streaming, 2000, http.StatusNotFound)
+			h.attempt("a-10").Previous, h.attempt("a-10").Key = "a-6", "k3"
+		},
 		"an order that was not acknowledged": func(h testHistory) { h.Orders[1].Acknowledged = time.Time{} },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/tier/tiertest/client.go
+++ b/internal/tier/tiertest/client.go
@@ -81,12 +81,29 @@
 	return result
 }
 
+// NewPersistentClient returns a client as NewClient does, which keeps one connection to each front open for its next request.
+func NewPersistentClient(t *Tier, turnPath string) *Client {
+	c := NewClient(t, turnPath)
+	transport := c.httpClient.Transport.(*http.Transport)
+	transport.DisableKeepAlives, transport.MaxConnsPerHost = false, 1
+	return c
+}
+
+// Close closes the connections that are open and idle.
+func (c *Client) Close() { c.httpClient.CloseIdleConnections() }
+
 // Get sends one request without a body to a front, and records and returns the attempt. It shows which configuration the
 // front acts on.
 func (c *Client) Get(ctx context.Context, front *Machine, attempt, path, kind string) Attempt {
-	r := &programRun{Client: c, ctx: ctx, deadline: time.Now().Add(requestTimeout)}
-	a := Attempt{ID: attempt, Program: attempt, Session: attempt, Method: http.MethodGet, Path: path, Kind: kind}
-	_, _ = r.attempt(&a, front, time.Now().Add(requestTimeout), "")
+	return c.Try(ctx, front, requestTimeout,
+		Attempt{ID: attempt, Program: attempt, Session: attempt, Method: http.MethodGet, Path: path, Kind: kind})
+}
+
+// Try makes one attempt at a front, whatever its answer, and records and returns it.
+func (c *Client) Try(ctx context.Context, front *Machine, timeout time.Duration, a Attempt) Attempt {
+	deadline := time.Now().Add(timeout)
+	r := &programRun{Client: c, ctx: ctx, deadline: deadline}
+	_, _ = r.attempt(&a, front, deadline, "")
 	c.tier.EventLog.addAttempt(a)
 	return a
 }
@@ -137,7 +154,7 @@
 
 func (r *programRun) callTools(session string, tools []Tool) error {
 	return inParallel(len(tools), func(i int) error {
-		a := Attempt{Program: r.Name, Session: session, Method: http.MethodPost, Path: tools[i].Path, Kind: tools[i].Kind,
+		a := Attempt{Program: r.Name, Session: session, Key: r.Key, Method: http.MethodPost, Path: tools[i].Path, Kind: tools[i].Kind,
 			Input: []byte(r.Name + " calls a tool\n")}
 		return r.send(a, "").failure()
 	})
@@ -154,7 +171,7 @@
 
 // takeStep takes the turn of a step and returns the turn from which the conversation goes on.
 func (r *programRun) takeStep(session, previous, prompt string, step Step) (last string, err error) {
-	turn := Attempt{Program: r.Name, Session: session, Previous: previous, Method: http.MethodPost, Path: r.turnPath,
+	turn := Attempt{Program: r.Name, Session: session, Key: r.Key, Previous: previous, Method: http.MethodPost, Path: r.turnPath,
 		Kind: Streaming, Budget: r.Budget, MaxTokens: step.MaxTokens}
 	if !step.Draft {
 		return r.takeTurn(turn, prompt)
--- a/internal/tier/tiertest/config.go
+++ b/internal/tier/tiertest/config.go
@@ -1,6 +1,9 @@
 package tiertest
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // The kinds of routes, as configurations name them.
 const (
@@ -18,6 +21,14 @@
 	Routes   []Route   `json:"route_table"`
 	Services []Service `json:"service_table"`
 	Limits   Limits    `json:"limits"`
+	Tenants  []Tenant  `json:"tenant_table,omitempty"` // none: requests need no key
+}
+
+// Tenant is an entry of a configuration's tenant table.
+type Tenant struct {
+	Name string   `json:"name"`
+	Keys []string `json:"api_keys"`
+	Rank int      `json:"rank"`
 }
 
 // Route is an entry of a configuration's route table.
@@ -35,6 +46,7 @@
 	RetentionS  float64 `json:"retain_s,omitempty"`
 	Affinity    bool    `json:"affinity"`
 	GapTargetMs int64   `json:"gap_aim_ms,omitempty"` // between the events of a stream
+	Public      bool    `json:"public,omitempty"`     // requests need no key
 }
 
 // Service is an entry of a configuration's service table.
@@ -78,3 +90,18 @@
 	}
 	return found
 }
+
+// holderOf returns the name of the tenant that holds a key, "" if none does.
+func (c *Config) holderOf(key string) string {
+	for i := range c.Tenants {
+		if slices.Contains(c.Tenants[i].Keys, key) {
+			return c.Tenants[i].Name
+		}
+	}
+	return ""
+}
+
+// admits reports whether a request with a key may run by a route.
+func (c *Config) admits(route *Route, key string) bool {
+	return len(c.Tenants) == 0 || route.Public || c.holderOf(key) != ""
+}
--- a/internal/tier/tiertest/eventlog.go
+++ b/internal/tier/tiertest/eventlog.go
@@ -11,6 +11,8 @@
 // EventLog is where clients and the operator record what they observe. It is safe for concurrent use; its zero value is
 // ready.
 type EventLog struct {
+	revocationBound time.Duration // of the tier; set before the first use
+
 	mu       sync.Mutex
 	attempts []Attempt
 	orders   []Order
@@ -78,7 +80,7 @@
 	defer l.mu.Unlock()
 	return &History{Attempts: slices.Clone(l.attempts), Runs: runs, Orders: slices.Clone(l.orders), Results: slices.Clone(l.results),
 		Terminations: slices.Clone(l.terminations), GracePeriod: gracePeriod,
-		EventTokens: EventTokens, ToolResponseBytes: ToolResponseBytes, Retention: Retention}
+		EventTokens: EventTokens, ToolResponseBytes: ToolResponseBytes, Retention: Retention, RevocationBound: l.revocationBound}
 }
 
 // Attempts returns a copy of the attempts recorded so far.
--- a/internal/tier/tiertest/history.go
+++ b/internal/tier/tiertest/history.go
@@ -32,6 +32,8 @@
 	Method, Path string
 	Kind         string // of its route
 	Resumable    bool   // its route may resume streams, so that it may run more than once
+	Key          string // sent as Api-Key, "" for none
+	ClaimedName  string // sent as X-Tenant, "" for none: hosts get the name of the key's tenant instead
 	Input        []byte // body of the request
 	Budget       int    // tokens, of the program
 	MaxTokens    int    // tokens that this turn may generate at most
@@ -85,4 +87,5 @@
 	EventTokens       int           // tokens in an event
 	ToolResponseBytes int
 	Retention         time.Duration // for which a completed turn can be continued
+	RevocationBound   time.Duration // after which a key that was taken away runs nothing; 0 for no such bound
 }
--- a/internal/tier/tiertest/program.go
+++ b/internal/tier/tiertest/program.go
@@ -3,9 +3,10 @@
 // Program is what a stand-in agent program does: a conversation, with tools and sub-agents between its turns.
 type Program struct {
 	Name         string
-	Budget       int  // tokens
-	Endless      bool // repeats its steps until its budget is exhausted
-	NumberOffset int  // added to the numbers of attempts and sessions, for a program that goes on under the same name
+	Key          string // of its tenant, "" for none
+	Budget       int    // tokens
+	Endless      bool   // repeats its steps until its budget is exhausted
+	NumberOffset int    // added to the numbers of attempts and sessions, for a program that goes on under the same name
 	Conversation
 }
 
--- a/internal/tier/tiertest/settings.go
+++ b/internal/tier/tiertest/settings.go
@@ -52,8 +52,9 @@
 	line("data_dir: %s\ndiscovery_source: \"cloud_api\"\nentry_mode: \"virtual_ip\"", dir)
 	line("fault_tolerance: {machine_losses: %d, zones: 0, region_losses: 0}", machineLosses)
 	line("timing_bounds: {contact_ms: %d, ack_max_ms: 4000, drain_max_ms: 3000, grace_period_s: %d, "+
-		"config_apply_ms: %d, recovery_s: 12}",
-		contactTimeout.Milliseconds(), int(gracePeriod.Seconds()), ApplyTimeout.Milliseconds())
+		"config_apply_ms: %d, recovery_s: 12, revocation: %v, revoke_max_ms: %d}",
+		contactTimeout.Milliseconds(), int(gracePeriod.Seconds()), ApplyTimeout.Milliseconds(),
+		t.EventLog.revocationBound > 0, t.EventLog.revocationBound.Milliseconds())
 	line("cloud_api: {address: %q, rate_per_s: %d, duty_list: [], max_lag_ms: 0}", t.Platform.Addr(), platformRate)
 	return b.String()
 }
--- a/internal/tier/tiertest/settings_test.go
+++ b/internal/tier/tiertest/settings_test.go
@@ -21,7 +21,7 @@
 	block, err := claimAddressBlock()
 	must(t, err)
 	t.Cleanup(block.release)
-	tier := &Tier{Platform: platform, block: block, dir: t.TempDir()}
+	tier := &Tier{EventLog: &EventLog{}, Platform: platform, block: block, dir: t.TempDir()}
 	for i, c := range []struct {
 		class string
 		args  []string
--- a/internal/tier/tiertest/tier.go
+++ b/internal/tier/tiertest/tier.go
@@ -34,6 +34,9 @@
 
 	// HealthCheckInterval is the time between the load balancer's health checks of a front; 0 for a second.
 	HealthCheckInterval time.Duration
+
+	// RevocationBound is revoke_max_ms of the settings; 0 for a tier that has no such bound.
+	RevocationBound time.Duration
 }
 
 // program returns the executable of a machine, by its index within its class.
@@ -64,7 +67,7 @@
 // Start starts all processes of a tier that has no configuration and no hosts yet. The caller closes the tier.
 func Start(o Options) (t *Tier, err error) {
 	httpClient := &http.Client{Timeout: statusTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	t = &Tier{dir: o.Dir, EventLog: &EventLog{}, RunLog: new(modelhost.RunLog), httpClient: httpClient}
+	t = &Tier{dir: o.Dir, EventLog: &EventLog{revocationBound: o.RevocationBound}, RunLog: new(modelhost.RunLog), httpClient: httpClient}
 	defer func() {
 		if err != nil {
 			t.Close()
