--- a/internal/tier/tiertest/harness_test.go
+++ b/internal/tier/tiertest/harness_test.go
@@ -110,6 +110,12 @@
 
 // startTestTierWithEvents starts a tier whose hosts' streams have this time between events.
 func startTestTierWithEvents(t *testing.T, o Options, eventInterval time.Duration) *testTier {
+	t.Helper()
+	return startTestTierWithConfig(t, o, eventInterval, NewConfig(3, DraftService, false))
+}
+
+// startTestTierWithConfig starts a tier as startTestTierWithEvents does, with this first configuration.
+func startTestTierWithConfig(t *testing.T, o Options, eventInterval time.Duration, first Config) *testTier {
 	t.Helper()
 	var err error
 	o.Programs, err = buildPrograms()
@@ -128,7 +134,7 @@
 	})
 	tt.hosts, err = tier.AddHosts(eventInterval)
 	must(t, err)
-	must(t, tier.Configure(stepContext(t), NewConfig(3, DraftService, false)))
+	must(t, tier.Configure(stepContext(t), first))
 	tt.awaitPlacement(o.Stores)
 	must(t, tier.AwaitReady(stepContext(t), tier.Class(Front)...))
 	return tt
