Answer 503 to a turn that is not found while its tenant may have changed

Callers saw: a key was moved to another tenant, whose turn was continued at a front that had not heard of it; the front answered 404, which says that no such turn exists (LOST). Cause: the tenant is taken from tables that may be stale, and the stores' denial counts for that tenant's turns alone.

What is left: a front that is in touch and gets the move some milliseconds later than another.

--- a/internal/tier/proxy/tenant.go
+++ b/internal/tier/proxy/tenant.go
@@ -31,7 +31,7 @@
 	}
 	now := time.Now()
 	if len(keys) == 1 && !r.server().mayHoldRevokedKeys(r.tables, now) {
-		r.tenant = config.TenantOf(keys[0])
+		r.key, r.tenant = keys[0], config.TenantOf(keys[0])
 	}
 	delete(r.header, keyHeader)
 	delete(r.header, tenantHeader)
@@ -65,6 +65,17 @@
 	return bound > 0 && now.Sub(t.ConfirmedAt) > bound
 }
 
+// isSureOfTenant reports whether the request's key still belongs to the tenant for which its turn was looked up: the newest tables
+// say so, and are not stale. A key may be moved to another tenant, whose turns the request then continues.
+func (r *request) isSureOfTenant() bool {
+	if r.tenant == nil {
+		return true
+	}
+	tables := r.server().options.Source.Tables()
+	holder := tables.Config.TenantOf(r.key)
+	return holder != nil && holder.Name == r.tenant.Name && !isStale(tables, time.Now())
+}
+
 // priority returns the priority of a request: that of its tenant first, then that of its route.
 func (r *request) priority() int {
 	rank := min(r.route.Priority, tenantRankStep-1)
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -59,6 +59,10 @@
 	case errors.Is(err, turnstore.ErrBudget):
 		r.logLoss(errorCause(err), http.StatusPaymentRequired)
 		r.respondError(http.StatusPaymentRequired, 0, "the budget is spent: begin a program with a larger one")
+	case errors.Is(err, turnstore.ErrNoTurn) && !r.isSureOfTenant():
+		r.logLoss(causeUncheckedKey, http.StatusServiceUnavailable)
+		r.respondError(http.StatusServiceUnavailable, restartDelay(),
+			"this front is cut off from the core and cannot be sure whose turn it is: come back after Retry-After")
 	case errors.Is(err, turnstore.ErrNoTurn):
 		r.logLoss(errorCause(err), http.StatusNotFound)
 		r.respondError(http.StatusNotFound, 0, "no such turn: name one that was answered whole and is still retained")
