Draw the faults of TestRevokedKeys apart from its keys

Need: how many configurations are drawn depends on times, so that the fronts that fail could differ between two runs of a seed. Change: faults have a generator of their own.

--- a/internal/tier/tiertest/tenant_keys_test.go
+++ b/internal/tier/tiertest/tenant_keys_test.go
@@ -44,7 +44,8 @@
 // core, killed and restarted, and clients with open connections use keys that are held, revoked or of no tenant, or none.
 type revokedKeys struct {
 	*testTier
-	random  *rand.Rand
+	random  *rand.Rand // of keys and times
+	faults  *rand.Rand // of faults, apart, since the number of configurations depends on times
 	linked  *linkedFront
 	version int64
 	asked   atomic.Int64  // number of the last request of ask
@@ -52,12 +53,13 @@
 	revoked int           // key that is held by none until the fault ends, -1 for no such key
 }
 
-// TestRevokedKeys revokes, adds and moves keys while fronts fail. A seed gives the same faults and configurations again.
+// TestRevokedKeys revokes, adds and moves keys while fronts fail. A seed gives the same faults again; requests and
+// configurations fall between them as time goes.
 func TestRevokedKeys(t *testing.T) {
 	for i := range *keyRuns {
 		seed := *keySeed + uint64(i)
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			r := &revokedKeys{random: rand.New(rand.NewPCG(seed, 0)), revoked: -1}
+			r := &revokedKeys{random: rand.New(rand.NewPCG(seed, 0)), faults: rand.New(rand.NewPCG(seed, 1)), revoked: -1}
 			r.drawHolders(true)
 			o := Options{Cores: 3, Stores: 3, Fronts: 3, RevocationBound: revocationBound}
 			r.testTier = startTestTierWithConfig(t, o, eventInterval, r.config())
@@ -132,21 +134,21 @@
 // have one of each kind.
 func (r *revokedKeys) injectFault(step int) {
 	r.t.Helper()
-	front := r.Class(Front)[r.random.IntN(len(r.Class(Front)))]
+	front := r.Class(Front)[r.faults.IntN(len(r.Class(Front)))]
 	faults := []struct {
 		name string
 		play func(front *Machine)
 	}{{"cut off", r.cutOff}, {"frozen", r.freeze}, {"killed", r.kill}, {"terminated", r.terminate}}
 	kind := step
 	if step >= len(faults) {
-		kind = r.random.IntN(len(faults))
+		kind = r.faults.IntN(len(faults))
 	}
 	fault := faults[kind]
 	if fault.name == "cut off" {
 		front = r.linked.Machine
 	}
 	r.t.Logf("%s is %s", front.Name, fault.name)
-	key := r.random.IntN(keyCount)
+	key := r.faults.IntN(keyCount)
 	r.holders[key] = r.random.IntN(len(changingTenants))
 	r.send()
 	time.Sleep(learnTime)
