--- a/cmd/larch-control/client.go
+++ b/cmd/larch-control/client.go
@@ -18,7 +18,7 @@
 	Status   statusCommand   `cmd:"" help:"Tell what a core node knows: view, chain, versions, stores."`
 	Members  membersCommand  `cmd:"" help:"List core nodes and stores."`
 	Versions versionsCommand `cmd:"" help:"Tell which relay acts on which version of the configuration."`
-	Duties   dutiesCommand   `cmd:"" help:"Tell which node calls the platform, and what holds it up."`
+	Duties   dutiesCommand   `cmd:"" help:"Show which node calls the platform, and what holds it up."`
 	Config   struct {
 		Get   configGet   `cmd:"" help:"Print the newest configuration."`
 		Put   configPut   `cmd:"" help:"Send a configuration."`
--- a/cmd/larch-proxy/main.go
+++ b/cmd/larch-proxy/main.go
@@ -42,7 +42,10 @@
 	if err != nil {
 		return err
 	}
-	if err := cmp.Or(process.RequireSetting("bind_addrs.front_addr", s.Bind.Front, "give HOST:PORT, for clients"), process.RequireSetting("bind_addrs.ready_addr", s.Bind.Ready, "give HOST:PORT, for the platform")); err != nil {
+	if err := cmp.Or(
+		process.RequireSetting("bind_addrs.front_addr", s.Bind.Front, "give HOST:PORT, for clients"),
+		process.RequireSetting("bind_addrs.ready_addr", s.Bind.Ready, "give HOST:PORT, for the platform"),
+	); err != nil {
 		return err
 	}
 	s.TuneRuntime()
@@ -112,7 +115,8 @@
 
 func main() {
 	var p program
-	k := kong.Must(&p, kong.Name("larch-proxy"), kong.Description("The data plane of the serving tier. Its settings file is named by "+process.SettingsVariable+"."))
+	const description = "The data plane of the serving tier. Its settings file is named by " + process.SettingsVariable + "."
+	k := kong.Must(&p, kong.Name("larch-proxy"), kong.Description(description))
 	ctx, err := k.Parse(os.Args[1:])
 	k.FatalIfErrorf(err)
 	if err := ctx.Run(); err != nil {
--- a/internal/tier/feed/messages.go
+++ b/internal/tier/feed/messages.go
@@ -137,7 +137,7 @@
 	Forwarded    bool // as in Registration
 }
 
-// LeaseRelease tells the head of the next epoch that the sender, the head of an epoch, does not act under the lease on the singleton
+// LeaseRelease notifies the head of the next epoch that the sender, the head of an epoch, does not act under the lease on the singleton
 // duties any more; see package lease.
 type LeaseRelease struct {
 	Epoch      int64
--- a/internal/tier/lease/lease.go
+++ b/internal/tier/lease/lease.go
@@ -31,7 +31,7 @@
 	HasConfirmed bool
 }
 
-// Release tells the head of the next epoch that the sender does not act any more.
+// Release notifies the head of the next epoch that the sender does not act any more.
 type Release struct {
 	Epoch int64 // the last epoch in which the sender was the head
 	// Wait is what the sender itself still had to wait for the grants of heads before it; 0 if it could act.
--- a/internal/tier/lease/status.go
+++ b/internal/tier/lease/status.go
@@ -17,7 +17,7 @@
 	LeaseLost                 // the node lost the lease a short while ago
 )
 
-// Status is what a lease tells operators.
+// Status is the state of a lease, for operators.
 type Status struct {
 	Epoch int64
 	Held  bool
--- a/internal/tier/proxy/tenant.go
+++ b/internal/tier/proxy/tenant.go
@@ -8,13 +8,13 @@
 	"larchrouter/internal/tier/routing"
 )
 
-// Header fields by which a client names its tenant, and a host is told.
+// Header fields: the key with which a client authenticates, and the name of its tenant for the host.
 const (
 	keyHeader    = "Api-Key"
 	tenantHeader = "X-Tenant"
 )
 
-// tenantRankStep is the number of ranks of routes that are told apart within one rank of a tenant.
+// tenantRankStep is the number of ranks of routes that are distinguished within one rank of a tenant.
 const tenantRankStep = 1 << 10
 
 // authenticate sets the tenant that holds the request's key, and gives the host the tenant's name in place of the key. If it
--- a/internal/tier/proxy/tenant_rules_test.go
+++ b/internal/tier/proxy/tenant_rules_test.go
@@ -54,7 +54,7 @@
 		{"no tenant, routes 0 and 1", ranks{-1, 0}, ranks{-1, 1}, -1},
 		{"no tenant goes before one of rank 1", ranks{-1, 9}, ranks{1, 0}, -1},
 		{"a large rank of a route does not pass the next tenant", ranks{0, 1 << 40}, ranks{1, 0}, -1},
-		{"the largest ranks that are told apart", ranks{tenantRankStep - 2, 0}, ranks{tenantRankStep - 1, 0}, -1},
+		{"the largest ranks that are distinguished", ranks{tenantRankStep - 2, 0}, ranks{tenantRankStep - 1, 0}, -1},
 		{"ranks of tenants beyond those", ranks{tenantRankStep - 1, 1}, ranks{1 << 40, 1}, 0},
 		{"ranks of routes beyond those", ranks{2, tenantRankStep - 1}, ranks{2, 1 << 40}, 0},
 		{"the largest ranks", ranks{math.MaxInt, math.MaxInt}, ranks{0, 0}, 1},
--- a/internal/tier/proxy/usagerecord_test.go
+++ b/internal/tier/proxy/usagerecord_test.go
@@ -11,7 +11,7 @@
 	"larchrouter/internal/tier/routing"
 )
 
-// usageCalls is a UsageRecorder that keeps what it is told.
+// usageCalls is a UsageRecorder that keeps its calls.
 type usageCalls struct {
 	mu    sync.Mutex
 	began []string // tenants
--- a/internal/tier/tiertest/check_tenants.go
+++ b/internal/tier/tiertest/check_tenants.go
@@ -13,10 +13,10 @@
 	tenantHeader = "X-Tenant"
 )
 
-// tenantOf returns the tenant that a host was told with a run, "" for none.
+// tenantOf returns the tenant in the request of a run, "" for none.
 func tenantOf(run *modelhost.Run) string { return strings.Join(run.Header.Values(tenantHeader), ",") }
 
-// checkTenant checks UNASKED for tenants: a host is told the tenant that holds the client's key, or one that the key was moved
+// checkTenant checks UNASKED for tenants: a host gets the tenant that holds the client's key, or one that the key was moved
 // to, and never the key; a turn continues a turn of its tenant. Attempts that a configuration without tenants may have let through
 // are left out.
 func checkTenant(h *indexedHistory, report reportFunc) {
@@ -30,11 +30,11 @@
 			report("a host ran %s and was shown the key %q", a.ID, keys)
 		}
 		tenant := tenantOf(run)
-		toldBy := h.versions(a.Ended, func(c *Config) bool {
+		admittedBy := h.versions(a.Ended, func(c *Config) bool {
 			route := c.routeFor(a.Path)
 			return route != nil && c.admits(route, a.Key) && c.holderOf(a.Key) == tenant
 		})
-		if len(toldBy) == 0 {
+		if len(admittedBy) == 0 {
 			report("a host ran %s for the tenant %q, which never held the key %q", a.ID, tenant, a.Key)
 		}
 		for _, previous := range h.runsByAttempt[a.Previous] {
--- a/internal/tier/usage/model_test.go
+++ b/internal/tier/usage/model_test.go
@@ -264,11 +264,11 @@
 			}
 			m.collector.Add(at(0), front, report)
 		}},
-		"incarnations are not told apart": {add: func(m *model, front string, report Report) {
+		"incarnations are not distinguished": {add: func(m *model, front string, report Report) {
 			report.Incarnation = 0
 			m.collector.Add(at(0), front, report)
 		}},
-		"fronts are not told apart": {add: func(m *model, _ string, report Report) {
+		"fronts are not distinguished": {add: func(m *model, _ string, report Report) {
 			report.Incarnation = 0
 			m.collector.Add(at(0), "front", report)
 		}},
