--- a/internal/tier/controlnode/duty_checks_test.go
+++ b/internal/tier/controlnode/duty_checks_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"larchrouter/internal/standin/cloudapi"
@@ -20,6 +21,9 @@
 	for _, fault := range checkTokens(calls) {
 		d.t.Error(fault)
 	}
+	for _, fault := range checkArrivals(calls) {
+		d.t.Error(fault)
+	}
 	for _, fault := range checkOrders(calls) {
 		d.t.Error(fault)
 	}
@@ -44,6 +48,26 @@
 	return faults
 }
 
+// transitLimit is how long a call may be on its way through a relay of a busy machine.
+const transitLimit = 250 * time.Millisecond
+
+// checkArrivals finds calls that came to the platform after one with a higher token for any subject, be they accepted or not. They
+// were made without the lease: relays do not deliver what they have held, and a pause hardly falls between the last look at the
+// lease and the write that follows it.
+func checkArrivals(calls []cloudapi.DutyCall) (faults []string) {
+	calls = slices.SortedFunc(slices.Values(calls), func(a, b cloudapi.DutyCall) int { return a.Received.Compare(b.Received) })
+	var highest cloudapi.DutyCall // the first one with its token
+	for _, c := range calls {
+		switch after := c.Received.Sub(highest.Received); {
+		case c.Token > highest.Token:
+			highest = c
+		case c.Token < highest.Token && after > transitLimit:
+			faults = append(faults, fmt.Sprintf("%v: it came %v after the first one with token %d, by %s", c, after, highest.Token, highest.Holder))
+		}
+	}
+	return faults
+}
+
 // checkOrders finds orders of hosts outside the bounds.
 func checkOrders(calls []cloudapi.DutyCall) (faults []string) {
 	for _, c := range calls {
