Have paused holders wake cut off, with a call to repeat

Need: a holder that wakes hears of the others at once, so that the pauses did not show whether it stops by its own clock. Change: in a fifth of the pauses the platform rejects the holder's call and the holder is cut off from the other nodes for 2 s when it wakes; 8 pauses in go test.

--- a/internal/tier/controlnode/duty_pause_test.go
+++ b/internal/tier/controlnode/duty_pause_test.go
@@ -10,7 +10,7 @@
 )
 
 var (
-	holderPauses = flag.Int("pauses", 10, "pauses of the holder of the duties")
+	holderPauses = flag.Int("pauses", 8, "pauses of the holder of the duties")
 	dutySeed     = flag.Uint64("seed", 0, "seed of the first run of the tests of duties; 0 for one by the time")
 )
 
@@ -48,44 +48,73 @@
 	d.checkDuties()
 }
 
+// cutAfterPause is for how long a node that wakes hears nothing of the others at times: long enough for another one to act.
+const cutAfterPause = 2 * time.Second
+
+// holderPause is one pause of the holder.
+type holderPause struct {
+	length time.Duration
+	inCall bool // while the platform holds a call
+	cutOff bool // when it wakes it does not reach the other nodes, and has a call to repeat
+}
+
 // pauseHolder pauses the holder once and waits until usage goes on and all nodes are members. It returns how long usage took to go
 // on after the pause.
 func (d *dutyFleet) pauseHolder(r *rand.Rand) time.Duration {
 	d.t.Helper()
-	length, inCall := drawPause(r, d.term), r.IntN(3) == 0
-	if inCall {
+	pause := drawPause(r, d.term)
+	if pause.inCall {
 		d.platform.SetDutyFault(cloudapi.DutyFault{Kind: cloudapi.DutySilent})
 		d.awaitCalls("the platform holds a call", d.resumeLimit(), func(_ []cloudapi.DutyCall, held int) bool { return held > 0 })
 	}
 	holder := d.holder()
 	began := time.Now()
 	d.nodes[holder].freeze(d.t)
-	after := time.Duration(0)
-	if inCall {
-		after = time.Duration(r.Int64N(int64(length)))
-		time.Sleep(after)
-		d.platform.SetDutyFault(drawHeldFault(r))
+	d.passPause(r, pause)
+	if pause.cutOff {
+		d.partition(holder)
 	}
-	time.Sleep(length - after)
 	d.nodes[holder].wake()
-	woke := time.Now()
+	if pause.cutOff {
+		time.Sleep(cutAfterPause)
+		d.heal(true)
+	}
 	d.platform.SetDutyFault(cloudapi.DutyFault{})
-	took := d.awaitUsage("after a pause", woke, d.resumeLimit())
+	ended := time.Now()
+	took := d.awaitUsage("after a pause", ended, d.resumeLimit())
 	d.within(catchUp+busyMargin, "all nodes are members", d.allMembers)
-	d.t.Logf("node %d paused at %v for %v, in a call %v; usage goes on after %v", holder, began.Format(time.TimeOnly), length, inCall, took)
+	d.t.Logf("node %d paused at %v, %+v; usage goes on after %v", holder, began.Format(timeWithMillis), pause, took)
 	return took
 }
 
-// drawPause draws the length of a pause: shorter than a term, about a term, or up to 4 terms longer.
-func drawPause(r *rand.Rand, term time.Duration) time.Duration {
+// passPause waits until the pause is over. Calls that the platform holds are carried out meanwhile.
+func (d *dutyFleet) passPause(r *rand.Rand, pause holderPause) {
+	held := time.Duration(0)
+	if pause.inCall {
+		held = time.Duration(r.Int64N(int64(pause.length)))
+		time.Sleep(held)
+		fault := drawHeldFault(r)
+		if pause.cutOff {
+			fault = cloudapi.DutyFault{Kind: cloudapi.DutyBusy}
+		}
+		d.platform.SetDutyFault(fault)
+	}
+	time.Sleep(pause.length - held)
+}
+
+// drawPause draws a pause: shorter than a term, about a term, or up to 4 terms longer.
+func drawPause(r *rand.Rand, term time.Duration) holderPause {
+	pause := holderPause{inCall: r.IntN(5) < 2}
+	pause.cutOff = pause.inCall && r.IntN(2) == 0
 	share := 0.2 + 0.7*r.Float64()
-	switch r.IntN(3) {
-	case 0:
-		share = 0.9 + 0.2*r.Float64()
-	case 1:
+	switch kind := r.IntN(3); {
+	case kind == 0 || pause.cutOff:
 		share = 1.1 + 4*r.Float64()
+	case kind == 1:
+		share = 0.9 + 0.2*r.Float64()
 	}
-	return time.Duration(share * float64(term))
+	pause.length = time.Duration(share * float64(term))
+	return pause
 }
 
 // drawHeldFault draws what becomes of calls that the platform has held: they are decided, late or not, or rejected, or lost.
