Record windows before calls to the platform, and send those in time first

And a collector of some milliseconds recorded a window with no counts where the time for it was nearly over. Change: all due windows are recorded before a call; windows in time go first; a collector records nothing in its first 2 s.

Measured: TestWindowsInTimeAreSentFirst and two rows of TestDue are new; the rows fail without MinAge, the test did not compile before.

--- a/internal/tier/controlnode/duty_usage.go
+++ b/internal/tier/controlnode/duty_usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -109,11 +110,20 @@
 	if u.unsent == nil && !u.readRecorded(now) {
 		return
 	}
-	if window, ok := u.schedule.Due(now, usage.Progress{First: u.first, Recorded: u.recorded, CollectAt: u.collectedSince(now)}); ok {
-		u.record(window)
-	}
+	u.recordDue(now)
 	u.drop(u.schedule.Oldest(now))
-	u.send(grant)
+	u.send(grant, now)
+}
+
+// recordDue records all windows that are due, before a call to the platform takes time.
+func (u *usageDuty) recordDue(now time.Time) {
+	began := u.collectedSince(now)
+	for {
+		window, ok := u.schedule.Due(now, usage.Progress{First: u.first, Recorded: u.recorded, CollectAt: began})
+		if !ok || !u.record(window) {
+			return
+		}
+	}
 }
 
 // readRecorded reads which windows earlier holders have recorded. They are sent once more: the platform ignores an exact repeat.
@@ -194,28 +204,30 @@
 	Counts map[string]int `json:"server_counts"`
 }
 
-// record records what is known of a window in the agreed state.
-func (u *usageDuty) record(window int64) {
+// record records what is known of a window in the agreed state. It reports whether that is decided.
+func (u *usageDuty) record(window int64) bool {
 	query := &usageCountsQuery{window: window}
 	if !u.server.runOnLoop(query) || !query.ok {
-		return
+		return false
 	}
 	if query.counts == nil {
 		query.counts = map[string]int{}
 	}
 	body, err := json.Marshal(usageBody{Window: window, Counts: query.counts})
 	if err != nil {
-		return
+		return false
 	}
 	decision, err := u.server.decideAtHead(u.server.ctx, orders.RecordUsage{Window: window, Body: body})
 	switch {
 	case err != nil: // it may be recorded or not: the next step asks again
+		return false
 	case decision.Kind.IsAcknowledgement():
 		u.addRecorded(window, decision.Body)
 	default:
 		u.server.log.Error("usage not recorded", "window", window, "reason", decision.Reason)
 		u.recorded = append(u.recorded, window)
 	}
+	return true
 }
 
 // drop forgets windows before the oldest one that still matters.
@@ -250,12 +262,12 @@
 	u.first = oldest
 }
 
-// send sends the oldest recorded window that the platform has not acknowledged.
-func (u *usageDuty) send(grant *dutyGrant) {
+// send sends a recorded window that the platform has not acknowledged.
+func (u *usageDuty) send(grant *dutyGrant, now time.Time) {
 	if len(u.unsent) == 0 || !u.backoff.ready(time.Now()) {
 		return
 	}
-	window := oldestKey(u.unsent)
+	window := nextToSend(u.unsent, usage.WindowAt(now.Add(-u.schedule.LateAfter), u.schedule.WindowLength))
 	switch outcome, _ := u.post(grant, usagePath, u.unsent[window]); outcome {
 	case duty.Accepted:
 		u.backoff.succeeded()
@@ -269,14 +281,14 @@
 	}
 }
 
-// oldestKey returns the lowest window; there must be one.
-func oldestKey(windows map[int64][]byte) int64 {
-	first := true
-	oldest := int64(0)
-	for window := range windows {
-		if first || window < oldest {
-			oldest, first = window, false
+// nextToSend returns the window to be sent next: the oldest one that is not late, else the oldest one; there must be one. What is late
+// already, or only repeats what an earlier holder has sent, must not make others late where the platform is slow.
+func nextToSend(unsent map[int64][]byte, oldestInTime int64) int64 {
+	windows := slices.Sorted(maps.Keys(unsent))
+	for _, window := range windows {
+		if window >= oldestInTime {
+			return window
 		}
 	}
-	return oldest
+	return windows[0]
 }
--- a/internal/tier/controlnode/duty_usage_test.go
+++ b/internal/tier/controlnode/duty_usage_test.go
@@ -28,3 +28,26 @@
 		}
 	}
 }
+
+// A slow platform must not make windows late that wait behind others which are late already.
+func TestWindowsInTimeAreSentFirst(t *testing.T) {
+	unsent := func(windows ...int64) map[int64][]byte {
+		m := map[int64][]byte{}
+		for _, window := range windows {
+			m[window] = nil
+		}
+		return m
+	}
+	for name, c := range map[string]struct {
+		unsent map[int64][]byte
+		want   int64
+	}{
+		"late ones are there as well": {unsent(70, 71, 73, 72), 72},
+		"all are late":                {unsent(71, 70), 70},
+		"all are in time":             {unsent(75, 74), 74},
+	} {
+		if got := nextToSend(c.unsent, 72); got != c.want {
+			t.Errorf("%s: %d, want %d", name, got, c.want)
+		}
+	}
+}
--- a/internal/tier/usage/schedule.go
+++ b/internal/tier/usage/schedule.go
@@ -17,6 +17,9 @@
 	Settle time.Duration
 	// WarmUp is the time from the start of a collector after which all fronts are expected to have reported to it again.
 	WarmUp time.Duration
+	// MinAge is the time from the start of a collector before which it records nothing, however late that makes a window: a front
+	// that runs has reported to it by then, unless its calls fail.
+	MinAge time.Duration
 	// Margin is the part of LateAfter that is left for recording a window and for the call to the platform: a collector that is
 	// younger than WarmUp does not wait longer.
 	Margin time.Duration
@@ -25,7 +28,7 @@
 // DefaultSchedule returns the times in service for a window length and a time by which windows have to be recorded.
 func DefaultSchedule(windowLength, lateAfter time.Duration) Schedule {
 	return Schedule{WindowLength: windowLength, LateAfter: lateAfter, Settle: min(2500*time.Millisecond, lateAfter/2),
-		WarmUp: 3500 * time.Millisecond, Margin: min(2500*time.Millisecond, lateAfter/4)}
+		WarmUp: 3500 * time.Millisecond, MinAge: 2 * time.Second, Margin: min(2500*time.Millisecond, lateAfter/4)}
 }
 
 // Check returns an error if windows cannot be recorded in time.
@@ -33,7 +36,7 @@
 	switch {
 	case s.WindowLength <= 0:
 		return errors.Newf("window length %v: give one above 0", s.WindowLength)
-	case s.Settle < 0 || s.WarmUp < 0 || s.Margin < 0:
+	case s.Settle < 0 || s.WarmUp < 0 || s.MinAge < 0 || s.Margin < 0:
 		return errors.New("a time of the schedule is negative: give 0 or above")
 	case s.Settle+s.Margin > s.LateAfter:
 		return errors.Newf("windows settle for %v with a margin of %v, and are late after %v: lower the former", s.Settle, s.Margin, s.LateAfter)
@@ -74,8 +77,11 @@
 func (s Schedule) dueAt(window int64, began time.Time) time.Time {
 	end := WindowEnd(window, s.WindowLength)
 	due, warm, latest := end.Add(s.Settle), began.Add(s.WarmUp), end.Add(s.LateAfter-s.Margin)
-	if latest.After(began) && latest.Before(warm) {
+	if young := began.Add(min(s.MinAge, s.WarmUp)); latest.After(began) && latest.Before(warm) {
 		warm = latest
+		if warm.Before(young) {
+			warm = young
+		}
 	}
 	if warm.After(due) {
 		return warm
--- a/internal/tier/usage/schedule_test.go
+++ b/internal/tier/usage/schedule_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-var testSchedule = Schedule{WindowLength: 5 * second, LateAfter: 10 * second, Settle: 2500 * time.Millisecond, WarmUp: 4 * second, Margin: 3 * second}
+var testSchedule = Schedule{WindowLength: 5 * second, LateAfter: 10 * second, Settle: 2500 * time.Millisecond, WarmUp: 4 * second, MinAge: 2 * second, Margin: 3 * second}
 
 func TestScheduleCheck(t *testing.T) {
 	wantEqual(t, "default", DefaultSchedule(5*second, 10*second).Check(), nil)
@@ -13,6 +13,7 @@
 	for name, s := range map[string]Schedule{
 		"no length":        {},
 		"negative time":    {WindowLength: 1, LateAfter: 1, Settle: -1},
+		"negative age":     {WindowLength: 1, LateAfter: 1, MinAge: -1},
 		"settles too long": {WindowLength: 1, LateAfter: 3, Settle: 2, Margin: 2},
 	} {
 		if s.Check() == nil {
@@ -51,6 +52,8 @@
 		{"young collector", 1009999 * time.Millisecond, 1006 * second, 0, through(199), none},
 		{"warm collector", 1010 * second, 1006 * second, 0, through(199), 200},
 		{"young collector, and it has to be recorded", 1012 * second, 1009 * second, 0, through(199), 200},
+		{"collector too young to record anything", 1012999 * time.Millisecond, 1011 * second, 0, through(199), none},
+		{"collector of the least age", 1013 * second, 1011 * second, 0, through(199), 200},
 		{"collector began when it had to be recorded", 1013 * second, 1012 * second, 0, through(199), none},
 		{"late, by a warm collector", 1016 * second, 1012 * second, 0, through(199), 200},
 		{"collector that began in the window", 1007500 * time.Millisecond, 1003 * second, 0, through(199), 200},
