Do not count tables as confirmed while the newest configuration cannot be read

Cause: a configuration that a core node of another version has taken and this program refuses counted as applied, and the tables, which still have the one before with its keys, as confirmed. Change: ConfirmedAt stays until a configuration that can be read is there, so that keys run out after revoke_max_ms.

--- a/internal/tier/feed/doc.go
+++ b/internal/tier/feed/doc.go
@@ -23,7 +23,7 @@
 //   - Tables.Index is i only if every entry up to i, or a newer entry of its key, is applied.
 //   - A value is applied only if its bytes are those that were committed: deltas and chunks are checked by digest.
 //   - Everything that was acknowledged before Tables.ConfirmedAt is in the tables. ConfirmedAt is the time at which a
-//     poll was sent, not when its response arrived.
+//     poll was sent, not when its response arrived. It stays while the newest configuration cannot be read by this program.
 //
 // # Source
 //
--- a/internal/tier/feed/replica.go
+++ b/internal/tier/feed/replica.go
@@ -29,6 +29,7 @@
 	baseDigest     bodydelta.Digest // of baseValue
 	requestFull    bool             // the next request names no base, since a delta could not be applied
 	download       *download        // the large value in progress, nil if there is none
+	lacksConfig    bool             // the newest configuration could not be read: the tables have an older one
 }
 
 func newReplica() *replica { return &replica{tables: &Tables{}, valueIndexes: map[string]int64{}} }
@@ -65,7 +66,7 @@
 		faults = r.applyEntries(&next, response)
 	}
 	r.applyHosts(&next, response)
-	if next.Index == response.Index && sent.After(next.ConfirmedAt) {
+	if next.Index == response.Index && !r.lacksConfig && sent.After(next.ConfirmedAt) {
 		next.ConfirmedAt = sent
 	}
 	r.tables = &next
@@ -182,6 +183,7 @@
 	switch e.Key {
 	case ConfigKey:
 		err = r.applyConfig(next, e.Value)
+		r.lacksConfig = err != nil
 	case PlacementKey:
 		p := new(turnstore.Placement)
 		if err = rpc.Decode(e.Value, p); err == nil {
