Follow no redirects with calls of duties

Cause: net/http follows a 307 with the token and the body, and the answer of the other address counted. Measured: TestRedirectIsNotFollowed failed before.

--- a/internal/tier/duty/client.go
+++ b/internal/tier/duty/client.go
@@ -70,7 +70,9 @@
 func NewClient(addr, holder string, fence Fence) *Client {
 	c := &Client{addr: addr, holder: holder, fence: fence}
 	transport := &http.Transport{DialContext: c.dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, Proxy: nil}
-	c.httpClient = &http.Client{Transport: transport}
+	c.httpClient = &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse // a call goes to the platform's address and nowhere else
+	}}
 	return c
 }
 
@@ -142,7 +144,7 @@
 		return Refused, errors.New("the platform has seen a higher fencing token")
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
 		return Busy, errors.Newf("the platform answers %d: call less often", status)
-	case status >= 500:
+	case status >= 500 || status < 400:
 		return Unknown, errors.Newf("the platform answers %d", status)
 	}
 	return Invalid, errors.Newf("the platform answers %d: the call is not as it wants it", status)
--- a/internal/tier/duty/client_test.go
+++ b/internal/tier/duty/client_test.go
@@ -137,3 +137,16 @@
 		t.Errorf("the outcome is %s, %v; want %s", got, err, NotSent)
 	}
 }
+
+// A call goes to the platform's address and nowhere else, whatever it answers.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var elsewhere atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { elsewhere.Add(1) }))
+	defer other.Close()
+	server := httptest.NewServer(http.RedirectHandler(other.URL+"/usage", http.StatusTemporaryRedirect))
+	defer server.Close()
+	got, err := newTestClient(t, strings.TrimPrefix(server.URL, "http://"), open).Post(t.Context(), "/usage", 1, []byte("{}"))
+	if got != Unknown || err == nil || elsewhere.Load() > 0 {
+		t.Errorf("the outcome is %s, %v; %d calls went elsewhere", got, err, elsewhere.Load())
+	}
+}
