Record usage only with the true time of a majority's clocks; no lease without duties

Found by the review, by reading: a holder whose calls for clocks all failed would have numbered windows by its own clock, which may be 6 s off, and recorded one before its end; and the lease ran, with its log lines and releases, also where the settings name no duty.

--- a/internal/tier/controlnode/duty_clock.go
+++ b/internal/tier/controlnode/duty_clock.go
@@ -16,6 +16,13 @@
 // trueNow returns the true time, as this node estimates it by the clocks of the voters.
 func (s *Server) trueNow() time.Time { return s.trueTime.At(s.now()) }
 
+// knowsTrueTime reports whether the estimate of the true time is over the clocks of a majority of the voters. It runs on the event
+// loop.
+func (s *Server) knowsTrueTime() bool {
+	view := s.node.View()
+	return s.trueTime.Clocks() >= view.Majority()
+}
+
 // handleClock answers with the wall clock of this node.
 func (s *Server) handleClock(context.Context, *feed.Empty) (*feed.ClockReading, error) {
 	return &feed.ClockReading{UnixMicros: time.Now().UnixMicro()}, nil
--- a/internal/tier/controlnode/duty_usage.go
+++ b/internal/tier/controlnode/duty_usage.go
@@ -69,7 +69,7 @@
 	role.collector.Add(now, r.report.Name, usage.Report{Incarnation: r.report.Incarnation, Windows: r.report.Windows, Loads: r.report.Loads})
 	role.collector.Forget(now)
 	r.receipt.Collector = role.id
-	if view := s.node.View(); s.trueTime.Clocks() >= view.Majority() { // otherwise it is this node's clock alone
+	if s.knowsTrueTime() {
 		r.receipt.TrueTimeMs = now.True.UnixMilli()
 	}
 }
@@ -117,10 +117,10 @@
 
 // recordDue records all windows that are due, before a call to the platform takes time.
 func (u *usageDuty) recordDue(now time.Time) {
-	began := u.collectedSince(now)
-	for {
-		window, ok := u.schedule.Due(now, usage.Progress{First: u.first, Recorded: u.recorded, CollectAt: began})
-		if !ok || !u.record(window) {
+	began, ok := u.collectedSince(now)
+	for ok {
+		window, due := u.schedule.Due(now, usage.Progress{First: u.first, Recorded: u.recorded, CollectAt: began})
+		if !due || !u.record(window) {
 			return
 		}
 	}
@@ -181,21 +181,23 @@
 type collectedSinceQuery struct {
 	age    time.Duration
 	isHead bool // otherwise nothing is collected here
+	inTime bool // the estimate of the true time is over the clocks of a majority
 }
 
 func (q *collectedSinceQuery) handle(s *Server) {
 	if q.isHead = s.node.IsConfirmedHead(); q.isHead {
-		q.age = s.now() - s.assumeUsageRole().beganAt
+		q.age, q.inTime = s.now()-s.assumeUsageRole().beganAt, s.knowsTrueTime()
 	}
 }
 
-// collectedSince returns since when the collector has taken reports, in true time.
-func (u *usageDuty) collectedSince(now time.Time) time.Time {
+// collectedSince returns since when the collector has taken reports, in true time; ok is false if nothing is to be recorded here, as
+// the node is not the confirmed head, or its time is that of its own clock alone.
+func (u *usageDuty) collectedSince(now time.Time) (since time.Time, ok bool) {
 	query := &collectedSinceQuery{}
-	if !u.server.runOnLoop(query) || !query.isHead {
-		return now
+	if !u.server.runOnLoop(query) || !query.isHead || !query.inTime {
+		return now, false
 	}
-	return now.Add(-query.age)
+	return now.Add(-query.age), true
 }
 
 // usageBody is the body of the call, with the names of the platform's page.
--- a/internal/tier/controlnode/event_loop.go
+++ b/internal/tier/controlnode/event_loop.go
@@ -29,7 +29,9 @@
 		s.wakeConfirmedPolls()
 		s.isHead.Store(s.node.IsConfirmedHead())
 		s.viewEpoch.Store(s.node.View().Epoch)
-		s.updateLease()
+		if len(s.settings.Platform.Duties) > 0 {
+			s.updateLease()
+		}
 		s.publishChanges(&lastPublished)
 	}
 	return nil
