Order hosts again after an outcome in doubt, and once for each headship

Cause, found by review: an order that timed out, or met a busy platform, was taken as not made: with the demand back at the number before, nothing was ordered though the platform may have applied it. A new holder took the listed number for the one in force, so that a number that an earlier one ordered for hosts that boot, or beyond bounds of now, stayed. New bounds waited for DownDelay. Change: Planner.InDoubt keeps an order due until one is accepted; the first order of a subject is due at once if more hosts than listed are needed, else after DownDelay; a number outside the bounds is ordered within them at once. One commit for both faults: they are one state of the planner (inherited, in doubt, accepted).

Tests: two rows of TestPlan expected no order at a steady demand. A holder now makes one after DownDelay, as wanted here; the rows expect exactly that one. TestRandomDemands now draws outcomes, bounds and an earlier holder's number. "Ordered N after N" fails as before unless N is not known to be accepted. Lowering before DownDelay passes only to a maximum that is below what was sent. That hosts are enough is checked for each planned number, and for the platform's where no order is due.

--- a/internal/tier/controlnode/duty_scale.go
+++ b/internal/tier/controlnode/duty_scale.go
@@ -40,7 +40,7 @@
 
 func newScaleDuty(d *dutyRunner) *scaleDuty { return &scaleDuty{dutyRunner: d} }
 
-// begin forgets what another holder may have ordered: the list of hosts shows it.
+// begin forgets what another holder may have ordered: each subject is ordered anew.
 func (d *scaleDuty) begin() {
 	d.planner, d.mostFronts, d.plannedAt = scaling.NewPlanner(scaling.DefaultParams()), 0, time.Time{}
 	d.backoff = map[scaling.Subject]*callBackoff{}
@@ -182,13 +182,23 @@
 	if err != nil {
 		return false
 	}
-	if outcome, _ := d.post(grant, scalePath, body); outcome != duty.Accepted {
+	outcome, _ := d.post(grant, scalePath, body)
+	d.noteOutcome(subject, hosts, outcome)
+	return outcome == duty.Accepted
+}
+
+// noteOutcome notes what is known of an order after its call.
+func (d *scaleDuty) noteOutcome(subject scaling.Subject, hosts int, outcome duty.Outcome) {
+	switch outcome {
+	case duty.Accepted:
+		d.backoffOf(subject).succeeded()
+		before, _ := d.planner.InForce(subject)
+		d.server.log.Info("hosts ordered", "service", subject.Service, "zone", subject.Zone, "hosts", hosts, "before", before)
+		d.planner.Ordered(subject, hosts)
+	case duty.NotSent:
 		d.backoffOf(subject).failed(time.Now())
-		return false
+	default:
+		d.backoffOf(subject).failed(time.Now())
+		d.planner.InDoubt(subject, hosts)
 	}
-	d.backoffOf(subject).succeeded()
-	before, _ := d.planner.InForce(subject)
-	d.server.log.Info("hosts ordered", "service", subject.Service, "zone", subject.Zone, "hosts", hosts, "before", before)
-	d.planner.Ordered(subject, hosts)
-	return true
 }
--- a/internal/tier/scaling/planner.go
+++ b/internal/tier/scaling/planner.go
@@ -49,11 +49,21 @@
 
 // subjectState is what the planner keeps of a subject.
 type subjectState struct {
-	ordered   int // number of hosts that was ordered last, or that was listed at the start
+	hosts     int // number that was sent last, or that was listed at the start
+	standing  standing
 	seenSince time.Duration
 	wanted    []sample // numbers that the demand asked for within DownDelay, falling; the oldest first
 }
 
+// standing is what is known of the number of a subject.
+type standing int
+
+const (
+	inherited standing = iota // as listed when the subject was first planned: nothing was sent so far
+	inDoubt                   // sent, but not known to be accepted: that number or an earlier one is in force
+	accepted                  // in force
+)
+
 // sample is a number of hosts that the demand asked for at a time.
 type sample struct {
 	at    time.Duration
@@ -65,32 +75,54 @@
 	return &Planner{params: params, subjects: map[Subject]*subjectState{}}
 }
 
-// Plan takes the demand of a subject and returns the number of hosts to order; ok is false if the number in force stays. The order is
-// taken as made once Ordered is called.
+// Plan takes the demand of a subject and returns the number of hosts to order; ok is false if no order is due. Until Ordered is called,
+// an order stays due:
+//   - the first one of a subject, at once if more hosts than listed are needed, else once the demand was seen for DownDelay;
+//   - after InDoubt, the number that should be in force;
+//   - after Ordered, a number that differs: a higher one at once, as is one that brings the number within new bounds, and a lower one
+//     after DownDelay.
 func (p *Planner) Plan(now time.Duration, subject Subject, demand Demand) (hosts int, ok bool) {
 	state := p.subjects[subject]
 	if state == nil {
-		state = &subjectState{ordered: demand.Hosts, seenSince: now}
+		state = &subjectState{hosts: demand.Hosts, seenSince: now}
 		p.subjects[subject] = state
 	}
 	wanted := p.wanted(demand)
 	state.add(sample{now, wanted}, now-p.params.DownDelay)
-	switch {
-	case wanted > state.ordered:
-		return wanted, true
-	case now-state.seenSince < p.params.DownDelay:
+	mayLower := now-state.seenSince >= p.params.DownDelay
+	hosts = state.target(wanted, demand, mayLower)
+	switch state.standing {
+	case inherited:
+		ok = mayLower || wanted > state.hosts
+	case inDoubt:
+		ok = true
+	case accepted:
+		ok = hosts != state.hosts
+	}
+	if !ok {
 		return 0, false
 	}
-	if peak := max(demand.Min, min(state.wanted[0].hosts, demand.Max)); peak < state.ordered {
-		return peak, true
+	return hosts, true
+}
+
+// target returns the number of hosts that should be in force, within the bounds.
+func (s *subjectState) target(wanted int, demand Demand, mayLower bool) int {
+	if wanted > s.hosts {
+		return wanted
+	}
+	if mayLower {
+		return demand.clamp(min(s.hosts, s.wanted[0].hosts))
 	}
-	return 0, false
+	return demand.clamp(s.hosts)
 }
 
+// clamp returns the number of hosts within the bounds that is next to a number.
+func (d Demand) clamp(hosts int) int { return max(d.Min, min(hosts, d.Max)) }
+
 // wanted returns the number of hosts that a demand asks for.
 func (p *Planner) wanted(demand Demand) int {
 	needed := math.Ceil(demand.Concurrency / (float64(max(1, demand.Slots)) * p.params.TargetUtilization))
-	return max(demand.Min, min(int(min(needed, math.MaxInt32)), demand.Max))
+	return demand.clamp(int(min(needed, math.MaxInt32)))
 }
 
 // add adds a sample and drops those before a time. Of the rest only those are kept that no later one reaches, so that the first one is
@@ -105,19 +137,25 @@
 	}
 }
 
-// Ordered notes that an order was made for a subject and took effect.
-func (p *Planner) Ordered(subject Subject, hosts int) {
+// Ordered notes that an order was accepted: its number is in force.
+func (p *Planner) Ordered(subject Subject, hosts int) { p.sent(subject, hosts, accepted) }
+
+// InDoubt notes that an order was sent and may have taken effect or not. An order that did not leave is not noted.
+func (p *Planner) InDoubt(subject Subject, hosts int) { p.sent(subject, hosts, inDoubt) }
+
+// sent notes an order.
+func (p *Planner) sent(subject Subject, hosts int, standing standing) {
 	if state := p.subjects[subject]; state != nil {
-		state.ordered = hosts
+		state.hosts, state.standing = hosts, standing
 	}
 }
 
-// InForce returns the number of hosts that was ordered last for a subject, or that was listed when it was first planned; ok is false
-// if the subject is not known.
+// InForce returns the number of hosts that was sent last for a subject, accepted or in doubt, or that was listed when it was first
+// planned; ok is false if the subject is not known.
 func (p *Planner) InForce(subject Subject) (hosts int, ok bool) {
 	state := p.subjects[subject]
 	if state == nil {
 		return 0, false
 	}
-	return state.ordered, true
+	return state.hosts, true
 }
--- a/internal/tier/scaling/planner_test.go
+++ b/internal/tier/scaling/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,13 +37,13 @@
 		demands []float64
 		want    []int
 	}{
-		{"steady", []float64{4, 4, 4, 4, 4, 4, 4}, []int{0, 0, 0, 0, 0, 0, 0}},
+		{"steady: once", []float64{4, 4, 4, 4, 4, 4, 4, 4}, []int{0, 0, 0, 0, 0, 4, 0, 0}},
 		{"up at once", []float64{4, 6, 6.1}, []int{0, 6, 7}},
 		{"never above the maximum", []float64{40, 400}, []int{10, 0}},
 		{"down after the delay", []float64{3, 3, 3, 3, 3, 3, 3}, []int{0, 0, 0, 0, 0, 3, 0}},
 		{"never below the minimum", []float64{0, 0, 0, 0, 0, 0, 0}, []int{0, 0, 0, 0, 0, 2, 0}},
 		{"down to the peak of the delay", []float64{1, 1, 1, 3, 1, 1, 1, 1, 1, 1}, []int{0, 0, 0, 0, 0, 3, 0, 0, 0, 2}},
-		{"a peak keeps the number", []float64{4, 1, 1, 1, 1, 4, 1, 1, 1, 1, 4}, []int{0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0}},
+		{"a peak keeps the number", []float64{4, 1, 1, 1, 1, 4, 1, 1, 1, 1, 4}, []int{0, 0, 0, 0, 0, 4, 0, 0, 0, 0, 0}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got := play(NewPlanner(testParams), c.demands...)
@@ -71,6 +72,63 @@
 	}
 }
 
+// Failure: an order that timed out but took effect is taken as not made, and nothing is ordered when the demand is back.
+func TestOrderInDoubtIsFollowedByAnother(t *testing.T) {
+	p := NewPlanner(testParams)
+	if got := play(p, 6, 6, 6, 6, 6, 3, 3, 3, 3, 3); got[0] != 6 {
+		t.Fatalf("ordered %v", got)
+	}
+	now := 10 * time.Second
+	if hosts, ok := p.Plan(now, testSubject, demandOf(3)); !ok || hosts != 3 {
+		t.Fatalf("planned %d, %v, want 3", hosts, ok)
+	}
+	p.InDoubt(testSubject, 3)
+	for range 2 {
+		if hosts, ok := p.Plan(now, testSubject, demandOf(6)); !ok || hosts != 6 {
+			t.Fatalf("planned %d, %v, want 6", hosts, ok)
+		}
+		p.InDoubt(testSubject, 6)
+	}
+	p.Ordered(testSubject, 6)
+	if hosts, ok := p.Plan(now, testSubject, demandOf(6)); ok {
+		t.Errorf("planned %d again", hosts)
+	}
+}
+
+// Failure: a number that an earlier holder ordered, beyond the bounds of now, stays in force since fewer hosts were listed at the start.
+func TestInheritedNumberIsOrderedOnce(t *testing.T) {
+	p := NewPlanner(testParams)
+	var orders []int
+	for at := time.Duration(0); at < time.Minute; at += time.Second {
+		demand := Demand{Min: 3, Max: 4, Hosts: 3, Slots: 10}
+		if at > 3*time.Second {
+			demand.Hosts = 10
+		}
+		if hosts, ok := p.Plan(at, testSubject, demand); ok {
+			orders = append(orders, hosts)
+			p.Ordered(testSubject, hosts)
+		}
+	}
+	if !slices.Equal(orders, []int{3}) {
+		t.Errorf("ordered %v, want 3 once", orders)
+	}
+}
+
+// Failure: a number that is above a new maximum, or below a new minimum, stays in force for DownDelay or longer.
+func TestNewBoundsHoldAtOnce(t *testing.T) {
+	for _, bounds := range []Demand{{Min: 1, Max: 6, Hosts: 4, Slots: 10}, {Min: 9, Max: 10, Hosts: 4, Slots: 10}} {
+		p := NewPlanner(testParams)
+		if got := play(p, 8); got[0] != 8 {
+			t.Fatalf("ordered %v", got)
+		}
+		bounds.Concurrency = 8 * 5
+		want := bounds.clamp(8)
+		if hosts, ok := p.Plan(time.Second, testSubject, bounds); !ok || hosts != want {
+			t.Errorf("planned %d, %v, want %d", hosts, ok, want)
+		}
+	}
+}
+
 func TestSubjectsArePlannedApart(t *testing.T) {
 	p := NewPlanner(testParams)
 	p.Plan(0, testSubject, demandOf(8))
@@ -79,52 +137,93 @@
 	}
 }
 
-// Whatever the demand: numbers stay within the bounds, are enough for the demand, and are never raised within DownDelay after they
-// were lowered by a demand that was there when they were lowered.
+// Whatever the demand, the bounds and the outcomes: numbers stay within the bounds, are enough for the demand, and are never lowered
+// below a demand of the last DownDelay. Where no order is due, the platform has the number that was ordered last, and after DownDelay
+// there is one.
 func TestRandomDemands(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := NewPlanner(testParams)
+		course := &randomCourse{last: rapid.IntRange(0, 12).Draw(t, "hosts at the start")}
+		course.platform = rapid.IntRange(0, 12).Draw(t, "hosts ordered by an earlier holder")
+		bounds := Demand{Min: 2, Max: 10, Hosts: course.last, Slots: 10}
 		now := time.Duration(0)
-		ordered := rapid.IntRange(0, 12).Draw(t, "hosts at the start")
-		bounds := Demand{Min: 2, Max: 10, Hosts: ordered, Slots: 10}
-		var history []sample
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+			if rapid.IntRange(0, 9).Draw(t, "new bounds at 0") == 0 {
+				bounds.Min = rapid.IntRange(1, 6).Draw(t, "min")
+				bounds.Max = rapid.IntRange(bounds.Min, 12).Draw(t, "max")
+			}
 			bounds.Concurrency = rapid.Float64Range(0, 80).Draw(t, "concurrency")
 			needed := max(bounds.Min, min(int(math.Ceil(bounds.Concurrency/5)), bounds.Max))
-			history = append(history, sample{now, needed})
+			course.history = append(course.history, sample{now, needed})
 			hosts, ok := p.Plan(now, testSubject, bounds)
 			if ok {
-				checkOrder(t, history, ordered, hosts, bounds)
-				p.Ordered(testSubject, hosts)
-				ordered = hosts
-			}
-			if ordered < needed {
-				t.Fatalf("%d hosts for a demand of %d", ordered, needed)
+				course.checkOrder(t, hosts, bounds)
+				course.send(t, p, hosts)
+			} else {
+				course.checkRest(t, bounds)
 			}
 		}
 	})
 }
 
-// checkOrder checks an order against the demands so far.
-func checkOrder(t *rapid.T, history []sample, before, hosts int, bounds Demand) {
-	now := history[len(history)-1].at
-	if hosts < bounds.Min || hosts > bounds.Max || hosts == before {
-		t.Fatalf("ordered %d after %d", hosts, before)
+// randomCourse is what happened so far in a random test.
+type randomCourse struct {
+	history  []sample // demands
+	last     int      // number that was sent last, or that was listed at the start
+	sent     bool     // an order
+	accepted bool     // the last order that was sent
+	platform int      // the number in force
+}
+
+// send has an order accepted, or be in doubt and take effect or not, or not leave.
+func (c *randomCourse) send(t *rapid.T, p *Planner, hosts int) {
+	switch rapid.SampledFrom([]string{"accepted", "accepted", "lost", "lost answer", "not sent"}).Draw(t, "outcome") {
+	case "accepted":
+		p.Ordered(testSubject, hosts)
+		c.last, c.sent, c.accepted, c.platform = hosts, true, true, hosts
+	case "lost answer":
+		p.InDoubt(testSubject, hosts)
+		c.last, c.sent, c.accepted, c.platform = hosts, true, false, hosts
+	case "lost":
+		p.InDoubt(testSubject, hosts)
+		c.last, c.sent, c.accepted = hosts, true, false
+	}
+}
+
+// checkOrder checks an order against what happened so far.
+func (c *randomCourse) checkOrder(t *rapid.T, hosts int, bounds Demand) {
+	now := c.history[len(c.history)-1]
+	if hosts < bounds.Min || hosts > bounds.Max || hosts < now.hosts || c.accepted && hosts == c.last {
+		t.Fatalf("ordered %d after %d", hosts, c.last)
 	}
-	if hosts > before {
+	forBounds := c.sent && hosts == bounds.Max // lowered at once, since the number is above the maximum
+	if hosts >= c.last || forBounds {
 		return
 	}
-	if now-history[0].at < testParams.DownDelay {
-		t.Fatalf("lowered from %d to %d after %s", before, hosts, now-history[0].at)
+	if now.at-c.history[0].at < testParams.DownDelay {
+		t.Fatalf("lowered from %d to %d after %s", c.last, hosts, now.at-c.history[0].at)
 	}
-	for _, s := range history {
-		if s.at >= now-testParams.DownDelay && s.hosts > hosts {
-			t.Fatalf("lowered to %d, %s after a demand of %d", hosts, now-s.at, s.hosts)
+	for _, s := range c.history {
+		if s.at >= now.at-testParams.DownDelay && min(s.hosts, bounds.Max) > hosts {
+			t.Fatalf("lowered to %d, %s after a demand of %d", hosts, now.at-s.at, s.hosts)
 		}
 	}
 }
 
+// checkRest checks that no order is due.
+func (c *randomCourse) checkRest(t *rapid.T, bounds Demand) {
+	now := c.history[len(c.history)-1]
+	switch {
+	case !c.sent && now.at-c.history[0].at < testParams.DownDelay && c.last >= now.hosts:
+		return
+	case !c.accepted:
+		t.Fatalf("no order after %s, though %d is not accepted", now.at-c.history[0].at, c.last)
+	case c.platform != c.last || c.platform < now.hosts || c.platform > bounds.Max:
+		t.Fatalf("no order, though %d is in force and %d was ordered", c.platform, c.last)
+	}
+}
+
 func TestCheckParams(t *testing.T) {
 	if err := DefaultParams().Check(); err != nil {
 		t.Error(err)
