Order hosts by the newest committed configuration, told apart by index

Cause, found by review: the plan read the newest configuration entry, committed or not, and took two of the same version for one, so that the bounds of one that was dropped with its epoch could hold on. Change: the newest committed entry is read, and only while the commit index is known to be the tail's; it is compared by index; a new headship begins without a configuration.

Measured: TestBoundsAreOfTheNewestEntry and TestOnlyCommittedConfigCounts fail with the code of before, and pass.

--- a/internal/tier/controlnode/duty_scale.go
+++ b/internal/tier/controlnode/duty_scale.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"larchrouter/internal/rpc"
+	"larchrouter/internal/tier/chain"
 	"larchrouter/internal/tier/discovery"
 	"larchrouter/internal/tier/duty"
 	"larchrouter/internal/tier/feed"
@@ -33,7 +34,8 @@
 	mostFronts int                              // that have reported within knownSpan
 	plannedAt  time.Time                        // zero before the first plan
 	backoff    map[scaling.Subject]*callBackoff // of the platform's answers
-	config     *routing.Config                  // as last parsed
+	config     *routing.Config                  // as last parsed; nil before the first one
+	configAt   int64                            // index of its entry
 	fronts     int                              // that have reported lately, as last read
 	seen       []scaleSubject                   // as last planned, for operators
 }
@@ -44,6 +46,7 @@
 func (d *scaleDuty) begin() {
 	d.planner, d.mostFronts, d.plannedAt = scaling.NewPlanner(scaling.DefaultParams()), 0, time.Time{}
 	d.backoff = map[scaling.Subject]*callBackoff{}
+	d.config, d.configAt = nil, 0
 	d.fronts, d.seen = 0, nil
 }
 
@@ -93,21 +96,21 @@
 	return backoff
 }
 
-// parseConfig parses the value of the configuration, unless it is that of the last step.
-func (d *scaleDuty) parseConfig(value []byte) {
+// parseConfig parses the configuration of a committed entry, unless it is that of the last step.
+func (d *scaleDuty) parseConfig(committed chain.Entry) {
 	var entry feed.ConfigEntry
-	if len(value) == 0 || rpc.Decode(value, &entry) != nil || d.config != nil && d.config.Version == entry.Version {
+	if d.configAt == committed.Index || len(committed.Value) == 0 || rpc.Decode(committed.Value, &entry) != nil {
 		return
 	}
 	if config, err := routing.Parse(entry.Body); err == nil {
-		d.config = config
+		d.config, d.configAt = config, committed.Index
 	}
 }
 
 // demandQuery reads what the plan needs: the configuration, the hosts and the load.
 type demandQuery struct {
-	ok     bool // this node is the confirmed head and has a configuration
-	config []byte
+	ok     bool        // this node is the confirmed head and has a configuration
+	config chain.Entry // the newest committed one
 	hosts  []discovery.Host
 	loads  []usage.Load
 	fronts int // that have reported within evidenceSpan
@@ -116,16 +119,30 @@
 
 func (q *demandQuery) handle(s *Server) {
 	hosts := s.node.Hosts()
-	entry, known := s.node.Chain().LastEntry(feed.ConfigKey)
+	config, known := committedConfig(s.node.Chain())
 	if !s.node.IsConfirmedHead() || hosts == nil || !known {
 		return
 	}
 	collector := s.assumeUsageRole().collector
-	q.ok, q.config, q.hosts = true, entry.Value, hosts.Hosts
+	q.ok, q.config, q.hosts = true, config, hosts.Hosts
 	q.loads = collector.LoadSince(s.now() - loadSpan)
 	q.fronts, q.known = len(collector.FrontsSince(s.now()-evidenceSpan)), len(collector.FrontsSince(s.now()-knownSpan))
 }
 
+// committedConfig returns the entry of the newest committed configuration; ok is false if there is none, or if the commit index may be
+// behind what earlier heads have acknowledged.
+func committedConfig(c *chain.Chain) (entry chain.Entry, ok bool) {
+	if !c.CommitIsCurrent() {
+		return chain.Entry{}, false
+	}
+	for _, e := range slices.Backward(c.Committed(0)) {
+		if e.Key == feed.ConfigKey {
+			return e, true
+		}
+	}
+	return chain.Entry{}, false
+}
+
 // scaleSubject is a subject with its demand.
 type scaleSubject struct {
 	scaling.Subject
--- a/internal/tier/controlnode/duty_scale_test.go
+++ b/internal/tier/controlnode/duty_scale_test.go
@@ -1,13 +1,18 @@
 package controlnode
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"time"
 
 	"larchrouter/internal/process"
+	"larchrouter/internal/rpc"
+	"larchrouter/internal/tier/chain"
 	"larchrouter/internal/tier/duty"
+	"larchrouter/internal/tier/feed"
 	"larchrouter/internal/tier/scaling"
+	"larchrouter/internal/tier/view"
 )
 
 var scaleTestSubject = scaling.Subject{Service: "s", Zone: "a"}
@@ -34,3 +39,46 @@
 		}
 	}
 }
+
+// scalingConfig returns configuration 7 with a scaling of the service s; without one if most is 0.
+func scalingConfig(least, most int) []byte {
+	scaling := fmt.Sprintf(`,"scaling":{"min_count":%d,"max_count":%d}`, least, most)
+	if most == 0 {
+		scaling = ""
+	}
+	return rpc.Encode(&feed.ConfigEntry{Version: 7, Body: []byte(`{"config_version":7,"service_table":[{"name":"s"` + scaling +
+		`}],"route_table":[{"host_name":"h","path_prefix":"/p/","deadline_ms":5,"target_service":"s"}]}`)})
+}
+
+// Failure: of two configurations with the same version, of which the first was dropped with its epoch, the dropped one's bounds hold.
+func TestBoundsAreOfTheNewestEntry(t *testing.T) {
+	d := newTestScaleDuty()
+	for i, most := range []int{20, 4} {
+		d.parseConfig(chain.Entry{Index: int64(i + 1), Value: scalingConfig(1, most)})
+		if got := d.config.Services["s"].Scaling.Max; got != most {
+			t.Errorf("at most %d hosts, want %d", got, most)
+		}
+	}
+	if d.begin(); d.config != nil {
+		t.Error("a new headship has a configuration of the one before")
+	}
+}
+
+// Failure: hosts are ordered by a configuration that is not committed, and may be dropped.
+func TestOnlyCommittedConfigCounts(t *testing.T) {
+	c := chain.New("a", chain.State{ActivatedEpoch: 1, LastIndex: 3, Commit: 1, Entries: []chain.Entry{
+		{Index: 1, Key: feed.ConfigKey, Value: scalingConfig(1, 4)},
+		{Index: 2, Key: feed.ConfigKey, Value: scalingConfig(1, 20)},
+		{Index: 3, Key: feed.ConfigKey, Value: scalingConfig(1, 30)},
+	}})
+	c.Adopt(view.View{Epoch: 2, Chain: []view.ChainMember{{ID: "a"}, {ID: "b"}}})
+	if entry, ok := committedConfig(c); ok {
+		t.Errorf("entry %d, though the commit index on disk may be behind the tail's", entry.Index)
+	}
+	for _, commit := range []int64{2, 3} {
+		c.HandleAck("b", 1, chain.Ack{Epoch: 2, Active: true, LastIndex: 3, Commit: commit, CommitIsCurrent: true})
+		if entry, ok := committedConfig(c); !ok || entry.Index != commit {
+			t.Errorf("entry %d, %v, want %d", entry.Index, ok, commit)
+		}
+	}
+}
