Keep zones without listed hosts as subjects of orders

Cause, found by review: a zone whose hosts had all gone from the list was no subject any more, so no host was ordered there again; with a min_count of 0 the tier itself could bring that about. Change: subjects that were listed in this headship stay as long as the service has a scaling; at least 1 host is ordered.

Measured: TestZoneWithoutListedHostsStaysSubject fails with the code of before, and passes. TestSubjectsGoWithScalingAndHeadship passes before as after; it fails if subjects are not dropped with the scaling, and if they outlast the headship.

--- a/internal/tier/controlnode/duty_scale.go
+++ b/internal/tier/controlnode/duty_scale.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +25,7 @@
 	knownSpan         = 20 * time.Second
 	evidenceDivisor   = 2 // of the fronts that have reported within knownSpan, one in so many has to have reported lately
 	defaultHostSlots  = 1 // of a host that lists no capacity
+	minOrderedHosts   = 1 // a zone without hosts shows no demand for any
 	scaleCallsPerStep = 8 // so that a step takes a bounded time
 )
 
@@ -37,6 +39,7 @@
 	config     *routing.Config                  // as last parsed; nil before the first one
 	configAt   int64                            // index of its entry
 	fronts     int                              // that have reported lately, as last read
+	hostSlots  map[scaling.Subject]int          // of a host as listed last, of all subjects of this headship
 	seen       []scaleSubject                   // as last planned, for operators
 }
 
@@ -46,6 +49,7 @@
 func (d *scaleDuty) begin() {
 	d.planner, d.mostFronts, d.plannedAt = scaling.NewPlanner(scaling.DefaultParams()), 0, time.Time{}
 	d.backoff = map[scaling.Subject]*callBackoff{}
+	d.hostSlots = map[scaling.Subject]int{}
 	d.config, d.configAt = nil, 0
 	d.fronts, d.seen = 0, nil
 }
@@ -150,25 +154,19 @@
 }
 
 // subjects returns the subjects with their demands, sorted: each service that is to be scaled, in each zone in which hosts of it
-// are listed.
+// are listed, or were listed in this headship.
 func (d *scaleDuty) subjects(query *demandQuery) (subjects []scaleSubject) {
 	if d.config == nil {
 		return nil
 	}
+	d.noteHostSlots(query.hosts)
 	demands := map[scaling.Subject]*scaling.Demand{}
+	for subject, slots := range d.hostSlots {
+		bounds := d.config.Services[subject.Service].Scaling
+		demands[subject] = &scaling.Demand{Min: max(bounds.Min, minOrderedHosts), Max: bounds.Max, Slots: slots}
+	}
 	for _, host := range query.hosts {
-		bounds := d.config.Services[host.Service].Scaling
-		if bounds.Max == 0 {
-			continue
-		}
-		subject := scaling.Subject{Service: host.Service, Zone: host.Zone}
-		demand := demands[subject]
-		if demand == nil {
-			demand = &scaling.Demand{Min: bounds.Min, Max: bounds.Max, Slots: defaultHostSlots}
-			demands[subject] = demand
-		}
-		demand.Slots = max(demand.Slots, host.Capacity)
-		if host.Serving() {
+		if demand := demands[subjectOf(host)]; demand != nil && host.Serving() {
 			demand.Hosts++
 		}
 	}
@@ -186,6 +184,24 @@
 	return subjects
 }
 
+// noteHostSlots notes the slots of listed hosts. Subjects without listed hosts stay, those of services that are not to be scaled go.
+func (d *scaleDuty) noteHostSlots(hosts []discovery.Host) {
+	listed := map[scaling.Subject]int{}
+	for _, host := range hosts {
+		subject := subjectOf(host)
+		listed[subject] = max(listed[subject], host.Capacity, defaultHostSlots)
+	}
+	maps.Copy(d.hostSlots, listed)
+	maps.DeleteFunc(d.hostSlots, func(subject scaling.Subject, _ int) bool {
+		return d.config.Services[subject.Service].Scaling.Max == 0
+	})
+}
+
+// subjectOf returns the subject of a host.
+func subjectOf(host discovery.Host) scaling.Subject {
+	return scaling.Subject{Service: host.Service, Zone: host.Zone}
+}
+
 // scaleBody is the body of the call, with the names of the platform's page.
 type scaleBody struct {
 	Service string `json:"target_service"`
--- a/internal/tier/controlnode/duty_scale_test.go
+++ b/internal/tier/controlnode/duty_scale_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
 	"larchrouter/internal/tier/chain"
+	"larchrouter/internal/tier/discovery"
 	"larchrouter/internal/tier/duty"
 	"larchrouter/internal/tier/feed"
 	"larchrouter/internal/tier/scaling"
@@ -82,3 +84,40 @@
 		}
 	}
 }
+
+// Failure: no host is ordered any more in a zone whose hosts have all gone from the list.
+func TestZoneWithoutListedHostsStaysSubject(t *testing.T) {
+	d := newTestScaleDuty()
+	d.parseConfig(chain.Entry{Index: 1, Value: scalingConfig(0, 20)})
+	inA, inB := discovery.Host{Service: "s", Zone: "a", Capacity: 4, Phase: discovery.Ready}, discovery.Host{Service: "s", Zone: "b", Capacity: 2}
+	d.subjects(&demandQuery{hosts: []discovery.Host{inA, inB}})
+	want := []scaleSubject{
+		{scaling.Subject{Service: "s", Zone: "a"}, scaling.Demand{Min: 1, Max: 20, Hosts: 1, Slots: 4}},
+		{scaling.Subject{Service: "s", Zone: "b"}, scaling.Demand{Min: 1, Max: 20, Slots: 2}},
+	}
+	if got := d.subjects(&demandQuery{hosts: []discovery.Host{inA}}); !slices.Equal(got, want) {
+		t.Errorf("subjects %+v, want %+v", got, want)
+	}
+}
+
+// Failure: hosts are ordered for a service that has no scaling any more, or by a holder for zones that only an earlier one saw.
+func TestSubjectsGoWithScalingAndHeadship(t *testing.T) {
+	d := newTestScaleDuty()
+	config := chain.Entry{Index: 1, Value: scalingConfig(1, 20)}
+	listed := &demandQuery{hosts: []discovery.Host{{Service: "s", Zone: "a"}}}
+	d.parseConfig(config)
+	if got := d.subjects(listed); len(got) != 1 {
+		t.Fatalf("subjects %+v", got)
+	}
+	d.parseConfig(chain.Entry{Index: 2, Value: scalingConfig(0, 0)})
+	if got := d.subjects(listed); len(got) != 0 {
+		t.Errorf("subjects %+v without a scaling", got)
+	}
+	d.parseConfig(chain.Entry{Index: 3, Value: config.Value})
+	d.subjects(listed)
+	d.begin()
+	d.parseConfig(config)
+	if got := d.subjects(&demandQuery{}); len(got) != 0 {
+		t.Errorf("subjects %+v of an earlier headship", got)
+	}
+}
