Count calls to the platform by identity, and note starts, ends and refusals for certain

Cause: runOnLoop returns false also for a request that was handled, where the disk is found full after that. post took that for "not handled": a call whose start was counted then never ended, and the node had no lease ever again. endDutyCall repeated an end that was handled, and the counter fell twice. The result for a refusal was ignored: if it was rejected, the node went on to act.

Change: a call is a value with an identity (lease.Call) in a set, so that its start and end count once; post ends a call whatever became of the request for its start; ends and refusals are repeated until the loop has synced them (repeatOnLoop).

--- a/internal/tier/controlnode/duty_lease.go
+++ b/internal/tier/controlnode/duty_lease.go
@@ -119,31 +119,32 @@
 
 // dutyCallRequest notes that a call to the platform begins, if the grant under which it was decided is still in force.
 type dutyCallRequest struct {
-	epoch int64
-	grant lease.Grant
-	held  bool
+	call *lease.Call
+	held bool
 }
 
 func (r *dutyCallRequest) handle(s *Server) {
-	if r.grant, r.held = s.lease.Grant(s.now()); r.held && r.grant.Epoch == r.epoch {
-		s.lease.CallStarted(r.grant)
-		return
+	grant, held := s.lease.Grant(s.now())
+	if r.held = held && grant.Epoch == r.call.Epoch; r.held {
+		s.lease.CallStarted(r.call)
 	}
-	r.held = false
 }
 
-// endDutyCall notes the end of a call, which the lease must not miss: it tries again while the event loop takes no requests, as the
-// disk is full.
-func (s *Server) endDutyCall(grant lease.Grant) {
-	for !s.runOnLoop(&dutyCallEndedRequest{grant: grant}) && s.ctx.Err() == nil {
-		s.sleep(retryInterval)
-	}
-}
+// endDutyCall notes the end of a call, if the lease has noted its start.
+func (s *Server) endDutyCall(call *lease.Call) { s.repeatOnLoop(&dutyCallEndedRequest{call: call}) }
 
-// dutyCallEndedRequest notes that a call under a grant has ended, so that it cannot leave this node any more.
-type dutyCallEndedRequest struct{ grant lease.Grant }
+// dutyCallEndedRequest notes that a call has ended, so that it cannot leave this node any more.
+type dutyCallEndedRequest struct{ call *lease.Call }
 
 func (r *dutyCallEndedRequest) handle(s *Server) {
-	s.lease.CallEnded(s.now(), r.grant)
+	s.lease.CallEnded(s.now(), r.call)
 	s.publishGrant(s.now())
 }
+
+// repeatOnLoop has the event loop handle a request that the lease must not miss: it repeats the request while the disk is full, until
+// the server stops. The request may be handled more than once.
+func (s *Server) repeatOnLoop(request loopRequest) {
+	for !s.runOnLoop(request) && s.ctx.Err() == nil {
+		s.sleep(retryInterval)
+	}
+}
--- /dev/null
+++ b/internal/tier/controlnode/duty_lease_test.go
@@ -0,0 +1,142 @@
+package controlnode
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"larchrouter/internal/process"
+	"larchrouter/internal/tier/duty"
+	"larchrouter/internal/tier/lease"
+)
+
+// Terms of the lease in the tests of a loop without a node.
+const (
+	loopTestTerm     = 10 * time.Millisecond
+	loopTestTakeover = 4 * loopTestTerm // longer than Takeover
+)
+
+// loopBatch is what becomes of a batch with one request.
+type loopBatch int
+
+const (
+	handled            loopBatch = iota // and synced
+	handledWithoutRoom                  // the disk was full after the request was handled
+	rejected                            // the disk was full before
+)
+
+// leaseLoop is a server with a lease and a loop that handles requests, but without a node. What becomes of its first batches is given;
+// those after them are handled.
+type leaseLoop struct {
+	*Server
+	done chan struct{} // closed when the loop has ended; the lease belongs to the test from then on
+}
+
+// newLeaseLoop returns a server that holds the lease of epoch 1.
+func newLeaseLoop(t *testing.T, batches ...loopBatch) *leaseLoop {
+	s := &Server{startedAt: time.Now().Add(-time.Hour), requests: make(chan queuedRequest), log: process.NewLogger(io.Discard)}
+	s.ctx, s.stop = context.WithCancel(t.Context())
+	s.lease = lease.New(lease.Params{Term: loopTestTerm, MaxDrift: lease.DefaultMaxDrift}, 0)
+	s.lease.Observe(0, confirmedHead(1))
+	s.publishGrant(s.now())
+	l := &leaseLoop{Server: s, done: make(chan struct{})}
+	go l.run(batches)
+	t.Cleanup(l.end)
+	return l
+}
+
+// confirmedHead is the observation of a head that is confirmed for as long as a test runs.
+func confirmedHead(epoch int64) lease.Observation {
+	return lease.Observation{Epoch: epoch, IsHead: true, Active: true, HasConfirmed: true, ConfirmedAt: 10 * time.Hour}
+}
+
+// run handles requests, each in a batch of its own.
+func (l *leaseLoop) run(batches []loopBatch) {
+	defer close(l.done)
+	for {
+		select {
+		case q := <-l.requests:
+			batch := handled
+			if len(batches) > 0 {
+				batch, batches = batches[0], batches[1:]
+			}
+			if batch != rejected {
+				q.request.handle(l.Server)
+			}
+			q.synced <- batch == handled
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// end stops the loop.
+func (l *leaseLoop) end() {
+	l.stop()
+	<-l.done
+}
+
+// regains reports whether this node gets a grant after it has lost the lease and has waited.
+func (l *leaseLoop) regains() bool {
+	l.end()
+	l.lease.Observe(l.now(), lease.Observation{Epoch: 2})
+	l.lease.Observe(l.now(), confirmedHead(3))
+	time.Sleep(loopTestTakeover)
+	_, held := l.lease.Grant(l.now())
+	return held
+}
+
+// Guards against a node without a lease for ever: the start of a call was noted in a batch that met a full disk, and its end never.
+func TestCallThatWasNotMadeEnds(t *testing.T) {
+	for name, batches := range map[string][]loopBatch{
+		"start handled without room":         {handledWithoutRoom},
+		"start and end handled without room": {handledWithoutRoom, handledWithoutRoom},
+		"start handled, end rejected":        {handledWithoutRoom, rejected},
+		"start rejected":                     {rejected},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLeaseLoop(t, batches...)
+			d := &dutyRunner{server: l.Server, tokenBase: 1}
+			if outcome, _ := d.post(&dutyGrant{epoch: 1}, usagePath, nil); outcome != duty.NotSent {
+				t.Fatalf("the outcome is %v", outcome)
+			}
+			if !l.regains() {
+				t.Error("no grant after the wait, though no call is in flight")
+			}
+		})
+	}
+}
+
+// Guards against an end that is noted twice, in a batch that met a full disk and after it: another call was taken for ended.
+func TestEndOfCallCountsOnce(t *testing.T) {
+	l := newLeaseLoop(t, handledWithoutRoom, rejected)
+	call, other := &lease.Call{Epoch: 1}, &lease.Call{Epoch: 1}
+	l.lease.CallStarted(call)
+	l.lease.CallStarted(other)
+	l.endDutyCall(call)
+	if l.regains() {
+		t.Error("a grant while a call of the lost headship is in flight")
+	}
+}
+
+// Guards against a refusal that is forgotten, as the event loop rejected its request: the node went on to act in its epoch.
+func TestRefusalIsNotForgottenWhereDiskIsFull(t *testing.T) {
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) }))
+	defer platform.Close()
+	l := newLeaseLoop(t, handled, rejected)
+	d := &dutyRunner{server: l.Server, tokenBase: 1}
+	d.client = duty.NewClient(strings.TrimPrefix(platform.URL, "http://"), "core-1", func(int64) bool { return true })
+	defer d.client.Close()
+	outcome, err := d.post(&dutyGrant{epoch: 1}, usagePath, []byte("{}"))
+	if outcome != duty.Refused {
+		t.Fatalf("the outcome is %v, %v", outcome, err)
+	}
+	l.end()
+	if grant, held := l.lease.Grant(l.now()); held {
+		t.Errorf("the node has a grant %+v after the platform has refused its token", grant)
+	}
+}
--- a/internal/tier/controlnode/duty_role.go
+++ b/internal/tier/controlnode/duty_role.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"larchrouter/internal/tier/duty"
+	"larchrouter/internal/tier/lease"
 	"larchrouter/internal/tier/orders"
 )
 
@@ -122,14 +123,15 @@
 
 // post makes a call under a grant. It steps down if the platform has seen a higher token.
 func (d *dutyRunner) post(grant *dutyGrant, path string, body []byte) (duty.Outcome, error) {
-	call := &dutyCallRequest{epoch: grant.epoch}
-	if !d.server.runOnLoop(call) {
+	start := &dutyCallRequest{call: &lease.Call{Epoch: grant.epoch}}
+	if !d.server.runOnLoop(start) {
+		d.server.endDutyCall(start.call) // its start may have been noted before the disk was found full
 		return duty.NotSent, errStopping
 	}
-	if !call.held {
+	if !start.held {
 		return duty.NotSent, errLeaseLost
 	}
-	defer d.server.endDutyCall(call.grant)
+	defer d.server.endDutyCall(start.call)
 	ctx, cancel := context.WithTimeout(d.server.ctx, dutyCallTimeout)
 	defer cancel()
 	startedAt := time.Now()
@@ -142,7 +144,7 @@
 	if outcome == duty.Refused {
 		d.server.log.Error("the platform has seen a higher fencing token; this node does not act in this epoch any more",
 			"epoch", grant.epoch, "token", d.token(grant))
-		d.server.runOnLoop(&leaseRefusedRequest{epoch: grant.epoch})
+		d.server.repeatOnLoop(&leaseRefusedRequest{epoch: grant.epoch})
 	}
 	return outcome, err
 }
--- a/internal/tier/controlnode/loop_requests.go
+++ b/internal/tier/controlnode/loop_requests.go
@@ -30,7 +30,7 @@
 
 // runOnLoop has the event loop handle a request, and waits until the batch of the request is on disk: the
 // caller may then report what the request has read. It returns false if the server stops or its disk is full; the
-// request may run later then, and its results must not be used.
+// request may have run then, or may run later, and its results must not be used.
 func (s *Server) runOnLoop(request loopRequest) bool {
 	synced := make(chan bool, 1)
 	select {
--- a/internal/tier/lease/lease.go
+++ b/internal/tier/lease/lease.go
@@ -44,6 +44,12 @@
 	Until time.Duration // by this node's clock; not after it
 }
 
+// Call is a call under a grant. Its address is its identity, so that its start and its end count once, however often they are
+// noted.
+type Call struct {
+	Epoch int64 // of the grant
+}
+
 // headship is an unbroken run of epochs with this node as the head.
 type headship struct {
 	firstEpoch int64
@@ -64,8 +70,7 @@
 	lostAt  time.Duration // when the last headship ended, or the last call of one that had ended
 	hadHead bool          // there was an earlier headship
 
-	calls     int // in flight, of the present headship
-	lateCalls int // in flight, of headships that have ended
+	inFlight map[*Call]struct{}
 
 	received *receivedRelease // for this headship
 	early    *receivedRelease // of an epoch after which this node may become the head; it came before the view
@@ -80,7 +85,7 @@
 
 // New returns the lease of a node that starts now and knows no view.
 func New(params Params, now time.Duration) *Lease {
-	return &Lease{params: params, startedAt: now}
+	return &Lease{params: params, startedAt: now, inFlight: map[*Call]struct{}{}}
 }
 
 // Observe takes a new observation. It returns the release to send to the head of the view, if this node was the head of the
@@ -106,7 +111,6 @@
 		release = Release{Epoch: l.epoch, Wait: max(0, l.mayActFrom()-now)}
 		ok = !o.IsHead
 		l.headship, l.lostAt, l.hadHead = nil, now, true
-		l.lateCalls, l.calls = l.lateCalls+l.calls, 0
 	}
 	l.epoch, l.until = o.Epoch, 0
 	if !o.IsHead {
@@ -171,30 +175,36 @@
 func (l *Lease) Refused(epoch int64) { l.refused = max(l.refused, epoch) }
 
 // CallStarted notes that a call begins under a grant. CallEnded has to follow.
-func (l *Lease) CallStarted(g Grant) {
-	if l.isCurrent(g) {
-		l.calls++
-	} else {
-		l.lateCalls++
-	}
-}
+func (l *Lease) CallStarted(c *Call) { l.inFlight[c] = struct{}{} }
 
-// CallEnded notes that a call under a grant was answered or given up, so that it cannot leave this node any more.
-func (l *Lease) CallEnded(now time.Duration, g Grant) {
-	if l.isCurrent(g) {
-		l.calls--
+// CallEnded notes that a call was answered or given up, so that it cannot leave this node any more. It does nothing for a call
+// that is not in flight: one that was never noted, or whose end was noted before.
+func (l *Lease) CallEnded(now time.Duration, c *Call) {
+	if _, ok := l.inFlight[c]; !ok {
 		return
 	}
-	l.lateCalls--
-	l.lostAt = max(l.lostAt, now)
+	delete(l.inFlight, c)
+	if l.isLate(c) {
+		l.lostAt = max(l.lostAt, now)
+	}
 }
 
-// isCurrent reports whether a grant is one of the present headship.
-func (l *Lease) isCurrent(g Grant) bool { return l.headship != nil && g.Epoch >= l.headship.firstEpoch }
+// isLate reports whether a call was begun in a headship that has ended.
+func (l *Lease) isLate(c *Call) bool { return l.headship == nil || c.Epoch < l.headship.firstEpoch }
+
+// hasLateCalls reports whether a call of a headship that has ended is in flight.
+func (l *Lease) hasLateCalls() bool {
+	for c := range l.inFlight {
+		if l.isLate(c) {
+			return true
+		}
+	}
+	return false
+}
 
 // Grant returns the right to act that this node has now, if it has one.
 func (l *Lease) Grant(now time.Duration) (g Grant, ok bool) {
-	if l.headship == nil || !l.active || l.lateCalls > 0 || l.refused >= l.epoch || now < l.mayActFrom() || now >= l.until {
+	if l.headship == nil || !l.active || l.hasLateCalls() || l.refused >= l.epoch || now < l.mayActFrom() || now >= l.until {
 		return Grant{}, false
 	}
 	return Grant{Epoch: l.epoch, Until: l.until}, true
--- a/internal/tier/lease/lease_test.go
+++ b/internal/tier/lease/lease_test.go
@@ -190,14 +190,15 @@
 	l.Observe(0, head(1, 0))
 	l.Observe(10*second, head(1, 10*second))
 	g, _ := l.Grant(10 * second)
-	l.CallStarted(g)
-	l.CallStarted(g)
-	l.CallEnded(10*second, g)
+	call, answered := &Call{Epoch: g.Epoch}, &Call{Epoch: g.Epoch}
+	l.CallStarted(call)
+	l.CallStarted(answered)
+	l.CallEnded(10*second, answered)
 	l.Observe(10*second, Observation{Epoch: 2})
 	l.Observe(15*second, head(3, 15*second))
 	l.HandleRelease(15*second, Release{Epoch: 2})
 	wantGrant(t, l, 15*second, 0) // the call is in flight
-	l.CallEnded(16*second, g)
+	l.CallEnded(16*second, call)
 	at := 16*second + testParams.Takeover()
 	l.Observe(at, head(3, at))
 	wantGrant(t, l, at-1, 0)
@@ -209,10 +210,11 @@
 	l.Observe(0, head(1, 0))
 	l.Observe(10*second, head(1, 10*second))
 	g, _ := l.Grant(10 * second)
-	l.CallStarted(g)
+	call := &Call{Epoch: g.Epoch}
+	l.CallStarted(call)
 	l.Observe(10*second, head(2, 10*second))
 	wantGrant(t, l, 10*second, 2)
-	l.CallEnded(11*second, g)
+	l.CallEnded(11*second, call)
 	wantGrant(t, l, 11*second, 2)
 }
 
@@ -222,13 +224,38 @@
 	l.Observe(10*second, head(1, 10*second))
 	g, _ := l.Grant(10 * second)
 	l.Observe(10*second, Observation{Epoch: 2})
-	l.CallStarted(g)
+	call := &Call{Epoch: g.Epoch}
+	l.CallStarted(call)
 	l.Observe(15*second, head(3, 15*second))
 	l.HandleRelease(15*second, Release{Epoch: 2})
 	wantGrant(t, l, 15*second, 0)
-	l.CallEnded(15*second, g)
+	l.CallEnded(15*second, call)
 	at := 15*second + testParams.Takeover()
 	l.Observe(at, head(3, at))
 	wantGrant(t, l, at-1, 0)
 	wantGrant(t, l, at, 3)
 }
+
+// Guards against a start or an end that is noted twice, as where the disk was full: another call was taken for ended, or one that
+// had ended for one in flight.
+func TestCallsCountOnceHoweverOftenTheyAreNoted(t *testing.T) {
+	l := New(testParams, 0)
+	l.Observe(0, head(1, 0))
+	l.Observe(10*second, head(1, 10*second))
+	call, other := &Call{Epoch: 1}, &Call{Epoch: 1}
+	l.CallStarted(call)
+	l.CallStarted(call)
+	l.CallStarted(other)
+	l.Observe(10*second, Observation{Epoch: 2})
+	l.CallEnded(11*second, call)
+	l.CallEnded(12*second, call)
+	l.Observe(20*second, head(3, 20*second))
+	l.HandleRelease(20*second, Release{Epoch: 2})
+	wantGrant(t, l, 20*second, 0) // the other call is in flight
+	l.CallEnded(21*second, other)
+	l.CallEnded(23*second, call)
+	at := 21*second + testParams.Takeover()
+	l.Observe(at, head(3, at))
+	wantGrant(t, l, at-1, 0)
+	wantGrant(t, l, at, 3)
+}
--- a/internal/tier/lease/model_platform_test.go
+++ b/internal/tier/lease/model_platform_test.go
@@ -8,7 +8,7 @@
 // call is a call of a holder to the platform.
 type call struct {
 	holder      *node // the machine: one machine makes one holder
-	grant       Grant
+	lease       *Call
 	token       int64 // 0 for none
 	subject     string
 	sentAt      time.Duration
@@ -45,8 +45,9 @@
 	stale := now != n.clockNow()
 	subject := subjects[n.sim.rng.IntN(len(subjects))]
 	checkedAt := n.sim.now
+	noted := &Call{Epoch: grant.Epoch}
 	if n.sim.fault != lateCallsIgnored {
-		n.lease.CallStarted(grant)
+		n.lease.CallStarted(noted)
 	}
 	if n.sim.oneIn(40, freezes) {
 		n.freeze(n.sim.between(time.Millisecond, 6*time.Second))
@@ -57,7 +58,7 @@
 	}
 	n.sim.schedule(wait, n, n.incarnation, func() {
 		n.call(call{
-			holder: n, grant: grant, token: n.token(grant.Epoch), subject: subject,
+			holder: n, lease: noted, token: n.token(grant.Epoch), subject: subject,
 			stoodStill: stale || n.sim.now > checkedAt,
 		})
 	})
@@ -99,12 +100,12 @@
 		return
 	}
 	sim.stats.refused++
-	sim.schedule(sim.between(10*time.Microsecond, 5*time.Millisecond), n, c.incarnation, func() { n.lease.Refused(c.grant.Epoch) })
+	sim.schedule(sim.between(10*time.Microsecond, 5*time.Millisecond), n, c.incarnation, func() { n.lease.Refused(c.lease.Epoch) })
 }
 
 func (n *node) endCall(c call) {
 	if n.sim.fault != lateCallsIgnored {
-		n.lease.CallEnded(n.clock(), c.grant)
+		n.lease.CallEnded(n.clock(), c.lease)
 	}
 }
 
