Send a release of the lease once no call of its sender is in flight

Cause: a release let the next head act at once while a call of the former one was in flight; the platform could accept that call after the next head had acted on another subject (A, B, A across subjects).

Change: Lease.Observe returns the release once the last call has ended, and drops it if the epoch moves on first. A head that could not act for a call of an earlier headship releases nothing. The model checks that no unanswered call is accepted after its sender's release has passed the lease on ("early release"); planted fault releaseDuringCalls.

--- a/internal/tier/lease/doc.go
+++ b/internal/tier/lease/doc.go
@@ -16,7 +16,9 @@
 // # Release
 //
 // A holder that learns of a view with another head stops at once and sends a Release to that head, which then need not
-// wait. The release passes on what its sender itself still had to wait for. It may come before the view does.
+// wait. The release passes on what its sender itself still had to wait for. It may come before the view does. It is sent once no
+// call of its sender is in flight: the platform could accept such a call after the next head has acted on another subject. If the
+// view changes before that, it is not sent, and the head waits for Takeover.
 //
 // # What a node waits for on its own account
 //
--- a/internal/tier/lease/lease.go
+++ b/internal/tier/lease/lease.go
@@ -71,6 +71,7 @@
 	hadHead bool          // there was an earlier headship
 
 	inFlight map[*Call]struct{}
+	unsent   *unsentRelease // waits for the calls of the headship that it releases; nil for none
 
 	received *receivedRelease // for this headship
 	early    *receivedRelease // of an epoch after which this node may become the head; it came before the view
@@ -83,46 +84,61 @@
 	endsAt time.Duration // when what its sender waited for is over
 }
 
+// unsentRelease is a release of a headship whose calls are in flight.
+type unsentRelease struct {
+	epoch      int64
+	mayActFrom time.Duration // when what this node itself waited for is over
+}
+
 // New returns the lease of a node that starts now and knows no view.
 func New(params Params, now time.Duration) *Lease {
 	return &Lease{params: params, startedAt: now, inFlight: map[*Call]struct{}{}}
 }
 
 // Observe takes a new observation. It returns the release to send to the head of the view, if this node was the head of the
-// view before.
+// view before and none of its calls is in flight any more: at once, or at the first observation after they have ended.
 func (l *Lease) Observe(now time.Duration, o Observation) (release Release, ok bool) {
 	if o.Epoch < l.epoch {
 		return Release{}, false
 	}
 	if o.Epoch > l.epoch {
-		release, ok = l.enterEpoch(now, o)
+		l.enterEpoch(now, o)
 	}
 	l.active = o.IsHead && o.Active
 	if o.IsHead && o.HasConfirmed {
 		l.until = max(l.until, o.ConfirmedAt+l.params.Term)
 	}
-	return release, ok
+	return l.takeRelease(now)
 }
 
 // enterEpoch adopts a newer epoch.
-func (l *Lease) enterEpoch(now time.Duration, o Observation) (release Release, ok bool) {
+func (l *Lease) enterEpoch(now time.Duration, o Observation) {
 	consecutive := o.Epoch == l.epoch+1
+	l.unsent = nil
 	if l.headship != nil && !(consecutive && o.IsHead) {
-		release = Release{Epoch: l.epoch, Wait: max(0, l.mayActFrom()-now)}
-		ok = !o.IsHead
+		// A head that could not act for a call of a headship before has nothing to release.
+		if !o.IsHead && !l.hasLateCalls() {
+			l.unsent = &unsentRelease{epoch: l.epoch, mayActFrom: l.mayActFrom()}
+		}
 		l.headship, l.lostAt, l.hadHead = nil, now, true
 	}
 	l.epoch, l.until = o.Epoch, 0
-	if !o.IsHead {
-		return release, ok
-	}
-	if l.headship == nil {
+	if o.IsHead && l.headship == nil {
 		l.headship, l.received = &headship{firstEpoch: o.Epoch, since: now}, nil
 		if l.early != nil && l.early.epoch == o.Epoch-1 {
 			l.received = l.early
 		}
 	}
-	return release, ok
+}
+
+// takeRelease returns the release that waits for calls, if they have ended.
+func (l *Lease) takeRelease(now time.Duration) (release Release, ok bool) {
+	unsent := l.unsent
+	if unsent == nil || l.hasLateCalls() {
+		return Release{}, false
+	}
+	l.unsent = nil
+	return Release{Epoch: unsent.epoch, Wait: max(0, unsent.mayActFrom-now)}, true
 }
 
 // HandleRelease takes a release of the head of the epoch before this node's headship. It may come before this node has adopted
--- a/internal/tier/lease/lease_test.go
+++ b/internal/tier/lease/lease_test.go
@@ -259,3 +259,70 @@
 	wantGrant(t, l, at-1, 0)
 	wantGrant(t, l, at, 3)
 }
+
+// Guards against holders in the order A, B, A across subjects: a release that left while a call was in flight let the next head act
+// before the platform had accepted that call.
+func TestReleaseWaitsForCallsInFlight(t *testing.T) {
+	old, call, other := callingHead(t)
+	if release, ok := old.Observe(10*second, Observation{Epoch: 2}); ok {
+		t.Fatalf("released %+v with two calls in flight", release)
+	}
+	old.CallEnded(11*second, call)
+	if release, ok := old.Observe(11*second, Observation{Epoch: 2}); ok {
+		t.Fatalf("released %+v with a call in flight", release)
+	}
+	old.CallEnded(12*second, other)
+	release, ok := old.Observe(12*second, Observation{Epoch: 2})
+	if !ok || release != (Release{Epoch: 1}) {
+		t.Fatalf("released %+v, %v after the calls", release, ok)
+	}
+	if release, ok := old.Observe(13*second, Observation{Epoch: 2}); ok {
+		t.Errorf("released %+v again", release)
+	}
+}
+
+// Guards against a release to a head that does not follow the headship that is released.
+func TestReleaseIsDroppedOnceTheEpochMovesOn(t *testing.T) {
+	for name, next := range map[string]Observation{
+		"another head": {Epoch: 3},
+		"this node":    head(3, 11*second),
+	} {
+		t.Run(name, func(t *testing.T) {
+			old, call, other := callingHead(t)
+			old.Observe(10*second, Observation{Epoch: 2})
+			old.Observe(11*second, next)
+			old.CallEnded(12*second, call)
+			old.CallEnded(12*second, other)
+			if release, ok := old.Observe(12*second, next); ok {
+				t.Errorf("released %+v to the head of epoch 3", release)
+			}
+		})
+	}
+}
+
+// Guards against a short headship that releases while, or soon after, a call of an earlier one is in flight.
+func TestHeadThatWaitsForCallsReleasesNothing(t *testing.T) {
+	old, call, other := callingHead(t)
+	old.Observe(10*second, Observation{Epoch: 2})
+	old.Observe(11*second, head(3, 11*second))
+	old.Observe(12*second, Observation{Epoch: 4})
+	old.CallEnded(13*second, call)
+	old.CallEnded(13*second, other)
+	if release, ok := old.Observe(13*second, Observation{Epoch: 4}); ok {
+		t.Errorf("released %+v", release)
+	}
+}
+
+// callingHead returns the head of epoch 1, which has two calls in flight at 10 s.
+func callingHead(t *testing.T) (l *Lease, first, second *Call) {
+	t.Helper()
+	const at = 10 * time.Second
+	l = New(testParams, 0)
+	l.Observe(0, head(1, 0))
+	l.Observe(at, head(1, at))
+	wantGrant(t, l, at, 1)
+	first, second = &Call{Epoch: 1}, &Call{Epoch: 1}
+	l.CallStarted(first)
+	l.CallStarted(second)
+	return l, first, second
+}
--- a/internal/tier/lease/model_check_test.go
+++ b/internal/tier/lease/model_check_test.go
@@ -53,8 +53,32 @@
 	}
 }
 
-// accepted checks a call when the platform accepts it. Rule ONE on the order of holders needs a platform that checks fences.
+// afterRelease checks that a call of a holder is not accepted after it has released the lease to another one that has it: that one
+// may have acted, on another subject, and the fence is no help. A call that was given up, or whose process was killed, may come at any
+// time.
+func (c *checks) afterRelease(accepted call) {
+	if !accepted.holder.unanswered[accepted.lease] {
+		return
+	}
+	for _, n := range c.sim.nodes {
+		if n.holds() && n.heldByReleaseOf(accepted.holder) {
+			c.sim.fail("early release: %s of %s is accepted after its release has passed the lease on to %s", accepted.subject,
+				accepted.holder, n)
+		}
+	}
+}
+
+// heldByReleaseOf reports whether a node that has a grant would still wait but for a release of another one.
+func (n *node) heldByReleaseOf(other *node) bool {
+	l := n.lease
+	return l.received != nil && n.clockNow() < l.headship.since+l.params.Takeover() &&
+		n.sim.decided[l.received.epoch].head == other.id
+}
+
+// accepted checks a call when the platform accepts it. Rule ONE on the order of holders of one subject needs a platform that checks
+// fences.
 func (c *checks) accepted(accepted call) {
+	c.afterRelease(accepted)
 	if !c.sim.platform.fenceChecks {
 		return
 	}
--- a/internal/tier/lease/model_faults_test.go
+++ b/internal/tier/lease/model_faults_test.go
@@ -25,6 +25,7 @@
 	echoOtherEpoch        fault = "echoes of another epoch count"
 	releaseBeforeAdoption fault = "a release that comes before the view is lost"
 	lateCallsIgnored      fault = "calls that end after the lease was lost do not count"
+	releaseDuringCalls    fault = "a release does not wait for calls in flight"
 )
 
 // underFault returns the parameters of a lease under a planted fault.
@@ -55,6 +56,11 @@
 		release.Wait = 0
 	case leaseReturnedAtOnce:
 		l.hadHead = false
+	case releaseDuringCalls:
+		if unsent := l.unsent; unsent != nil {
+			l.unsent = nil
+			return Release{Epoch: unsent.epoch, Wait: max(0, unsent.mayActFrom-now)}, true
+		}
 	}
 	return release, ok
 }
@@ -76,6 +82,7 @@
 		adoptionIgnored:       "two holders",
 		echoAfterPromise:      "two holders",
 		lateCallsIgnored:      "A, B, A",
+		releaseDuringCalls:    "early release",
 		echoOtherEpoch:        "two holders",
 		releaseBeforeAdoption: "liveness",
 	} {
--- a/internal/tier/lease/model_node_test.go
+++ b/internal/tier/lease/model_node_test.go
@@ -22,6 +22,7 @@
 	readClock   time.Duration // what was read for the present event before a freeze; 0 if it is read anew
 
 	lease        *Lease
+	unanswered   map[*Call]bool // calls of this process that were sent and neither answered nor given up
 	leaving      bool
 	proposal     *proposal
 	ballotSeen   int64
@@ -81,6 +82,7 @@
 	n.patience = n.sim.patience()
 	n.rounds, n.confirmed, n.hasConfirmed = nil, map[int]int{}, false
 	n.memoryToken, n.memoryEpoch = 0, 0
+	n.unanswered = map[*Call]bool{}
 	n.lease = New(n.sim.params.underFault(n.sim.fault), now)
 	if n.sim.fault == startedNodeActs {
 		n.lease.startedAt = -time.Hour
--- a/internal/tier/lease/model_platform_test.go
+++ b/internal/tier/lease/model_platform_test.go
@@ -71,6 +71,7 @@
 func (n *node) call(c call) {
 	sim := n.sim
 	c.sentAt, c.incarnation = sim.now, n.incarnation
+	n.unanswered[c.lease] = true
 	sim.stats.calls++
 	sim.checks.sent(c)
 	delay := sim.between(10*time.Microsecond, 5*time.Millisecond)
@@ -104,6 +105,7 @@
 }
 
 func (n *node) endCall(c call) {
+	delete(n.unanswered, c.lease)
 	if n.sim.fault != lateCallsIgnored {
 		n.lease.CallEnded(n.clock(), c.lease)
 	}
