Let a node that stops wait until the next head has the release of its lease

Cause, seen in TestStoppedHolderHandsDutiesOver on a machine at load 32 to 36 (twice, no holder within 8 s): a node that had left the view cancelled its calls and ended some 20 ms later, also the call that carries the release, so that the next head waited for the whole Takeover. Change: a node that leaves waits, for the 1.5 s that leaving may take at most, until its release was answered or given up, and until the calls to the platform have ended that the release waits for.

--- a/internal/tier/controlnode/duty_lease.go
+++ b/internal/tier/controlnode/duty_lease.go
@@ -77,13 +77,23 @@
 	}
 	s.log.Info("lease on the duties released", "epoch", release.Epoch, "to", s.name(view.Head()), "wait", release.Wait)
 	message := &feed.LeaseRelease{Epoch: release.Epoch, WaitMicros: (release.Wait + time.Microsecond - 1).Microseconds()}
+	s.releasesInFlight++
 	s.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
 		defer cancel()
 		_ = s.clients.To(to).Call(ctx, feed.LeaseReleaseCall, message, new(feed.Empty))
+		s.repeatOnLoop(releaseEndedRequest{})
 	})
 }
 
+// releaseEndedRequest notes that a release was answered, or given up.
+type releaseEndedRequest struct{}
+
+func (releaseEndedRequest) handle(s *Server) { s.releasesInFlight-- }
+
+// owesRelease reports whether the next head waits for a release of this node. It runs on the event loop.
+func (s *Server) owesRelease() bool { return s.releasesInFlight > 0 || s.lease.HasUnsentRelease() }
+
 // releaseRequest takes a release at the head of the next view.
 type releaseRequest struct{ release lease.Release }
 
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -63,8 +63,10 @@
 	placementRole   placementRole
 	healthRole      healthRole
 	lease           *lease.Lease // on the singleton duties
-	usageRole       usageRole
-	hostListHistory discovery.History
+
+	releasesInFlight int // of the lease, to the next head
+	usageRole        usageRole
+	hostListHistory  discovery.History
 
 	trueTime  *usage.TrueTime // over the clocks of the voters
 	dutyCalls dutyCallLog     // for operators
@@ -217,10 +219,10 @@
 
 func (*startLeavingRequest) handle(s *Server) { s.mergeReady(s.node.StartLeaving(s.now())) }
 
-// canStopQuery reports whether others have replaced this node, or cannot.
+// canStopQuery reports whether others have replaced this node, or cannot, and the next head has the release of its lease.
 type canStopQuery struct{ canStop bool }
 
-func (q *canStopQuery) handle(s *Server) { q.canStop = s.node.CanStop() }
+func (q *canStopQuery) handle(s *Server) { q.canStop = s.node.CanStop() && !s.owesRelease() }
 
 // sleep returns after a duration, or at once when the server stops.
 func (s *Server) sleep(d time.Duration) { ctxtime.Sleep(s.ctx, d) }
--- a/internal/tier/lease/lease.go
+++ b/internal/tier/lease/lease.go
@@ -131,6 +131,9 @@
 	}
 }
 
+// HasUnsentRelease reports whether a release waits for calls in flight.
+func (l *Lease) HasUnsentRelease() bool { return l.unsent != nil }
+
 // takeRelease returns the release that waits for calls, if they have ended.
 func (l *Lease) takeRelease(now time.Duration) (release Release, ok bool) {
 	unsent := l.unsent
