Count the end of a release once; break long lines; use the field's terms

Cause, by reading: a request that is repeated while the disk is full may be handled twice, and the count of releases in flight would go below zero. Measured: the tests of the status, of calls and of the hand-over pass.

--- a/cmd/larch-control/duties.go
+++ b/cmd/larch-control/duties.go
@@ -37,7 +37,8 @@
 	if _, err := fmt.Fprintln(w, s.Summary()); err != nil {
 		return err
 	}
-	for _, table := range []func(io.Writer, *controlnode.DutyStatus){writeLease, writeDutyList, writeWindows, writeScaling, writeDutyCalls} {
+	tables := []func(io.Writer, *controlnode.DutyStatus){writeLease, writeDutyList, writeWindows, writeScaling, writeDutyCalls}
+	for _, table := range tables {
 		columns := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 		table(columns, s)
 		if err := columns.Flush(); err != nil {
--- a/internal/tier/controlnode/duty_lease.go
+++ b/internal/tier/controlnode/duty_lease.go
@@ -68,8 +68,8 @@
 	return grant
 }
 
-// sendRelease tells the head of the view that this node, the head before it, does not act any more. It is sent once: if it is lost,
-// the head waits for the end of the term. It runs on the event loop.
+// sendRelease notifies the head of the view that this node, the head before it, does not act any more. It is sent once: if it is
+// lost, the head waits for the end of the term. It runs on the event loop.
 func (s *Server) sendRelease(release lease.Release) {
 	to, view := s.node.HeadAddr(), s.node.View()
 	if to == "" {
@@ -82,14 +82,19 @@
 		ctx, cancel := context.WithTimeout(s.ctx, requestTimeout)
 		defer cancel()
 		_ = s.clients.To(to).Call(ctx, feed.LeaseReleaseCall, message, new(feed.Empty))
-		s.repeatOnLoop(releaseEndedRequest{})
+		s.repeatOnLoop(&releaseEndedRequest{})
 	})
 }
 
-// releaseEndedRequest notes that a release was answered, or given up.
-type releaseEndedRequest struct{}
+// releaseEndedRequest notes that a release was answered, or given up. It counts once, however often it is handled.
+type releaseEndedRequest struct{ counted bool }
 
-func (releaseEndedRequest) handle(s *Server) { s.releasesInFlight-- }
+func (r *releaseEndedRequest) handle(s *Server) {
+	if !r.counted {
+		r.counted = true
+		s.releasesInFlight--
+	}
+}
 
 // owesRelease reports whether the next head waits for a release of this node. It runs on the event loop.
 func (s *Server) owesRelease() bool { return s.releasesInFlight > 0 || s.lease.HasUnsentRelease() }
@@ -151,8 +156,8 @@
 	s.publishGrant(s.now())
 }
 
-// repeatOnLoop has the event loop handle a request that the lease must not miss: it repeats the request while the disk is full, until
-// the server stops. The request may be handled more than once.
+// repeatOnLoop has the event loop handle a request that the lease must not miss: it repeats the request while the disk is full,
+// until the server stops. The request may be handled more than once.
 func (s *Server) repeatOnLoop(request loopRequest) {
 	for !s.runOnLoop(request) && s.ctx.Err() == nil {
 		s.sleep(retryInterval)
--- a/internal/tier/controlnode/duty_role.go
+++ b/internal/tier/controlnode/duty_role.go
@@ -25,8 +25,8 @@
 	maxCallBackoff  = 2 * time.Second
 )
 
-// tokenBaseShift leaves room for the epochs of a control plane below its token base: the seconds since 1970 at which its first token
-// was made, shifted by so many bits.
+// tokenBaseShift leaves room for the epochs of a control plane below its token base: the seconds since 1970 at which its first
+// token was made, shifted by so many bits.
 const tokenBaseShift = 20
 
 // dutyRunner carries out the singleton duties while this node has the lease. One goroutine owns it.
--- a/internal/tier/controlnode/duty_scale.go
+++ b/internal/tier/controlnode/duty_scale.go
@@ -74,8 +74,8 @@
 	d.orderWanted(grant)
 }
 
-// orderWanted plans the subjects and makes the orders. It makes no further call in this step after one without a clear answer, since
-// each may take dutyCallTimeout and usage reports wait meanwhile.
+// orderWanted plans the subjects and makes the orders. It makes no further call in this step after one without a clear answer,
+// since each may take dutyCallTimeout and usage reports wait meanwhile.
 func (d *scaleDuty) orderWanted(grant *dutyGrant) {
 	calls := 0
 	for _, subject := range d.seen {
@@ -133,8 +133,8 @@
 	q.fronts, q.known = len(collector.FrontsSince(s.now()-evidenceSpan)), len(collector.FrontsSince(s.now()-knownSpan))
 }
 
-// committedConfig returns the entry of the newest committed configuration; ok is false if there is none, or if the commit index may be
-// behind what earlier heads have acknowledged.
+// committedConfig returns the entry of the newest committed configuration; ok is false if there is none, or if the commit index
+// may be behind what earlier heads have acknowledged.
 func committedConfig(c *chain.Chain) (entry chain.Entry, ok bool) {
 	if !c.CommitIsCurrent() {
 		return chain.Entry{}, false
@@ -184,7 +184,8 @@
 	return subjects
 }
 
-// noteHostSlots notes the slots of listed hosts. Subjects without listed hosts stay, those of services that are not to be scaled go.
+// noteHostSlots notes the slots of listed hosts. Subjects without listed hosts stay, those of services that are not to be scaled
+// go.
 func (d *scaleDuty) noteHostSlots(hosts []discovery.Host) {
 	listed := map[scaling.Subject]int{}
 	for _, host := range hosts {
--- a/internal/tier/controlnode/duty_snapshot.go
+++ b/internal/tier/controlnode/duty_snapshot.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// dutySnapshot is what the goroutine of the duties tells operators after a step. It is immutable.
+// dutySnapshot is the state of the duties after a step, for operators. It is immutable.
 type dutySnapshot struct {
 	at        time.Time
 	tokenBase int64 // 0 until it is known
--- a/internal/tier/controlnode/duty_status.go
+++ b/internal/tier/controlnode/duty_status.go
@@ -17,7 +17,7 @@
 	Epoch         int64             `json:"epoch"`
 	Held          bool              `json:"held"`   // the node has the lease on the duties
 	Holder        string            `json:"holder"` // empty if the node has no lease
-	Token         int64             `json:"token"`  // fencing token of the epoch; 0 where the node is not the head, or does not know it yet
+	Token         int64             `json:"token"`  // of the epoch; 0 where the node is not the head, or does not know it yet
 	LeftMs        int64             `json:"left_ms"`
 	WaitMs        int64             `json:"wait_ms"` // what the head still waits before it may act
 	Cause         string            `json:"cause"`   // why no duties are done: one of the constants; empty if they are
--- a/internal/tier/controlnode/duty_status_text.go
+++ b/internal/tier/controlnode/duty_status_text.go
@@ -11,8 +11,8 @@
 	if s.Cause != "" {
 		return s.restSummary()
 	}
-	if trouble := s.trouble(); trouble != "" {
-		return s.Holder + " does the duties, but " + trouble
+	if problem := s.problem(); problem != "" {
+		return s.Holder + " does the duties, but " + problem
 	}
 	return s.Holder + " does the duties"
 }
@@ -48,25 +48,25 @@
 	return "the duties rest: " + s.Cause
 }
 
-// trouble returns what holds up a duty of the holder, empty for nothing.
-func (s *DutyStatus) trouble() string {
+// problem returns what holds up a duty of the holder, empty for nothing.
+func (s *DutyStatus) problem() string {
 	if s.Token == 0 {
 		return "its fencing token is not recorded yet: ask again, and look at larch-control status if it stays"
 	}
-	if trouble := callTrouble(s.Usage.Calls); trouble != "" {
-		return "usage reports wait: " + trouble
+	if problem := callProblem(s.Usage.Calls); problem != "" {
+		return "usage reports wait: " + problem
 	}
 	for _, window := range s.Usage.Unacknowledged {
 		if window.Late {
 			return fmt.Sprintf("window %d is late: the platform has not acknowledged it; see the calls and the log", window.Window)
 		}
 	}
-	if trouble := callTrouble(s.Scale.Calls); trouble != "" {
-		return "orders of hosts wait: " + trouble
+	if problem := callProblem(s.Scale.Calls); problem != "" {
+		return "orders of hosts wait: " + problem
 	}
 	if s.Scale.lacksFronts() {
-		return fmt.Sprintf("hosts are not ordered: %d fronts have reported lately, of %d; see that a configuration is taken and that fronts reach the core",
-			s.Scale.Fronts, s.Scale.MostFronts)
+		return fmt.Sprintf("hosts are not ordered: %d fronts have reported lately, of %d; "+
+			"see that a configuration is taken and that fronts reach the core", s.Scale.Fronts, s.Scale.MostFronts)
 	}
 	return ""
 }
@@ -79,8 +79,8 @@
 // recentCallMs is for how long a call without success is worth a line: calls are repeated sooner than that.
 const recentCallMs = 10_000
 
-// callTrouble returns what the newest of some calls tells of the platform, empty if it has accepted it or the call is not recent.
-func callTrouble(calls []DutyCallStatus) string {
+// callProblem returns what the newest of some calls shows of the platform, empty if it has accepted it or the call is not recent.
+func callProblem(calls []DutyCallStatus) string {
 	if len(calls) == 0 || calls[0].AgeMs > recentCallMs {
 		return ""
 	}
--- a/internal/tier/controlnode/duty_status_text_test.go
+++ b/internal/tier/controlnode/duty_status_text_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// wellDutyStatus returns a status without trouble.
+// wellDutyStatus returns a status without a problem.
 func wellDutyStatus() DutyStatus {
 	return DutyStatus{Node: "core-1", Head: "core-1", Held: true, Holder: "core-1", Token: 7, WaitMs: 1250,
 		Usage: UsageDutyStatus{Expected: true, Calls: []DutyCallStatus{{Outcome: "accepted"}}},
--- a/internal/tier/controlnode/duty_usage.go
+++ b/internal/tier/controlnode/duty_usage.go
@@ -66,7 +66,8 @@
 		return
 	}
 	role, now := s.assumeUsageRole(), s.usageNow()
-	role.collector.Add(now, r.report.Name, usage.Report{Incarnation: r.report.Incarnation, Windows: r.report.Windows, Loads: r.report.Loads})
+	report := usage.Report{Incarnation: r.report.Incarnation, Windows: r.report.Windows, Loads: r.report.Loads}
+	role.collector.Add(now, r.report.Name, report)
 	role.collector.Forget(now)
 	r.receipt.Collector = role.id
 	if s.knowsTrueTime() {
@@ -190,8 +191,8 @@
 	}
 }
 
-// collectedSince returns since when the collector has taken reports, in true time; ok is false if nothing is to be recorded here, as
-// the node is not the confirmed head, or its time is that of its own clock alone.
+// collectedSince returns since when the collector has taken reports, in true time; ok is false if nothing is to be recorded here,
+// as the node is not the confirmed head, or its time is that of its own clock alone.
 func (u *usageDuty) collectedSince(now time.Time) (since time.Time, ok bool) {
 	query := &collectedSinceQuery{}
 	if !u.server.runOnLoop(query) || !query.isHead || !query.inTime {
