Drop a field of the duties that nothing reads, and correct three comments

Measured: golangci-lint and doccheck clean; the tests of duties, pauses, hand-over and frames in controlnode pass, and those of the stand-in platform.

--- a/internal/standin/cloudapi/duty_fault.go
+++ b/internal/standin/cloudapi/duty_fault.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// closeConn closes the connection of a request without an answer, by a TCP reset if it is told so.
+// closeConn closes the connection of a request without an answer, by a TCP reset if reset is set.
 func closeConn(w http.ResponseWriter, reset bool) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
--- a/internal/tier/controlnode/duty_role.go
+++ b/internal/tier/controlnode/duty_role.go
@@ -33,9 +33,8 @@
 type dutyRunner struct {
 	server    *Server
 	client    *duty.Client
-	tokenBase int64     // 0 until it is known
-	heldEpoch int64     // of the grant of the last step; 0 for none
-	heldSince time.Time // when this node got the lease that it has
+	tokenBase int64 // 0 until it is known
+	heldEpoch int64 // of the grant of the last step; 0 for none
 	usage     *usageDuty
 	scale     *scaleDuty
 }
@@ -69,7 +68,6 @@
 		return
 	}
 	if d.heldEpoch == 0 {
-		d.heldSince = time.Now()
 		if d.usage != nil {
 			d.usage.begin()
 		}
--- a/internal/tier/controlnode/duty_status.go
+++ b/internal/tier/controlnode/duty_status.go
@@ -64,7 +64,7 @@
 type ScaleDutyStatus struct {
 	Expected   bool                 `json:"expected"`    // by the settings
 	Fronts     int64                `json:"fronts"`      // that have reported lately
-	MostFronts int64                `json:"most_fronts"` // that have reported at once since the node has the lease
+	MostFronts int64                `json:"most_fronts"` // that have reported within knownSpan
 	Subjects   []ScaleSubjectStatus `json:"subjects"`
 	Outcomes   DutyCallsByResult    `json:"outcomes"`
 	Calls      []DutyCallStatus     `json:"calls"` // the newest first
--- a/internal/tier/controlnode/duty_status_text.go
+++ b/internal/tier/controlnode/duty_status_text.go
@@ -17,7 +17,7 @@
 	return s.Holder + " does the duties"
 }
 
-// restSummary returns why the duties rest, or why the node cannot tell.
+// restSummary returns why the duties rest, or why the node does not know.
 func (s *DutyStatus) restSummary() string {
 	wait := fmt.Sprintf("the duties rest for %.1f s more: ", float64(s.WaitMs)/1000)
 	switch s.Cause {
