Show that a core killed at its first start is never founded

Two of three seeds that are killed before they have stored their identity come back with other identities (bootstrap is false then), and the founding view never has a majority: no configuration is ever taken.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -18,7 +18,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*session) error{
-	"surplus": runSurplus,
+	"surplus":  runSurplus,
+	"founding": runFounding,
 }
 
 // session is one run of a case.
@@ -48,11 +49,10 @@
 	s.broken++
 }
 
-// start starts a tier with the commands of the deploy file.
-func (s *session) start(dir string, cores, stores, fronts int) error {
+// start starts all processes of a tier, with the commands of the deploy file.
+func (s *session) start(dir string) error {
 	var err error
-	s.tier, err = tiertest.Start(tiertest.Options{Cores: cores, Stores: stores, Fronts: fronts, Dir: dir,
-		Programs: tiertest.ProgramsIn("target")})
+	s.tier, err = tiertest.Start(tiertest.Options{Cores: 4, Stores: 4, Fronts: 2, Dir: dir, Programs: tiertest.ProgramsIn("target")})
 	return err
 }
 
@@ -81,7 +81,7 @@
 	defer os.RemoveAll(dir)
 	s := &session{ctx: ctx, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: bufio.NewWriter(file)}
 	defer s.record.Flush()
-	if err = s.start(dir, 4, 4, 2); err == nil {
+	if err = s.start(dir); err == nil {
 		defer s.tier.Close()
 		err = cases[os.Args[1]](s)
 	}
