Show that a planned replacement and one lost disk leave conversations without a majority

A store is replaced, the new one first; 4.3 s after the old one has ended another store loses its disk. The placement never leaves its joint phase, and turns that continue some conversations get 503 for good.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*session) error{
 	"surplus":  runSurplus,
 	"founding": runFounding,
+	"replaced": runReplaced,
 }
 
 // session is one run of a case.
@@ -50,9 +51,9 @@
 }
 
 // start starts all processes of a tier, with the commands of the deploy file.
-func (s *session) start(dir string) error {
+func (s *session) start(dir string, stores int) error {
 	var err error
-	s.tier, err = tiertest.Start(tiertest.Options{Cores: 4, Stores: 4, Fronts: 2, Dir: dir, Programs: tiertest.ProgramsIn("target")})
+	s.tier, err = tiertest.Start(tiertest.Options{Cores: 4, Stores: stores, Fronts: 2, Dir: dir, Programs: tiertest.ProgramsIn("target")})
 	return err
 }
 
@@ -81,7 +82,11 @@
 	defer os.RemoveAll(dir)
 	s := &session{ctx: ctx, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: bufio.NewWriter(file)}
 	defer s.record.Flush()
-	if err = s.start(dir); err == nil {
+	stores := 4
+	if os.Args[1] == "replaced" {
+		stores = placedStores + 1
+	}
+	if err = s.start(dir, stores); err == nil {
 		defer s.tier.Close()
 		err = cases[os.Args[1]](s)
 	}
