--- a/review/_standin/replaced.go
+++ b/review/_standin/replaced.go
@@ -14,13 +14,13 @@
 
 const (
 	conversations  = 100
-	placedStores   = 9                      // at first; the successor is one more
-	successorTime  = 6 * time.Second        // from the successor's start to the SIGTERM; catch_up_s is 4.2
-	removedTime    = 4300 * time.Millisecond// from the end of the old store to the loss of the disk; catch_up_s is 4.2
-	diskLossDark   = 2 * time.Second        // for_s of after_ack_wipe on stores
-	restAfterLoss  = 12 * time.Second       // recovery_s, from the return of the store with the empty disk
-	turnTries      = 6                      // the rule asks for five or more
-	tryInterval    = 300 * time.Millisecond // between two tries of a turn
+	placedStores   = 9                       // at first; the successor is one more
+	successorTime  = 6 * time.Second         // from the successor's start to the SIGTERM; catch_up_s is 4.2
+	removedTime    = 4300 * time.Millisecond // from the end of the old store to the loss of the disk; catch_up_s is 4.2
+	diskLossDark   = 2 * time.Second         // for_s of after_ack_wipe on stores
+	restAfterLoss  = 12 * time.Second        // recovery_s, from the return of the store with the empty disk
+	turnTries      = 6                       // the rule asks for five or more
+	tryInterval    = 300 * time.Millisecond  // between two tries of a turn
 	firstTurnShare = 0.9
 )
 
