--- a/review/_standin/founding.go
+++ b/review/_standin/founding.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"regexp"
 	"strconv"
 	"time"
 
@@ -16,6 +17,9 @@
 	orderLimit        = 30 * time.Second
 )
 
+// logTime is the time of a line of the log, in seconds with three decimals.
+var logTime = regexp.MustCompile(`\bt=(\d+)\.(\d{3})`)
+
 // runFounding kills all core processes right after the system's very first start. They start again on their disks, with bootstrap
 // false. The operator sends the first configuration until it is taken. Rule: Acks.
 func runFounding(s *session) error {
@@ -48,7 +52,7 @@
 	if err != nil || took > ackMax {
 		s.breach("Acks: a valid configuration has no acknowledgement %v after it was first sent", took)
 		for _, m := range cores {
-			s.note("%s runs: %v; it logged: %s", m.Name, m.Running(), m.Log)
+			s.note("%s runs: %v; it logged: %s", m.Name, m.Running(), logTime.ReplaceAllString(m.Log.String(), "t_ms=$1$2"))
 		}
 	}
 	return nil
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -35,11 +35,11 @@
 	broken int
 }
 
-// note writes a line to the record, with the time since the start.
+// note writes a line to the record, with the milliseconds since the start.
 func (s *session) note(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fmt.Fprintf(s.record, "%8.3f  %s\n", time.Since(s.began).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(s.record, "%6d ms  %s\n", time.Since(s.began).Milliseconds(), fmt.Sprintf(format, args...))
 }
 
 // breach records that the rule was broken.
