Review: case 1, an acknowledged configuration gives way to a refused one

What was done: the case is now review/1; its stand-in is built into target/review/ by review/build.sh.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 runs it without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-exec target/review/standin replaced "$here/record.txt"
+[ -x target/review/rig ] || { echo "run review/build.sh first" >&2; exit 2; }
+exec target/review/rig overwritten "$here/record.txt"
--- a/review/_rig/fuzz.go
+++ b/review/_rig/fuzz.go
@@ -183,6 +183,19 @@
 		if wiped := time.Since(lastWipe); wiped < 5*time.Second {
 			time.Sleep(5 * time.Second)
 		}
+		if random.IntN(3) == 0 { // calm: frozen machines have woken after 3.3 s, and contact_ms has passed after 6.5 s
+			time.Sleep(6500 * time.Millisecond)
+			mu.Lock()
+			before := maxAcked
+			mu.Unlock()
+			if !await(4*time.Second, func() bool {
+				mu.Lock()
+				defer mu.Unlock()
+				return maxAcked > before
+			}) {
+				fail("no change was acknowledged within ack_max_ms in calm")
+			}
+		}
 	}
 	close(stop)
 	wg.Wait()
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 CGO_ENABLED=1 go build -ldflags=-linkmode=external -o target/review/standin ./review/_standin
+CGO_ENABLED=1 go build -ldflags=-linkmode=external -o target/review/rig ./review/_rig
