--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -21,6 +21,7 @@
 	"surplus":  runSurplus,
 	"founding": runFounding,
 	"replaced": runReplaced,
+	"planned":  runPlanned,
 }
 
 // session is one run of a case.
@@ -83,8 +84,11 @@
 	s := &session{ctx: ctx, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: bufio.NewWriter(file)}
 	defer s.record.Flush()
 	stores := 4
-	if os.Args[1] == "replaced" {
+	switch os.Args[1] {
+	case "replaced":
 		stores = placedStores + 1
+	case "planned":
+		stores = placedStores + plannedReplacements
 	}
 	if err = s.start(dir, stores); err == nil {
 		defer s.tier.Close()
