Keep a learner's replaced entries on disk, whatever its activated epoch

Cause: the server took an entry whose index was on disk already as unchanged, unless the activated epoch had changed. That holds for chain members. A learner replaces its uncommitted entries by committed ones at the same indexes without being activated: memory had the new entries, the disk kept the old ones below the new commit index, and the next start took those as committed.

Change: the rows to write are the difference of the entries on disk and in memory by key and value, for every role (changedEntryRows, a pure function of both). No hash and no rule about epochs is left to be wrong. Values that were kept share their memory, so the comparison takes constant time for them.

Why no test drew it: the simulation stored a node's state as a Go value and never went through the rows. It now writes and reads rows by the server's own functions, requires after each step that the disk holds what memory has (an older commit index aside), and kills heads whose entries reached nobody.

--- a/internal/tier/controlnode/contract_test.go
+++ b/internal/tier/controlnode/contract_test.go
@@ -146,7 +146,7 @@
 		if newest.IsVoter(m.id) {
 			liveVoters++
 		}
-		if i := newest.Position(m.id); i >= 0 && m.disk.State.ActivatedEpoch >= newest.Chain[i].JoinedEpoch {
+		if i := newest.Position(m.id); i >= 0 && m.disk.state.State.ActivatedEpoch >= newest.Chain[i].JoinedEpoch {
 			hasLiveReplica = true
 		}
 	}
@@ -206,7 +206,7 @@
 	c.countFault("wipe")
 	c.logf("%s loses its disk", m.addr)
 	c.stop(m)
-	m.disk = Durable{}
+	m.disk = simulatedDisk{}
 	if !c.bugs.keepsIDAfterDiskLoss {
 		m.id, m.incarnation = c.newID(), 0
 	}
--- a/internal/tier/controlnode/disk.go
+++ b/internal/tier/controlnode/disk.go
@@ -1,10 +1,10 @@
 package controlnode
 
 import (
+	"bytes"
 	"encoding/binary"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"larchrouter/internal/process"
@@ -41,28 +41,50 @@
 		return s.createIdentity()
 	}
 	s.self.ID = string(id)
-	err = s.loadRow(acceptorKey, &d.Acceptor, "cannot decode the stored votes: empty the data folder to join as a new member")
+	d, err = readDurable(s.db)
+	s.saved.entries = d.State.Entries
+	return d, err
+}
+
+// rowReader reads the rows of a node's disk. *sqlitelog.DB implements it.
+type rowReader interface {
+	Get(table string, key []byte) ([]byte, error)
+	Range(table string, from, to []byte, f func(key, value []byte) error) error
+}
+
+// readDurable returns the state that the rows of a disk hold.
+func readDurable(rows rowReader) (d Durable, err error) {
+	err = readRow(rows, acceptorKey, &d.Acceptor, "cannot decode the stored votes: empty the data folder to join as a new member")
 	if err != nil {
 		return d, err
 	}
 	var meta chainMeta
-	err = s.loadRow(metaKey, &meta, "cannot decode the stored chain state: empty the data folder to join as a new member")
+	err = readRow(rows, metaKey, &meta, "cannot decode the stored chain state: empty the data folder to join as a new member")
 	if err != nil {
 		return d, err
 	}
 	d.State = chain.State{ActivatedEpoch: meta.ActivatedEpoch, LastIndex: meta.LastIndex, Commit: meta.Commit}
-	err = s.db.Range("entries", nil, nil, func(_, value []byte) error {
+	err = rows.Range("entries", nil, nil, func(_, value []byte) error {
 		var e chain.Entry
 		if err := rpc.Decode(value, &e); err != nil {
 			return err
 		}
 		d.State.Entries = append(d.State.Entries, e)
-		s.savedHashes[e.Index] = entryHash(&e)
 		return nil
 	})
 	return d, err
 }
 
+// readRow decodes a row of the table "vote", if it exists. If the row cannot be decoded, the error is prefixed with the
+// advice.
+func readRow(rows rowReader, key []byte, v any, advice string) error {
+	b, err := rows.Get("vote", key)
+	if err != nil || b == nil {
+		return err
+	}
+	return errors.Wrap(rpc.Decode(b, v), advice)
+}
+
 // createIdentity returns the durable state of a node with an empty disk, and syncs it together with the node's ID. The
 // ID of a seed that bootstraps the cluster is derived from its address; any other node gets a random one.
 func (s *Server) createIdentity() (d Durable, err error) {
@@ -75,20 +97,10 @@
 		s.self.ID = "seed-" + s.self.Addr
 		d = BootstrapState(founders)
 	}
-	rows := append(s.changedRows(d), sqlitelog.Write{Table: "vote", Key: selfKey, Value: []byte(s.self.ID)})
+	rows := append(s.saved.changedRows(d), sqlitelog.Write{Table: "vote", Key: selfKey, Value: []byte(s.self.ID)})
 	return d, s.db.Commit(s.ctx, rows)
 }
 
-// loadRow decodes a row of the table "vote", if it exists. If the row cannot be decoded, the error is prefixed with the
-// advice.
-func (s *Server) loadRow(key []byte, v any, advice string) error {
-	b, err := s.db.Get("vote", key)
-	if err != nil || b == nil {
-		return err
-	}
-	return errors.Wrap(rpc.Decode(b, v), advice)
-}
-
 // incrementIncarnation increments the incarnation and syncs it before anything else is done. A head that crashes and
 // restarts within its epoch derives the numbers of its host lists from it: they must be higher than those of the last
 // incarnation, of which nothing else is stored.
@@ -107,40 +119,49 @@
 // indexKey returns the key of an index in the table "entries"; keys sort in the order of their indexes.
 func indexKey(index int64) []byte { return binary.BigEndian.AppendUint64(nil, uint64(index)) }
 
-// changedRows returns the writes that bring the disk to the given durable state, and records that state as saved. It
-// runs on the event loop, or before the loop starts.
-func (s *Server) changedRows(d Durable) []sqlitelog.Write {
+// savedState is what the rows of a disk hold of a node's durable state, as far as it decides which rows must be written.
+type savedState struct{ entries []chain.Entry }
+
+// changedRows returns the writes that bring the disk to the given durable state, and records that state as saved.
+func (s *savedState) changedRows(d Durable) []sqlitelog.Write {
+	meta := chainMeta{ActivatedEpoch: d.State.ActivatedEpoch, LastIndex: d.State.LastIndex, Commit: d.State.Commit}
 	writes := []sqlitelog.Write{
 		{Table: "vote", Key: acceptorKey, Value: rpc.Encode(&d.Acceptor)},
-		{Table: "vote", Key: metaKey, Value: rpc.Encode(&chainMeta{d.State.ActivatedEpoch, d.State.LastIndex, d.State.Commit})},
+		{Table: "vote", Key: metaKey, Value: rpc.Encode(&meta)},
 	}
-	replaced := d.State.ActivatedEpoch != s.savedState.ActivatedEpoch // then entries may differ at the same indexes
-	hashes := make(map[int64]uint64, len(d.State.Entries))
-	for _, e := range d.State.Entries {
-		oldHash, saved := s.savedHashes[e.Index]
-		hash := oldHash
-		if !saved || replaced {
-			hash = entryHash(&e)
+	writes = append(writes, changedEntryRows(s.entries, d.State.Entries)...)
+	s.entries = d.State.Entries
+	return writes
+}
+
+// changedEntryRows returns the writes that turn the rows of saved entries into those of the current ones, both in the
+// order of their indexes. Entries with the same index are compared by key and value in every role of the node: a learner
+// replaces uncommitted entries by committed ones at the same indexes.
+func changedEntryRows(saved, current []chain.Entry) (writes []sqlitelog.Write) {
+	remove := func(e *chain.Entry) {
+		writes = append(writes, sqlitelog.Write{Table: "entries", Key: indexKey(e.Index)})
+	}
+	for i := range current {
+		entry := &current[i]
+		for len(saved) > 0 && saved[0].Index < entry.Index {
+			remove(&saved[0])
+			saved = saved[1:]
 		}
-		hashes[e.Index] = hash
-		if !saved || hash != oldHash {
-			writes = append(writes, sqlitelog.Write{Table: "entries", Key: indexKey(e.Index), Value: rpc.Encode(&e)})
+		if len(saved) > 0 && saved[0].Index == entry.Index {
+			unchanged := equalEntries(&saved[0], entry)
+			saved = saved[1:]
+			if unchanged {
+				continue
+			}
 		}
+		writes = append(writes, sqlitelog.Write{Table: "entries", Key: indexKey(entry.Index), Value: rpc.Encode(entry)})
 	}
-	for index := range s.savedHashes {
-		if _, kept := hashes[index]; !kept {
-			writes = append(writes, sqlitelog.Write{Table: "entries", Key: indexKey(index)})
-		}
+	for i := range saved {
+		remove(&saved[i])
 	}
-	s.savedHashes, s.savedState = hashes, d.State
 	return writes
 }
 
-// entryHash returns a hash that distinguishes entries with the same index.
-func entryHash(e *chain.Entry) uint64 {
-	h := xxhash.New()
-	_, _ = h.WriteString(e.Key)
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write(e.Value)
-	return h.Sum64()
-}
+// equalEntries reports whether two entries with the same index are equal. It takes constant time for values that share
+// their memory, as those do that a node has kept since its last sync.
+func equalEntries(a, b *chain.Entry) bool { return a.Key == b.Key && bytes.Equal(a.Value, b.Value) }
--- a/internal/tier/controlnode/disk_test.go
+++ b/internal/tier/controlnode/disk_test.go
@@ -26,7 +26,7 @@
 		value[index%size] = byte(index)
 		d.State.LastIndex, d.State.Commit = index, index-1
 		d.State.Entries = append(chain.EntriesAfter(d.State.Entries, index-2), chain.Entry{Index: index, Key: "config", Value: value})
-		if err := core.db.Commit(context.Background(), core.changedRows(d)); err != nil {
+		if err := core.db.Commit(context.Background(), core.saved.changedRows(d)); err != nil {
 			t.Fatalf("change %d: %v", index, err)
 		}
 	}
--- a/internal/tier/controlnode/event_loop.go
+++ b/internal/tier/controlnode/event_loop.go
@@ -97,7 +97,7 @@
 	if !s.ready.MustSync {
 		return nil
 	}
-	rows := s.changedRows(s.node.Durable())
+	rows := s.saved.changedRows(s.node.Durable())
 	err := s.syncRows(s.ctx, rows)
 	if errors.Is(err, sqlitelog.ErrFull) {
 		return s.retrySyncUntilSpace(rows, err)
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -16,7 +16,6 @@
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
 	"larchrouter/internal/sqlitelog"
-	"larchrouter/internal/tier/chain"
 	"larchrouter/internal/tier/discovery"
 	"larchrouter/internal/tier/lease"
 	"larchrouter/internal/tier/usage"
@@ -56,8 +55,7 @@
 	ready           Ready                                          // merged from the steps of the current batch
 	awaitingSync    []chan bool                                    // callers of runOnLoop, see queuedRequest
 	syncRows        func(context.Context, []sqlitelog.Write) error // db.Commit
-	savedHashes     map[int64]uint64                               // of the entries on disk, by index
-	savedState      chain.State                                    // on disk
+	saved           savedState                                     // on disk
 	pendingRequests map[int64]pendingRequest                       // by request ID
 	lastRequestID   int64
 	placementRole   placementRole
@@ -108,7 +106,6 @@
 		startedAt:       time.Now(),
 		requests:        make(chan queuedRequest, 256),
 		peerMessages:    make(chan Message, 256),
-		savedHashes:     map[int64]uint64{},
 		pendingRequests: map[int64]pendingRequest{},
 		changed:         make(chan struct{}),
 		senders:         map[string]chan Message{},
--- a/internal/tier/controlnode/simulation_faults_test.go
+++ b/internal/tier/controlnode/simulation_faults_test.go
@@ -1,6 +1,7 @@
 package controlnode
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +23,7 @@
 	stopsBeforeLeft          bool // a member that shuts down gracefully does not wait until it has left
 	neverRemovesVoters       bool // voters that do not answer are never removed
 	ignoresApplicants        bool // a member that is not a voter never becomes one
+	keepsReplacedRows        bool // entries that replace others at the same indexes are not on disk, until the node is activated in an epoch
 	learnersAnswerAlone      bool // a learner answers followers without asking a majority
 }
 
@@ -48,7 +50,7 @@
 	m := c.machines[a]
 	c.faultyMachine = a
 	span := time.Duration(100+c.rng.IntN(3500)) * time.Millisecond
-	kind := c.rng.IntN(14)
+	kind := c.rng.IntN(15)
 	if c.bugs.losesVotes {
 		kind = 12 // lost votes only matter if all restart repeatedly: otherwise other voters still have theirs
 	}
@@ -82,12 +84,14 @@
 		c.injectRandomCrashes(span)
 	case 8:
 		c.injectGracefulStop(m, span)
+	case 14:
+		c.injectHeadCrash(span)
 	}
 }
 
 // loseDisk empties the disk of a machine that is down.
 func (c *simulation) loseDisk(m *machine) {
-	m.disk = Durable{}
+	m.disk = simulatedDisk{}
 	if !c.bugs.keepsIDAfterDiskLoss {
 		m.id = c.newID()
 	}
@@ -172,6 +176,48 @@
 	c.lagCheckedFrom = c.now + 2*maxFollowerLag
 }
 
+// injectHeadCrash kills the head while entries are on its disk alone, and restarts it a few times: it may be outside the
+// chain when it returns, and receive others at the same indexes.
+func (c *simulation) injectHeadCrash(span time.Duration) {
+	for _, a := range c.addrs {
+		head := c.machines[a]
+		if !head.up || !head.node.IsConfirmedHead() {
+			continue
+		}
+		c.faultyMachine = a
+		c.logf("the head %s is killed with entries that reached no other node", a)
+		c.isolate(a)
+		for range 1 + c.rng.IntN(3) {
+			if head.up {
+				c.write(head)
+			}
+		}
+		if head.up {
+			c.stop(head)
+		}
+		c.blockedLinks = map[[2]string]bool{}
+		c.run(span)
+		for range 1 + c.rng.IntN(3) {
+			if !head.up {
+				c.start(head)
+			}
+			c.run(time.Duration(c.rng.IntN(300)) * 5 * time.Millisecond)
+			if head.up {
+				c.stop(head)
+			}
+		}
+		return
+	}
+}
+
+// isolate blocks the links from a machine to all others, and drops what it has sent.
+func (c *simulation) isolate(a string) {
+	for _, b := range c.addrs {
+		c.blockedLinks[[2]string{a, b}] = true
+	}
+	c.queue = slices.DeleteFunc(c.queue, func(p packet) bool { return p.from == a })
+}
+
 // injectGracefulStop shuts a machine down gracefully.
 func (c *simulation) injectGracefulStop(m *machine, span time.Duration) {
 	c.logf("%s shuts down gracefully", m.addr)
@@ -236,6 +282,7 @@
 		"follower accepts any source's index":        {followerRegresses: true, servesStaleFeed: true},
 		"stale feed from a partitioned source":       {servesStaleFeed: true},
 		"stale feed from a partitioned learner":      {learnersAnswerAlone: true},
+		"replaced entries of a learner on disk":      {keepsReplacedRows: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/tier/controlnode/simulation_test.go
+++ b/internal/tier/controlnode/simulation_test.go
@@ -21,12 +21,12 @@
 	addr         string
 	name         string
 	node         *Node
-	disk         Durable
+	disk         simulatedDisk
 	id           string
 	incarnation  int64
 	up           bool
 	frozen       bool
-	unsyncedDisk *Durable  // with the bug skipsSync: the state that is not on disk yet
+	unsynced     *Durable  // with the bug skipsSync: the state that is not on disk yet
 	checkedEpoch *int64    // the epoch of the view that was last compared with other nodes
 	inbox        []Message // messages that arrived while the machine was frozen
 }
@@ -123,7 +123,8 @@
 	for i, addr := range c.addrs {
 		m := c.machines[addr]
 		if i < 3 {
-			m.id, m.disk = "seed-"+addr, BootstrapState(seeds)
+			m.id = "seed-" + addr
+			m.disk.save(BootstrapState(seeds), injectedBugs{})
 		} else {
 			m.id = c.newID()
 		}
@@ -149,10 +150,9 @@
 }
 
 func (c *simulation) start(m *machine) {
-	m.up, m.frozen, m.unsyncedDisk, m.checkedEpoch, m.inbox = true, false, nil, nil, nil
+	m.up, m.frozen, m.unsynced, m.checkedEpoch, m.inbox = true, false, nil, nil, nil
 	m.incarnation++
-	d := m.disk
-	d.State.Entries = slices.Clone(d.State.Entries)
+	d := m.disk.open()
 	var seeds []string
 	for _, a := range c.addrs {
 		if len(seeds) < 3 && (m.incarnation > 1 || a != m.addr || len(c.addrs) <= c.initialMachines) {
@@ -207,13 +207,13 @@
 		d.State.Entries, d.State.LastIndex, d.State.Commit = nil, 0, 0
 	}
 	if c.bugs.skipsSync {
-		if m.unsyncedDisk != nil {
-			m.disk = *m.unsyncedDisk
+		if m.unsynced != nil {
+			m.disk.save(*m.unsynced, c.bugs)
 		}
-		m.unsyncedDisk = &d
+		m.unsynced = &d
 		return
 	}
-	m.disk = d
+	m.disk.save(d, c.bugs)
 }
 
 // handleReady handles a Ready as Server does. The machine may lose power between the change and the sync.
@@ -235,6 +235,9 @@
 		}
 		c.save(m, m.node.Durable())
 	}
+	if c.bugs == (injectedBugs{}) { // the effects of bugs on callers must be detected
+		c.checkDisk(m)
+	}
 	c.checkAgreement(m)
 	if c.bugs.breaksPromises {
 		m.node.acceptor.Promised = view.Ballot{}
--- a/internal/tier/controlnode/stored_test.go
+++ b/internal/tier/controlnode/stored_test.go
@@ -57,11 +57,7 @@
 // openNetwork opens the core node with the given data folder. The nodes in memory start with the state that peers returns.
 func openNetwork(t *testing.T, dir string, peers func(core *Server) Durable) *network {
 	t.Helper()
-	c := &cluster{t: t, basePort: 21000, n: 3, dirs: []string{dir}}
-	core, err := Open(c.settings(0, true), process.NewLogger(io.Discard))
-	if err != nil {
-		t.Fatal(err)
-	}
+	core := openCore(t, dir)
 	n := &network{t: t, core: core, peers: map[string]*Node{}, partitioned: map[string]bool{}}
 	for _, m := range storedMembers[1:] {
 		n.start(m, peers(core))
@@ -69,6 +65,17 @@
 	return n
 }
 
+// openCore opens the core node with the given data folder.
+func openCore(t *testing.T, dir string) *Server {
+	t.Helper()
+	c := &cluster{t: t, basePort: 21000, n: 3, dirs: []string{dir}}
+	core, err := Open(c.settings(0, true), process.NewLogger(io.Discard))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return core
+}
+
 // start starts a node in memory, which replaces the one at its address.
 func (n *network) start(self view.Member, d Durable) {
 	seeds := []string{storedMembers[0].Addr, storedMembers[1].Addr}
--- a/internal/tier/controlnode/timeline_test.go
+++ b/internal/tier/controlnode/timeline_test.go
@@ -45,7 +45,7 @@
 					c.stop(m)
 				}
 				if mark == "#" && last[a] != "#" {
-					m.disk, m.id = Durable{}, c.newID()
+					m.disk, m.id = simulatedDisk{}, c.newID()
 				}
 			case "-":
 				if m.up {
