Send a request once on a connection, so that a late copy is not its answer

Cause: a response was taken for that to a request by X-Attempt-Id alone. Where no other host is left, a request goes to the same host again, with the same id, on the connection that has just brought the rejection. A second copy of that rejection, which arrives while the host runs the request, passed for the answer to the second send: "not executed".

Change: a connection remembers the ids of its requests, and a request goes out on one that has not carried it: another idle one, or a new one, which takes the place of an idle one at the limit. It holds for every status, for ids that clients send again and for any number of requests between.

Why no test drew it: the drawn exchanges had four hosts, so no request came to a host twice, and their extra responses were all of status 200.

TestBodySizes sent one id on one connection six times; its requests now have ids of their own and must share a connection as before.

--- a/internal/tier/proxy/exchange_drawn_test.go
+++ b/internal/tier/proxy/exchange_drawn_test.go
@@ -23,21 +23,23 @@
 	return all
 }
 
-// drawnHost returns a host that acts by an exchange for one request in three, drawn by the seed, the request and the host. An
-// extra response to a request may be sent as the next response on the connection.
+// drawnHost returns a host that acts by an exchange for one request in three, drawn by the seed, the request, the host and how
+// often it has received the request. An extra response to a request may be sent as the next response on the connection.
 func drawnHost(t *testing.T, rec *record, id string, seed uint64) *host {
 	all := drawableExchanges()
 	x := &exchangeHost{host: id, record: rec}
 	var mu sync.Mutex
 	extra := map[net.Conn]string{}
+	receipts := map[string]int{}
 	return newHost(t, id, func(c *call) bool {
 		x.recordReceived(c.id(), id)
-		h := xxhash.Sum64String(fmt.Sprint(seed, id, c.id()))
 		mu.Lock()
+		receipts[c.id()]++
+		h := xxhash.Sum64String(fmt.Sprint(seed, id, c.id(), receipts[c.id()]))
 		ahead := extra[c.Conn]
 		delete(extra, c.Conn)
 		if h%7 == 0 {
-			extra[c.Conn] = fmt.Sprintf(forged200, c.id())
+			extra[c.Conn] = drawCopy(h>>24, c.id())
 		}
 		mu.Unlock()
 		c.raw(ahead)
@@ -52,14 +54,18 @@
 	})
 }
 
-// Drawn requests of many clients at once, each on a kept-alive connection, at four hosts that act by drawn exchanges: no rule
-// is violated, and no client gets the response to another request.
+// Drawn requests of many clients at once, each on a kept-alive connection, at hosts that act by drawn exchanges: no rule is
+// violated, and no client gets the response to another request. With one or two hosts, requests are sent to a host again.
 func TestDrawnExchanges(t *testing.T) {
-	for _, seed := range []uint64{1, 2, 3, rand.Uint64()} {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+	for _, c := range []struct {
+		hosts int
+		seed  uint64
+	}{{4, 1}, {4, 2}, {4, 3}, {4, rand.Uint64()}, {1, 1}, {1, 2}, {1, rand.Uint64()}, {2, 1}, {2, rand.Uint64()}} {
+		t.Run(fmt.Sprint(c.hosts, " hosts, seed ", c.seed), func(t *testing.T) {
+			seed := c.seed
 			rec := newRecord()
 			var hosts []*host
-			for i := range 4 {
+			for i := range c.hosts {
 				hosts = append(hosts, drawnHost(t, rec, fmt.Sprint("i-", i), seed))
 			}
 			f := newFront(t, hosts...)
--- a/internal/tier/upstream/call.go
+++ b/internal/tier/upstream/call.go
@@ -62,7 +62,7 @@
 // Do makes a call. The complete response has to be read by the deadline; Response.SetDeadline moves it.
 func (k *Call) Do(h *Host, r *Request, deadline time.Time) Result {
 	for {
-		conn, err := h.acquire(r.PreferNewConn, deadline)
+		conn, err := h.acquire(r, deadline)
 		if err != nil {
 			return Result{Outcome: NotRun, Err: err}
 		}
--- a/internal/tier/upstream/conn.go
+++ b/internal/tier/upstream/conn.go
@@ -20,6 +20,7 @@
 	reader              *bufio.Reader    // of limitedReader; nil once discarded
 	reused              bool             // used by an earlier call
 	sentHead            bool             // some request on it was HEAD
+	sent                sentRequests     // all requests on it
 	idleSince           time.Time
 	idleLimit           time.Duration // for which it may be idle and still be used
 	idleLimitAdvertised bool          // idleLimit is by the host's Keep-Alive
--- a/internal/tier/upstream/exchange.go
+++ b/internal/tier/upstream/exchange.go
@@ -24,6 +24,7 @@
 
 // exchange sends a request and reads the head of its response.
 func (c *conn) exchange(r *Request, deadline time.Time) exchange {
+	c.sent.add(r.ID)
 	if r.bodySize() > maxJoinedBody {
 		return c.exchangeLong(r, deadline)
 	}
--- a/internal/tier/upstream/host.go
+++ b/internal/tier/upstream/host.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Host is one incarnation of a host with its connections. It is safe for concurrent use.
@@ -46,8 +49,7 @@
 
 // CloseIdleConns closes the idle connections.
 func (h *Host) CloseIdleConns() {
-	for c := h.takeIdle(); c != nil; c = h.takeIdle() {
-		c.discard()
+	for h.discardIdle() {
 	}
 }
 
@@ -78,27 +80,37 @@
 	return h.open
 }
 
-// takeIdle takes the idle connection that was used last; nil for none.
-func (h *Host) takeIdle() *conn {
+// takeIdle takes the idle connection that was used last, of those that are eligible; nil for none.
+func (h *Host) takeIdle(eligible func(c *conn) bool) *conn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	n := len(h.idle)
-	if n == 0 {
-		return nil
+	for i, c := range slices.Backward(h.idle) {
+		if eligible(c) {
+			h.idle = slices.Delete(h.idle, i, i+1)
+			return c
+		}
 	}
-	c := h.idle[n-1]
-	h.idle[n-1] = nil
-	h.idle = h.idle[:n-1]
-	return c
+	return nil
 }
 
-// acquire returns an idle connection or else a new one. Errors are marked with their kind.
-func (h *Host) acquire(preferNew bool, deadline time.Time) (*conn, error) {
+// discardIdle closes an idle connection, and reports whether there was one.
+func (h *Host) discardIdle() bool {
+	c := h.takeIdle(func(*conn) bool { return true })
+	if c != nil {
+		c.discard()
+	}
+	return c != nil
+}
+
+// acquire returns an idle connection, on which the request was not sent before, or else a new one. Errors are marked with
+// their kind.
+func (h *Host) acquire(r *Request, deadline time.Time) (*conn, error) {
+	hash := hashOfID(r.ID)
 	for {
 		if h.disabled.Load() {
 			return nil, ErrHostDisabled
 		}
-		conn := h.takeIdle()
+		conn := h.takeIdle(func(c *conn) bool { return !c.sent.has(hash) })
 		if conn == nil {
 			break
 		}
@@ -107,13 +119,18 @@
 			conn.discard()
 			continue
 		}
-		if preferNew && !conn.usableFor(true, now) && h.putBack(conn) {
+		if r.PreferNewConn && !conn.usableFor(true, now) && h.putBack(conn) {
 			break // left for other calls
 		}
 		conn.reused = true
 		return conn, nil
 	}
-	return h.connect(deadline)
+	for {
+		conn, err := h.connect(deadline)
+		if !errors.Is(err, ErrConnectionLimit) || !h.discardIdle() {
+			return conn, err
+		}
+	}
 }
 
 // HasIdle reports whether a call would go out on an idle connection, judged by its age alone.
--- a/internal/tier/upstream/message_test.go
+++ b/internal/tier/upstream/message_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -8,8 +9,8 @@
 
 func TestBodySizes(t *testing.T) {
 	s := newStandin(t, func(l *line) bool { l.ok(l.body); return true })
-	for _, sizes := range [][]int{{}, {0}, {1}, {10, 5}, {maxJoinedBody, 1}, {1 << 20, 3, 200 << 10}} {
-		r, all := get("a"), ""
+	for i, sizes := range [][]int{{}, {0}, {1}, {10, 5}, {maxJoinedBody, 1}, {1 << 20, 3, 200 << 10}} {
+		r, all := get(fmt.Sprint(i)), ""
 		for i, n := range sizes {
 			p := strings.Repeat(string(rune('a'+i)), n)
 			r.Body = append(r.Body, []byte(p))
--- a/internal/tier/upstream/response.go
+++ b/internal/tier/upstream/response.go
@@ -85,7 +85,8 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(r, maxJoinedBody))
 }
 
-// Finish ends the call. The connection is kept if the body was read to its end with nothing behind it, else closed.
+// Finish ends the call. The connection is kept if the body was read to its end with nothing behind it, and more requests may
+// be sent on it; else it is closed.
 func (r *Response) Finish() {
 	if r.finished {
 		return
@@ -93,7 +94,7 @@
 	r.finished = true
 	c := r.conn
 	r.call.bindConn(nil)
-	if r.call.cancelled() || !r.eof || r.ConnClose || r.beforeRequestEnd || c.reader.Buffered() > 0 {
+	if r.call.cancelled() || !r.eof || r.ConnClose || r.beforeRequestEnd || c.reader.Buffered() > 0 || c.sent.full() {
 		c.discard()
 		return
 	}
