Have a learner drop entries that an earlier build wrote to its disk

Need: builds before could leave entries on a learner's disk that were replaced in memory. The damage takes effect with the next start, which is that of the upgrade: without this change the fixed build would load the refused configuration.

Change: a new row of the table "vote", "verified", has the last incarnation whose entries on disk are those of the memory. A start that does not find the previous incarnation there was preceded by an earlier build; if the node's copy is none of those that the chain relies on (outside the chain of its view, or not activated since it joined), it drops its entries, keeps its votes, and receives all entries again. Row and entries change in one commit with the incarnation. Rows that exist keep names and forms; an earlier build ignores the new one.

--- a/internal/tier/controlnode/disk.go
+++ b/internal/tier/controlnode/disk.go
@@ -24,26 +24,75 @@
 	incarnationKey = []byte("life")
 	acceptorKey    = []byte("acceptor")
 	metaKey        = []byte("meta")
+	verifiedKey    = []byte("verified") // the last incarnation whose entries on disk are known to be those in memory
 )
 
-// load reads the durable state from the disk. With an empty disk it creates the node's identity, which is synced before
-// it is used.
+// load reads the durable state from the disk, and syncs the start of a new incarnation before anything else is done. With an
+// empty disk it creates the node's identity, which is synced before it is used.
 func (s *Server) load() (d Durable, err error) {
 	s.self = view.Member{Name: s.settings.NodeName, Addr: s.settings.PeerAddr(s.settings.IP, process.CorePort)}
-	if err := s.incrementIncarnation(); err != nil {
-		return d, err
-	}
 	id, err := s.db.Get("vote", selfKey)
 	if err != nil {
 		return d, err
 	}
+	s.self.ID = string(id)
+	if d, err = readDurable(s.db); err != nil {
+		return d, err
+	}
+	s.saved.entries = d.State.Entries
+	if err := s.startIncarnation(&d); err != nil {
+		return d, err
+	}
 	if id == nil {
 		return s.createIdentity()
 	}
-	s.self.ID = string(id)
-	d, err = readDurable(s.db)
-	s.saved.entries = d.State.Entries
-	return d, err
+	return d, nil
+}
+
+// startIncarnation increments the incarnation and syncs it. A head that crashes and restarts within its epoch derives the
+// numbers of its host lists from it: they must be higher than those of the last incarnation, of which nothing else is
+// stored.
+//
+// Builds before the row verifiedKey could leave entries on a learner's disk that were replaced in memory. A node drops what
+// such a build has written, and receives it again, unless its copy is one of those that the chain relies on.
+func (s *Server) startIncarnation(d *Durable) error {
+	previous, err := s.readNumber(incarnationKey)
+	if err != nil {
+		return err
+	}
+	verified, err := s.readNumber(verifiedKey)
+	if err != nil {
+		return err
+	}
+	s.incarnation = previous + 1
+	rows := []sqlitelog.Write{{Table: "vote", Key: incarnationKey, Value: indexKey(s.incarnation)}}
+	replaceable := !hasCompleteState(d, s.self.ID)
+	if verified != previous && replaceable && len(d.State.Entries) > 0 {
+		s.log.Warn("the entries on disk were written by an earlier build and are received again", "entries", len(d.State.Entries))
+		d.State = chain.State{ActivatedEpoch: d.State.ActivatedEpoch}
+		rows = append(rows, s.saved.changedRows(*d)...)
+	}
+	if verified == previous || replaceable {
+		rows = append(rows, sqlitelog.Write{Table: "vote", Key: verifiedKey, Value: indexKey(s.incarnation)})
+	}
+	return s.db.Commit(s.ctx, rows)
+}
+
+// hasCompleteState reports whether a node is in the chain of its view and has had the chain's complete state, so that it may
+// become the head of a later view.
+func hasCompleteState(d *Durable, id string) bool {
+	v := &d.Acceptor.View
+	position := v.Position(id)
+	return position >= 0 && d.State.ActivatedEpoch >= v.Chain[position].JoinedEpoch
+}
+
+// readNumber returns a number of the table "vote", or 0 if there is none.
+func (s *Server) readNumber(key []byte) (int64, error) {
+	value, err := s.db.Get("vote", key)
+	if err != nil || len(value) != 8 {
+		return 0, err
+	}
+	return int64(binary.BigEndian.Uint64(value)), nil
 }
 
 // rowReader reads the rows of a node's disk. *sqlitelog.DB implements it.
@@ -101,21 +150,6 @@
 	return d, s.db.Commit(s.ctx, rows)
 }
 
-// incrementIncarnation increments the incarnation and syncs it before anything else is done. A head that crashes and
-// restarts within its epoch derives the numbers of its host lists from it: they must be higher than those of the last
-// incarnation, of which nothing else is stored.
-func (s *Server) incrementIncarnation() error {
-	value, err := s.db.Get("vote", incarnationKey)
-	if err != nil {
-		return err
-	}
-	if len(value) == 8 {
-		s.incarnation = int64(binary.BigEndian.Uint64(value))
-	}
-	s.incarnation++
-	return s.db.Commit(s.ctx, []sqlitelog.Write{{Table: "vote", Key: incarnationKey, Value: indexKey(s.incarnation)}})
-}
-
 // indexKey returns the key of an index in the table "entries"; keys sort in the order of their indexes.
 func indexKey(index int64) []byte { return binary.BigEndian.AppendUint64(nil, uint64(index)) }
 
--- a/internal/tier/controlnode/replaced_entries_test.go
+++ b/internal/tier/controlnode/replaced_entries_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"larchrouter/internal/rpc"
+	"larchrouter/internal/sqlitelog"
 	"larchrouter/internal/tier/chain"
 	"larchrouter/internal/tier/view"
 )
@@ -19,28 +20,8 @@
 	for _, test := range []struct{ uncommitted, committed int }{{1, 1}, {3, 1}, {1, 3}, {2, 2}} {
 		t.Run(fmt.Sprintf("%d uncommitted, %d committed", test.uncommitted, test.committed), func(t *testing.T) {
 			dir := t.TempDir()
-			n := openNetwork(t, dir, func(core *Server) Durable { return core.node.Durable() })
-			last := storedMembers[2]
-			n.start(view.Member{ID: "seed-" + last.Addr, Name: last.Name, Addr: last.Addr}, n.core.node.Durable())
-			n.until("the chain is complete", n.allCaughtUp)
-			n.partitioned[n.core.self.Addr] = true
-			for i := range test.uncommitted {
-				n.write(fmt.Sprintf("key %d", i%2), fmt.Appendf(nil, "refused %d", i))
-			}
-			n.until("the other nodes have removed the core node from the chain", func() bool { return n.peerHead() != nil })
-			head := n.peerHead()
-			for i := range test.committed {
-				n.sent = append(n.sent, head.Write(n.now, int64(i), fmt.Sprintf("key %d", i%2), fmt.Appendf(nil, "acknowledged %d", i)).Messages...)
-			}
-			n.until("the entries are committed", func() bool {
-				s := head.Chain().State()
-				return s.Commit == s.LastIndex
-			})
-			want := head.Chain().Committed(0)
-			n.partitioned[n.core.self.Addr] = false
-			n.until("the core node has the committed entries as a learner", func() bool {
-				return n.core.node.Chain().IsLearner() && reflect.DeepEqual(n.core.node.Chain().Committed(0), want)
-			})
+			n := openLearnerAfter(t, dir, test.uncommitted, test.committed)
+			want := n.core.node.Chain().Committed(0)
 			n.restartCore(dir)
 			if got := n.core.node.Chain().Committed(0); !reflect.DeepEqual(got, want) {
 				t.Errorf("restarted with %s, committed is %s", entriesText(got), entriesText(want))
@@ -54,6 +35,35 @@
 	}
 }
 
+// openLearnerAfter opens a core node and returns it as a learner that has just received entries: as the head it appended some
+// that reached no other node, and without it the others committed some at the same indexes.
+func openLearnerAfter(t *testing.T, dir string, uncommitted, committed int) *network {
+	t.Helper()
+	n := openNetwork(t, dir, func(core *Server) Durable { return core.node.Durable() })
+	last := storedMembers[2]
+	n.start(view.Member{ID: "seed-" + last.Addr, Name: last.Name, Addr: last.Addr}, n.core.node.Durable())
+	n.until("the chain is complete", n.allCaughtUp)
+	n.partitioned[n.core.self.Addr] = true
+	for i := range uncommitted {
+		n.write(fmt.Sprintf("key %d", i%2), fmt.Appendf(nil, "refused %d", i))
+	}
+	n.until("the other nodes have removed the core node from the chain", func() bool { return n.peerHead() != nil })
+	head := n.peerHead()
+	for i := range committed {
+		n.sent = append(n.sent, head.Write(n.now, int64(i), fmt.Sprintf("key %d", i%2), fmt.Appendf(nil, "acknowledged %d", i)).Messages...)
+	}
+	n.until("the entries are committed", func() bool {
+		s := head.Chain().State()
+		return s.Commit == s.LastIndex
+	})
+	want := head.Chain().Committed(0)
+	n.partitioned[n.core.self.Addr] = false
+	n.until("the core node has the committed entries as a learner", func() bool {
+		return n.core.node.Chain().IsLearner() && reflect.DeepEqual(n.core.node.Chain().Committed(0), want)
+	})
+	return n
+}
+
 // peerHead returns the node in memory that is the head of a chain without the core node; nil if there is none.
 func (n *network) peerHead() *Node {
 	for _, p := range n.peers {
@@ -117,3 +127,74 @@
 		}
 	})
 }
+
+// Only members of the chain that have been activated since they joined it have a copy that the chain relies on.
+func TestCompleteState(t *testing.T) {
+	v := view.View{Epoch: 5, Chain: []view.ChainMember{{ID: "a", JoinedEpoch: 2}, {ID: "b", JoinedEpoch: 5}}}
+	for _, c := range []struct {
+		id        string
+		activated int64
+		want      bool
+	}{{"a", 5, true}, {"a", 4, true}, {"a", 2, true}, {"a", 1, false}, {"b", 5, true}, {"b", 4, false}, {"z", 5, false}} {
+		d := Durable{Acceptor: view.Acceptor{View: v}, State: chain.State{ActivatedEpoch: c.activated}}
+		if got := hasCompleteState(&d, c.id); got != c.want {
+			t.Errorf("%s, activated in epoch %d: %v, want %v", c.id, c.activated, got, c.want)
+		}
+	}
+}
+
+// Guards against disks of builds that left replaced entries on a learner's disk: the node outside the chain receives all entries
+// again, once. A disk that an earlier build has written after this one counts as its own.
+func TestLearnerDropsEntriesOfEarlierBuild(t *testing.T) {
+	for name, earlierBuild := range map[string]sqlitelog.Write{
+		"never started by this build":      {Table: "vote", Key: verifiedKey},
+		"started by the earlier one since": {Table: "vote", Key: incarnationKey, Value: indexKey(100)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			n := openLearnerAfter(t, dir, 1, 2)
+			want := n.core.node.Chain().Committed(0)
+			last := want[len(want)-1]
+			last.Value = []byte("refused")
+			stale := sqlitelog.Write{Table: "entries", Key: indexKey(last.Index), Value: rpc.Encode(&last)}
+			if err := n.core.db.Commit(t.Context(), []sqlitelog.Write{stale, earlierBuild}); err != nil {
+				t.Fatal(err)
+			}
+			acceptor := n.core.node.acceptor
+			n.restartCore(dir)
+			d := n.core.node.Durable()
+			if len(d.State.Entries) != 0 || d.State.Commit != 0 || d.State.LastIndex != 0 {
+				t.Errorf("started with %s", entriesText(d.State.Entries))
+			}
+			if !bytes.Equal(rpc.Encode(&d.Acceptor), rpc.Encode(&acceptor)) {
+				t.Errorf("started with the votes %+v, had %+v", d.Acceptor, acceptor)
+			}
+			n.until("the node has the committed entries", func() bool { return reflect.DeepEqual(n.core.node.Chain().Committed(0), want) })
+			n.restartCore(dir)
+			if got := n.core.node.Chain().Committed(0); !reflect.DeepEqual(got, want) {
+				t.Errorf("started again with %s, committed is %s", entriesText(got), entriesText(want))
+			}
+			n.until("the core node is in the chain again", func() bool { return n.core.node.Chain().CommitIsCurrent() })
+			if got := n.core.node.Chain().Committed(0); !reflect.DeepEqual(got, want) {
+				t.Errorf("in the chain with %s, committed is %s", entriesText(got), entriesText(want))
+			}
+			n.close()
+		})
+	}
+}
+
+// A chain member keeps the entries of an earlier build: they may be the copies that count.
+func TestChainMemberKeepsEntriesOfEarlierBuild(t *testing.T) {
+	dir := t.TempDir()
+	n := openNetwork(t, dir, func(core *Server) Durable { return core.node.Durable() })
+	n.write("config", []byte("acknowledged"))
+	want := n.core.node.Durable().State.Entries
+	if err := n.core.db.Commit(t.Context(), []sqlitelog.Write{{Table: "vote", Key: verifiedKey}}); err != nil {
+		t.Fatal(err)
+	}
+	n.restartCore(dir)
+	if got := n.core.node.Durable().State.Entries; !reflect.DeepEqual(got, want) {
+		t.Errorf("started with %s, had %s", entriesText(got), entriesText(want))
+	}
+	n.close()
+}
