Have a leaving core node stop only once others have the view without it

Cause: a leaving node may propose the view without itself. It then is the first to know that the view is decided, took that for having left, and ended with the batch in which it adopted the view; the messages that tell the others were still in its queues. The others had accepted the view but need a majority of the old one, in which it and the lost node are missing, to find that out. Evidence: the log of the ended node, which the test prints now: "view adopted epoch=3 ... chain=core-1 core-2 core-3" and "stopping left_view=true" in the same millisecond, while both others stay in epoch 2.

Change: a node has left once more other voters of the new view are known to have adopted it than may be lost, by their heartbeats and confirmations; each of them passes it on. Where that cannot happen the wait ends as before. A line of the log says how a node ended.

--- a/internal/tier/controlnode/fleet_test.go
+++ b/internal/tier/controlnode/fleet_test.go
@@ -47,6 +47,7 @@
 	basePort       int // the control port; the port range starts above it
 	dirs           []string
 	nodes          []*childProcess
+	terminated     []string                   // the output of nodes that were terminated
 	relays         map[[2]int]*cutproxy.Relay // from, to
 	out            []*cutproxy.Bucket         // rate limit of the data that a node sends
 	in             []*cutproxy.Bucket         // rate limit of the data that a node receives
@@ -139,6 +140,9 @@
 			f.t.Logf("output of node %d: %s", i, c.output.String())
 		}
 	}
+	for _, output := range f.terminated {
+		f.t.Log("output of ", output)
+	}
 }
 
 func (f *fleet) ip(i int) string      { return fmt.Sprintf("127.1.%d.%d", 10+f.basePort%200, i+1) }
@@ -198,6 +202,7 @@
 		case <-time.After(waitTimeout):
 			f.t.Fatalf("node %d does not exit after SIGTERM", i)
 		}
+		f.terminated = append(f.terminated, fmt.Sprintf("node %d, terminated: %s", i, f.nodes[i].output.String()))
 		f.nodes[i] = nil
 	}
 }
--- a/internal/tier/controlnode/node.go
+++ b/internal/tier/controlnode/node.go
@@ -185,19 +185,39 @@
 	})
 }
 
-// CanStop reports whether the node may stop: it is no longer in the chain, and is not a voter or there are too few voters
-// to remove it; or too few other nodes are alive for a chain without it, so that waiting would not help.
+// CanStop reports whether the node may stop: it has left the view, or too few other nodes are alive for a chain without
+// it, so that waiting would not help.
 func (n *Node) CanStop() bool {
+	return n.LeftView() || n.OthersStaying() <= n.settings.FaultTolerance || !n.majorityAlive(n.conditions())
+}
+
+// LeftView reports whether the node is no longer in the chain, and is not a voter or there are too few voters to remove
+// it, and the others go on without it: they may not be able to decide a view that only this node knows to be decided.
+func (n *Node) LeftView() bool {
+	v := &n.acceptor.View
+	self := n.settings.Self.ID
+	removed := !v.IsVoter(self) || len(v.Voters) <= 2*n.settings.FaultTolerance+1
+	return v.Position(self) < 0 && removed && n.othersInView() > n.settings.FaultTolerance
+}
+
+// othersInView returns the number of other voters that are known to have adopted the view. Each of them passes it on.
+func (n *Node) othersInView() (count int) {
 	v := &n.acceptor.View
-	if v.Position(n.settings.Self.ID) < 0 && (!v.IsVoter(n.settings.Self.ID) || len(v.Voters) <= 2*n.settings.FaultTolerance+1) {
-		return true
+	for _, m := range v.Voters {
+		if p := n.peers[m.ID]; p != nil && m.ID != n.settings.Self.ID && p.epoch >= v.Epoch {
+			count++
+		}
 	}
+	return count
+}
+
+// OthersStaying returns the number of other nodes that are alive and do not leave.
+func (n *Node) OthersStaying() (staying int) {
 	cond := n.conditions()
-	staying := 0
 	for id := range cond.Alive {
 		if id != n.settings.Self.ID && !cond.Leaving[id] {
 			staying++
 		}
 	}
-	return staying <= n.settings.FaultTolerance || !n.majorityAlive(cond)
+	return staying
 }
--- a/internal/tier/controlnode/peers.go
+++ b/internal/tier/controlnode/peers.go
@@ -17,7 +17,7 @@
 	echoedRoundSentAt time.Duration // when the newest of this node's rounds that it echoed was sent, or when it became known
 	echoedInView      bool          // it has echoed a round that this node sent after adopting the current view
 	leaving           bool          // it has announced that it is about to stop
-	epoch             int64         // of its view, with its last heartbeat
+	epoch             int64         // of its view, with its last heartbeat or confirmation
 	chainAck          chain.Ack     // the last position in the chain that it reported
 	heardPeers        []string      // the sorted IDs of the members that it has heard from recently
 	hostListTerm      int64         // of its host list, with its last heartbeat
--- a/internal/tier/controlnode/receive.go
+++ b/internal/tier/controlnode/receive.go
@@ -45,10 +45,12 @@
 	case msgLearnerAck:
 		n.handleLearnerAck(p, m)
 	case msgConfirm:
+		p.epoch = max(p.epoch, m.Epoch)
 		p.latestRound = max(p.latestRound, m.ConfirmationRound)
 		echo := Echo{ID: m.From.ID, Incarnation: m.Incarnation, ConfirmationRound: m.ConfirmationRound}
 		n.send(m.From.Addr, Message{Kind: msgConfirmed, Echoes: []Echo{echo}, Ack: n.chain.CurrentAck()})
 	case msgConfirmed:
+		p.epoch = max(p.epoch, m.Epoch)
 		for _, e := range m.Echoes {
 			n.handleEcho(p, m, e)
 		}
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -207,12 +207,14 @@
 func (s *Server) leaveView() {
 	s.runOnLoop(&startLeavingRequest{})
 	deadline := time.Now().Add(leaveTimeout(s.settings.TimingBound("grace_period_s", gracePeriod)))
-	for query := (&canStopQuery{}); !query.canStop && time.Now().Before(deadline); {
+	query := &canStopQuery{}
+	for !query.canStop && time.Now().Before(deadline) {
 		s.sleep(20 * time.Millisecond)
 		if !s.runOnLoop(query) {
 			return
 		}
 	}
+	s.log.Info("stopping", "left_view", query.leftView, "others_staying", query.staying)
 }
 
 // startLeavingRequest announces that this node is about to stop.
@@ -222,9 +224,16 @@
 
 // canStopQuery reports whether other nodes have replaced this node, or cannot, and the next head has received the lease
 // release.
-type canStopQuery struct{ canStop bool }
+type canStopQuery struct {
+	canStop  bool
+	leftView bool // Node.LeftView
+	staying  int  // Node.OthersStaying
+}
 
-func (q *canStopQuery) handle(s *Server) { q.canStop = s.node.CanStop() && !s.hasPendingRelease() }
+func (q *canStopQuery) handle(s *Server) {
+	q.canStop = s.node.CanStop() && !s.hasPendingRelease()
+	q.leftView, q.staying = s.node.LeftView(), s.node.OthersStaying()
+}
 
 // sleep returns after a duration, or at once when the server stops.
 func (s *Server) sleep(d time.Duration) { ctxtime.Sleep(s.ctx, d) }
