Have a leaving core node observe its last view before it decides to stop

Cause: a node releases the lease after the batch in which it adopts the view of the next head. Whether it may stop was decided within that batch, when nothing was to be released yet: the release was then begun and at once cut off by the end of the process. Evidence: "lease released", "view adopted" and "stopping" in the same millisecond in the log of the ended node, and no grant at the next head.

Change: a release counts as pending as long as the lease has not observed the node's view.

Result: TestLeavingHolderSendsReleaseBeforeItStops forces the query into that batch; before, "the node may stop before its lease has observed the view".

--- a/internal/tier/controlnode/leave_test.go
+++ b/internal/tier/controlnode/leave_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"larchrouter/internal/tier/view"
 )
 
 // Guards against a core that is left without a majority: a voter that leaves decides the view without it, and stops before any
@@ -30,3 +32,30 @@
 		}
 	}
 }
+
+// Guards against a lease that the next head waits for until its term ends: the node that leaves stops with the batch in which it
+// adopts the view of the next head, and never sends the release.
+func TestLeavingHolderSendsReleaseBeforeItStops(t *testing.T) {
+	n := openNetwork(t, t.TempDir(), func(core *Server) Durable { return core.node.Durable() })
+	defer n.close()
+	n.core.settings.Platform.Duties = []string{"scale"}
+	last := storedMembers[2]
+	n.start(view.Member{ID: "seed-" + last.Addr, Name: last.Name, Addr: last.Addr}, n.core.node.Durable())
+	n.until("the chain is complete", n.allCaughtUp)
+	n.core.updateLease()
+	n.handleReady(n.core.node.StartLeaving(n.now))
+	n.until("the node has left the view", n.core.node.LeftView)
+	query := &canStopQuery{}
+	query.handle(n.core)
+	if query.canStop {
+		t.Error("the node may stop before its lease has observed the view")
+	}
+	n.core.updateLease()
+	if query.handle(n.core); query.canStop {
+		t.Error("the node may stop before its release is acknowledged")
+	}
+	(&releaseDoneRequest{}).handle(n.core)
+	if query.handle(n.core); !query.canStop {
+		t.Error("the node may not stop after its release is acknowledged")
+	}
+}
--- a/internal/tier/controlnode/task_lease.go
+++ b/internal/tier/controlnode/task_lease.go
@@ -96,10 +96,11 @@
 	}
 }
 
-// hasPendingRelease reports whether this node has a release that is not sent, or not yet acknowledged or abandoned. It runs on the
-// event loop.
+// hasPendingRelease reports whether this node has a release that is not sent, or not yet acknowledged or abandoned, or may have to
+// send one, as the view was adopted in the present batch. It runs on the event loop.
 func (s *Server) hasPendingRelease() bool {
-	return s.releasesInFlight > 0 || s.lease.HasUnsentRelease()
+	unobserved := len(s.settings.Platform.Duties) > 0 && s.lease.Epoch() < s.node.View().Epoch
+	return unobserved || s.releasesInFlight > 0 || s.lease.HasUnsentRelease()
 }
 
 // releaseRequest passes a release to the lease at the head of the next view.
--- a/internal/tier/lease/lease.go
+++ b/internal/tier/lease/lease.go
@@ -133,6 +133,9 @@
 	}
 }
 
+// Epoch returns the newest epoch that was observed.
+func (l *Lease) Epoch() int64 { return l.epoch }
+
 // HasUnsentRelease reports whether a release is delayed by calls in flight.
 func (l *Lease) HasUnsentRelease() bool { return l.unsent != nil }
 
