Mark errors of a server that does not know a method

A caller that asks for something new must tell an earlier version, which has no say in it, from a node that refuses. ErrUnknownMethod marks the answer that servers give to unknown methods since the first version; the text on the wire stays.

--- a/internal/rpc/call_test.go
+++ b/internal/rpc/call_test.go
@@ -28,6 +28,12 @@
 	}
 	wantErrorClass(t, c.Call(ctx, refuse, line{}, new(line)), ErrRemote, "not today: come tomorrow")
 	wantErrorClass(t, c.Call(ctx, Method(200), line{}, nil), ErrRemote, "unknown call")
+	if err := c.Call(ctx, Method(200), line{}, nil); !errors.Is(err, ErrUnknownMethod) {
+		t.Errorf("a call of an unknown method ends in %v, want ErrUnknownMethod", err)
+	}
+	if err := c.Call(ctx, refuse, line{}, new(line)); errors.Is(err, ErrUnknownMethod) {
+		t.Errorf("a call that its handler refuses ends in ErrUnknownMethod: %v", err)
+	}
 	if err := c.Call(ctx, nothing, nil, nil); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rpc/clientconn.go
+++ b/internal/rpc/clientconn.go
@@ -79,13 +79,22 @@
 			continue // its caller does not wait any more
 		}
 		if f.kind == kindError {
-			ch <- reply{err: errors.Mark(errors.New(string(f.body)), ErrRemote)}
+			ch <- reply{err: remoteError(string(f.body))}
 		} else {
 			ch <- reply{body: f.body}
 		}
 	}
 }
 
+// remoteError returns the error that a server returned.
+func remoteError(text string) error {
+	err := errors.Mark(errors.New(text), ErrRemote)
+	if text == unknownMethodText {
+		err = errors.Mark(err, ErrUnknownMethod)
+	}
+	return err
+}
+
 // fail closes the connection; calls without a reply end in ErrLost.
 func (c *clientConn) fail(err error) {
 	c.socket.Close()
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -133,7 +133,7 @@
 	response := frame{kindError, call.method, call.number, nil}
 	handler := s.handlers[call.method]
 	if handler == nil {
-		response.body = []byte("unknown call: the two sides differ in version")
+		response.body = []byte(unknownMethodText)
 		return response
 	}
 	result, err := handler(ctx, call.body)
