Have a store leave the placement before it ends, where its successor may be there

Cause: a store ended at SIGTERM at once and stayed in the placement, also where it was taken away for good. It was removed only once it had been silent for 2 x contact_ms, or contact_ms / 2 where another store had first registered as it left; a planned successor registers long before.

Change: a store that gets SIGTERM goes on serving and asks the head (StopStoreCall) until it may stop, up to 1 s before its grace period ends. Who knows that a store goes for good: nobody, but the head knows whether a successor may be there. The number of stores of the deployment is recorded once in the control state (key store-count, which earlier versions ignore), so that the next head has it; retirements decrease it. While the placement has more stores than that, a stopping store leaves first, in one change with others; else it may stop at once and stays, as a restart, unless as many others as may be lost are missing. hasSuccessor is replaced by the same count: a failed store is removed after contact_ms / 2 while the placement has more stores than the deployment.

Why it holds: let N be the recorded number. Machines that are neither listed nor counted as lost are successors' predecessors only; while the list has at most N stores, each listed store that stopped stands for a machine that counts as lost. So no more than the tolerated number of listed stores is gone.

TestFailedStoreWithSuccessorIsRemovedEarly is unchanged; its timeline records the number of stores as the head does.

--- a/cmd/larch-control/store.go
+++ b/cmd/larch-control/store.go
@@ -63,15 +63,27 @@
 		return errors.Wrap(err, "listen for other nodes: free the port or change port_range")
 	}
 	server := rpc.NewServer(store.Handlers())
-	ctx, stop := context.WithCancel(ctx)
+	running, stop := context.WithCancel(context.WithoutCancel(ctx)) // a store that was told to stop goes on serving for a while
 	defer stop()
+	registering, stopRegistering := context.WithCancel(running)
+	defer stopRegistering()
 	var wg sync.WaitGroup
 	wg.Go(func() { server.Serve(l) })
-	wg.Go(func() { follower.Run(ctx) })
-	wg.Go(func() { store.Run(ctx) })
-	wg.Go(func() { register(ctx, follower, calls, store, self) })
+	wg.Go(func() { follower.Run(running) })
+	wg.Go(func() { store.Run(running) })
+	wg.Go(func() { register(registering, follower, calls, store, self) })
+	stopped := make(chan struct{})
+	wg.Go(func() {
+		defer close(stopped)
+		select {
+		case <-ctx.Done():
+			leaver := &leaver{core: follower, calls: calls, id: self.ID, log: log, unplaced: stopRegistering}
+			leaver.awaitPermission(running, stopTimeout(s.TimingBound("grace_period_s", defaultGracePeriod)))
+		case <-running.Done():
+		}
+	})
 	select {
-	case <-ctx.Done():
+	case <-stopped:
 	case <-db.Failed():
 		err = errors.Wrap(db.Err(), "the disk does not take writes: look at the data folder")
 	}
--- a/internal/tier/controlnode/frames_test.go
+++ b/internal/tier/controlnode/frames_test.go
@@ -101,10 +101,13 @@
 		{14, "clock", sideReply, &feed.ClockReading{UnixMicros: big + 1}},
 		{15, "duties", sideRequest, &feed.OperatorRequest{Name: "name", Forwarded: true}},
 		{15, "duties", sideReply, fullTaskStatus()},
+		{16, "stop", sideRequest, &feed.StopStoreRequest{ID: "store-id", Forwarded: true}},
+		{16, "stop", sideReply, &feed.StopStoreResponse{MayStop: true, Placed: true}},
 
 		{0, "configuration", sideStored, &feed.ConfigEntry{Version: big + 1, Body: []byte("body"), RecentDigests: [][]byte{[]byte("digest-1"), []byte("digest-2")}}},
 		{0, "placement", sideStored, &turnstore.Placement{Generation: big + 1, ReplicationFactor: big + 2, DurableReplicas: big + 3, FaultTolerance: big + 4, Old: []turnstore.Store{store},
 			New: []turnstore.Store{{ID: "store-id-2", Name: "store-name-2", Addr: "store-addr-2", Zone: "store-zone-2"}}, SweptIDs: []string{"done-1", "done-2"}}},
+		{0, "store count", sideStored, &feed.StoreCountEntry{Initial: big + 1}},
 		{0, "retirement", sideStored, &feed.RetireEntry{ID: "store-id"}},
 		{0, "page of orders", sideStored, &orders.Page{Records: []orders.Record{{Sequence: big + 1, Version: big + 2, BaseVersion: big + 3, Digest: []byte("digest-1")},
 			{Sequence: big + 4, Version: big + 5, BaseVersion: big + 6, Digest: []byte("digest-2")}}}},
@@ -142,6 +145,8 @@
 	{8, "status, sealed", sideReply, &Status{Promised: true}},
 	{8, "status, fresh", sideReply, &Status{Fresh: true}},
 	{8, "status, joint", sideReply, &Status{PlacementJoint: true}},
+	{16, "stop, may", sideReply, &feed.StopStoreResponse{MayStop: true}},
+	{16, "stop, placed", sideReply, &feed.StopStoreResponse{Placed: true}},
 	{15, "duties, held", sideReply, &TaskStatus{Held: true}},
 	{15, "duties, usage expected", sideReply, &TaskStatus{Usage: UsageTaskStatus{Expected: true}}},
 	{15, "duties, scale expected", sideReply, &TaskStatus{Scale: ScaleTaskStatus{Expected: true}}},
@@ -290,8 +295,8 @@
 // The numbers of methods, message kinds and chunk statuses are on the wire.
 func TestWireNumbersAreUnchanged(t *testing.T) {
 	methods := []rpc.Method{feed.PeerCall, feed.FollowCall, feed.PutConfigCall, feed.ReadConfigCall, feed.RegisterCall, feed.RetireStoreCall, feed.StorePhaseCall, feed.StatusCall, feed.ChangesCall, feed.ChunkCall,
-		feed.HealthCall, feed.UsageCall, feed.LeaseReleaseCall, feed.ClockCall, feed.TaskStatusCall}
-	if want := []rpc.Method{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15}; !reflect.DeepEqual(methods, want) {
+		feed.HealthCall, feed.UsageCall, feed.LeaseReleaseCall, feed.ClockCall, feed.TaskStatusCall, feed.StopStoreCall}
+	if want := []rpc.Method{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}; !reflect.DeepEqual(methods, want) {
 		t.Errorf("methods are %v, want %v", methods, want)
 	}
 	kinds := []int{msgHeartbeat, msgPrepare, msgPromise, msgAccept, msgAccepted, msgDecide, msgChainUpdate, msgChainAck, msgConfirm, msgConfirmed, msgHostList, msgLearnerUpdate, msgLearnerAck}
--- a/internal/tier/controlnode/peer_calls.go
+++ b/internal/tier/controlnode/peer_calls.go
@@ -58,6 +58,7 @@
 		feed.LeaseReleaseCall: typedHandler(s.handleRelease),
 		feed.ClockCall:        typedHandler(s.handleClock),
 		feed.TaskStatusCall:   typedHandler(s.handleTaskStatus),
+		feed.StopStoreCall:    typedHandler(s.handleStopStore),
 		feed.RetireStoreCall:  typedHandler(s.handleRetire),
 		feed.StorePhaseCall:   typedHandler(s.handlePhase),
 		feed.StatusCall:       typedHandler(func(context.Context, *feed.Empty) (*Status, error) { return s.status(), nil }),
--- a/internal/tier/controlnode/placement_role.go
+++ b/internal/tier/controlnode/placement_role.go
@@ -83,6 +83,12 @@
 		s.writePlacementEntry(orders.RetireKey(lost[0].Name, lost[0].ID), rpc.Encode(&feed.RetireEntry{ID: lost[0].ID}))
 		return
 	}
+	if input.Current != nil && input.NominalStores == 0 {
+		count := placement.InitialStores(input.Current, input.Retired)
+		s.log.Info("the number of stores is recorded", "stores", count)
+		s.writePlacementEntry(feed.StoreCountKey, rpc.Encode(&feed.StoreCountEntry{Initial: int64(count)}))
+		return
+	}
 	if next := placement.Plan(input, s.placementTimings()); next != nil {
 		s.log.Info("placement", "gen", next.Generation, "old_stores", len(next.Old), "new_stores", len(next.New))
 		s.writePlacementEntry(feed.PlacementKey, rpc.Encode(next))
@@ -101,6 +107,7 @@
 		Stores:         role.stores,
 		Retired:        map[string]bool{},
 	}
+	var count feed.StoreCountEntry
 	for _, e := range s.node.Chain().State().Entries {
 		switch {
 		case e.Key == feed.PlacementKey:
@@ -108,6 +115,8 @@
 			if rpc.Decode(e.Value, p) == nil {
 				input.Current = p // the last one wins, committed or not
 			}
+		case e.Key == feed.StoreCountKey:
+			_ = rpc.Decode(e.Value, &count) // an entry that cannot be read is written again
 		case len(e.Key) > len(feed.RetirePrefix) && e.Key[:len(feed.RetirePrefix)] == feed.RetirePrefix:
 			var r feed.RetireEntry
 			if rpc.Decode(e.Value, &r) == nil {
@@ -115,6 +124,7 @@
 			}
 		}
 	}
+	input.NominalStores = placement.NominalStores(int(count.Initial), input.Retired)
 	if input.Current != nil && input.Current.Generation != role.generation {
 		role.generation = input.Current.Generation
 		role.generationSince = role.inherited.GenerationSince(input.Current.Generation, now)
--- a/internal/tier/feed/messages.go
+++ b/internal/tier/feed/messages.go
@@ -26,6 +26,7 @@
 	LeaseReleaseCall // from the head of an epoch to that of the next
 	ClockCall        // the wall clock of a core node
 	TaskStatusCall   // the state of the singleton tasks, at the head
+	StopStoreCall    // from a store that was told to stop
 )
 
 // FollowRequest is the poll of a follower of an earlier version, which receives every value in full. Messages are encoded
@@ -130,6 +131,18 @@
 	Forwarded       bool  // set by a core node that is not the head, so that the message is not forwarded again
 }
 
+// StopStoreRequest asks whether a store that was told to stop may stop. The store repeats it until it may.
+type StopStoreRequest struct {
+	ID        string // of the store
+	Forwarded bool   // as in Registration
+}
+
+// StopStoreResponse is the head's response to a StopStoreRequest.
+type StopStoreResponse struct {
+	MayStop bool
+	Placed  bool // it is in the placement: it stays a replica while it is stopped
+}
+
 // HealthReport has a front's observations, since its last report, of hosts that fail or are on probation.
 type HealthReport struct {
 	Name         string // of the machine
@@ -202,5 +215,10 @@
 	ID string // identity of the store to retire
 }
 
+// StoreCountEntry is the value under StoreCountKey.
+type StoreCountEntry struct {
+	Initial int64 // see placement.InitialStores
+}
+
 // RetirePrefix is the prefix of the keys of orders to retire a store; see orders.RetireKey.
 const RetirePrefix = "retire/"
--- a/internal/tier/feed/tables.go
+++ b/internal/tier/feed/tables.go
@@ -13,6 +13,9 @@
 const (
 	ConfigKey    = "config"
 	PlacementKey = "placement"
+
+	// StoreCountKey has the number of stores of the deployment. Core nodes of versions that do not know it ignore it.
+	StoreCountKey = "store-count"
 )
 
 // FilterForFollowers returns the entries that followers use. All others are for core nodes only.
--- a/internal/tier/placement/doc.go
+++ b/internal/tier/placement/doc.go
@@ -21,6 +21,10 @@
 // A new head has received no registrations yet. It inherits the Observations that the previous head published, and uses them
 // only after Timings.TakeoverGrace: by then every running store has registered with the new head.
 //
+// A store that is told to stop does not know whether its machine starts again. It goes on serving until RequestStop permits it
+// to stop. While the placement has more stores than the deployment (NominalStores), one of them may be the successor of the one
+// that stops, which leaves the placement first. Otherwise it stays in the placement, as one of the tolerated losses.
+//
 // # Obligations of the caller
 //
 // The package has no clock, socket or file. It does no locking: a caller that shares the maps of an Input must guard them.
@@ -32,6 +36,10 @@
 //     control state before it calls Plan again;
 //   - record retirements, in Input.Retired and on disk, only if CanRetire permits it, and, before the next placement, those of
 //     the stores that SuccessorsOfRetiringStores returns;
+//   - write the number of InitialStores to the control state, before any other change, once there is a placement and no such
+//     number, and pass Input.NominalStores;
+//   - pass each request of a store that was told to stop to RequestStop, and the decision back; a store for which it decided
+//     StopUnplaced must not register any more;
 //   - publish Input.Observe to the other core nodes, and pass the last observations received as Input.Inherited when it
 //     becomes head;
 //   - record each placement change in Departures;
--- a/internal/tier/placement/helpers_test.go
+++ b/internal/tier/placement/helpers_test.go
@@ -11,10 +11,6 @@
 	"larchrouter/internal/tier/turnstore"
 )
 
-func containsStore(list []turnstore.Store, id string) bool {
-	return slices.ContainsFunc(list, func(s turnstore.Store) bool { return s.ID == id })
-}
-
 func storeIDs(list []turnstore.Store) string {
 	var out []string
 	for _, s := range list {
@@ -128,6 +124,7 @@
 //	'.'  it does not register
 //	'w'  it registers under another identity: its disk was lost (wiped)
 //	'R'  it registers, and its retirement was accepted
+//	'S'  it registers, and requests to stop
 //
 // The placement at that time follows after '|': the generation and the names in the old and the new list, with the suffix w for
 // the other identity.
@@ -174,6 +171,9 @@
 	if status.Store.ID == "" {
 		status = StoreStatus{Store: turnstore.Store{ID: id, Name: name, Addr: name + ":1"}, FirstSeen: in.Now}
 	}
+	if mark == "S" {
+		status.StopRequestedAt = in.Now
+	}
 	if status.ConfirmedAt = in.Now; mark != "~" && in.Current != nil {
 		status.SweptGeneration = in.Current.Generation
 	}
@@ -193,7 +193,9 @@
 	if in.Current == nil || next.Generation != in.Current.Generation {
 		in.GenerationSince = in.Now
 	}
-	in.Current = next
+	if in.Current = next; in.NominalStores == 0 {
+		in.NominalStores = NominalStores(InitialStores(next, in.Retired), in.Retired)
+	}
 }
 
 // formatPlacement formats a placement as in timelines.
--- a/internal/tier/placement/model_bugs_test.go
+++ b/internal/tier/placement/model_bugs_test.go
@@ -17,6 +17,8 @@
 	slowDelivery              injectedBug = "placements are delivered slowly, which is allowed"
 	lateReplacement           injectedBug = "a failed store is replaced only after RemovalTimeout"
 	retirementNotExtended     injectedBug = "a store that loses its disk while it is being retired needs a new order"
+	stopsAtOnce               injectedBug = "a store that is told to stop ends at once"
+	nominalForgotten          injectedBug = "a new head takes the present number of stores for the nominal one"
 	noTakeoverGrace           injectedBug = "a new head uses inherited observations without a grace period"
 )
 
@@ -33,6 +35,7 @@
 	for _, bug := range []injectedBug{
 		jointPhaseSkipped, changeEndsUnswept, retiringRemovedWhileJoint, wipedStoreKeepsIdentity, sweepMissesAny, pullBeforeAdoption,
 		initialGenerationOne, anyUnresponsiveUnswept, lateReplacement, noTakeoverGrace, retirementNotExtended,
+		stopsAtOnce, nominalForgotten,
 	} {
 		t.Run(string(bug), func(t *testing.T) {
 			t.Parallel()
--- a/internal/tier/placement/model_check_test.go
+++ b/internal/tier/placement/model_check_test.go
@@ -109,7 +109,7 @@
 // checkConvergence stops the faults and checks that all replicas converge within 25 s. In a third of the runs it also checks
 // convergence within 15 s after the control state was created anew.
 func (m *simulation) checkConvergence(injector *faultInjector) {
-	injector.nextLoss, injector.nextOrder, injector.nextHeadChange = never, never, never
+	injector.nextLoss, injector.nextOrder, injector.nextHeadChange, injector.nextPlannedWork = never, never, never, never
 	m.run(m.now+25*time.Second, injector.step)
 	m.checkConverged()
 	if m.violation != "" || m.rng.IntN(3) > 0 {
@@ -121,7 +121,7 @@
 	for _, h := range m.hosts {
 		h.retired = false
 	}
-	m.departures = Departures{}
+	m.departures, m.initialStores = Departures{}, 0
 	m.inherited, m.lastReport, m.referenceStores = Observations{}, Observations{}, map[string]StoreStatus{}
 	m.run(m.now+15*time.Second, injector.step)
 	if m.currentPlacement == nil {
--- a/internal/tier/placement/model_head_test.go
+++ b/internal/tier/placement/model_head_test.go
@@ -11,9 +11,14 @@
 func (m *simulation) stepHead() {
 	sort.SliceStable(m.inTransit, func(i, j int) bool { return m.inTransit[i].arrivesAt < m.inTransit[j].arrivesAt })
 	for len(m.inTransit) > 0 && m.inTransit[0].arrivesAt <= m.now {
-		Register(m.stores, m.inTransit[0].registration, m.now, m.timings)
-		Register(m.referenceStores, m.inTransit[0].registration, m.now, m.timings)
+		arrived := m.inTransit[0]
 		m.inTransit = m.inTransit[1:]
+		if arrived.stopRequest != nil {
+			m.requestStop(arrived.stopRequest, arrived.registration.Store.ID)
+			continue
+		}
+		Register(m.stores, arrived.registration, m.now, m.timings)
+		Register(m.referenceStores, arrived.registration, m.now, m.timings)
 	}
 	if m.now%(100*time.Millisecond) != 0 {
 		return
@@ -32,6 +37,11 @@
 			m.logEvent("retirement extends to %s", store.ID)
 		}
 	}
+	if m.currentPlacement != nil && m.initialStores == 0 {
+		m.initialStores = InitialStores(m.currentPlacement, m.retired)
+		m.logEvent("%d stores are recorded", m.initialStores)
+		return
+	}
 	next := m.plan(in)
 	if next == nil {
 		return
@@ -42,8 +52,30 @@
 	m.apply(next)
 }
 
+// requestStop delivers a request to stop to the head, and its decision to the host.
+func (m *simulation) requestStop(h *host, id string) {
+	decision := RequestStop(m.input(), id, m.timings)
+	if status, known := m.referenceStores[id]; known {
+		status.StopRequestedAt = m.now
+		m.referenceStores[id] = status
+	}
+	if decision != h.lastDecision { // a line for each change
+		m.logEvent("%s may stop: %d", id, decision)
+		h.lastDecision = decision
+	}
+	if h.id != id || h.stopRequestedAt == 0 || decision == StopDenied {
+		return
+	}
+	arrivesAt := m.now + m.duration(step, 150*time.Millisecond)
+	if decision == StopUnplaced {
+		h.leftAt = min(h.leftAt, arrivesAt)
+		arrivesAt += stopLinger
+	}
+	h.stopPermittedAt = min(h.stopPermittedAt, arrivesAt)
+}
+
 func (m *simulation) input() Input {
-	return Input{Now: m.now, TookOverAt: m.tookOverAt, Inherited: m.inherited,
+	return Input{NominalStores: NominalStores(m.initialStores, m.retired), Now: m.now, TookOverAt: m.tookOverAt, Inherited: m.inherited,
 		GenerationSince: m.inherited.GenerationSince(m.generation, max(m.tookOverAt, m.generationSince)),
 		FaultTolerance:  m.faultTolerance, Current: m.currentPlacement, Stores: m.stores, Retired: m.retired, Departures: m.departures}
 }
@@ -71,6 +103,9 @@
 
 // changeHead simulates a change of the head. The new head has the last observations received from the previous one.
 func (m *simulation) changeHead() {
+	if m.bug == nominalForgotten {
+		m.initialStores = 0
+	}
 	m.stores, m.tookOverAt, m.inherited, m.departures = map[string]StoreStatus{}, m.now, m.lastReport, Departures{}
 	m.logEvent("head changed")
 }
--- a/internal/tier/placement/model_test.go
+++ b/internal/tier/placement/model_test.go
@@ -22,6 +22,10 @@
 	sweepRetryInterval       = 100 * time.Millisecond
 	reportInterval           = 200 * time.Millisecond // of the head to the other core nodes
 	programCount             = 6
+	gracePeriod              = 8 * time.Second           // from SIGTERM to SIGKILL
+	stopTimeout              = gracePeriod - time.Second // after which a store ends that may not stop yet
+	stopRequestInterval      = 100 * time.Millisecond    // of a store that was told to stop
+	stopLinger               = 300 * time.Millisecond    // from its leaving of the placement until it ends
 	never                    = time.Duration(1 << 62)
 )
 
@@ -29,45 +33,49 @@
 type sentRegistration struct {
 	arrivesAt    time.Duration
 	registration Registration
+	stopRequest  *host // the host that requests to stop; nil for a registration
 }
 
 type simulation struct {
-	bug               injectedBug
-	rng               *rand.Rand
-	faultTolerance    int
-	catchUpTime       time.Duration // time after its return during which a machine still counts as lost
-	timings           Timings
-	maxPull           time.Duration // longest duration of a pull
-	maxDelivery       time.Duration // longest delay until a store receives a placement
-	now               time.Duration
-	hosts             []*host
-	writes            []turnWrite
-	programWrites     [programCount]uint64 // a bit for each write
-	currentPlacement  *turnstore.Placement
-	replicaSetCache   map[replicaSetKey][]turnstore.ReplicaSet
-	previousPlacement *turnstore.Placement // which slow fronts use until previousUntil
-	previousUntil     time.Duration
-	tookOverAt        time.Duration
-	generation        int64
-	generationSince   time.Duration // when generation was first seen
-	stores            map[string]StoreStatus
-	inherited         Observations           // by the current head from the previous one
-	reportLossRand    *rand.Rand             // decides which published observations are lost
-	lossTargetRand    *rand.Rand             // decides whether a loss hits a retiring store
-	lastReport        Observations           // last observations received by the other core nodes
-	referenceStores   map[string]StoreStatus // as seen by a permanent head
-	retired           map[string]bool        // identities of stores whose retirement was accepted
-	departures        Departures             // as seen by the current head
-	inTransit         []sentRegistration
-	identitiesCreated int
-	hostsByID         map[string]*host // hosts that are not removed
-	events            []string
-	violation         string
-	jointSince        time.Duration // start of the current joint phase
-	longestJoint      time.Duration
-	changes           int // number of joint phases
-	longestNoMajority time.Duration
-	noMajoritySince   time.Duration // 0 for none
+	bug                injectedBug
+	rng                *rand.Rand
+	faultTolerance     int
+	catchUpTime        time.Duration // time after its return during which a machine still counts as lost
+	timings            Timings
+	maxPull            time.Duration // longest duration of a pull
+	maxDelivery        time.Duration // longest delay until a store receives a placement
+	now                time.Duration
+	hosts              []*host
+	writes             []turnWrite
+	programWrites      [programCount]uint64 // a bit for each write
+	currentPlacement   *turnstore.Placement
+	replicaSetCache    map[replicaSetKey][]turnstore.ReplicaSet
+	previousPlacement  *turnstore.Placement // which slow fronts use until previousUntil
+	previousUntil      time.Duration
+	tookOverAt         time.Duration
+	generation         int64
+	generationSince    time.Duration // when generation was first seen
+	stores             map[string]StoreStatus
+	inherited          Observations           // by the current head from the previous one
+	reportLossRand     *rand.Rand             // decides which published observations are lost
+	lossTargetRand     *rand.Rand             // decides whether a loss hits a retiring store
+	lastReport         Observations           // last observations received by the other core nodes
+	referenceStores    map[string]StoreStatus // as seen by a permanent head
+	retired            map[string]bool        // identities of stores whose retirement was accepted
+	departures         Departures             // as seen by the current head
+	initialStores      int                    // recorded in the control state; 0 if it is not yet
+	longestStop        time.Duration          // longest time from SIGTERM until a store ended
+	stops, forcedStops int                    // stores that ended after SIGTERM; those of them that could not wait any longer
+	inTransit          []sentRegistration
+	identitiesCreated  int
+	hostsByID          map[string]*host // hosts that are not removed
+	events             []string
+	violation          string
+	jointSince         time.Duration // start of the current joint phase
+	longestJoint       time.Duration
+	changes            int // number of joint phases
+	longestNoMajority  time.Duration
+	noMajoritySince    time.Duration // 0 for none
 }
 
 func newSimulation(seed uint64, bug injectedBug, stores, faultTolerance int,
--- a/internal/tier/placement/plan.go
+++ b/internal/tier/placement/plan.go
@@ -44,6 +44,7 @@
 	Stores          map[string]StoreStatus // by store identity; maintained by Register
 	Retired         map[string]bool        // identities of stores whose retirement was accepted, complete or not
 	Departures      Departures             // of retired stores, as seen by this head
+	NominalStores   int                    // by the function of this name; 0 if it is not known yet
 }
 
 // Plan returns the placement that should replace the current one, or nil if no change is needed.
@@ -52,11 +53,11 @@
 	if in.Current == nil {
 		return initialPlacement(in, t, replicas)
 	}
-	target := in.Current.Old
-	if in.isJoint() {
-		target = in.Current.New
+	target := targetList(in.Current)
+	desired := in.desiredStores(target, in.leavingStores(target, t), t, replicas)
+	if !slices.Equal(desired, target) { // one change does for all
+		desired = in.desiredStores(target, in.stoppingStores(target, t), t, replicas)
 	}
-	desired := in.desiredStores(target, t, replicas)
 	next := *in.Current
 	next.SweptIDs = nil
 	switch newest := in.highestGeneration(); {
--- a/internal/tier/placement/registration.go
+++ b/internal/tier/placement/registration.go
@@ -23,6 +23,8 @@
 	FirstSeen       time.Duration // first registration of the current uninterrupted sequence
 	LastSeen        time.Duration // last registration
 	ConfirmedAt     time.Duration // last registration that confirmed the store; 0 for none
+	StopRequestedAt time.Duration // last request to stop; 0 for none; see RequestStop
+	StopPermittedAt time.Duration // last such request that was permitted; 0 for none
 }
 
 // Register records a registration in stores. A delayed registration may arrive after its store has failed and another one has
@@ -33,7 +35,7 @@
 	confirmed := status.ConfirmedAt > 0 && status.ConfirmedAt == status.LastSeen
 	gap := now - status.LastSeen
 	if !known || gap > t.FailureTimeout || confirmed && gap > t.SuspectTimeout ||
-		registeredSince(stores, registration.Store, status.LastSeen) {
+		registeredSince(stores, registration.Store, status.LastSeen) || startsAgain(status, now, t) {
 		status.FirstSeen = now
 	}
 	status.Store, status.Full, status.LastSeen = registration.Store, registration.Full, now
@@ -46,6 +48,13 @@
 	stores[registration.Store.ID] = status
 }
 
+// startsAgain reports whether a registration is the first one that a store which was told to stop has sent after it stopped. A
+// single one may have been delayed, so it begins a new sequence.
+func startsAgain(status StoreStatus, now time.Duration, t Timings) bool {
+	return status.StopRequestedAt > 0 && status.LastSeen-status.StopRequestedAt <= t.SuspectTimeout &&
+		now-status.StopRequestedAt > t.SuspectTimeout
+}
+
 // registeredSince reports whether another store has registered with the address of the given store since a point in time.
 func registeredSince(stores map[string]StoreStatus, store turnstore.Store, since time.Duration) bool {
 	for id, other := range stores {
--- a/internal/tier/placement/retirement.go
+++ b/internal/tier/placement/retirement.go
@@ -11,11 +11,7 @@
 // CanRetire reports whether enough stores remain in the placement if one more store is retired.
 func CanRetire(p *turnstore.Placement, retired map[string]bool, faultTolerance int) bool {
 	remaining := -1
-	target := p.Old
-	if len(p.New) > 0 {
-		target = p.New
-	}
-	for _, store := range target {
+	for _, store := range targetList(p) {
 		if !retired[store.ID] {
 			remaining++
 		}
--- a/internal/tier/placement/schedule_test.go
+++ b/internal/tier/placement/schedule_test.go
@@ -37,6 +37,7 @@
 	nextLoss           time.Duration
 	nextOrder          time.Duration
 	nextHeadChange     time.Duration
+	nextPlannedWork    time.Duration // planned replacements and restarts
 	lossesWithoutPause bool
 }
 
@@ -66,6 +67,10 @@
 		injector.nextOrder = injector.now + injector.duration(time.Second, 15*time.Second)
 		injector.submitOrder()
 	}
+	if injector.now >= injector.nextPlannedWork {
+		injector.nextPlannedWork = injector.now + injector.duration(time.Second, 12*time.Second)
+		injector.beginPlannedWork()
+	}
 	if injector.now >= injector.nextLoss && injector.countLost() < injector.faultTolerance {
 		if injector.nextLoss = injector.now + step; !injector.lossesWithoutPause {
 			injector.nextLoss += injector.duration(0, 6*time.Second)
@@ -168,7 +173,7 @@
 	host := injector.randomUpHost()
 	if host == nil || injector.currentPlacement == nil || injector.retired[host.id] ||
 		!containsStore(injector.currentPlacement.Stores(), host.id) ||
-		!CanRetire(injector.currentPlacement, injector.retired, injector.faultTolerance) {
+		!CanRetire(injector.currentPlacement, injector.retired, injector.faultTolerance) || injector.stayingHosts(host) <= 2*injector.faultTolerance || injector.sharesName(host) {
 		return
 	}
 	injector.retired[host.id], host.retired = true, true
@@ -176,6 +181,26 @@
 	injector.removeOnceRetired(host)
 }
 
+// sharesName reports whether another machine has the name of the given one, as its predecessor or successor: orders name machines.
+func (injector *faultInjector) sharesName(host *host) bool {
+	for _, other := range injector.hosts {
+		if other != host && !other.removed && other.name == host.name {
+			return true
+		}
+	}
+	return false
+}
+
+// stayingHosts returns how many machines other than the given one are neither gone nor about to be taken away.
+func (injector *faultInjector) stayingHosts(besides *host) (staying int) {
+	for _, h := range injector.hosts {
+		if h != besides && !h.removed && !h.retired && !h.isReplaced {
+			staying++
+		}
+	}
+	return staying
+}
+
 // removeOnceRetired removes a machine as soon as its retirement is complete, which does not count as a loss. A machine that loses
 // its disk meanwhile is retired nevertheless.
 func (injector *faultInjector) removeOnceRetired(host *host) {
@@ -208,7 +233,11 @@
 	sim.logEvent("%d stores, fault tolerance %d, seed %d", size.stores, size.faultTolerance, seed)
 	sim.run(6*time.Second, nil)
 	injector := &faultInjector{simulation: sim, rng: rng, lossesWithoutPause: rng.IntN(2) == 0,
-		nextHeadChange: sim.duration(6*time.Second, 30*time.Second), nextOrder: sim.duration(6*time.Second, 20*time.Second)}
+		nextHeadChange: sim.duration(6*time.Second, 30*time.Second), nextOrder: sim.duration(6*time.Second, 20*time.Second),
+		nextPlannedWork: sim.duration(6*time.Second, 15*time.Second)}
+	if rng.IntN(3) == 0 {
+		injector.nextPlannedWork = never
+	}
 	if rng.IntN(3) == 0 {
 		injector.nextHeadChange = never
 	}
@@ -221,7 +250,8 @@
 func TestRandomSchedulesKeepInvariants(t *testing.T) {
 	var mu sync.Mutex
 	var longestJoint, longestNoMajority time.Duration
-	changes, acked, failed := 0, 0, 0
+	changes, acked, failed, stops, forcedStops := 0, 0, 0, 0, 0
+	var longestStop time.Duration
 	seeds := make(chan uint64)
 	go func() {
 		for i := range *schedulesToRun {
@@ -242,6 +272,7 @@
 				}
 				longestJoint, longestNoMajority = max(longestJoint, sim.longestJoint), max(longestNoMajority, sim.longestNoMajority)
 				changes += sim.changes
+				stops, forcedStops, longestStop = stops+sim.stops, forcedStops+sim.forcedStops, max(longestStop, sim.longestStop)
 				for _, write := range sim.writes {
 					if write.acked {
 						acked++
@@ -255,6 +286,7 @@
 	t.Logf("%d schedules from seed %d, %d violations: %d joint phases, the longest %v; "+
 		"%d writes acknowledged; longest time without a majority %v",
 		*schedulesToRun, *firstSeed, failed, changes, longestJoint, acked, longestNoMajority)
+	t.Logf("%d planned stops, the longest %v; %d could not wait any longer", stops, longestStop, forcedStops)
 	if changes < 2**schedulesToRun || acked < 20**schedulesToRun {
 		t.Error("too few joint phases or acknowledged writes for a meaningful test")
 	}
--- a/internal/tier/tiertest/tier.go
+++ b/internal/tier/tiertest/tier.go
@@ -28,6 +28,7 @@
 // Options of a tier.
 type Options struct {
 	Cores, Stores, Fronts int      // machines of each class; at least seedCount cores
+	SpareStores           int      // further stores, which are not started: their machines come later, with empty disks
 	Programs              Programs // that the machines run
 	OtherPrograms         Programs // of another version, if set: every second machine of each class runs these
 	Dir                   string   // of settings and disks
@@ -80,7 +81,8 @@
 		return nil, err
 	}
 	t.addMachines(&o, Core, "core", o.Cores, "core")
-	t.addMachines(&o, Store, "store", o.Stores, "store")
+	t.addMachines(&o, Store, "store", o.Stores+o.SpareStores, "store")
+	spares := t.Class(Store)[o.Stores:]
 	t.addMachines(&o, Front, "balancer", o.Fronts)
 	var control []string
 	for _, m := range t.Class(Core) {
@@ -88,8 +90,10 @@
 	}
 	t.Operator = cloudapi.NewOperator(control...)
 	for _, m := range t.Machines {
-		if err := m.Start(); err != nil {
-			return nil, err
+		if !slices.Contains(spares, m) {
+			if err := m.Start(); err != nil {
+				return nil, err
+			}
 		}
 		m.mu.Lock()
 		m.bootstrap = false // in the settings of later incarnations
