Remove a failed store early only after the contact time-out, or where a store registered as it left

After stores were added, one that was killed for 2 s was removed after half of the contact time-out, and added again: two changes that a machine which comes back does not need. Now a failed store waits for the contact time-out while another one may be its successor, half of it only where that one registered as the store left, as before the last change.

--- a/internal/tier/placement/plan.go
+++ b/internal/tier/placement/plan.go
@@ -15,6 +15,7 @@
 	ConfirmInterval time.Duration // from the first registration of a sequence until a further one confirms the store
 	SuspectTimeout  time.Duration // without registration: the store is suspect; longer than the registration interval
 	FailureTimeout  time.Duration // without registration: the store has failed, and a candidate may replace it
+	SurplusTimeout  time.Duration // without registration: the store is removed while another one may be its successor
 	RemovalTimeout  time.Duration // without registration: the store is removed even without a replacement
 	TakeoverGrace   time.Duration // time for which a new head receives registrations before it uses inherited observations
 }
@@ -29,7 +30,7 @@
 // unreachable.
 func DefaultTimings(contactTimeout time.Duration) Timings {
 	return Timings{InitialWait: 700 * time.Millisecond, ExtendedWait: 4 * time.Second, ConfirmInterval: 80 * time.Millisecond,
-		SuspectTimeout: 600 * time.Millisecond, FailureTimeout: contactTimeout / 2, RemovalTimeout: 2 * contactTimeout,
+		SuspectTimeout: 600 * time.Millisecond, FailureTimeout: contactTimeout / 2, SurplusTimeout: contactTimeout, RemovalTimeout: 2 * contactTimeout,
 		TakeoverGrace: takeoverGrace}
 }
 
--- a/internal/tier/placement/stopping_test.go
+++ b/internal/tier/placement/stopping_test.go
@@ -68,7 +68,14 @@
 }
 
 // A failed store is removed without waiting for RemovalTimeout only while another one may be its successor.
-func TestFailedStoreWithoutSuccessorIsKept(t *testing.T) {
+func TestFailedStoreIsRemovedEarlierWhereSuccessorMayBe(t *testing.T) {
+	runTimeline(t, 1, `
+		ms    a b c d e
+		1000  + + + + . | 1 a,b,c,d
+		1300  + + + + + | 2 a,b,c,d,e
+		3000  + + + + + | 2 a,b,c,d,e
+		5900  + . + + + | 2 a,b,c,d,e
+		6300  + . + + + | 3 a,c,d,e`)
 	runTimeline(t, 1, `
 		ms    a b c d
 		1000  + + + + | 1 a,b,c,d
--- a/internal/tier/placement/stores.go
+++ b/internal/tier/placement/stores.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"larchrouter/internal/tier/turnstore"
 )
@@ -24,9 +25,30 @@
 		return containsStore(leaving, store.ID) && in.exceedsNominal(listed)
 	})
 	return removeSurplus(desired, replicas, func(store turnstore.Store, listed int) bool {
-		elapsed := in.elapsed(store.ID, t)
-		return in.Retired[store.ID] && !suspect || elapsed > t.RemovalTimeout ||
-			elapsed > t.FailureTimeout && in.exceedsNominal(listed)
+		return in.Retired[store.ID] && !suspect || in.elapsed(store.ID, t) > in.removalTimeout(store.ID, desired, listed, t)
+	})
+}
+
+// removalTimeout returns after which time without registration a store is removed from a list of a length. It is shorter while one
+// of the stores may be the successor, and shortest if one registered just as the given store stopped registering.
+func (in *Input) removalTimeout(id string, list []turnstore.Store, listed int, t Timings) time.Duration {
+	switch {
+	case !in.exceedsNominal(listed):
+		return t.RemovalTimeout
+	case in.hasSuccessor(id, list, t):
+		return t.FailureTimeout
+	default:
+		return t.SurplusTimeout
+	}
+}
+
+// hasSuccessor reports whether a store of the list first registered when the given store stopped registering, or later. It is
+// assumed to be the successor; it was added instead of replacing the given store because that one was not late yet.
+func (in *Input) hasSuccessor(id string, list []turnstore.Store, t Timings) bool {
+	departed := in.Stores[id].ConfirmedAt - t.SuspectTimeout
+	return slices.ContainsFunc(list, func(store turnstore.Store) bool {
+		status, known := in.Stores[store.ID]
+		return known && store.ID != id && status.ConfirmedAt > 0 && status.FirstSeen > departed
 	})
 }
 
