Have the model's turns wait no longer for a frozen node once the scenario has ended

A trace of one such run shows why: the planted fault had been found, which ends the scenario, while a front was frozen. What froze it ended without the thaw; its turns waited for the thaw, the scenario for its turns, and the thaw of all nodes comes only after that; stores' timers kept virtual time going for ever. A wait for the thaw now ends with the scenario. TestViolationEndsWaitForFrozenNode deadlocks on the old code.

--- a/internal/tier/turnstore/model_network_test.go
+++ b/internal/tier/turnstore/model_network_test.go
@@ -91,10 +91,14 @@
 	changed  atomic.Pointer[chan struct{}]       // closed with the next placement
 }
 
-// awaitThaw waits while the node is frozen.
+// awaitThaw waits while the node is frozen, until the scenario ends.
 func (n *node) awaitThaw() {
 	for c := n.frozen.Load(); c != nil; c = n.frozen.Load() {
-		<-*c
+		select {
+		case <-*c:
+		case <-n.sim.done: // what froze the node has ended, and thaws it no more
+			return
+		}
 	}
 }
 
--- a/internal/tier/turnstore/simulation_test.go
+++ b/internal/tier/turnstore/simulation_test.go
@@ -194,3 +194,17 @@
 		sim.close()
 	})
 }
+
+// A violation ends the scenario, and with it what froze a node: no turn may wait for the thaw then, as the scenario waits for all
+// turns before it thaws the nodes.
+func TestViolationEndsWaitForFrozenNode(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		sim := newSimulation(1, "")
+		frozen := &node{sim: sim, name: "f0"}
+		frozen.freeze()
+		sim.wg.Go(frozen.awaitThaw)
+		synctest.Wait()
+		sim.violation("planted")
+		sim.wg.Wait()
+	})
+}
