Wait for the permission to stop also where a store has no placement yet

A store that got SIGTERM within moments of its start ended at once, listed or not. It now asks the core like any other, for a second at most while no placement has reached it.

--- a/cmd/larch-control/store.go
+++ b/cmd/larch-control/store.go
@@ -72,22 +72,15 @@
 	wg.Go(func() { follower.Run(running) })
 	wg.Go(func() { store.Run(running) })
 	wg.Go(func() { register(registering, follower, calls, store, self) })
-	stopped := make(chan struct{})
-	wg.Go(func() {
-		defer close(stopped)
-		select {
-		case <-ctx.Done():
-			leaver := &leaver{core: follower, calls: calls, id: self.ID, log: log, unplaced: stopRegistering}
-			leaver.awaitPermission(running, stopTimeout(s.TimingBound("grace_period_s", defaultGracePeriod)))
-		case <-running.Done():
-		}
-	})
+	leaver := &leaver{core: follower, calls: calls, id: self.ID, log: log, unplaced: stopRegistering}
+	permitted := leaver.awaitPermission(running, ctx.Done(), stopTimeout(s.TimingBound("grace_period_s", defaultGracePeriod)))
 	select {
-	case <-stopped:
+	case <-permitted:
 	case <-db.Failed():
 		err = errors.Wrap(db.Err(), "the disk does not take writes: look at the data folder")
 	}
 	stop()
+	<-permitted
 	server.Close()
 	calls.Close()
 	wg.Wait()
--- a/cmd/larch-control/store_stop.go
+++ b/cmd/larch-control/store_stop.go
@@ -18,6 +18,7 @@
 	closeTime           = time.Second            // kept for closing the store
 	stopRequestTimeout  = 400 * time.Millisecond // of one request to the core
 	stopRequestInterval = 50 * time.Millisecond
+	joinTimeout         = time.Second            // in which a store that reaches the core receives a placement
 	stopLinger          = 300 * time.Millisecond // after which all fronts know the placement without the store
 )
 
@@ -42,26 +43,45 @@
 	unplaced func() // called once the store is not in the placement and must not register any more
 }
 
-// awaitPermission returns once the store may stop, after the timeout, or when the context ends.
-func (l *leaver) awaitPermission(ctx context.Context, timeout time.Duration) {
-	if l.core.Placement() == nil {
-		return // it has just started, and serves nothing
-	}
+// awaitPermission returns a channel that is closed once the store may stop after it was told to: when the head permits it, after a
+// timeout, or when the context ends.
+func (l *leaver) awaitPermission(ctx context.Context, toldToStop <-chan struct{}, timeout time.Duration) <-chan struct{} {
+	permitted := make(chan struct{})
+	go func() {
+		defer close(permitted)
+		select {
+		case <-toldToStop:
+			waiting, stop := context.WithTimeout(ctx, timeout)
+			defer stop()
+			l.leave(waiting)
+		case <-ctx.Done():
+		}
+	}()
+	return permitted
+}
+
+// leave asks the head until the store may stop, or until the context ends.
+func (l *leaver) leave(ctx context.Context) {
 	began := time.Now()
-	waiting, stop := context.WithTimeout(ctx, timeout)
-	defer stop()
-	response := l.request(waiting)
-	for !response.MayStop && waiting.Err() == nil {
-		ctxtime.Sleep(waiting, stopRequestInterval)
-		response = l.request(waiting)
+	var response feed.StopStoreResponse
+	for l.isKnown(began) {
+		response = l.request(ctx)
+		if response.MayStop || !ctxtime.Sleep(ctx, stopRequestInterval) {
+			break
+		}
 	}
 	l.log.Info("stopping", "permitted", response.MayStop, "placed", response.Placed, "waited", time.Since(began))
 	if response.MayStop && !response.Placed {
 		l.unplaced()
-		ctxtime.Sleep(waiting, stopLinger)
+		ctxtime.Sleep(ctx, stopLinger)
 	}
 }
 
+// isKnown reports whether the core may know the store. One that has received no placement for joinTimeout has not reached the core.
+func (l *leaver) isKnown(began time.Time) bool {
+	return l.core.Placement() != nil || time.Since(began) < joinTimeout
+}
+
 // request asks the core once. A core of an earlier version has no say in it.
 func (l *leaver) request(ctx context.Context) (response feed.StopStoreResponse) {
 	ctx, stop := context.WithTimeout(ctx, stopRequestTimeout)
