--- a/cmd/larch-control/store.go
+++ b/cmd/larch-control/store.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -100,7 +99,7 @@
 		interval := registerIntervalUnplaced
 		if p := follower.Placement(); p != nil {
 			current.Generation = max(current.Generation, p.Generation)
-			if slices.ContainsFunc(p.Stores(), func(other turnstore.Store) bool { return other.ID == self.ID }) {
+			if turnstore.ContainsStore(p.Stores(), self.ID) {
 				interval = registerInterval
 			}
 		}
--- a/internal/tier/placement/model_check_test.go
+++ b/internal/tier/placement/model_check_test.go
@@ -8,7 +8,7 @@
 
 // isAuthoritative reports whether the store may deny that a turn exists, by the rule of package turnstore.
 func (h *host) isAuthoritative() bool {
-	return h.placement != nil && (containsStore(h.placement.Old, h.id) || h.sweptGeneration == h.placement.Generation)
+	return h.placement != nil && (turnstore.ContainsStore(h.placement.Old, h.id) || h.sweptGeneration == h.placement.Generation)
 }
 
 // check checks the invariants of docs/design/015: every program has a majority of replicas, and no acknowledged write is lost.
--- a/internal/tier/placement/model_store_test.go
+++ b/internal/tier/placement/model_store_test.go
@@ -124,7 +124,7 @@
 		}
 	}
 	every := registerInterval
-	if store.placement == nil || !containsStore(store.placement.Stores(), store.id) {
+	if store.placement == nil || !turnstore.ContainsStore(store.placement.Stores(), store.id) {
 		every = unplacedRegisterInterval
 	}
 	hasLeft := store.stopRequestedAt > 0 && m.now >= store.leftAt
--- a/internal/tier/placement/model_sweep_test.go
+++ b/internal/tier/placement/model_sweep_test.go
@@ -38,7 +38,7 @@
 	if p == nil || h.sweptGeneration >= p.Generation || p.Generation == 1 {
 		return false
 	}
-	return containsStore(p.New, h.id) || len(p.New) == 0 && containsStore(p.Old, h.id)
+	return turnstore.ContainsStore(p.New, h.id) || len(p.New) == 0 && turnstore.ContainsStore(p.Old, h.id)
 }
 
 // beginPull starts a pull from a peer and schedules its end.
@@ -113,7 +113,7 @@
 	store.pulledBefore[from] = true
 	for program := range programCount {
 		for _, replicas := range m.replicaSetsUnder(placement, program) {
-			if containsStore(replicas, store.id) {
+			if turnstore.ContainsStore(replicas, store.id) {
 				store.writes |= peer.writes & m.programWrites[program]
 			}
 		}
--- a/internal/tier/placement/observations_test.go
+++ b/internal/tier/placement/observations_test.go
@@ -16,7 +16,7 @@
 	heads.run(5900*time.Millisecond, "a", "b", "c", "e") // e is not added while d is suspect
 	heads.takeOver(heads.input.Observe(heads.timings))
 	next := heads.run(10*time.Second, "a", "b", "c", "e")
-	if next == nil || !containsStore(next.New, "e") || containsStore(next.New, "d") {
+	if next == nil || !turnstore.ContainsStore(next.New, "e") || turnstore.ContainsStore(next.New, "d") {
 		t.Fatalf("got %+v, want a change that replaces d by e", next)
 	}
 	if at := heads.input.Now; at != 7100*time.Millisecond {
--- a/internal/tier/placement/retirement.go
+++ b/internal/tier/placement/retirement.go
@@ -29,7 +29,7 @@
 	}
 	placed := in.Current.Stores()
 	for id, status := range in.Stores {
-		listed := slices.ContainsFunc(placed, func(o turnstore.Store) bool { return o.ID == id })
+		listed := turnstore.ContainsStore(placed, id)
 		if listed || in.Retired[id] || status.ConfirmedAt == 0 {
 			continue
 		}
@@ -54,7 +54,7 @@
 	}
 	remaining := after.Stores()
 	for _, store := range before.Stores() {
-		if retired[store.ID] && !slices.ContainsFunc(remaining, func(o turnstore.Store) bool { return o.ID == store.ID }) {
+		if retired[store.ID] && !turnstore.ContainsStore(remaining, store.ID) {
 			d[store.Name] = now
 		}
 	}
--- a/internal/tier/placement/retirement_test.go
+++ b/internal/tier/placement/retirement_test.go
@@ -29,7 +29,7 @@
 				if next == nil {
 					break
 				}
-				if containsStore(next.New, "d2") || containsStore(next.Old, "d2") {
+				if turnstore.ContainsStore(next.New, "d2") || turnstore.ContainsStore(next.Old, "d2") {
 					t.Fatalf("the wiped store is placed: %+v", next)
 				}
 				if len(next.New) == 0 && in.Now-start > 500*time.Millisecond {
@@ -37,7 +37,7 @@
 				}
 				in.Current = next
 			}
-			if len(in.Current.New) > 0 || len(in.Current.Old) != 3 || containsStore(in.Current.Old, "d") {
+			if len(in.Current.New) > 0 || len(in.Current.Old) != 3 || turnstore.ContainsStore(in.Current.Old, "d") {
 				t.Errorf("the retirement is incomplete: %+v", in.Current)
 			}
 		})
@@ -61,7 +61,7 @@
 			in.Retired["d"], in.Retired["d2"] = true, true
 			heads.registerTwice(turnstore.Store{ID: "d2", Name: "d", Addr: "d:1"})
 			next := heads.run(in.Now+2*planStep, "a", "b", "c")
-			if next == nil || len(next.New) != 3 || containsStore(next.New, "d") {
+			if next == nil || len(next.New) != 3 || turnstore.ContainsStore(next.New, "d") {
 				t.Errorf("got %+v, want a change that removes d", next)
 			}
 		})
@@ -82,7 +82,7 @@
 	complete := in.Now
 	heads.registerTwice(turnstore.Store{ID: "d2", Name: "d", Addr: "d:1"})
 	next := heads.run(complete+2*heads.timings.FailureTimeout, "a", "b", "c", "e")
-	if next == nil || containsStore(next.New, "d2") || !containsStore(next.New, "e") {
+	if next == nil || turnstore.ContainsStore(next.New, "d2") || !turnstore.ContainsStore(next.New, "e") {
 		t.Errorf("got %+v, want e added and d2 not placed", next)
 	}
 	delete(in.Stores, "e")
@@ -93,7 +93,7 @@
 		}
 	}
 	heads.registerTwice(turnstore.Store{ID: "d2", Name: "d", Addr: "d:1"})
-	if next := heads.run(in.Now+planStep, "a", "b", "c"); next == nil || !containsStore(next.New, "d2") {
+	if next := heads.run(in.Now+planStep, "a", "b", "c"); next == nil || !turnstore.ContainsStore(next.New, "d2") {
 		t.Errorf("a new store of the name is not placed: %+v", next)
 	}
 }
@@ -131,7 +131,7 @@
 	}
 	heads.registerTwice(successor)
 	next := heads.run(in.Now+2*planStep, "a", "b", "c")
-	if next == nil || len(next.New) != 4 || !containsStore(next.New, "d2") {
+	if next == nil || len(next.New) != 4 || !turnstore.ContainsStore(next.New, "d2") {
 		t.Errorf("got %+v, want a change in which d2 replaces d", next)
 	}
 }
--- a/internal/tier/placement/schedule_test.go
+++ b/internal/tier/placement/schedule_test.go
@@ -172,7 +172,7 @@
 	}
 	host := injector.randomUpHost()
 	if host == nil || injector.currentPlacement == nil || injector.retired[host.id] ||
-		!containsStore(injector.currentPlacement.Stores(), host.id) ||
+		!turnstore.ContainsStore(injector.currentPlacement.Stores(), host.id) ||
 		!CanRetire(injector.currentPlacement, injector.retired, injector.faultTolerance) || injector.stayingHosts(host) <= 2*injector.faultTolerance || injector.sharesName(host) {
 		return
 	}
@@ -208,7 +208,7 @@
 		if host.removed || injector.currentPlacement == nil { // the order was lost with the core nodes' disks
 			return
 		}
-		early := injector.bug == retiringRemovedWhileJoint && !containsStore(injector.currentPlacement.New, host.id)
+		early := injector.bug == retiringRemovedWhileJoint && !turnstore.ContainsStore(injector.currentPlacement.New, host.id)
 		if !isRetired(injector.currentPlacement, host.name) && !early {
 			injector.removeOnceRetired(host)
 			return
--- a/internal/tier/placement/stopping.go
+++ b/internal/tier/placement/stopping.go
@@ -55,7 +55,7 @@
 	status.StopRequestedAt = in.Now
 	in.Stores[id] = status
 	switch {
-	case !containsStore(in.Current.Stores(), id):
+	case !turnstore.ContainsStore(in.Current.Stores(), id):
 		return StopUnplaced
 	case in.isJoint() || in.missingStores(id, t) >= max(1, in.FaultTolerance):
 		return StopDenied
@@ -129,7 +129,3 @@
 	}
 	return p.Old
 }
-
-func containsStore(list []turnstore.Store, id string) bool {
-	return slices.ContainsFunc(list, func(o turnstore.Store) bool { return o.ID == id })
-}
--- a/internal/tier/placement/stores.go
+++ b/internal/tier/placement/stores.go
@@ -22,7 +22,7 @@
 	}
 	suspect := slices.ContainsFunc(desired, func(o turnstore.Store) bool { return in.isSuspect(o, t) })
 	desired = removeSurplus(desired, replicas, func(store turnstore.Store, listed int) bool {
-		return containsStore(leaving, store.ID) && in.exceedsNominal(listed)
+		return turnstore.ContainsStore(leaving, store.ID) && in.exceedsNominal(listed)
 	})
 	return removeSurplus(desired, replicas, func(store turnstore.Store, listed int) bool {
 		return in.Retired[store.ID] && !suspect || in.elapsed(store.ID, t) > in.removalTimeout(store.ID, desired, listed, t)
@@ -66,7 +66,7 @@
 // candidates returns the live stores that are not in the target list and may be added to it, sorted by identity.
 func (in *Input) candidates(target []turnstore.Store, t Timings) (candidates []turnstore.Store) {
 	for id, status := range in.Stores {
-		listed := slices.ContainsFunc(target, func(o turnstore.Store) bool { return o.ID == id })
+		listed := turnstore.ContainsStore(target, id)
 		if !listed && !in.Retired[id] && status.ConfirmedAt > 0 && in.Now-status.ConfirmedAt <= t.SuspectTimeout &&
 			!in.isStopping(id, t) && !in.isSuperseded(status) && !in.recentlyRetired(status.Store.Name, t) {
 			candidates = append(candidates, status.Store)
@@ -85,14 +85,16 @@
 	i := find(func(o turnstore.Store) bool { return o.Addr == candidate.Addr })
 	if i < 0 {
 		i = find(func(o turnstore.Store) bool {
-			return o.Name == candidate.Name && (in.elapsed(o.ID, t) > t.FailureTimeout || containsStore(leaving, o.ID))
+			return o.Name == candidate.Name && (in.elapsed(o.ID, t) > t.FailureTimeout || turnstore.ContainsStore(leaving, o.ID))
 		})
 	}
 	if i < 0 {
 		i = find(func(o turnstore.Store) bool { return in.elapsed(o.ID, t) > t.FailureTimeout })
 	}
 	if i < 0 {
-		i = find(func(o turnstore.Store) bool { return containsStore(leaving, o.ID) && in.exceedsNominal(len(stores)+1) })
+		i = find(func(o turnstore.Store) bool {
+			return turnstore.ContainsStore(leaving, o.ID) && in.exceedsNominal(len(stores)+1)
+		})
 	}
 	mustWait := func(o turnstore.Store) bool { return o.Name == candidate.Name || in.isSuspect(o, t) }
 	switch {
--- a/internal/tier/turnstore/anti_entropy.go
+++ b/internal/tier/turnstore/anti_entropy.go
@@ -88,7 +88,7 @@
 
 // isPlaced reports whether a placement lists this store.
 func (s *Server) isPlaced(p *Placement) bool {
-	return p != nil && slices.ContainsFunc(p.Stores(), func(o Store) bool { return o.ID == s.id })
+	return p != nil && ContainsStore(p.Stores(), s.id)
 }
 
 // compareWithAll compares with all peers and returns how many failed.
@@ -113,7 +113,7 @@
 	if len(list) == 0 && p.Generation > 1 {
 		list = p.Old
 	}
-	return s.sweptGeneration < p.Generation && slices.ContainsFunc(list, func(o Store) bool { return o.ID == s.id })
+	return s.sweptGeneration < p.Generation && ContainsStore(list, s.id)
 }
 
 // sweep fetches from the stores of the old list all that this store must have as a replica by the new one. It reports
--- a/internal/tier/turnstore/client_broadcast.go
+++ b/internal/tier/turnstore/client_broadcast.go
@@ -104,7 +104,7 @@
 	var all []Store
 	for _, g := range groups {
 		for _, s := range g {
-			if !slices.ContainsFunc(all, func(o Store) bool { return o.ID == s.ID }) {
+			if !ContainsStore(all, s.ID) {
 				all = append(all, s)
 			}
 		}
--- a/internal/tier/turnstore/client_history.go
+++ b/internal/tier/turnstore/client_history.go
@@ -41,14 +41,14 @@
 func (c *Client) historyStores(p *Placement, key string, l *previousTurnLookup) []Store {
 	stores := distinctStores(p.ReplicaSets(key))
 	for _, s := range l.known {
-		if !slices.ContainsFunc(stores, func(o Store) bool { return o.ID == s.ID }) {
+		if !ContainsStore(stores, s.ID) {
 			stores = append(slices.Clone(stores), s)
 		}
 	}
 	stores = c.byPreference(stores)
 	if len(l.known) > 0 && !l.partial {
 		rank := func(s Store) int {
-			if slices.ContainsFunc(l.known, func(o Store) bool { return o.ID == s.ID }) {
+			if ContainsStore(l.known, s.ID) {
 				return 0
 			}
 			return 1
--- a/internal/tier/turnstore/placement.go
+++ b/internal/tier/turnstore/placement.go
@@ -15,6 +15,11 @@
 	Zone string // failure domain
 }
 
+// ContainsStore reports whether a list has the store with an ID.
+func ContainsStore(list []Store, id string) bool {
+	return slices.ContainsFunc(list, func(s Store) bool { return s.ID == id })
+}
+
 // Placement determines which stores are replicas of which program. It is stable while New is empty, and joint
 // otherwise: every operation then needs a quorum of the replicas by Old and of those by New. A placement is immutable
 // once it is shared.
@@ -47,7 +52,7 @@
 func (p *Placement) Stores() []Store {
 	all := slices.Clone(p.Old)
 	for _, s := range p.New {
-		if !slices.ContainsFunc(all, func(o Store) bool { return o.ID == s.ID }) {
+		if !ContainsStore(all, s.ID) {
 			all = append(all, s)
 		}
 	}
