--- a/internal/tier/placement/stores.go
+++ b/internal/tier/placement/stores.go
@@ -21,19 +21,19 @@
 		desired = in.addCandidate(desired, leaving, candidate, t)
 	}
 	suspect := slices.ContainsFunc(desired, func(o turnstore.Store) bool { return in.isSuspect(o, t) })
-	desired = removeSurplus(desired, replicas, func(store turnstore.Store, listed int) bool {
-		return turnstore.ContainsStore(leaving, store.ID) && in.exceedsNominal(listed)
+	desired = removeSurplus(desired, replicas, func(id string, listed []turnstore.Store) bool {
+		return turnstore.ContainsStore(leaving, id) && in.exceedsNominal(len(listed))
 	})
-	return removeSurplus(desired, replicas, func(store turnstore.Store, listed int) bool {
-		return in.Retired[store.ID] && !suspect || in.elapsed(store.ID, t) > in.removalTimeout(store.ID, desired, listed, t)
+	return removeSurplus(desired, replicas, func(id string, listed []turnstore.Store) bool {
+		return in.Retired[id] && !suspect || in.elapsed(id, t) > in.removalTimeout(id, listed, t)
 	})
 }
 
-// removalTimeout returns after which time without registration a store is removed from a list of a length. It is shorter while one
-// of the stores may be the successor, and shortest if one registered just as the given store stopped registering.
-func (in *Input) removalTimeout(id string, list []turnstore.Store, listed int, t Timings) time.Duration {
+// removalTimeout returns after which time without registration a store is removed from a list. It is shorter while one of the
+// others may be the successor, and shortest if one registered just as the given store stopped registering.
+func (in *Input) removalTimeout(id string, list []turnstore.Store, t Timings) time.Duration {
 	switch {
-	case !in.exceedsNominal(listed):
+	case !in.exceedsNominal(len(list)):
 		return t.RemovalTimeout
 	case in.hasSuccessor(id, list, t):
 		return t.FailureTimeout
@@ -52,11 +52,11 @@
 	})
 }
 
-// removeSurplus removes the stores, last first, for which remove reports true, given the present length of the list. It keeps
-// as many stores as there are replicas.
-func removeSurplus(stores []turnstore.Store, replicas int, remove func(store turnstore.Store, listed int) bool) []turnstore.Store {
+// removeSurplus removes the stores, last first, for which remove reports true, given what is left of the list then. It keeps as
+// many stores as there are replicas.
+func removeSurplus(stores []turnstore.Store, replicas int, remove func(id string, listed []turnstore.Store) bool) []turnstore.Store {
 	for i := len(stores) - 1; i >= 0 && len(stores) > replicas; i-- {
-		if remove(stores[i], len(stores)) {
+		if remove(stores[i].ID, stores) {
 			stores = slices.Delete(stores, i, i+1)
 		}
 	}
