--- a/internal/tier/placement/schedule_test.go
+++ b/internal/tier/placement/schedule_test.go
@@ -291,3 +291,12 @@
 		t.Error("too few joint phases or acknowledged writes for a meaningful test")
 	}
 }
+
+// TestTwoLossesWhileStoresAreAdded guards against programs without a majority after two stores were lost at once, stores were added a
+// moment later and the head was replaced: the change that removes the two must end by the time at which the next loss is permitted.
+func TestTwoLossesWhileStoresAreAdded(t *testing.T) {
+	const seed = 8513
+	if sim := runSchedule(seed, ""); sim.violation != "" {
+		t.Errorf("%s\n%s", sim.violation, sim.timeline())
+	}
+}
