Add a budget for the memory that clients can make a process hold

Nothing counts what a process holds for its clients; each place has its own limit or none, and together they go far beyond memory_mb.

membudget.Budget is one sum for a process. A quarter is reserved for small accounts, so that ordinary requests pass while large ones compete.

The budget is a quarter of memory_mb; docs/operate/memory.md has the whole sum with the other shares. Nothing uses it yet.

--- /dev/null
+++ b/internal/process/memory.go
@@ -0,0 +1,33 @@
+package process
+
+import (
+	"runtime/debug"
+
+	"larchrouter/internal/membudget"
+)
+
+// The shares of memory_mb. docs/operate/memory.md has the sum.
+const (
+	heapShare    = 0.6  // soft limit of the Go runtime: all that is allocated, with what the collector has not freed yet
+	requestShare = 0.25 // for what clients make the process hold, within the share above
+	reservedPart = 4    // divides the share of requests: that part is left to small ones
+)
+
+// The sizes in bytes up to which a request is a small one.
+const (
+	SmallRequest = 64 << 10  // at fronts and stores
+	SmallOrder   = 512 << 10 // at core nodes: of an operator, with the copies made of it
+)
+
+// TuneRuntime sets the soft limit of the Go runtime's memory.
+func (s *Settings) TuneRuntime() {
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.Limits.MemoryMB * heapShare * (1 << 20)))
+	}
+}
+
+// RequestMemory returns the budget of what clients make the process hold. small is the size up to which a request is a small one.
+func (s *Settings) RequestMemory(small int64) *membudget.Budget {
+	limit := int64(s.Limits.MemoryMB * requestShare * (1 << 20))
+	return membudget.New(membudget.Options{Limit: limit, Reserved: limit / reservedPart, Small: small})
+}
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"os"
-	"runtime/debug"
 	"slices"
 	"strconv"
 
@@ -130,10 +129,3 @@
 
 // SameRegion reports whether a zone is in this node's region.
 func (s *Settings) SameRegion(zone string) bool { return s.Zones[zone] == s.Region }
-
-// TuneRuntime sets the soft limit of the heap to 0.6 of the memory that the platform grants.
-func (s *Settings) TuneRuntime() {
-	if s.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.Limits.MemoryMB * 0.6 * (1 << 20)))
-	}
-}
