Fronts: hold the heads and bodies of requests within memory_mb

What callers saw: none yet at a front that lived; on its machine the platform ends a process over memory_mb (284 MB), and with it all its connections. 240 clients whose bodies of 4 MB stop one byte short took a front to 1,590 MB.

Cause: readBody held each body in full before anything counted it, up to half of max_fds times max_body_bytes; io.ReadAll grew by copies, and an announced length was allocated before its bytes came. A head over 4 KB got a reader of max_header_bytes at once.

Change: the account of a request draws from the budget of the process before each part that is allocated. Parts grow with what has come (16 KB at first where a length is announced), and are passed to hosts as they are. Heads over 4 KB are drawn likewise, and their reader is given back after the head. Once the budget is exhausted, the unfinished request with the largest occupancy gives way: it gets 503 with Retry-After, which is true, as nothing was sent to a host. What is held is given back before the rejection is written. At most 64 rejected requests are read on for 300 ms; others are closed at once. max_body_bytes counts up to 3/16 of memory_mb less 64 KB. GET /api/memory at ready_addr reports what is held; a line a second names rejected requests.

All tests of the package check that a closed server holds nothing, whatever way its requests ended.

--- a/cmd/larch-proxy/main.go
+++ b/cmd/larch-proxy/main.go
@@ -80,6 +80,7 @@
 		RevocationBound: revocationBound(s),
 		Seed:            rand.Uint64(),
 		MaxClientConns:  s.Limits.MaxFDs / 2,
+		Memory:          s.RequestMemory(process.SmallRequest),
 		NewOracle:       func(bound time.Duration) balancer.Oracle { return oracle.NewDestination(bound) },
 	}
 	following, unfollow := context.WithCancel(context.Background())
--- a/internal/tier/proxy/buffered.go
+++ b/internal/tier/proxy/buffered.go
@@ -14,10 +14,7 @@
 // serveBuffered serves a request whose response is no event stream. The response is buffered, so that a retry can replace it if
 // it breaks off; one longer than maxBufferedBody is relayed as it comes.
 func (r *request) serveBuffered() {
-	f := &forwarder{request: r, info: r.pickInfo(), header: r.header, idempotent: r.mayRepeat()}
-	if len(r.body) > 0 {
-		f.body = [][]byte{r.body}
-	}
+	f := &forwarder{request: r, info: r.pickInfo(), header: r.header, body: r.body, idempotent: r.mayRepeat()}
 	p := bufferPool.Get().(*[]byte)
 	b := (*p)[:0]
 	defer func() { putBuffer(p, b) }()
--- a/internal/tier/proxy/client.go
+++ b/internal/tier/proxy/client.go
@@ -16,6 +16,7 @@
 	maxLingerBytes   = 1 << 20                // up to which it is
 	minBodyTimeout   = 10 * time.Second       // for a body to be read, at least
 	finalPeekTimeout = 5 * time.Millisecond   // of the last look for a request before an idle connection is closed
+	maxLingering     = 64                     // rejected requests that are still read, at a time
 )
 
 // defaultLimits apply where the configuration sets none: sizes in bytes.
@@ -45,6 +46,7 @@
 	acceptedAt     time.Time
 
 	mu            sync.Mutex
+	gaveWay       bool     // by giveWay: a time-out of reading is none of the client's
 	inFlight      *request // being served; nil if there is none
 	idle          bool     // between requests
 	idleSince     time.Time
@@ -72,6 +74,7 @@
 		}
 		c.watch()
 		r.handle()
+		r.releaseMemory()
 		c.setOnDisconnect(nil)
 		c.setInFlight(nil)
 		if !r.keepAlive {
@@ -165,19 +168,27 @@
 // abort closes the connection at once, so that a partial response does not look complete.
 func (c *client) abort() { c.Conn.Close() }
 
-// reject answers a request that was not read completely and closes the connection. To close with unread bytes would reset the
-// connection, which could destroy the response on its way; so what still comes is read for lingerTimeout.
-func (c *client) reject(r *request, status int, text string) {
+// reject answers a request that was not read completely and closes the connection.
+func (c *client) reject(r *request, status int, text string) { c.rejectUntil(r, status, 0, text) }
+
+// rejectUntil is reject with a Retry-After, if that is above 0. To close with unread bytes would reset the connection, which could
+// destroy the response on its way; so what still comes is read for lingerTimeout, of maxLingering connections at a time.
+func (c *client) rejectUntil(r *request, status int, retryAfter time.Duration, text string) {
+	r.releaseMemory()
 	r.closeAfter = true
-	r.respondError(status, 0, text)
+	r.respondError(status, retryAfter, text)
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
-	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.CopyN(io.Discard, c.reader, maxLingerBytes)
+	if c.server.lingering.Add(1) <= maxLingering {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, _ = io.CopyN(io.Discard, c.reader, maxLingerBytes)
+	}
+	c.server.lingering.Add(-1)
 }
 
-// limits returns the limits of the configuration, with defaults for those it does not set.
+// limits returns the limits of the configuration, with defaults for those it does not set. A body is no longer than the memory for
+// requests has room for.
 func (s *Server) limits() routing.Limits {
 	l := defaultLimits
 	if t := s.options.Source.Tables(); t.Config != nil {
@@ -195,5 +206,8 @@
 			l.IdleTimeout = configured.IdleTimeout
 		}
 	}
+	if most := s.options.Memory.MaxDraw() - maxBodyPart; most > 0 {
+		l.MaxBody = int(min(int64(l.MaxBody), most))
+	}
 	return l
 }
--- a/internal/tier/proxy/idle_test.go
+++ b/internal/tier/proxy/idle_test.go
@@ -50,7 +50,7 @@
 	c := newClient(v.Server, far)
 	v.clients[c] = true
 	v.wg.Go(c.serve)
-	t.Cleanup(func() { near.Close(); v.Close(); v.hosts.Wait() })
+	t.Cleanup(func() { near.Close(); v.Close(); v.hosts.Wait(); wantNothingHeld(t, v.Server) })
 	return v
 }
 
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"larchrouter/internal/membudget"
 	"larchrouter/internal/tier/admission"
 	"larchrouter/internal/tier/balancer"
 	"larchrouter/internal/tier/feed"
@@ -72,6 +73,9 @@
 	// MaxClientConns is the number of client connections, at most; more are closed unread. Default: 2000.
 	MaxClientConns int
 
+	// Memory bounds what clients make the server hold. Default: no limit.
+	Memory *membudget.Budget
+
 	// ConnLimitDivisor divides a service's conn_limit per host among the fronts: this front opens at most
 	// conn_limit / ConnLimitDivisor connections to a host, but at least 4. Default: 4.
 	ConnLimitDivisor int
@@ -100,6 +104,9 @@
 	if o.MaxClientConns <= 0 {
 		o.MaxClientConns = 2000
 	}
+	if o.Memory == nil {
+		o.Memory = membudget.New(membudget.Options{})
+	}
 	if o.ConnLimitDivisor <= 0 {
 		o.ConnLimitDivisor = 4
 	}
@@ -137,6 +144,8 @@
 	ctx        context.Context           // done once Close was called
 	wg         sync.WaitGroup            // all goroutines of the server
 	losses     lossLog
+	memoryLog  memoryLog
+	lingering  atomic.Int32 // clients whose rejected requests are still read
 
 	mu      sync.Mutex
 	clients map[*client]bool
@@ -216,6 +225,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("GET /api/memory", s.serveMemory)
 	h := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 	s.wg.Go(func() { _ = h.Serve(listener) })
 	s.wg.Go(func() { <-s.ctx.Done(); _ = h.Close() })
--- a/internal/tier/proxy/proxy_test.go
+++ b/internal/tier/proxy/proxy_test.go
@@ -352,6 +352,14 @@
 	return f
 }
 
+// wantNothingHeld checks that a closed server holds nothing for its clients any more, whatever way their requests ended.
+func wantNothingHeld(t *testing.T, s *Server) {
+	t.Helper()
+	if usage := s.options.Memory.Usage(); usage.Used != 0 || usage.Accounts != 0 {
+		t.Errorf("the server still holds %+v for its clients", usage)
+	}
+}
+
 func serve(t *testing.T, s *Server) (addr, ready string) {
 	t.Helper()
 	fl, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -364,7 +372,7 @@
 	}
 	var wg sync.WaitGroup
 	wg.Go(func() { s.Serve(fl, rl) })
-	t.Cleanup(func() { s.Close(); wg.Wait() })
+	t.Cleanup(func() { s.Close(); wg.Wait(); wantNothingHeld(t, s) })
 	eventually(t, "hosts are applied", func() bool {
 		s.dispatcher.mu.Lock()
 		defer s.dispatcher.mu.Unlock()
--- a/internal/tier/proxy/read.go
+++ b/internal/tier/proxy/read.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"larchrouter/internal/membudget"
 	"larchrouter/internal/tier/routing"
 )
 
@@ -32,22 +33,51 @@
 	limits := c.server.limits()
 	startedAt := c.endIdle(limits)
 	r := &request{client: c, arrivedAt: c.nextArrivedAt, idleTimeout: limits.IdleTimeout}
-	if !r.readHead(limits) {
+	if !r.read(limits, startedAt) {
+		r.releaseMemory()
 		return nil
 	}
-	_ = c.SetReadDeadline(startedAt.Add(max(limits.HeaderTimeout, minBodyTimeout)))
-	if !r.readBody(limits) {
-		return nil
-	}
-	_ = c.SetReadDeadline(time.Time{})
+	c.readUntil(time.Time{})
 	c.advertisedIdle = limits.IdleTimeout
 	return r
 }
 
+// read reads head and body. It returns false if the request was rejected or the client has disconnected.
+func (r *request) read(limits routing.Limits, startedAt time.Time) bool {
+	if !r.readHead(limits) {
+		return false
+	}
+	r.client.readUntil(startedAt.Add(max(limits.HeaderTimeout, minBodyTimeout)))
+	if !r.readBody(limits) {
+		return false
+	}
+	r.client.shrinkReader()
+	if r.memory != nil && !r.memory.Complete() {
+		r.rejectForMemory()
+		return false
+	}
+	return true
+}
+
+// rejectForMemory rejects a request that was not read completely because others need the memory.
+func (r *request) rejectForMemory() {
+	r.server().logMemoryRejection()
+	r.client.rejectUntil(r, http.StatusServiceUnavailable, memoryRetryAfter,
+		"this front has no memory left for the request: come back after Retry-After")
+}
+
+// gaveWay reports whether reading failed because others need the memory.
+func (r *request) gaveWay(err error) bool {
+	return errors.Is(err, membudget.ErrExhausted) || isTimeout(err) && r.client.hasGivenWay()
+}
+
 // readHead reads the head. It returns false if the request was rejected or the client has disconnected.
 func (r *request) readHead(limits routing.Limits) bool {
-	b, err := r.client.peekHead(limits.MaxHeader)
+	b, err := r.peekHead(limits.MaxHeader)
 	switch {
+	case r.gaveWay(err):
+		r.rejectForMemory()
+		return false
 	case errors.Is(err, errTooLarge):
 		r.client.reject(r, http.StatusRequestHeaderFieldsTooLarge,
 			fmt.Sprintf("the header is over %d bytes: send less", limits.MaxHeader))
@@ -76,10 +106,12 @@
 // readBody reads the body. It returns false if the request was rejected or the client has disconnected.
 func (r *request) readBody(limits routing.Limits) bool {
 	var err error
-	r.body, err = r.client.readBody(r.head, limits.MaxBody)
+	r.body, err = r.receiveBody(limits.MaxBody)
 	switch {
 	case err == nil:
 		return true
+	case r.gaveWay(err):
+		r.rejectForMemory()
 	case errors.Is(err, errTooLarge):
 		r.client.reject(r, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is over %d bytes: send less", limits.MaxBody))
 	case errors.Is(err, errBadChunks):
@@ -92,7 +124,8 @@
 
 // peekHead returns the next head, with headEnd, of at most so many bytes, and leaves it in the reader. It returns
 // errTooLarge for a longer one.
-func (c *client) peekHead(maxBytes int) ([]byte, error) {
+func (r *request) peekHead(maxBytes int) ([]byte, error) {
+	c := r.client
 	for searched := 0; ; {
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
 		from := max(0, searched-len(headEnd)+1)
@@ -105,10 +138,12 @@
 		if searched = len(buffered); searched > maxBytes {
 			return nil, errTooLarge
 		}
-		if searched == c.reader.Size() { // rare: replaced by a larger reader that starts with the bytes of the old one
-			source := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), &c.source)
-			c.reader = bufio.NewReaderSize(source, maxBytes+readBufferSize)
-			if _, err := c.reader.Peek(searched); err != nil {
+		if searched == c.reader.Size() { // rare
+			larger := min(2*searched, maxBytes+readBufferSize)
+			if err := r.account().Draw(int64(larger)); err != nil {
+				return nil, err
+			}
+			if err := c.replaceReader(larger); err != nil {
 				return nil, err
 			}
 			continue
@@ -119,9 +154,32 @@
 	}
 }
 
-// readBody reads the complete body, of at most so many bytes. It returns errTooLarge for a longer one and an error marked with
+// replaceReader replaces the reader by one of another size, which must have room for the bytes that are buffered, and starts with them.
+func (c *client) replaceReader(size int) error {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	var reader *bufio.Reader
+	if size == readBufferSize {
+		reader = readerPool.Get().(*bufio.Reader)
+	} else {
+		reader = bufio.NewReaderSize(nil, size)
+	}
+	reader.Reset(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), &c.source))
+	_, err := reader.Peek(len(buffered))
+	c.reader = reader
+	return err
+}
+
+// shrinkReader replaces a reader that was enlarged for a long head, unless it has too many bytes of the next request.
+func (c *client) shrinkReader() {
+	if c.reader.Size() > readBufferSize && c.reader.Buffered() <= readBufferSize {
+		_ = c.replaceReader(readBufferSize) // comes again with the next read
+	}
+}
+
+// receiveBody reads the complete body, of at most so many bytes. It returns errTooLarge for a longer one and an error marked with
 // errBadChunks for chunks that cannot be parsed.
-func (c *client) readBody(h *head, maxBytes int) ([]byte, error) {
+func (r *request) receiveBody(maxBytes int) (body, error) {
+	c, h := r.client, r.head
 	if h.length == 0 {
 		return nil, nil
 	}
@@ -135,23 +193,20 @@
 		}
 	}
 	if h.length > 0 {
-		b := make([]byte, h.length)
-		_, err := io.ReadFull(c.reader, b)
-		return b, err
+		return r.readBodyParts(c.reader, int(h.length), maxBytes)
 	}
-	b, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.reader), int64(maxBytes)+1))
+	read, err := r.readBodyParts(httputil.NewChunkedReader(c.reader), -1, maxBytes)
 	switch {
-	case len(b) > maxBytes:
-		return nil, errTooLarge
-	case err != nil && !isTimeout(err) && !errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, errors.Mark(err, errBadChunks)
-	case err != nil:
+	case err == nil:
+	case errors.Is(err, errTooLarge), errors.Is(err, membudget.ErrExhausted), isTimeout(err), errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, err
+	default:
+		return nil, errors.Mark(err, errBadChunks)
 	}
 	if err := c.discardTrailers(); err != nil {
 		return nil, err
 	}
-	return b, nil
+	return read, nil
 }
 
 // discardTrailers reads the trailers behind the last chunk, which are hop-by-hop, and the blank line that ends them.
--- a/internal/tier/proxy/request.go
+++ b/internal/tier/proxy/request.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"larchrouter/internal/membudget"
 	"larchrouter/internal/tier/balancer"
 	"larchrouter/internal/tier/feed"
 	"larchrouter/internal/tier/routing"
@@ -23,10 +24,11 @@
 	*head
 	client      *client
 	arrivedAt   time.Time // of its first byte, also while the request before it was served
-	body        []byte
-	idleTimeout time.Duration // by the configuration when it was read; for Keep-Alive
-	closeAfter  bool          // the connection ends with the response
-	keepAlive   bool          // the response is complete and the connection serves the next request
+	body        body
+	memory      *membudget.Account // of what it makes the process hold; nil for nothing, see account
+	idleTimeout time.Duration      // by the configuration when it was read; for Keep-Alive
+	closeAfter  bool               // the connection ends with the response
+	keepAlive   bool               // the response is complete and the connection serves the next request
 
 	id              string // X-Attempt-Id
 	tables          *feed.Tables
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -25,9 +25,7 @@
 			generation.CacheHost, generation.CachedTokens = turn.opened.CacheHost, turn.opened.ContextTokens
 		}
 	}
-	if len(r.body) > 0 {
-		f.body = append(f.body, r.body)
-	}
+	f.body = append(f.body, r.body...)
 	for done := false; !done; {
 		attempt := f.forward()
 		switch {
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -111,7 +111,7 @@
 // tokens are settled.
 func (r *request) closeTurn(turn *openTurn, attempt *attempt, parser *eventstream.Parser) bool {
 	used := r.usedTokens(parser)
-	record := turn.opened.Record(r.body, parser.Output(), used, r.route.Retain)
+	record := turn.opened.Record(r.body.joined(), parser.Output(), used, r.route.Retain)
 	record.CacheHost, record.ContextTokens = attempt.endpoint.connections.ID, r.promptTokens+used
 	ctx, stop := context.WithDeadline(r.server().ctx, r.deadline)
 	defer stop()
