Fronts: hold responses that nobody reads within memory_mb

Cause: up to 256 KB of a response are buffered so that a retry can replace it, in a buffer that grew to 512 KB, was copied behind the head and stayed for the rest of the relay, for as long as the client did not read.

Change: a buffer beyond 8 KB is drawn from the budget of the process; where that has no room the response is relayed as it comes, without the chance of a retry. A long response is written without a copy, its beginning is dropped once written, and the rest is relayed in parts of 32 KB. While a response is written, its request may give way to others: the connection is closed, which promises nothing.

Tests: a response without memory to buffer it comes complete, a client that does not read gives way.

--- a/internal/tier/proxy/buffered.go
+++ b/internal/tier/proxy/buffered.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -21,7 +22,7 @@
 	for attempt := f.forward(); attempt != nil; attempt = f.forward() {
 		response := attempt.Response
 		var err error
-		b, err = readBuffered(response, b[:0])
+		b, err = r.readBuffered(response, b[:0])
 		switch {
 		case errors.Is(err, io.EOF):
 			r.attemptSucceeded(attempt)
@@ -34,7 +35,9 @@
 			return
 		case err == nil:
 			response.SetDeadline(r.deadline)
-			r.relayLong(attempt, b)
+			beginning := b
+			b = nil // relayLong drops it once it is written
+			r.relayLong(attempt, beginning)
 			return
 		}
 		if f.handleFailure(attempt, err) { // nothing was passed on yet
@@ -51,11 +54,15 @@
 	return r.route.Kind == routing.Idempotent || r.route.Kind == routing.Streaming && r.route.Resumable
 }
 
-// readBuffered appends the body of a response to b until its end (io.EOF), an error, or more than maxBufferedBody bytes (nil).
-func readBuffered(response *upstream.Response, b []byte) ([]byte, error) {
+// readBuffered appends the body of a response to b until its end (io.EOF), an error, or as many bytes as are buffered (nil): more than
+// maxBufferedBody, or what there is memory for.
+func (r *request) readBuffered(response *upstream.Response, b []byte) ([]byte, error) {
 	var err error
 	for len(b) <= maxBufferedBody && err == nil {
 		if len(b) == cap(b) {
+			if !r.servingAccount().TryDraw(int64(cap(b))) {
+				return b, nil
+			}
 			b = append(b, 0)[:len(b)]
 		}
 		var n int
@@ -91,12 +98,7 @@
 	data := beginning
 	for {
 		if len(data) > 0 { // an empty chunk would be the last one
-			if response.Length < 0 {
-				out = appendChunk(out, data)
-			} else {
-				out = append(out, data...)
-			}
-			if _, err := r.client.Write(out); err != nil {
+			if err := r.writePart(out, data, response.Length < 0); err != nil {
 				return upstream.ErrCancelled
 			}
 			out = out[:0]
@@ -104,6 +106,9 @@
 		if response.Complete() {
 			return nil
 		}
+		if cap(data) > relayBufferSize || cap(data) == 0 {
+			data = make([]byte, 0, relayBufferSize)
+		}
 		n, err := response.Read(data[:cap(data)])
 		if err != nil && !errors.Is(err, io.EOF) {
 			return err
@@ -112,6 +117,32 @@
 	}
 }
 
+// writePart writes the bytes before a part of a response body and the part, which is one chunk if the body is in chunks.
+func (r *request) writePart(before, part []byte, inChunks bool) error {
+	parts := net.Buffers{before, part}
+	if inChunks {
+		before = strconv.AppendInt(before, int64(len(part)), 16)
+		parts = net.Buffers{append(before, "\r\n"...), part, []byte("\r\n")}
+	}
+	return r.writeParts(parts)
+}
+
+// writeParts writes a part of a response. A client that does not read it gives way to others.
+func (r *request) writeParts(parts net.Buffers) error {
+	r.beginResponse()
+	_, err := parts.WriteTo(r.client.Conn)
+	if !r.endResponse() {
+		return errGaveWay
+	}
+	return err
+}
+
+// relayBufferSize is the size in bytes of the parts in which the rest of a long response is relayed.
+const relayBufferSize = 32 << 10
+
+// errGaveWay reports that the client did not read its response while others needed the memory.
+var errGaveWay = errors.New("the client did not read its response while others needed the memory")
+
 // lastChunk ends a body in chunks.
 const lastChunk = "0\r\n\r\n"
 
--- a/internal/tier/proxy/memory_test.go
+++ b/internal/tier/proxy/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -110,3 +111,45 @@
 	want(t, "report", strings.TrimSpace(string(body)), `{"limit_bytes":307200,"used_bytes":0,"accounts":0}`)
 	http.DefaultClient.CloseIdleConnections()
 }
+
+// respondsLong responds with a body of so many bytes.
+func respondsLong(size int) func(c *call) bool {
+	return func(c *call) bool {
+		c.respond(http.StatusOK, "", strings.Repeat("y", size))
+		return true
+	}
+}
+
+// A response that there is no memory to buffer is relayed as it comes.
+func TestResponseIsRelayedWithoutMemory(t *testing.T) {
+	const size = 150 << 10
+	f := newFrontWithOptions(t, Options{Ledger: &ledger{}, Memory: membudget.New(membudget.Options{Limit: 10 << 10, Small: 10 << 10})},
+		newHost(t, "i-1", respondsLong(size)))
+	a := f.do("GET", "/order/x", "a", timeLeft, "")
+	want(t, "status", a.status, 200)
+	want(t, "length of the body", len(a.body), size)
+	want(t, "error of the body", a.err, nil)
+}
+
+// A client that does not read its long response gives way to others.
+func TestUnreadResponseGivesWay(t *testing.T) {
+	f := newFrontWithOptions(t, Options{Ledger: &ledger{}, Memory: membudget.New(membudget.Options{Limit: 600 << 10, Small: 20 << 10})},
+		newHost(t, "i-1", func(c *call) bool {
+			if c.body != "" {
+				return respondsOK("yes")(c)
+			}
+			return respondsLong(16 << 20)(c)
+		}))
+	unread := f.dial()
+	_ = unread.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	unread.send(requestText("GET", "/order/x", "unread", timeLeft, ""))
+	eventually(t, "the response is held", func() bool { return f.options.Memory.Usage().Used > 256<<10 })
+	for i := range 4 {
+		stall(f, fmt.Sprint("stalled-", i), 90<<10, false)
+	}
+	eventually(t, "the client that does not read is gone", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.clients) == 4 && f.options.Memory.Usage().Used <= 4*90<<10
+	})
+}
--- a/internal/tier/proxy/response.go
+++ b/internal/tier/proxy/response.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -9,14 +10,17 @@
 	"larchrouter/internal/tier/upstream"
 )
 
-const maxBufferedBody = 256 << 10 // bytes of a response up to which it can still be replaced by a retry
+const (
+	maxBufferedBody   = 256 << 10 // bytes of a response up to which it can still be replaced by a retry
+	maxJoinedResponse = 16 << 10  // bytes of a body up to which it is written together with the head
+)
 
 // bufferPool has buffers for responses to clients, of *[]byte.
 var bufferPool = sync.Pool{New: func() any { b := make([]byte, 0, 8<<10); return &b }}
 
-// putBuffer returns a buffer to the pool. b is what was made of *p by appending.
+// putBuffer returns a buffer to the pool. b is what was made of *p by appending, or nil if that is used elsewhere.
 func putBuffer(p *[]byte, b []byte) {
-	if cap(b) <= maxBufferedBody {
+	if b != nil && cap(b) <= maxBufferedBody {
 		*p = b[:0]
 		bufferPool.Put(p)
 	}
@@ -108,8 +112,13 @@
 func (r *request) respondBuffered(response *upstream.Response, body []byte) {
 	p := bufferPool.Get().(*[]byte)
 	b := r.appendResponseHead((*p)[:0], response, int64(len(body)))
-	b = append(b, body...)
-	r.writeFinal(b)
+	if len(body) <= maxJoinedResponse {
+		b = append(b, body...)
+		r.writeFinal(b)
+	} else {
+		err := r.writeParts(net.Buffers{b, body})
+		r.keepAlive = err == nil && !r.closeAfter
+	}
 	putBuffer(p, b)
 }
 
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -92,12 +92,12 @@
 // relayNonStream passes on a response that is no event stream, such as an error. done is false if it broke off and a retry may
 // follow.
 func (r *request) relayNonStream(attempt *attempt, f *forwarder) (done bool) {
-	body, err := io.ReadAll(io.LimitReader(attempt.Response, maxBufferedBody+1))
-	if err == nil && len(body) > maxBufferedBody {
+	body, err := r.readBuffered(attempt.Response, make([]byte, 0, streamBufferSize))
+	if err == nil {
 		r.relayLong(attempt, body)
 		return true
 	}
-	if err != nil {
+	if !errors.Is(err, io.EOF) {
 		return f.handleFailure(attempt, err)
 	}
 	r.attemptSucceeded(attempt)
