Fronts: let idle and begun connections give way to new ones

Cause: MaxClientConns closed further connections once it was reached, whoever held the others.

Change: the connection that has been idle for the longest time, used before or not, is closed for a new one; if none is idle, the one whose request began first and is not complete gets 503 and is closed. Connections whose request is served do not give way.

--- a/internal/tier/proxy/client.go
+++ b/internal/tier/proxy/client.go
@@ -44,6 +44,7 @@
 	pipelined      bool          // the next request had begun when the watch was started
 	advertisedIdle time.Duration // by Keep-Alive of the last response
 	acceptedAt     time.Time
+	evictable      evictable // of server.evictable
 
 	mu            sync.Mutex
 	gaveWay       bool     // by giveWay: a time-out of reading is none of the client's
@@ -105,6 +106,7 @@
 		}
 	}
 	c.beginIdle(max(c.advertisedIdle, c.server.limits().IdleTimeout))
+	c.server.evictable.setIdle(c)
 	if c.watching {
 		c.watching = false
 		if err := <-c.watchDone; err != nil {
@@ -173,7 +175,8 @@
 func (c *client) reject(r *request, status int, text string) { c.rejectUntil(r, status, 0, text) }
 
 // rejectUntil is reject with a Retry-After, if that is above 0. To close with unread bytes would reset the connection, which could
-// destroy the response on its way; so what still comes is read for lingerTimeout, of maxLingering connections at a time.
+// destroy the response on its way; so what still comes is read for lingerTimeout, of maxLingering connections at a time, but not of one
+// whose place is needed.
 func (c *client) rejectUntil(r *request, status int, retryAfter time.Duration, text string) {
 	r.releaseMemory()
 	r.closeAfter = true
@@ -181,7 +184,7 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
-	if c.server.lingering.Add(1) <= maxLingering {
+	if c.server.lingering.Add(1) <= maxLingering && !c.server.evictable.mustClose(c) {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 		_, _ = io.CopyN(io.Discard, c.reader, maxLingerBytes)
 	}
--- a/internal/tier/proxy/memory.go
+++ b/internal/tier/proxy/memory.go
@@ -17,7 +17,7 @@
 	memoryLogInterval = time.Second
 )
 
-// memoryLog counts the requests that were rejected as the memory for requests was exhausted.
+// memoryLog counts the requests that were rejected as the memory for requests, or the number of connections, was exhausted.
 type memoryLog struct {
 	rejected atomic.Int64
 	loggedAt atomic.Int64 // Unix time in nanoseconds of the last line
@@ -32,7 +32,7 @@
 		return
 	}
 	usage := s.options.Memory.Usage()
-	s.options.Log.Info("requests rejected: no memory left for them", "count", count, "used", usage.Used, "limit", usage.Limit)
+	s.options.Log.Info("requests rejected: no memory or connection left for them", "count", count, "used", usage.Used, "limit", usage.Limit)
 }
 
 // serveMemory serves what the memory for requests is used for, as JSON.
@@ -66,7 +66,8 @@
 	}
 }
 
-// giveWay ends the reading of a request, or the writing of its response, because others need the memory. It does not block.
+// giveWay ends the reading of a request, or the writing of its response, because others need the memory or the connection. It does
+// not block.
 func (c *client) giveWay() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -70,7 +70,8 @@
 	// MaxInFlight is the number of calls to hosts at once, at most. Default: 768.
 	MaxInFlight int
 
-	// MaxClientConns is the number of client connections, at most; more are closed unread. Default: 2000.
+	// MaxClientConns is the number of client connections, at most. For a further one, a connection gives way that is idle, or whose
+	// request is not read completely; if there is none, the further one is closed unread. Default: 2000.
 	MaxClientConns int
 
 	// Memory bounds what clients make the server hold. Default: no limit.
@@ -145,6 +146,7 @@
 	wg         sync.WaitGroup            // all goroutines of the server
 	losses     lossLog
 	memoryLog  memoryLog
+	evictable  evictableConns
 	lingering  atomic.Int32 // clients whose rejected requests are still read
 
 	mu      sync.Mutex
@@ -204,19 +206,29 @@
 			time.Sleep(5 * time.Millisecond) // out of descriptors
 			continue
 		}
-		c := newClient(s, nc)
-		s.mu.Lock()
-		if s.closed || len(s.clients) >= s.options.MaxClientConns {
-			s.mu.Unlock()
-			nc.Close() // unread, so that the client may safely retry elsewhere
-			continue
-		}
-		s.clients[c] = true
-		s.wg.Go(c.serve)
-		s.mu.Unlock()
+		s.serveClient(nc)
 	}
 }
 
+// serveClient serves a new connection, if it is permitted.
+func (s *Server) serveClient(nc net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || !s.hasRoomForClient() {
+		nc.Close() // unread, so that the client may safely retry elsewhere
+		return
+	}
+	c := newClient(s, nc)
+	s.clients[c] = true
+	s.evictable.setIdle(c)
+	s.wg.Go(c.serve)
+}
+
+// hasRoomForClient reports whether one more connection is permitted, for which another one gives way if necessary. s.mu must be held.
+func (s *Server) hasRoomForClient() bool {
+	return len(s.clients)-s.evictable.evictingCount() < s.options.MaxClientConns || s.evictable.evictOne()
+}
+
 // serveReadiness starts the readiness endpoint: 200 if Ready, else 503.
 func (s *Server) serveReadiness(listener net.Listener) {
 	mux := http.NewServeMux()
--- a/internal/tier/proxy/read.go
+++ b/internal/tier/proxy/read.go
@@ -33,7 +33,7 @@
 	limits := c.server.limits()
 	startedAt := c.endIdle(limits)
 	r := &request{client: c, arrivedAt: c.nextArrivedAt, idleTimeout: limits.IdleTimeout}
-	if !r.read(limits, startedAt) {
+	if !c.server.evictable.setReading(c) || !r.read(limits, startedAt) {
 		r.releaseMemory()
 		return nil
 	}
@@ -52,21 +52,22 @@
 		return false
 	}
 	r.client.shrinkReader()
-	if r.memory != nil && !r.memory.Complete() {
+	mayGoOn := r.memory == nil || r.memory.Complete()
+	if !r.client.server.evictable.setServing(r.client) || !mayGoOn {
 		r.rejectForMemory()
 		return false
 	}
 	return true
 }
 
-// rejectForMemory rejects a request that was not read completely because others need the memory.
+// rejectForMemory rejects a request that was not read completely because others need the memory or the connection.
 func (r *request) rejectForMemory() {
 	r.server().logMemoryRejection()
 	r.client.rejectUntil(r, http.StatusServiceUnavailable, memoryRetryAfter,
-		"this front has no memory left for the request: come back after Retry-After")
+		"this front has no memory or no connection left for the request: come back after Retry-After")
 }
 
-// gaveWay reports whether reading failed because others need the memory.
+// gaveWay reports whether reading failed because others need the memory or the connection.
 func (r *request) gaveWay(err error) bool {
 	return errors.Is(err, membudget.ErrExhausted) || isTimeout(err) && r.client.hasGivenWay()
 }
--- a/internal/tier/proxy/shutdown.go
+++ b/internal/tier/proxy/shutdown.go
@@ -85,6 +85,7 @@
 
 // clientClosed removes a client whose connection has ended.
 func (s *Server) clientClosed(c *client) {
+	s.evictable.remove(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.clients, c)
