Fronts: bound the connections to the readiness endpoint

What the platform would see: a front whose readiness checks find no descriptor left, or a front without any for its clients.

Cause: the endpoint took any number of connections, for 15 s each when idle, with heads of up to 1 MB.

Change: package connlimit bounds the connections of an http.Server; the one that has not been served for the longest time gives way to a new one, never one whose request is served. The endpoint takes 32, heads of 8 KB, and 5 s a call.

--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"larchrouter/internal/connlimit"
 	"larchrouter/internal/membudget"
 	"larchrouter/internal/tier/admission"
 	"larchrouter/internal/tier/balancer"
@@ -157,6 +158,14 @@
 	drainBegan time.Time // zero before Drain; guarded by mu
 }
 
+// maxReadinessConns is the number of connections to the readiness endpoint, at most.
+const maxReadinessConns = 32
+
+const (
+	readinessTimeout = 5 * time.Second // for a call to the readiness endpoint to be read and answered
+	maxReadinessHead = 8 << 10         // bytes
+)
+
 const sweepInterval = 250 * time.Millisecond // between two looks for idle connections to hosts that have expired
 
 // New returns a server that serves nothing yet.
@@ -238,7 +247,9 @@
 		}
 	})
 	mux.HandleFunc("GET /api/memory", s.serveMemory)
-	h := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	h := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, ReadTimeout: readinessTimeout,
+		WriteTimeout: readinessTimeout, IdleTimeout: 15 * time.Second, MaxHeaderBytes: maxReadinessHead}
+	connlimit.Apply(h, maxReadinessConns)
 	s.wg.Go(func() { _ = h.Serve(listener) })
 	s.wg.Go(func() { <-s.ctx.Done(); _ = h.Close() })
 }
