Core nodes: hold the bodies of operators' orders within memory_mb

What was seen: PUT /api/config of 20 to 30 MB from a crowd took a core node to 7,222 MB of 284. Anyone may call it.

Cause: io.ReadAll of up to 32 MB for each caller, with no time limit, before the order is looked at.

Change: a body is drawn from the budget of the process as it comes, and twice its size for the copies of its parser before it is decided. An unfinished one gives way by its occupancy and gets 503 with Retry-After: the operator sends it again, or to another node. Orders of up to 512 KB with their copies have a quarter of the budget to themselves, so that a proper configuration passes a crowd of large ones. A configuration is no longer than a sixteenth of memory_mb (17.5 MB at 280; before 32 MB); a longer one gets 413 from its announced length, or once it is over. A body has 15 s, a call 30 s, a head 16 KB. GET /api/memory at control_addr reports what is held.

Tests of the body: one that stalled gives way, the limit follows from memory_mb and an order at it is read.

--- a/internal/tier/controlnode/operator_api.go
+++ b/internal/tier/controlnode/operator_api.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"larchrouter/internal/membudget"
 	"larchrouter/internal/tier/feed"
 )
 
@@ -20,6 +20,7 @@
 const (
 	configPath       = "/api/config"
 	maxConfigBody    = 32 << 20
+	configMemoryPart = 16        // divides memory_mb: a configuration is no longer than that part
 	maxForwardedBody = 256 << 10 // a larger one would have to cross a second 30 Mbit/s link within the callers' time-out of 1 s
 	maxOrderBody     = 1 << 16
 	retryInterval    = 40 * time.Millisecond
@@ -36,6 +37,7 @@
 	{"GET /api/retire/{node}", (*Server).getRetire},
 	{"GET /api/status", (*Server).getStatus},
 	{"GET /api/duties", (*Server).getTaskStatus},
+	{"GET /api/memory", (*Server).getMemory},
 }
 
 // operatorAPI returns the HTTP handler of the operator API.
@@ -79,16 +81,20 @@
 	_, _ = w.Write(body)
 }
 
-// writeBodyError answers a request whose body could not be read: 413 with the limit if the body exceeds it, else 400
-// with a text.
+// writeBodyError answers a request whose body could not be read: 413 with the limit if the body exceeds it, 503 if
+// the memory is exhausted, else 400 with a text.
 func writeBodyError(w http.ResponseWriter, err error, text string) {
 	var tooLong *http.MaxBytesError
-	if !errors.As(err, &tooLong) {
+	switch {
+	case errors.As(err, &tooLong):
+		text = fmt.Sprintf("the body is longer than %d bytes: send a shorter one", tooLong.Limit)
+		writeReply(w, &feed.OperatorResponse{Status: http.StatusRequestEntityTooLarge, Text: text})
+	case errors.Is(err, membudget.ErrExhausted):
+		writeReply(w, &feed.OperatorResponse{Status: http.StatusServiceUnavailable,
+			Text: "this core node has no memory left for the body: send it again, or to another one"})
+	default:
 		writeBadRequest(w, text)
-		return
 	}
-	text = fmt.Sprintf("the body is longer than %d bytes: send a shorter one", tooLong.Limit)
-	writeReply(w, &feed.OperatorResponse{Status: http.StatusRequestEntityTooLarge, Text: text})
 }
 
 // writeBadRequest answers 400 with a text.
@@ -115,7 +121,9 @@
 // putConfig serves PUT /api/config: it reads the configuration and its base version, and retries the order until it is
 // decided or times out.
 func (s *Server) putConfig(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxConfigBody))
+	order := s.newOrderBody(w, r)
+	defer order.release()
+	body, err := order.read(s.maxConfigBody())
 	if err != nil {
 		writeBodyError(w, err, "the configuration did not come whole: send it again")
 		return
@@ -126,9 +134,9 @@
 		return
 	}
 	request := &feed.PutConfigRequest{IfMatch: baseVersion, Body: body}
-	order := putOrder(request)
+	decided := putOrder(request)
 	writeReply(w, s.retryUntilTimeout(r.Context(), r.Method+" "+r.URL.Path, func(ctx context.Context) (*feed.OperatorResponse, error) {
-		return s.put(ctx, request, order)
+		return s.put(ctx, request, decided)
 	}))
 }
 
@@ -142,7 +150,9 @@
 
 // postRetire serves POST /api/retire/{node}.
 func (s *Server) postRetire(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxOrderBody)); err != nil {
+	order := s.newOrderBody(w, r)
+	defer order.release()
+	if _, err := order.read(maxOrderBody); err != nil {
 		writeBodyError(w, err, "the order did not come whole: send it again")
 		return
 	}
--- a/internal/tier/controlnode/operator_api_test.go
+++ b/internal/tier/controlnode/operator_api_test.go
@@ -7,11 +7,14 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"larchrouter/internal/membudget"
+	"larchrouter/internal/process"
 )
 
 // A body over the limit is answered with 413 and the limit.
 func TestOversizedBodiesAreRejected(t *testing.T) {
-	s := &Server{}
+	s := &Server{settings: &process.Settings{}, memory: membudget.New(membudget.Options{})}
 	for name, test := range map[string]struct {
 		method, path string
 		body         *bytes.Reader
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"larchrouter/internal/ctxtime"
+	"larchrouter/internal/membudget"
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
 	"larchrouter/internal/sqlitelog"
@@ -33,12 +34,19 @@
 	pollGrace        = 300 * time.Millisecond                // how long a follower's poll waits while this node is partitioned or behind
 )
 
+// Bounds of the calls of operators.
+const (
+	operatorTimeout = 30 * time.Second // for a call, until its response is written
+	maxOperatorHead = 16 << 10         // bytes
+)
+
 // Server runs a control node as a process. One goroutine, the event loop, owns the Node and everything that depends on
 // it; all other goroutines send it requests. See the package documentation.
 type Server struct {
 	settings    *process.Settings
 	db          *sqlitelog.DB
 	log         *slog.Logger
+	memory      *membudget.Budget // of what operators and other processes make the node hold
 	clients     *rpc.Clients
 	self        view.Member
 	startedAt   time.Time
@@ -102,6 +110,7 @@
 		settings:        s,
 		db:              db,
 		log:             log,
+		memory:          s.RequestMemory(process.SmallOrder),
 		clients:         &rpc.Clients{},
 		startedAt:       time.Now(),
 		requests:        make(chan queuedRequest, 256),
@@ -175,7 +184,8 @@
 		return errors.Wrap(err, "listen for operators: free the port or change bind_addrs.control_addr")
 	}
 	server := rpc.NewServer(s.handlers())
-	operators := &http.Server{Handler: s.operatorAPI(), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second}
+	operators := &http.Server{Handler: s.operatorAPI(), ReadHeaderTimeout: 3 * time.Second, WriteTimeout: operatorTimeout, IdleTimeout: 30 * time.Second,
+		MaxHeaderBytes: maxOperatorHead}
 	s.wg.Go(func() { server.Serve(peers) })
 	s.wg.Go(func() { _ = operators.Serve(control) })
 	s.wg.Go(s.pollPlatform)
