Core nodes: bound the connections of operators

Cause: the operator API took any number of connections, for 30 s each when idle, up to the last descriptor.

Change: a quarter of max_fds at most; the one that has not been served for the longest time gives way to a new one (connlimit).

--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"larchrouter/internal/connlimit"
 	"larchrouter/internal/ctxtime"
 	"larchrouter/internal/membudget"
 	"larchrouter/internal/process"
@@ -34,10 +35,11 @@
 	pollGrace        = 300 * time.Millisecond                // how long a follower's poll waits while this node is partitioned or behind
 )
 
-// Bounds of the calls of operators.
+// Bounds of the connections to a node.
 const (
-	operatorTimeout = 30 * time.Second // for a call, until its response is written
-	maxOperatorHead = 16 << 10         // bytes
+	operatorConnsPart = 4                // divides max_fds: connections of operators
+	operatorTimeout   = 30 * time.Second // for an operator's call, until its response is written
+	maxOperatorHead   = 16 << 10         // bytes
 )
 
 // Server runs a control node as a process. One goroutine, the event loop, owns the Node and everything that depends on
@@ -186,6 +188,7 @@
 	server := rpc.NewServer(s.handlers())
 	operators := &http.Server{Handler: s.operatorAPI(), ReadHeaderTimeout: 3 * time.Second, WriteTimeout: operatorTimeout, IdleTimeout: 30 * time.Second,
 		MaxHeaderBytes: maxOperatorHead}
+	connlimit.Apply(operators, s.settings.Limits.MaxFDs/operatorConnsPart)
 	s.wg.Go(func() { server.Serve(peers) })
 	s.wg.Go(func() { _ = operators.Serve(control) })
 	s.wg.Go(s.pollPlatform)
