Core nodes and stores: hold the calls of other processes within memory_mb

Cause: the port between processes allocated the announced length of a frame, up to 64 MB for each connection, waited for its end without a time limit, and handled any number of long calls at once; fronts pass on what clients send.

Change: rpc.Server draws long calls (over 64 KB) from the budget of the process: the first 64 KB, then what the call costs, at a store three bytes for each (frame, decoded call, rows), until its response is written. A draw waits up to 300 ms for other calls to end; then bodies that are not complete give way and their connection is closed. A long body has 4 s. Handlers can draw as well (rpc.Draw). Long frames are written without a copy.

--- a/cmd/larch-control/store.go
+++ b/cmd/larch-control/store.go
@@ -62,6 +62,7 @@
 		return errors.Wrap(err, "listen for other nodes: free the port or change port_range")
 	}
 	server := rpc.NewServer(store.Handlers())
+	server.Memory, server.BodyCost = s.RequestMemory(process.SmallRequest), turnstore.CopiesOfCall
 	running, stop := context.WithCancel(context.WithoutCancel(ctx)) // a store that was told to stop goes on serving for a while
 	defer stop()
 	registering, stopRegistering := context.WithCancel(running)
--- a/internal/rpc/clientconn.go
+++ b/internal/rpc/clientconn.go
@@ -125,7 +125,7 @@
 		deadline = d.Add(writeGrace)
 	}
 	_ = c.socket.SetWriteDeadline(deadline)
-	n, err := c.socket.Write(f.encode())
+	n, err := f.writeTo(c.socket)
 	if err == nil {
 		return nil
 	}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -9,11 +9,16 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"larchrouter/internal/membudget"
 )
 
 // acceptBackoff follows an Accept that failed, as it does while the process has no file descriptors left.
 const acceptBackoff = 10 * time.Millisecond
 
+// longBodyTimeout bounds the time in which a long body of a call is read: the caller gives up its write sooner.
+const longBodyTimeout = 2 * writeTimeout
+
 // Handler executes a call and returns its response, a struct or nil; the caller gets an error's text as ErrRemote. Each
 // call has a goroutine of its own. Notifications of a connection are handled in its reader, one after the other, and what
 // is returned for them is dropped. ctx ends when the connection or the server is closed. The handler owns body.
@@ -21,20 +26,28 @@
 
 // Server takes connections and passes their calls to handlers. It is safe for concurrent use.
 type Server struct {
+	// Memory bounds what callers make the server hold: long bodies of calls, and what handlers draw. Default: no limit. It must be
+	// set before Serve.
+	Memory *membudget.Budget
+
+	// BodyCost is how many bytes a call holds for each byte of a long body, with the copies that its handler makes. Default: 1. It must
+	// be set before Serve.
+	BodyCost int
+
 	handlers map[Method]Handler
 	ctx      context.Context // ends with Close
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup // connections, calls, and one for each Serve
 
 	mu     sync.Mutex
-	conns  map[net.Conn]bool
+	conns  map[*serverConn]bool
 	closed bool
 }
 
 // NewServer returns a server for the methods that have a handler; calls of others end in ErrRemote. The map must not
 // be changed any more.
 func NewServer(handlers map[Method]Handler) *Server {
-	s := &Server{handlers: handlers, conns: map[net.Conn]bool{}}
+	s := &Server{handlers: handlers, conns: map[*serverConn]bool{}, Memory: membudget.New(membudget.Options{})}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -58,7 +71,8 @@
 				return
 			}
 		}
-		if !s.start(func() { s.serveConn(c) }, c) {
+		conn := &serverConn{Conn: c}
+		if !s.start(func() { s.serveConn(conn) }, conn) {
 			c.Close()
 			return
 		}
@@ -67,7 +81,7 @@
 
 // start runs a goroutine that Close waits for, and registers the connection that it serves, if any. It reports whether
 // it did so: not after Close.
-func (s *Server) start(run func(), c net.Conn) bool {
+func (s *Server) start(run func(), c *serverConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -92,11 +106,16 @@
 	s.wg.Wait()
 }
 
+// serverConn is a connection of a caller.
+type serverConn struct {
+	net.Conn
+	writing sync.Mutex
+}
+
 // serveConn reads frames until the connection fails.
-func (s *Server) serveConn(c net.Conn) {
-	setSocketOptions(c)
+func (s *Server) serveConn(c *serverConn) {
+	setSocketOptions(c.Conn)
 	ctx, stop := context.WithCancel(s.ctx)
-	var writing sync.Mutex
 	defer func() {
 		stop()
 		c.Close()
@@ -106,28 +125,58 @@
 	}()
 	r := bufio.NewReaderSize(c, readBuffer)
 	for {
-		f, err := readFrame(r)
+		memory := &callMemory{budget: s.Memory, cost: max(1, s.BodyCost)}
+		f, err := s.readCall(r, c, memory)
 		if err != nil {
+			memory.release()
 			return
 		}
 		if f.kind == kindNotification {
 			if handler := s.handlers[f.method]; handler != nil {
 				_, _ = handler(ctx, f.body) // here, so that notifications keep their order
 			}
+			memory.release()
 			continue
 		}
 		s.wg.Go(func() {
-			response := s.respond(ctx, f).encode()
-			writing.Lock()
-			defer writing.Unlock()
-			_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := c.Write(response); err != nil {
-				c.Close()
-			}
+			defer memory.release()
+			s.respondOn(c, s.respond(context.WithValue(ctx, callMemoryKey{}, memory), f))
 		})
 	}
 }
 
+// readCall reads one frame. A long body must come within longBodyTimeout, and gives way to others if the memory is
+// exhausted.
+func (s *Server) readCall(r *bufio.Reader, c *serverConn, memory *callMemory) (frame, error) {
+	f, n, err := readHeader(r)
+	if err != nil {
+		return frame{}, err
+	}
+	if n <= shortBody {
+		f.body, err = readBody(r, n, nil)
+		return f, err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(longBodyTimeout))
+	memory.open(func() { c.Close() })
+	if f.body, err = readBody(r, n, memory.bodyDraws(n)); err != nil {
+		return frame{}, err
+	}
+	if !memory.account.Complete() {
+		return frame{}, membudget.ErrExhausted
+	}
+	return f, c.SetReadDeadline(time.Time{})
+}
+
+// respondOn writes a response.
+func (s *Server) respondOn(c *serverConn, response frame) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := response.writeTo(c.Conn); err != nil {
+		c.Close()
+	}
+}
+
 // respond executes a call and returns the frame that answers it.
 func (s *Server) respond(ctx context.Context, call frame) frame {
 	response := frame{kindError, call.method, call.number, nil}
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -186,6 +186,7 @@
 		return errors.Wrap(err, "listen for operators: free the port or change bind_addrs.control_addr")
 	}
 	server := rpc.NewServer(s.handlers())
+	server.Memory = s.memory
 	operators := &http.Server{Handler: s.operatorAPI(), ReadHeaderTimeout: 3 * time.Second, WriteTimeout: operatorTimeout, IdleTimeout: 30 * time.Second,
 		MaxHeaderBytes: maxOperatorHead}
 	connlimit.Apply(operators, s.settings.Limits.MaxFDs/operatorConnsPart)
--- a/internal/tier/turnstore/server_handlers.go
+++ b/internal/tier/turnstore/server_handlers.go
@@ -8,6 +8,10 @@
 	"larchrouter/internal/tier/budget"
 )
 
+// CopiesOfCall is how many bytes a call makes a store hold for each byte of a long body: the frame, what is decoded from it, and the rows
+// for the disk.
+const CopiesOfCall = 3
+
 // Handlers returns the RPC handlers of the store by method.
 func (s *Server) Handlers() map[rpc.Method]rpc.Handler {
 	return map[rpc.Method]rpc.Handler{
