Core nodes and stores: bound the connections of other processes

Cause: the port between processes took any number of connections and kept each until the other side ended it.

Change: half of max_fds at most. For a further one, the connection without a frame for the longest time is closed; its caller, if it is one of ours, connects again with its next call.

TestSilentConnectionGivesWay 5 of 5 with -race.

--- a/cmd/larch-control/store.go
+++ b/cmd/larch-control/store.go
@@ -27,6 +27,9 @@
 	registerTimeout          = 800 * time.Millisecond
 )
 
+// peerConnsPart divides max_fds: that many connections of other processes are taken, at most.
+const peerConnsPart = 2
+
 func (storeCommand) Run() error {
 	s, ring, err := start()
 	if err != nil {
@@ -63,6 +66,7 @@
 	}
 	server := rpc.NewServer(store.Handlers())
 	server.Memory, server.BodyCost = s.RequestMemory(process.SmallRequest), turnstore.CopiesOfCall
+	server.MaxConns = s.Limits.MaxFDs / peerConnsPart
 	running, stop := context.WithCancel(context.WithoutCancel(ctx)) // a store that was told to stop goes on serving for a while
 	defer stop()
 	registering, stopRegistering := context.WithCancel(running)
--- a/internal/rpc/memory_test.go
+++ b/internal/rpc/memory_test.go
@@ -132,3 +132,27 @@
 	wantErrorClass(t, c.Call(testContext(t), refuse, nil, nil), ErrRemote, "memory")
 	_ = s
 }
+
+// The connection on which no frame has come for the longest time gives way to a new one; its caller connects again.
+func TestSilentConnectionGivesWay(t *testing.T) {
+	_, addr := serveWith(t, map[Method]Handler{echo: echoHandler}, func(s *Server) { s.MaxConns = 2 })
+	c := NewClient(addr)
+	defer c.Close()
+	silent := dial(t, addr)
+	call := func() {
+		t.Helper()
+		var got line
+		if err := c.Call(testContext(t), echo, line{N: 1}, &got); err != nil || got.N != 1 {
+			t.Fatalf("%v, %+v", err, got)
+		}
+	}
+	for range 3 {
+		call()
+		next := dial(t, addr)
+		if _, err := silent.Read(make([]byte, 1)); err == nil {
+			t.Error("the silent connection got a response")
+		}
+		silent = next
+	}
+	call()
+}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,10 @@
 	// be set before Serve.
 	BodyCost int
 
+	// MaxConns is the number of connections, at most; 0 for no limit. For a further one, that connection gives way on which no frame
+	// has come for the longest time. It must be set before Serve.
+	MaxConns int
+
 	handlers map[Method]Handler
 	ctx      context.Context // ends with Close
 	cancel   context.CancelFunc
@@ -72,6 +77,7 @@
 			}
 		}
 		conn := &serverConn{Conn: c}
+		conn.lastFrame.Store(time.Now().UnixNano())
 		if !s.start(func() { s.serveConn(conn) }, conn) {
 			c.Close()
 			return
@@ -88,6 +94,9 @@
 		return false
 	}
 	if c != nil {
+		if s.MaxConns > 0 && len(s.conns) >= s.MaxConns {
+			s.evictOldest()
+		}
 		s.conns[c] = true
 	}
 	s.wg.Go(run)
@@ -106,10 +115,23 @@
 	s.wg.Wait()
 }
 
+// evictOldest closes the connection on which no frame has come for the longest time. mu must be held.
+func (s *Server) evictOldest() {
+	var oldest *serverConn
+	for c := range s.conns {
+		if oldest == nil || c.lastFrame.Load() < oldest.lastFrame.Load() {
+			oldest = c
+		}
+	}
+	oldest.Close()
+	delete(s.conns, oldest)
+}
+
 // serverConn is a connection of a caller.
 type serverConn struct {
 	net.Conn
-	writing sync.Mutex
+	lastFrame atomic.Int64 // Unix time in nanoseconds when the last frame was complete, or the connection was accepted
+	writing   sync.Mutex
 }
 
 // serveConn reads frames until the connection fails.
@@ -131,6 +153,7 @@
 			memory.release()
 			return
 		}
+		c.lastFrame.Store(time.Now().UnixNano())
 		if f.kind == kindNotification {
 			if handler := s.handlers[f.method]; handler != nil {
 				_, _ = handler(ctx, f.body) // here, so that notifications keep their order
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -37,6 +37,7 @@
 
 // Bounds of the connections to a node.
 const (
+	peerConnsPart     = 2                // divides max_fds: connections of other processes
 	operatorConnsPart = 4                // divides max_fds: connections of operators
 	operatorTimeout   = 30 * time.Second // for an operator's call, until its response is written
 	maxOperatorHead   = 16 << 10         // bytes
@@ -186,7 +187,7 @@
 		return errors.Wrap(err, "listen for operators: free the port or change bind_addrs.control_addr")
 	}
 	server := rpc.NewServer(s.handlers())
-	server.Memory = s.memory
+	server.Memory, server.MaxConns = s.memory, s.settings.Limits.MaxFDs/peerConnsPart
 	operators := &http.Server{Handler: s.operatorAPI(), ReadHeaderTimeout: 3 * time.Second, WriteTimeout: operatorTimeout, IdleTimeout: 30 * time.Second,
 		MaxHeaderBytes: maxOperatorHead}
 	connlimit.Apply(operators, s.settings.Limits.MaxFDs/operatorConnsPart)
