Hold histories and turns that are being closed within memory_mb

What callers saw: 60 conversations with inputs of 512 KB, all at once: the front held 168 to 193 MB of 96, turns broke off unrecorded, and an ordinary turn was refused five times.

Cause: a history that was joined for a host counted nowhere; closing a turn makes a record, and a call with a copy of it for each replica, which go on for up to 1.2 s after the client has its answer; a store read any number of histories at a time; caches had fixed sizes.

Change: a front draws a history from its budget and answers 503 with Retry-After if there is no room: the turn has not run and is settled at 0 (cause no_memory). Turns over 64 KB are closed within a tenth of memory_mb, held until the last call has ended; others wait (a weighted semaphore, golang.org/x/sync). A store draws what it reads of a history, three bytes for each, and answers that it is busy otherwise. Caches of histories take a tenth of memory_mb at most; with the memory of any deployment so far they are as large as before.

--- a/cmd/larch-control/store.go
+++ b/cmd/larch-control/store.go
@@ -55,7 +55,7 @@
 	}
 	defer func() { err = errors.CombineErrors(err, db.Close()) }()
 	store, err := turnstore.NewServer(turnstore.ServerOptions{DB: db, Placement: follower.Placement, Changed: follower.Changed,
-		Calls: calls, Log: log})
+		Calls: calls, Log: log, CacheBytes: s.CacheMemory(turnstore.ServerCacheBytes)})
 	if err != nil {
 		return err
 	}
--- a/cmd/larch-proxy/main.go
+++ b/cmd/larch-proxy/main.go
@@ -69,6 +69,7 @@
 	defer calls.Close()
 	follower := feed.NewFollower(s, calls, log)
 	ledger := turnstore.NewClient(follower.Placement, calls, s.Zone, log)
+	ledger.SetLimits(turnstore.ClientLimits{Cache: s.CacheMemory(turnstore.ClientCacheBytes), Closing: s.ClosingMemory()})
 	grace := s.TimingBound("grace_period_s", 8*time.Second)
 	options := proxy.Options{
 		Zone:            s.Zone,
--- a/internal/process/memory.go
+++ b/internal/process/memory.go
@@ -10,6 +10,8 @@
 const (
 	heapShare    = 0.6  // soft limit of the Go runtime: all that is allocated, with what the collector has not freed yet
 	requestShare = 0.25 // for what clients make the process hold, within the share above
+	cacheShare   = 0.1  // for caches, at most
+	closingShare = 0.1  // for the copies of turns that are being closed, within the first share
 	reservedPart = 4    // divides the share of requests: that part is left to small ones
 )
 
@@ -31,3 +33,14 @@
 	limit := int64(s.Limits.MemoryMB * requestShare * (1 << 20))
 	return membudget.New(membudget.Options{Limit: limit, Reserved: limit / reservedPart, Small: small})
 }
+
+// ClosingMemory returns the bytes that a front may hold for turns that are being closed; 0 for no limit.
+func (s *Settings) ClosingMemory() int64 { return int64(s.Limits.MemoryMB * closingShare * (1 << 20)) }
+
+// CacheMemory returns the size in bytes of a cache that has so many bytes where memory_mb permits that.
+func (s *Settings) CacheMemory(bytes int64) int64 {
+	if s.Limits.MemoryMB <= 0 {
+		return bytes
+	}
+	return min(bytes, int64(s.Limits.MemoryMB*cacheShare*(1<<20)))
+}
--- a/internal/tier/proxy/losslog.go
+++ b/internal/tier/proxy/losslog.go
@@ -51,6 +51,7 @@
 	causeNoRoom      = "no_room"      // no host had a slot in time, and the request has not run
 	causeNotRecorded = "not_recorded" // the stores did not take the turn
 	causeStores      = "stores"       // they could not be sure of the turn
+	causeNoMemory    = "no_memory"    // for the history of the turn
 	causeBudget      = "budget"
 	causeNoTurn      = "no_such_turn"
 	causeHostFailed  = "host_failed" // it answered with a failure of its own
--- a/internal/tier/proxy/memory_test.go
+++ b/internal/tier/proxy/memory_test.go
@@ -153,3 +153,19 @@
 		return len(f.clients) == 4 && f.options.Memory.Usage().Used <= 4*90<<10
 	})
 }
+
+// A turn whose history there is no memory for is answered 503; it has not run, and its tokens are free again.
+func TestTurnWithoutMemoryForHistory(t *testing.T) {
+	h := newHost(t, "i-1", func(c *call) bool { return streams(c, event(1, "x")) })
+	l := &ledger{history: map[string]string{"long": strings.Repeat("h", 200<<10), "short": "h"}}
+	f := newFrontWithOptions(t, Options{Ledger: l, Memory: membudget.New(membudget.Options{Limit: 100 << 10, Small: 20 << 10})}, h)
+	a := f.do("POST", "/turn/x", "t1", timeLeft+"Program: p1\r\nPrevious: long\r\nX-Token-Usage: 50,6\r\n", "input")
+	want(t, "status", a.status, http.StatusServiceUnavailable)
+	want(t, "Retry-After", a.header.Get("Retry-After"), "0.500")
+	want(t, "calls to the host", int(h.calls.Load()), 0)
+	if !strings.HasSuffix(l.log(), " 0") || !strings.Contains(l.log(), "settle p1") {
+		t.Errorf("the ledger's log is %q, want it to end with a settlement at 0", l.log())
+	}
+	a = f.do("POST", "/turn/x", "t2", timeLeft+"Program: p1\r\nPrevious: short\r\nX-Token-Usage: 50,6\r\n", "input")
+	want(t, "status with a short history", a.status, http.StatusOK)
+}
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -18,8 +18,11 @@
 		if !r.openTurn(&turn) {
 			return
 		}
-		if len(turn.opened.History) > 0 {
-			f.body = append(f.body, turn.opened.History)
+		if history := turn.opened.History; len(history) > 0 {
+			if !r.holdHistory(&turn) {
+				return
+			}
+			f.body = append(f.body, history)
 		}
 		if generation := f.info.Generation; generation != nil {
 			generation.CacheHost, generation.CachedTokens = turn.opened.CacheHost, turn.opened.ContextTokens
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -75,6 +75,20 @@
 	return false
 }
 
+// holdHistory counts the history of an opened turn as what the request makes the process hold. If it returns false, the client has its
+// error response, and the turn is settled.
+func (r *request) holdHistory(turn *openTurn) bool {
+	if r.servingAccount().Draw(int64(len(turn.opened.History))) == nil {
+		return true
+	}
+	r.settleTurn(turn, 0)
+	r.server().logMemoryRejection()
+	r.logLoss(causeNoMemory, http.StatusServiceUnavailable)
+	r.respondError(http.StatusServiceUnavailable, memoryRetryAfter,
+		"this front has no memory left for the turn's history: come back after Retry-After")
+	return false
+}
+
 // usedTokens returns how many tokens were passed on to the client: those of its events, of which one may be partial, at most
 // maxTokens.
 func (r *request) usedTokens(parser *eventstream.Parser) int {
--- a/internal/tier/turnstore/client.go
+++ b/internal/tier/turnstore/client.go
@@ -19,13 +19,15 @@
 	hedgeDelay            = 40 * time.Millisecond   // until a second store is asked for a history
 	suspectDuration       = 1500 * time.Millisecond // for which a store that did not respond is asked last
 	maxHistorySegments    = 64                      // segments from different stores in one history
-	clientCacheBytes      = 16 << 20
-	maxBackground         = 4096 // calls and background operations at a time
-	maxCallsPerStore      = 1024 // calls in flight to one store, so that a stalled one does not use up maxBackground
-	maxRepairNotices      = 16   // in flight
-	maxSuspects           = 1000 // remembered at a time
+	maxBackground         = 4096                    // calls and background operations at a time
+	maxCallsPerStore      = 1024                    // calls in flight to one store, so that a stalled one does not use up maxBackground
+	maxRepairNotices      = 16                      // in flight
+	maxSuspects           = 1000                    // remembered at a time
 )
 
+// ClientCacheBytes is the size in bytes of the cache of histories of a client whose limits do not name one.
+const ClientCacheBytes = 16 << 20
+
 // settleBackoff are the delays before each attempt to settle a turn in the background.
 var settleBackoff = []time.Duration{0, 150 * time.Millisecond, 600 * time.Millisecond, 2 * time.Second, 5 * time.Second}
 
@@ -39,6 +41,7 @@
 	cache        *incrementCache
 	callTimeout  time.Duration
 	closeTimeout time.Duration
+	closing      *closingLimit // nil for none
 
 	ctx    context.Context // of all calls and background operations: they outlive the operation that began them
 	cancel context.CancelFunc
@@ -59,7 +62,7 @@
 }
 
 func newClient(placement func() *Placement, calls transport, zone string, log *slog.Logger) *Client {
-	c := &Client{placement: placement, transport: calls, zone: zone, log: log, cache: newIncrementCache(clientCacheBytes),
+	c := &Client{placement: placement, transport: calls, zone: zone, log: log, cache: newIncrementCache(ClientCacheBytes),
 		callTimeout: callTimeout, closeTimeout: closeTimeout, inFlight: map[string]int{}, suspects: map[string]time.Time{},
 		idle: make(chan struct{})}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
--- a/internal/tier/turnstore/client_close.go
+++ b/internal/tier/turnstore/client_close.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,14 +16,19 @@
 // turn may be sent to its client. After an error, which is an ErrUnavailable, the turn may be stored or not, and its end
 // must not be sent.
 func (c *Client) Close(ctx context.Context, t *Turn) error {
+	release, err := c.acquireClosing(ctx, t)
+	if err != nil {
+		return unavailable(err, "keep a turn")
+	}
+	var calls sync.WaitGroup // that go on after the turn is closed
+	defer releaseAfter(&calls, release)
 	record := t.record()
 	p := c.placement()
 	if p == nil {
 		return unavailable(errors.New("no placement of stores was received yet"), "keep a turn")
 	}
-	var err error
 	for range closeAttempts {
-		if err = c.closeUnderPlacement(ctx, p, &record, t.UsedTokens); err == nil {
+		if err = c.closeUnderPlacement(ctx, p, &record, t.UsedTokens, &calls); err == nil {
 			c.cacheClosed(t, &record)
 			return nil
 		}
@@ -56,8 +62,8 @@
 }
 
 // closeUnderPlacement is one attempt to store a turn. It returns nil once, in each replica set in force, a majority and
-// at least DurableReplicas have synced it.
-func (c *Client) closeUnderPlacement(ctx context.Context, p *Placement, t *Record, usedTokens int) error {
+// at least DurableReplicas have synced it. Calls to other replicas may go on, which calls waits for.
+func (c *Client) closeUnderPlacement(ctx context.Context, p *Placement, t *Record, usedTokens int, calls *sync.WaitGroup) error {
 	groups := p.ReplicaSets(t.Key)
 	stores := distinctStores(groups)
 	q := newQuorum(groups, func(g ReplicaSet) int { return max(g.Majority(), min(p.DurableReplicas, len(g))) })
@@ -65,9 +71,16 @@
 		return MethodClose, &closeCall{To: RequestHeader{s.ID, p.Generation}, Turn: *t, UsedTokens: usedTokens}
 	}, func(r *statusReply) int { return r.Status })
 	var failure error
+	pending := len(stores)
+	defer func() {
+		if pending > 0 && len(t.Increment) > freeClosingBytes {
+			calls.Go(func() { awaitResponses(responses, pending) })
+		}
+	}()
 	for range stores {
 		select {
 		case response := <-responses:
+			pending--
 			if response.err != nil {
 				failure = dominantError(failure, response.err)
 			}
--- a/internal/tier/turnstore/server.go
+++ b/internal/tier/turnstore/server.go
@@ -1,6 +1,7 @@
 package turnstore
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"sync"
@@ -13,6 +14,9 @@
 	"larchrouter/internal/sqlitelog"
 )
 
+// ServerCacheBytes is the size in bytes of the cache of histories of a store whose options do not name one.
+const ServerCacheBytes = 24 << 20
+
 // StoreTables are the tables with which a store's database must be opened.
 var StoreTables = []string{tableEntries, tableTurns, tableBodies, tableFacts}
 
@@ -25,7 +29,6 @@
 	factSwept    = "swept"
 
 	maxQueuedRepairs    = 256
-	serverCacheBytes    = 24 << 20
 	expireInterval      = 2 * time.Second
 	maxExpiredPerCommit = 200     // turns and ledger entries deleted in one transaction, about
 	maxExpireRounds     = 50      // transactions at a time, so that other periodic work goes on
@@ -41,6 +44,8 @@
 	Calls     *rpc.Clients           // to the other stores
 	Now       func() time.Time       // monotonic clock; nil: time.Now
 	Log       *slog.Logger           // nil: nothing is logged
+
+	CacheBytes int64 // of the cache of histories; 0 for ServerCacheBytes
 }
 
 // Server is one store: a replica of many programs. It acknowledges only what its disk has synced. It is safe for
@@ -78,7 +83,7 @@
 	if c.Log == nil {
 		c.Log = slog.New(slog.DiscardHandler)
 	}
-	s := &Server{ServerOptions: c, disk: d, peers: peers, cache: newIncrementCache(serverCacheBytes),
+	s := &Server{ServerOptions: c, disk: d, peers: peers, cache: newIncrementCache(int(cmp.Or(c.CacheBytes, ServerCacheBytes))),
 		repairs: make(chan string, maxQueuedRepairs), index: newIndex(), unsynced: newUnsyncedEntries()}
 	s.id, _ = d.Identity()
 	now := c.Now()
--- a/internal/tier/turnstore/server_handlers.go
+++ b/internal/tier/turnstore/server_handlers.go
@@ -8,10 +8,6 @@
 	"larchrouter/internal/tier/budget"
 )
 
-// CopiesOfCall is how many bytes a call makes a store hold for each byte of a long body: the frame, what is decoded from it, and the rows
-// for the disk.
-const CopiesOfCall = 3
-
 // Handlers returns the RPC handlers of the store by method.
 func (s *Server) Handlers() map[rpc.Method]rpc.Handler {
 	return map[rpc.Method]rpc.Handler{
@@ -99,7 +95,11 @@
 	r, ids := s.openReply(c, now)
 	s.mu.Unlock()
 	if len(ids) > 0 {
-		r.History, r.Missing, r.HasHistory = s.readHistory(c.Program, ids, r.Missing)
+		history, missing, err := s.readHistory(ctx, c.Program, ids, r.Missing)
+		if err != nil {
+			return &openReply{Status: statusBusy}
+		}
+		r.History, r.Missing, r.HasHistory = history, missing, true
 	}
 	return r
 }
@@ -194,7 +194,7 @@
 }
 
 // handleHistory returns the history of a turn as far as this store has its chain.
-func (s *Server) handleHistory(_ context.Context, c *historyCall) *historyReply {
+func (s *Server) handleHistory(ctx context.Context, c *historyCall) *historyReply {
 	s.mu.Lock()
 	if st := s.admit(c.To); st != statusOK {
 		s.mu.Unlock()
@@ -210,7 +210,11 @@
 	ids, missing := s.index.chain(t)
 	r.RemainingMs = s.remainingMs(t.program)
 	s.mu.Unlock()
-	r.History, r.Missing, r.Found = s.readHistory(c.Key, ids, missing)
+	history, missing, err := s.readHistory(ctx, c.Key, ids, missing)
+	if err != nil {
+		return &historyReply{Status: statusBusy}
+	}
+	r.History, r.Missing, r.Found = history, missing, true
 	return r
 }
 
