Core nodes: have room for a configuration at its limit

Cause: the buffer of a body doubled beyond the limit, so that 32 MB were drawn for it, and with twice its size for its copies more than three quarters of the budget.

Change: the buffer grows up to the limit at most. Limit and copies are then just what an order may draw.

Evidence: TestOrderLimitFollowsFromMemory now gives the node its real budget and sends an order at the limit in chunks: 503 before, 200 now, 5 of 5 with -race.

--- a/internal/tier/controlnode/operator_body.go
+++ b/internal/tier/controlnode/operator_body.go
@@ -55,7 +55,7 @@
 		return nil, &http.MaxBytesError{Limit: maxBytes}
 	}
 	_ = b.controller.SetReadDeadline(time.Now().Add(orderBodyTimeout)) // before the first draw, as an eviction sets it as well
-	body, err := b.readAll(http.MaxBytesReader(b.w, b.r.Body, maxBytes))
+	body, err := b.readAll(http.MaxBytesReader(b.w, b.r.Body, maxBytes), int(maxBytes))
 	if err == nil {
 		err = b.account.Draw(orderCopies * int64(len(body)))
 	}
@@ -68,12 +68,12 @@
 	return body, err
 }
 
-// readAll reads to the end. What is allocated grows with what has come.
-func (b *orderBody) readAll(source io.Reader) ([]byte, error) {
+// readAll reads to the end of a source that ends after maxBytes at most. What is allocated grows with what has come, up to maxBytes.
+func (b *orderBody) readAll(source io.Reader, maxBytes int) ([]byte, error) {
 	var body []byte
 	for {
-		if len(body) == cap(body) {
-			more := max(firstOrderPart, cap(body))
+		if len(body) == cap(body) && len(body) < maxBytes {
+			more := min(max(firstOrderPart, cap(body)), maxBytes-cap(body))
 			if err := b.account.Draw(int64(more)); err != nil {
 				return nil, err
 			}
@@ -81,8 +81,12 @@
 			copy(larger, body)
 			body = larger
 		}
-		n, err := source.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		next := body[len(body):cap(body)]
+		if len(next) == 0 {
+			next = make([]byte, 1) // for the end alone
+		}
+		n, err := source.Read(next)
+		body = body[:min(len(body)+n, cap(body))]
 		if errors.Is(err, io.EOF) {
 			return body, nil
 		}
--- a/internal/tier/controlnode/operator_body_test.go
+++ b/internal/tier/controlnode/operator_body_test.go
@@ -83,9 +83,12 @@
 	}
 }
 
-// An order over the limit is answered 413 with the limit, whether its length is announced or not; the limit follows from memory_mb.
+// An order over the limit is answered 413 with the limit, whether its length is announced or not; the limit follows from
+// memory_mb, and one at the limit, alone, has room with its copies.
 func TestOrderLimitFollowsFromMemory(t *testing.T) {
-	s, addr := orderServer(t, membudget.New(membudget.Options{}))
+	settings := &process.Settings{}
+	settings.Limits.MemoryMB = 16 // as that of the server
+	s, addr := orderServer(t, settings.RequestMemory(process.SmallOrder))
 	if s.maxConfigBody() != 1<<20 {
 		t.Fatalf("the limit is %d", s.maxConfigBody())
 	}
@@ -103,5 +106,13 @@
 	if status, body := statusOf(t, sendOrder(t, addr, 1<<20, strings.Repeat("x", 1<<20))); status != http.StatusOK || body != "1048576" {
 		t.Errorf("one at the limit got %d %s", status, body)
 	}
+	response, err = http.Post("http://"+addr, "", io.MultiReader(strings.NewReader(strings.Repeat("x", 1<<20))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Errorf("one at the limit in chunks got %d", response.StatusCode)
+	}
 	http.DefaultClient.CloseIdleConnections()
 }
