Write the chunks of hostile clients in one place

The same loop stood in five tests: a head, a number of chunks, a pause. writeChunks has it now; crowd, bounds and checks are as they were. The doc comment of knownred is wrapped again.

--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -1,7 +1,7 @@
 // Command knownred reads KNOWN-RED.txt, the list of tests that fail for a real fault which is to be mended next, and prints the
 // pattern for `go test -skip` that passes over just these. It names them on standard error, and fails where the list is not as
-// agreed: more than three lines, those of tests against hostile clients apart, a line of another form, or a test that is not there, or there more than once. Without the file,
-// or with an empty one, it prints nothing.
+// agreed: more than three lines (those of tests against hostile clients apart), a line of another form, or a test that is not there,
+// or there more than once. Without the file, or with an empty one, it prints nothing.
 package main
 
 import (
--- a/internal/tier/hostileclients/core_test.go
+++ b/internal/tier/hostileclients/core_test.go
@@ -77,17 +77,8 @@
 
 // Configurations in chunks that stop just short of their end.
 func TestHostileChunkedConfigs(t *testing.T) {
-	part := chunk(trickleChunk)
 	playAtCore(t, configCrowd, func(c net.Conn) error {
-		if err := write(c, putHead(chunkedLine)); err != nil {
-			return err
-		}
-		for range configBody / trickleChunk {
-			if err := write(c, part); err != nil {
-				return err
-			}
-		}
-		return nil
+		return writeChunks(c, putHead(chunkedLine), configBody/trickleChunk, 0)
 	})
 }
 
@@ -121,17 +112,8 @@
 
 // Configurations that are far larger than any proper one.
 func TestHostileHugeConfigs(t *testing.T) {
-	part := chunk(trickleChunk)
 	playAtCore(t, hugeConfigs, func(c net.Conn) error {
-		if err := write(c, putHead(chunkedLine)); err != nil {
-			return err
-		}
-		for range hugeConfigBody / trickleChunk {
-			if err := write(c, part); err != nil {
-				return err
-			}
-		}
-		return nil
+		return writeChunks(c, putHead(chunkedLine), hugeConfigBody/trickleChunk, 0)
 	})
 }
 
--- a/internal/tier/hostileclients/front_test.go
+++ b/internal/tier/hostileclients/front_test.go
@@ -39,17 +39,8 @@
 // Bodies in chunks of 32 KB that stop just short of their end.
 func TestHostileChunkedBodiesStopShort(t *testing.T) {
 	tt := startTier(t, maxFDs, maxHeadBytes)
-	part := chunk(trickleChunk)
 	playAtFront(t, tt, bodyCrowd, func(c net.Conn) error {
-		if err := write(c, head(http.MethodPost, tiertest.WritePath, chunkedLine)); err != nil {
-			return err
-		}
-		for range maxBodyBytes/trickleChunk - 1 {
-			if err := write(c, part); err != nil {
-				return err
-			}
-		}
-		return nil
+		return writeChunks(c, head(http.MethodPost, tiertest.WritePath, chunkedLine), maxBodyBytes/trickleChunk-1, 0)
 	})
 }
 
@@ -74,18 +65,8 @@
 // Chunks that come slowly, but come.
 func TestHostileTrickledChunks(t *testing.T) {
 	tt := startTier(t, maxFDs, maxHeadBytes)
-	part := chunk(trickleChunk)
 	playAtFront(t, tt, bodyCrowd, func(c net.Conn) error {
-		if err := write(c, head(http.MethodPost, tiertest.WritePath, chunkedLine)); err != nil {
-			return err
-		}
-		for range maxBodyBytes/trickleChunk - 1 {
-			if err := write(c, part); err != nil {
-				return err
-			}
-			time.Sleep(trickleEvery)
-		}
-		return nil
+		return writeChunks(c, head(http.MethodPost, tiertest.WritePath, chunkedLine), maxBodyBytes/trickleChunk-1, trickleEvery)
 	})
 }
 
@@ -101,17 +82,8 @@
 // Bodies in chunks that are far over the limit.
 func TestHostileOversizedChunkedBodies(t *testing.T) {
 	tt := startTier(t, maxFDs, maxHeadBytes)
-	part := chunk(trickleChunk)
 	playAtFront(t, tt, bodyCrowd, func(c net.Conn) error {
-		if err := write(c, head(http.MethodPost, tiertest.WritePath, chunkedLine)); err != nil {
-			return err
-		}
-		for range oversizedBody / trickleChunk {
-			if err := write(c, part); err != nil {
-				return err
-			}
-		}
-		return nil
+		return writeChunks(c, head(http.MethodPost, tiertest.WritePath, chunkedLine), oversizedBody/trickleChunk, 0)
 	})
 }
 
--- a/internal/tier/hostileclients/harness_test.go
+++ b/internal/tier/hostileclients/harness_test.go
@@ -349,3 +349,19 @@
 
 // chunk returns n bytes as one chunk.
 func chunk(n int) string { return fmt.Sprintf("%x\r\n%s\r\n", n, strings.Repeat("x", n)) }
+
+// writeChunks writes the head of a request whose body is in chunks, and then this number of chunks of trickleChunk bytes. It pauses after
+// each of them.
+func writeChunks(c net.Conn, head string, count int, pause time.Duration) error {
+	if err := write(c, head); err != nil {
+		return err
+	}
+	part := chunk(trickleChunk)
+	for range count {
+		if err := write(c, part); err != nil {
+			return err
+		}
+		time.Sleep(pause)
+	}
+	return nil
+}
