Test tiers: successors that start early, ends that nobody asked for, duties, race detector

The harness can start a process beside its predecessor, records each process that ended without being told to, passes duty_list on, and builds the programs with -race where the test is: go test -race ./internal/tier/tiertest ran programs without it so far.

--- a/internal/tier/tiertest/linked_front_test.go
+++ b/internal/tier/tiertest/linked_front_test.go
@@ -32,7 +32,7 @@
 func startLinkedFront(tt *testTier) *linkedFront {
 	tt.t.Helper()
 	l := &linkedFront{Machine: &Machine{Name: "front-linked", Class: Front, IP: tt.block.ip(linkedFrontIP), Log: &Log{}, tier: tt.Tier,
-		role: "balancer", incarnation: 1}}
+		role: "balancer", incarnations: []*childProcess{nil}}}
 	s, err := process.Parse([]byte(tt.settings(l.Machine)))
 	must(tt.t, err)
 	routes := map[string]string{}
--- a/internal/tier/tiertest/machine.go
+++ b/internal/tier/tiertest/machine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -16,6 +17,9 @@
 	"larchrouter/internal/tier/controlnode"
 )
 
+// settingsFile is the name of a machine's settings file in its folder.
+const settingsFile = "node.yaml"
+
 // stopMargin is the time beyond the grace period after which a process that was to stop is killed.
 const stopMargin = 2 * time.Second
 
@@ -30,10 +34,10 @@
 	path string // of the executable
 	args []string
 
-	mu          sync.Mutex
-	bootstrap   bool          // the next incarnation may found the tier
-	process     *childProcess // the last incarnation; nil before the first
-	incarnation int           // number of starts
+	mu           sync.Mutex
+	bootstrap    bool          // the next incarnation may found the tier
+	process      *childProcess // the last incarnation; nil before the first
+	incarnations []*childProcess
 }
 
 // ControlAddr returns the address of a core machine's API for operators.
@@ -100,7 +104,19 @@
 func (m *Machine) Incarnation() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.incarnation
+	return len(m.incarnations)
+}
+
+// UnaskedEnds describes the ends of its processes that nobody asked for.
+func (m *Machine) UnaskedEnds() (ends []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, p := range m.incarnations {
+		if p.endedUnasked() {
+			ends = append(ends, fmt.Sprintf("%s, start %d: %v", m.Name, i+1, p.cmd.ProcessState))
+		}
+	}
+	return ends
 }
 
 // Start starts its process, which must not run, with current settings.
@@ -113,19 +129,39 @@
 	if err := os.MkdirAll(m.dataDir(), 0o700); err != nil {
 		return err
 	}
-	file := filepath.Join(m.dir(), "node.yaml")
+	file := filepath.Join(m.dir(), settingsFile)
 	if err := os.WriteFile(file, []byte(m.tier.settings(m)), 0o600); err != nil {
 		return err
 	}
-	process, err := startProcess(m.path, m.args, file, m.Log)
+	return m.startProcess(file)
+}
+
+// startProcess starts an incarnation with a settings file. mu must be held.
+func (m *Machine) startProcess(settings string) error {
+	process, err := startProcess(m.path, m.args, settings, m.Log)
 	if err != nil {
 		return err
 	}
 	m.process = process
-	m.incarnation++
+	m.incarnations = append(m.incarnations, process)
 	return nil
 }
 
+// StartSuccessor starts a further process, with the settings of the one that runs, and returns a function that terminates the one
+// that ran and returns its exit code. From now on the machine's process is the successor.
+func (m *Machine) StartSuccessor() (terminatePredecessor func() (exitCode int, err error), err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	predecessor := m.process
+	if !predecessor.running() {
+		return nil, errors.Newf("%s does not run", m.Name)
+	}
+	if err := m.startProcess(filepath.Join(m.dir(), settingsFile)); err != nil {
+		return nil, err
+	}
+	return func() (int, error) { return m.end(predecessor, syscall.SIGTERM) }, nil
+}
+
 // Kill kills its process and waits for its end.
 func (m *Machine) Kill() { _, _ = m.stop(syscall.SIGKILL) }
 
@@ -154,6 +190,14 @@
 	if process == nil {
 		return 0, nil
 	}
+	return m.end(process, signal)
+}
+
+// end sends a signal to a process of the machine and waits for its end.
+func (m *Machine) end(process *childProcess, signal syscall.Signal) (exitCode int, err error) {
+	if process.running() {
+		process.toldTo.Store(true)
+	}
 	if err := process.cmd.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return 0, err
 	}
--- a/internal/tier/tiertest/process.go
+++ b/internal/tier/tiertest/process.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/exec"
+	"sync/atomic"
 	"syscall"
 
 	"larchrouter/internal/process"
@@ -11,6 +12,7 @@
 // childProcess is one incarnation of a program.
 type childProcess struct {
 	cmd     *exec.Cmd
+	toldTo  atomic.Bool   // end, by the harness
 	done    chan struct{} // closed after it has ended
 	waitErr error         // valid after done is closed
 }
@@ -51,5 +53,8 @@
 	}
 }
 
+// endedUnasked reports whether the process has ended though nobody told it to.
+func (p *childProcess) endedUnasked() bool { return !p.running() && !p.toldTo.Load() }
+
 // exitCode returns the exit code, -1 after a signal. The process must have ended.
 func (p *childProcess) exitCode() int { return p.cmd.ProcessState.ExitCode() }
--- a/internal/tier/tiertest/programs.go
+++ b/internal/tier/tiertest/programs.go
@@ -5,6 +5,7 @@
 	"context"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,9 +18,10 @@
 	return Programs{Proxy: filepath.Join(dir, "larch-proxy"), Control: filepath.Join(dir, "larch-control")}
 }
 
-// BuildPrograms builds the executables from the sources into a folder. The working directory must be within the sources.
+// BuildPrograms builds the executables from the sources into a folder, with the race detector where the caller was built with it. The
+// working directory must be within the sources.
 func BuildPrograms(ctx context.Context, dir string) (Programs, error) {
-	cmd := exec.CommandContext(ctx, "go", "build", "-o", dir+string(filepath.Separator),
+	cmd := exec.CommandContext(ctx, "go", "build", "-race="+strconv.FormatBool(raceDetector), "-o", dir+string(filepath.Separator),
 		"larchrouter/cmd/larch-proxy", "larchrouter/cmd/larch-control")
 	out, err := cmd.CombinedOutput()
 	const advice = "build the tier's programs: call it within the sources, with Go and a C compiler"
--- a/internal/tier/tiertest/settings.go
+++ b/internal/tier/tiertest/settings.go
@@ -55,9 +55,10 @@
 	line("data_dir: %s\ndiscovery_source: \"cloud_api\"\nentry_mode: \"virtual_ip\"", dir)
 	line("fault_tolerance: {machine_losses: %d, zones: 0, region_losses: 0}", machineLosses)
 	line("timing_bounds: {contact_ms: %d, ack_max_ms: 4000, drain_max_ms: 3000, grace_period_s: %d, "+
-		"config_apply_ms: %d, recovery_s: 12, revocation: %v, revoke_max_ms: %d}",
+		"config_apply_ms: %d, recovery_s: 12, usage_window_s: 2, usage_late_s: 4, revocation: %v, revoke_max_ms: %d}",
 		contactTimeout.Milliseconds(), int(gracePeriod.Seconds()), ApplyTimeout.Milliseconds(),
 		t.EventLog.revocationBound > 0, t.EventLog.revocationBound.Milliseconds())
-	line("cloud_api: {address: %q, rate_per_s: %d, duty_list: [], max_lag_ms: 0}", t.Platform.Addr(), platformRate)
+	line("cloud_api: {address: %q, rate_per_s: %d, duty_list: [%s], max_lag_ms: 0}", t.Platform.Addr(), platformRate,
+		strings.Join(t.duties, ", "))
 	return b.String()
 }
--- a/internal/tier/tiertest/tier.go
+++ b/internal/tier/tiertest/tier.go
@@ -40,6 +40,9 @@
 	// RevocationBound is revoke_max_ms of the settings; 0 for a tier that has no such bound.
 	RevocationBound time.Duration
 
+	// Duties are the singleton tasks that the platform expects of the tier.
+	Duties []string
+
 	// Limits are what the platform grants each process; zero values for the defaults.
 	Limits ProcessLimits
 }
@@ -74,6 +77,7 @@
 
 	dir        string // of settings and disks
 	limits     ProcessLimits
+	duties     []string
 	block      *addressBlock
 	httpClient *http.Client
 
@@ -84,7 +88,7 @@
 // Start starts all processes of a tier that has no configuration and no hosts yet. The caller closes the tier.
 func Start(o Options) (t *Tier, err error) {
 	httpClient := &http.Client{Timeout: statusTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	t = &Tier{dir: o.Dir, limits: o.Limits.withDefaults(), EventLog: &EventLog{revocationBound: o.RevocationBound}, RunLog: new(modelhost.RunLog), httpClient: httpClient}
+	t = &Tier{dir: o.Dir, limits: o.Limits.withDefaults(), duties: o.Duties, EventLog: &EventLog{revocationBound: o.RevocationBound}, RunLog: new(modelhost.RunLog), httpClient: httpClient}
 	defer func() {
 		if err != nil {
 			t.Close()
