Wait at a start for conditions that pass, the same way for all roles

Callers saw processes that ended with code 1 at each start, again and again, while a port was taken, a predecessor still had the data folder open or drained, a settings file was half written, or a disk was full: a restart by the supervisor met the same condition.

Cause: each role treated the first error of its start as final, in its own way; only a core node waited, and only for disk space after its file was there.

Change: package lifecycle starts and ends all roles. A condition that passes (port, address, lock, space, descriptors) is retried for 2 min, settings for 10 s; logged once; a process takes all of its ports or none, so that it is not ready meanwhile; SIGTERM ends the wait with 0. Settings that change during the wait are applied. Each cause has an exit code, and the last line has cause, code and peak memory. SQLite no longer waits 5 s for a lock, uninterruptibly; errors of opening a file have kinds. OpenAwaitingSpace and its test moved to lifecycle (Await). A test expected code 1 for settings that lack something; it expects 78 now, which is the code of this cause alone.

--- a/cmd/larch-control/main.go
+++ b/cmd/larch-control/main.go
@@ -5,13 +5,13 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
+	"strconv"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 
+	"larchrouter/internal/lifecycle"
 	"larchrouter/internal/process"
 	"larchrouter/internal/tier/controlnode"
 )
@@ -27,38 +27,34 @@
 type coreCommand struct{}
 
 func (coreCommand) Run() error {
-	s, ring, err := start()
-	if err != nil {
+	return runRole(lifecycle.Role{Name: "larch-control core", Require: controlnode.RequireSettings, Run: runCore})
+}
+
+// runCore runs a core node until the context ends or its disk fails.
+func runCore(ctx context.Context, node lifecycle.Node) (err error) {
+	var server *controlnode.Server
+	open := func() error {
+		server, err = controlnode.Open(node.Settings, node.Log)
 		return err
 	}
-	log := slog.New(ring)
-	c, err := controlnode.OpenAwaitingSpace(context.Background(), s, log) // a signal ends the process meanwhile: it has promised nothing
-	if err != nil {
+	if err := lifecycle.Await(ctx, node.Log, open); err != nil {
 		return err
 	}
-	return runUntilSignal(ring, log, c.UpdateSeeds, c.Run)
+	go process.WatchSettings(ctx, node.Log, node.Settings, server.UpdateSeeds)
+	return server.Run(ctx)
 }
 
-// start loads the settings of a node and applies those of the Go runtime.
-func start() (*process.Settings, *process.RingHandler, error) {
-	s, err := process.Load()
-	if err != nil {
-		return nil, nil, err
-	}
-	s.TuneRuntime()
-	return s, process.NewRingHandler(os.Stderr), nil
-}
+// exitCode is the error of a command that has reported why it ended.
+type exitCode int
+
+func (c exitCode) Error() string { return "exit code " + strconv.Itoa(int(c)) }
 
-// runUntilSignal runs a node until SIGTERM or SIGINT; settings that change are given to reload.
-func runUntilSignal(
-	ring *process.RingHandler, log *slog.Logger, reload func(*process.Settings), run func(context.Context) error,
-) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	signal.Ignore(syscall.SIGPIPE)
-	defer ring.DumpOn(syscall.SIGUSR1)()
-	go process.WatchSettings(ctx, log, reload)
-	return run(ctx)
+// runRole runs a node of the tier in this process. Its error is an exitCode.
+func runRole(role lifecycle.Role) error {
+	if code := lifecycle.Run(role); code != 0 {
+		return exitCode(code)
+	}
+	return nil
 }
 
 func main() {
@@ -67,7 +63,11 @@
 	k := kong.Must(&p, kong.Name("larch-control"), kong.Description(description), kong.UsageOnError())
 	ctx, err := k.Parse(os.Args[1:])
 	k.FatalIfErrorf(err)
-	if err := ctx.Run(); err != nil {
+	err = ctx.Run()
+	if code := exitCode(0); errors.As(err, &code) {
+		os.Exit(int(code))
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "larch-control:", err)
 		os.Exit(1)
 	}
--- a/cmd/larch-control/store.go
+++ b/cmd/larch-control/store.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"log/slog"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"larchrouter/internal/lifecycle"
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
 	"larchrouter/internal/sqlitelog"
@@ -30,40 +29,52 @@
 // peerConnsPart divides max_fds: that many connections of other processes are taken, at most.
 const peerConnsPart = 2
 
+// diskShare is the part of disk_mb that the data file takes, at most.
+const diskShare = 0.9
+
 func (storeCommand) Run() error {
-	s, ring, err := start()
-	if err != nil {
-		return err
-	}
-	if err := process.RequireSetting("data_dir", s.DataDir, "give a store a folder"); err != nil {
-		return err
-	}
-	log := slog.New(ring)
-	calls := &rpc.Clients{}
-	follower := feed.NewFollower(s, calls, log)
-	run := func(ctx context.Context) error { return runStore(ctx, s, log, follower, calls) }
-	return runUntilSignal(ring, log, follower.UpdateSeeds, run)
+	return runRole(lifecycle.Role{Name: "larch-control store", Require: requireStoreSettings, Run: runStore})
 }
 
-// runStore runs a store until the context ends or its disk fails.
-func runStore(ctx context.Context, s *process.Settings, log *slog.Logger, follower *feed.Follower, calls *rpc.Clients) (
-	err error,
+func requireStoreSettings(s *process.Settings) error {
+	return process.RequireSetting("data_dir", s.DataDir, "give a store a folder")
+}
+
+// openStore opens the data folder of a store, waiting while its predecessor has it open or its disk is full.
+func openStore(ctx context.Context, node lifecycle.Node, options turnstore.ServerOptions) (
+	db *sqlitelog.DB, store *turnstore.Server, err error,
 ) {
-	db, err := sqlitelog.Open(s.DataDir, "store.db", int64(s.Limits.DiskMB*0.9)<<20, turnstore.StoreTables...)
-	if err != nil {
-		return err
-	}
-	defer func() { err = errors.CombineErrors(err, db.Close()) }()
-	store, err := turnstore.NewServer(turnstore.ServerOptions{DB: db, Placement: follower.Placement, Changed: follower.Changed,
+	err = lifecycle.Await(ctx, node.Log, func() error {
+		limit := int64(node.Settings.Limits.DiskMB*diskShare) << 20
+		if db, err = sqlitelog.Open(node.Settings.DataDir, "store.db", limit, turnstore.StoreTables...); err != nil {
+			return err
+		}
+		options.DB = db
+		if store, err = turnstore.NewServer(options); err != nil {
+			return errors.CombineErrors(err, db.Close())
+		}
+		return nil
+	})
+	return db, store, err
+}
+
+// runStore runs a store until the context ends or its disk fails.
+func runStore(ctx context.Context, node lifecycle.Node) (err error) {
+	s, log := node.Settings, node.Log
+	calls := &rpc.Clients{}
+	follower := feed.NewFollower(s, calls, log)
+	db, store, err := openStore(ctx, node, turnstore.ServerOptions{Placement: follower.Placement, Changed: follower.Changed,
 		Calls: calls, Log: log, CacheBytes: s.CacheMemory(turnstore.ServerCacheBytes)})
 	if err != nil {
 		return err
 	}
+	defer func() { err = errors.CombineErrors(err, db.Close()) }()
 	self := turnstore.Store{ID: store.ID(), Name: s.NodeName, Addr: s.PeerAddr(s.IP, process.StorePort), Zone: s.Zone}
-	l, err := net.Listen("tcp4", self.Addr)
+	listeners, err := lifecycle.Listen(ctx, log, self.Addr)
 	if err != nil {
-		return errors.Wrap(err, "listen for other nodes: free the port or change port_range")
+		return err
 	}
+	go process.WatchSettings(ctx, log, s, follower.UpdateSeeds)
 	server := rpc.NewServer(store.Handlers())
 	server.Memory, server.BodyCost = s.RequestMemory(process.SmallRequest), turnstore.CopiesOfCall
 	server.MaxConns = s.Limits.MaxFDs / peerConnsPart
@@ -72,7 +83,7 @@
 	registering, stopRegistering := context.WithCancel(running)
 	defer stopRegistering()
 	var wg sync.WaitGroup
-	wg.Go(func() { server.Serve(l) })
+	wg.Go(func() { server.Serve(listeners[0]) })
 	wg.Go(func() { follower.Run(running) })
 	wg.Go(func() { store.Run(running) })
 	wg.Go(func() { register(registering, follower, calls, store, self) })
--- a/cmd/larch-proxy/main.go
+++ b/cmd/larch-proxy/main.go
@@ -4,20 +4,15 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
-	"log/slog"
 	"math/rand/v2"
-	"net"
 	"os"
-	"os/signal"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
-	"github.com/cockroachdb/errors"
 
 	"larchrouter/choice/oracle"
+	"larchrouter/internal/lifecycle"
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
 	"larchrouter/internal/tier/balancer"
@@ -35,36 +30,22 @@
 // exitMarginDivisor divides the grace period: that part of it is left at its end for the process to exit.
 const exitMarginDivisor = 32
 
-func (program) Run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt) // first, as SIGTERM may come any time
-	defer stop()
-	s, err := process.Load()
-	if err != nil {
-		return err
-	}
-	if err := cmp.Or(
+// requireSettings returns an ErrSettings if a setting that a front cannot do without is empty.
+func requireSettings(s *process.Settings) error {
+	return cmp.Or(
 		process.RequireSetting("bind_addrs.front_addr", s.Bind.Front, "give HOST:PORT, for clients"),
 		process.RequireSetting("bind_addrs.ready_addr", s.Bind.Ready, "give HOST:PORT, for the platform"),
-	); err != nil {
-		return err
-	}
-	s.TuneRuntime()
-	signal.Ignore(syscall.SIGPIPE)
-	ring := process.NewRingHandler(os.Stderr)
-	defer ring.DumpOn(syscall.SIGUSR1)()
-	return serve(ctx, s, slog.New(ring))
+	)
 }
 
-func serve(ctx context.Context, s *process.Settings, log *slog.Logger) error {
-	ready, err := net.Listen("tcp4", s.Bind.Ready)
+// serve runs a front until the context ends.
+func serve(ctx context.Context, node lifecycle.Node) error {
+	s, log := node.Settings, node.Log
+	listeners, err := lifecycle.Listen(ctx, log, s.Bind.Ready, s.Bind.Front)
 	if err != nil {
-		return errors.Wrap(err, "listen for the platform: free the port or change bind_addrs.ready_addr")
-	}
-	front, err := net.Listen("tcp4", s.Bind.Front)
-	if err != nil {
-		ready.Close()
-		return errors.Wrap(err, "listen for clients: free the port or change bind_addrs.front_addr")
+		return err
 	}
+	ready, front := listeners[0], listeners[1]
 	calls := &rpc.Clients{}
 	defer calls.Close()
 	follower := feed.NewFollower(s, calls, log)
@@ -93,7 +74,7 @@
 	}
 	server := proxy.New(options)
 	wg.Go(func() { follower.Run(following) })
-	wg.Go(func() { process.WatchSettings(following, log, follower.UpdateSeeds) })
+	wg.Go(func() { process.WatchSettings(following, log, s, follower.UpdateSeeds) })
 	wg.Go(func() { server.Serve(front, ready) })
 	<-ctx.Done()
 	draining, done := context.WithTimeout(context.Background(), grace-grace/exitMarginDivisor)
@@ -119,10 +100,7 @@
 	var p program
 	const description = "The data plane of the serving tier. Its settings file is named by " + process.SettingsVariable + "."
 	k := kong.Must(&p, kong.Name("larch-proxy"), kong.Description(description))
-	ctx, err := k.Parse(os.Args[1:])
+	_, err := k.Parse(os.Args[1:])
 	k.FatalIfErrorf(err)
-	if err := ctx.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "larch-proxy:", err)
-		os.Exit(1)
-	}
+	os.Exit(lifecycle.Run(lifecycle.Role{Name: "larch-proxy", Require: requireSettings, Run: serve}))
 }
--- a/internal/process/reload.go
+++ b/internal/process/reload.go
@@ -19,17 +19,17 @@
 func init() { signal.Notify(reloadSignals, syscall.SIGHUP) }
 
 // WatchSettings calls apply with new settings after each SIGHUP, and within five seconds after the contents of the file
-// changed. Settings that cannot be read or used are logged, and apply is not called. It returns when ctx ends. A process
+// became others than those of loaded. Settings that cannot be read or used are logged, and apply is not called. It returns when ctx ends. A process
 // has one WatchSettings at a time.
-func WatchSettings(ctx context.Context, log *slog.Logger, apply func(*Settings)) {
+func WatchSettings(ctx context.Context, log *slog.Logger, loaded *Settings, apply func(*Settings)) {
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
-	watch(ctx, log, os.Getenv(SettingsVariable), reloadSignals, tick.C, apply)
+	watch(ctx, log, os.Getenv(SettingsVariable), loaded.contents, reloadSignals, tick.C, apply)
 }
 
-func watch(ctx context.Context, log *slog.Logger, path string, signals <-chan os.Signal, polls <-chan time.Time,
+// watch is WatchSettings for a file whose contents were last when they were read.
+func watch(ctx context.Context, log *slog.Logger, path string, last []byte, signals <-chan os.Signal, polls <-chan time.Time,
 	apply func(*Settings)) {
-	last, _ := os.ReadFile(path)
 	for {
 		forced := false
 		select {
--- a/internal/process/reload_test.go
+++ b/internal/process/reload_test.go
@@ -33,7 +33,7 @@
 	begun := make(chan bool)
 	watching.Go(func() {
 		close(begun)
-		watch(ctx, NewLogger(io.Discard), path, signals, polls, func(s *Settings) { got <- s.Seeds[0] })
+		watch(ctx, NewLogger(io.Discard), path, []byte(withSeed("1")), signals, polls, func(s *Settings) { got <- s.Seeds[0] })
 	})
 	<-begun
 	defer watching.Wait()
@@ -61,6 +61,35 @@
 	}
 }
 
+// Settings that changed between their first reading and the watch, such as while a start waited, were never applied.
+func TestWatchAppliesSettingsChangedDuringStart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	writeFile(t, path, withSeed("1"))
+	t.Setenv(SettingsVariable, path)
+	loaded, err := Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	writeFile(t, path, withSeed("2"))
+	ctx, stop := context.WithCancel(t.Context())
+	polls, got := make(chan time.Time, 1), make(chan string, 1)
+	polls <- time.Time{}
+	var watching sync.WaitGroup
+	watching.Go(func() {
+		watch(ctx, NewLogger(io.Discard), path, loaded.contents, nil, polls, func(s *Settings) { got <- s.Seeds[0] })
+	})
+	defer watching.Wait()
+	defer stop()
+	select {
+	case seed := <-got:
+		if seed != "127.0.0.1:2" {
+			t.Error(seed)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the changed settings were not applied")
+	}
+}
+
 func TestSIGHUPReloadsAndDoesNotTerminate(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "node.yaml")
 	writeFile(t, path, withSeed("1"))
@@ -69,7 +98,7 @@
 	got := make(chan string, 1)
 	var watching sync.WaitGroup
 	watching.Go(func() {
-		WatchSettings(ctx, NewLogger(io.Discard), func(s *Settings) {
+		WatchSettings(ctx, NewLogger(io.Discard), &Settings{}, func(s *Settings) {
 			select {
 			case got <- s.Seeds[0]:
 			default:
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -16,6 +16,9 @@
 // ErrSettings marks errors of settings that cannot be used. The message names the field, its value and a remedy.
 var ErrSettings = errors.New("settings file")
 
+// ErrNoSettingsFile marks the error of a process to which no settings file was named. It is an ErrSettings too.
+var ErrNoSettingsFile = errors.New("no settings file was named")
+
 // Settings are the contents of the settings file of one process, as the platform writes it. Unknown fields of the file
 // are ignored. A checked value does not change.
 type Settings struct {
@@ -69,6 +72,8 @@
 		Duties   []string `yaml:"duty_list"`
 		DutyRate float64  `yaml:"duty_per_s"` // calls a second that it takes for all duties; not used: the tier makes a few
 	} `yaml:"cloud_api"`
+
+	contents []byte // of the file
 }
 
 // HasDuty reports whether the platform expects a duty.
@@ -79,7 +84,7 @@
 	path := os.Getenv(SettingsVariable)
 	if path == "" {
 		err := errors.Newf("%s is not set: set it to the path of the node's settings file", SettingsVariable)
-		return nil, errors.Mark(err, ErrSettings)
+		return nil, errors.Mark(errors.Mark(err, ErrNoSettingsFile), ErrSettings)
 	}
 	b, err := os.ReadFile(path)
 	if err != nil {
@@ -91,7 +96,7 @@
 
 // Parse reads and checks the contents of a settings file. Its errors are ErrSettings.
 func Parse(b []byte) (*Settings, error) {
-	s := new(Settings)
+	s := &Settings{contents: b}
 	if err := yaml.Unmarshal(b, s); err != nil {
 		err = errors.Wrap(err, "settings file is not the YAML that a node needs: correct the line named")
 		return nil, errors.Mark(err, ErrSettings)
--- a/internal/sqlitelog/open.go
+++ b/internal/sqlitelog/open.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/mattn/go-sqlite3"
@@ -28,11 +29,9 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, errors.Wrap(err, "data folder: make it writable")
 	}
-	// unix-excl keeps the index of the write-ahead log in the heap instead of a shared mapping.
-	dsn := (&url.URL{Scheme: "file", Path: path, RawQuery: "vfs=unix-excl"}).String()
-	c, err := (&sqlite3.SQLiteDriver{}).Open(dsn)
+	c, err := (&sqlite3.SQLiteDriver{}).Open(dataSource(path))
 	if err != nil {
-		return nil, errors.Wrapf(err, "open %s", file)
+		return nil, openError(err, file)
 	}
 	d := &DB{
 		conn:      c.(*sqlite3.SQLiteConn),
@@ -45,12 +44,47 @@
 	}
 	if err := d.prepare(limit, tables); err != nil {
 		_ = d.conn.Close()
-		return nil, errors.Wrapf(err, "open %s", file)
+		return nil, openError(err, file)
 	}
 	go d.runWriter()
 	return d, nil
 }
 
+// dataSource returns the name under which SQLite opens a file. unix-excl keeps the index of the write-ahead log in the heap instead of a
+// shared mapping. The lock is not waited for: callers that wait can be stopped.
+func dataSource(path string) string {
+	return (&url.URL{Scheme: "file", Path: path, RawQuery: "vfs=unix-excl&_busy_timeout=0"}).String()
+}
+
+// openError marks an error of opening a file with its kind.
+func openError(err error, file string) error {
+	var s sqlite3.Error
+	if errors.As(err, &s) {
+		if kind := openErrorKind(s); kind != nil {
+			err = errors.Mark(err, kind)
+		}
+	}
+	return errors.Wrapf(err, "open %s", file)
+}
+
+// openErrorKind returns the kind of an error of SQLite while a file is opened, nil for none of them.
+func openErrorKind(s sqlite3.Error) error {
+	switch {
+	case s.Code == sqlite3.ErrBusy || s.Code == sqlite3.ErrLocked:
+		return ErrInUse
+	case isOutOfSpace(s) || s.SystemErrno == syscall.ENOSPC:
+		return ErrFull
+	case s.Code == sqlite3.ErrCorrupt || s.Code == sqlite3.ErrNotADB:
+		return ErrDamaged
+	case s.SystemErrno == syscall.EMFILE || s.SystemErrno == syscall.ENFILE:
+		return s.SystemErrno
+	case s.Code == sqlite3.ErrIoErr:
+		return ErrBroken
+	default:
+		return nil
+	}
+}
+
 func (d *DB) prepare(limit int64, tables []string) error {
 	for _, t := range tables {
 		if !tableName.MatchString(t) {
--- a/internal/sqlitelog/sqlitelog.go
+++ b/internal/sqlitelog/sqlitelog.go
@@ -21,6 +21,10 @@
 	ErrFull = errors.New("data file is full")
 	// ErrNewer marks a file of a newer build.
 	ErrNewer = errors.New("data file is of a newer version")
+	// ErrInUse marks a file that another process has open. It is known at once, without a wait.
+	ErrInUse = errors.New("data file is open in another process")
+	// ErrDamaged marks a file whose contents are not those of a data file.
+	ErrDamaged = errors.New("data file is damaged")
 	// ErrClosed marks a call after Close.
 	ErrClosed = errors.New("data file is closed")
 	// ErrBroken marks a file whose disk failed a write or sync: its contents are not known until it is opened again.
--- a/internal/sqlitelog/sqlitelog_test.go
+++ b/internal/sqlitelog/sqlitelog_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
@@ -370,3 +371,17 @@
 		}
 	})
 }
+
+// A file that another process has open is reported at once, as such: its owner may be a predecessor that is about to stop.
+func TestOpenReportsFileInUse(t *testing.T) {
+	dir := t.TempDir()
+	first, err := Open(dir, "x.db", 0, "t")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	began := time.Now()
+	if _, err := Open(dir, "x.db", 0, "t"); !errors.Is(err, ErrInUse) || time.Since(began) > time.Second {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+}
--- a/internal/tier/controlnode/full_disk.go
+++ b/internal/tier/controlnode/full_disk.go
@@ -1,15 +1,11 @@
 package controlnode
 
 import (
-	"context"
-	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"larchrouter/internal/ctxtime"
-	"larchrouter/internal/process"
 	"larchrouter/internal/sqlitelog"
 	"larchrouter/internal/tier/feed"
 )
@@ -20,27 +16,6 @@
 // errDiskFull reports that this node's disk is full.
 var errDiskFull = errors.New("this core node's disk is full: ask another one, and give this one room")
 
-// OpenAwaitingSpace is Open for a disk that may be full: it waits until there is space for the writes of a start, or the
-// context ends.
-func OpenAwaitingSpace(ctx context.Context, s *process.Settings, log *slog.Logger) (*Server, error) {
-	return openAwaitingSpace(ctx, log, func() (*Server, error) { return Open(s, log) })
-}
-
-func openAwaitingSpace(ctx context.Context, log *slog.Logger, open func() (*Server, error)) (*Server, error) {
-	for attempt := 0; ; attempt++ {
-		server, err := open()
-		if !errors.Is(err, sqlitelog.ErrFull) {
-			return server, err
-		}
-		if attempt == 0 {
-			log.Error("the disk is full: the node starts once space is available", "err", err)
-		}
-		if !ctxtime.Sleep(ctx, fullDiskRetryInterval) {
-			return nil, err
-		}
-	}
-}
-
 // retrySyncUntilSpace syncs the changes of a batch for which the disk was too full: it retries until there is space.
 // Nothing from the batch leaves the node before the sync, so to the other nodes this one looks frozen: they continue
 // without it, and it catches up once it can write again. Meanwhile requests are rejected and messages from other nodes
--- a/internal/tier/controlnode/full_disk_test.go
+++ b/internal/tier/controlnode/full_disk_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -12,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"larchrouter/internal/process"
 	"larchrouter/internal/sqlitelog"
 )
 
@@ -125,26 +123,3 @@
 		})
 	}
 }
-
-// Opening a node on a full disk waits for space until its context ends; any other error is returned immediately.
-func TestOpenWaitsForDiskSpace(t *testing.T) {
-	full := errors.Mark(errors.New("no space left"), sqlitelog.ErrFull)
-	broken := errors.New("another fault")
-	attempts := 0
-	open := func(outcomes ...error) func() (*Server, error) {
-		attempts = 0
-		return func() (*Server, error) { attempts++; return &Server{}, outcomes[attempts-1] }
-	}
-	log := process.NewLogger(io.Discard)
-	if server, err := openAwaitingSpace(t.Context(), log, open(full, full, nil)); err != nil || server == nil || attempts != 3 {
-		t.Errorf("%v after %d attempts", err, attempts)
-	}
-	if _, err := openAwaitingSpace(t.Context(), log, open(full, broken)); !errors.Is(err, broken) || attempts != 2 {
-		t.Errorf("%v after %d attempts", err, attempts)
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	if _, err := openAwaitingSpace(ctx, log, open(full, nil)); !errors.Is(err, sqlitelog.ErrFull) || attempts != 1 {
-		t.Errorf("%v after %d attempts", err, attempts)
-	}
-}
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 
 	"larchrouter/internal/connlimit"
 	"larchrouter/internal/ctxtime"
+	"larchrouter/internal/lifecycle"
 	"larchrouter/internal/membudget"
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
@@ -96,12 +96,17 @@
 	feed      feedServer
 }
 
-// Open opens the data folder of a control node and returns the node. Run starts it.
-func Open(s *process.Settings, log *slog.Logger) (*Server, error) {
-	if err := cmp.Or(
+// RequireSettings returns an ErrSettings if a setting that a control node cannot do without is empty.
+func RequireSettings(s *process.Settings) error {
+	return cmp.Or(
 		process.RequireSetting("bind_addrs.control_addr", s.Bind.Control, "give HOST:PORT, for operators"),
 		process.RequireSetting("data_dir", s.DataDir, "give a core node a folder"),
-	); err != nil {
+	)
+}
+
+// Open opens the data folder of a control node and returns the node. Run starts it.
+func Open(s *process.Settings, log *slog.Logger) (*Server, error) {
+	if err := RequireSettings(s); err != nil {
 		return nil, err
 	}
 	// The database and its write-ahead log may use 80 % of the disk limit.
@@ -173,19 +178,16 @@
 
 func (r *setSeedsRequest) handle(s *Server) { s.node.settings.Seeds = r.seeds }
 
-// Run serves until the context ends. It then shuts down gracefully: it leaves the view if other nodes can replace this
-// one, answers the operators' calls in flight, and stops. It returns an error if the node cannot listen or its disk
-// fails.
+// Run listens, waiting until its ports are free, and serves until the context ends. It then shuts down gracefully: it leaves the view if
+// other nodes can replace this one, answers the operators' calls in flight, and stops. It returns an error if the node cannot listen or
+// its disk fails. In either case it closes the data folder.
 func (s *Server) Run(ctx context.Context) error {
-	peers, err := net.Listen("tcp4", s.self.Addr)
-	if err != nil {
-		return errors.Wrap(err, "listen for other nodes: free the port or change port_range")
-	}
-	control, err := net.Listen("tcp4", s.settings.Bind.Control)
+	listeners, err := lifecycle.Listen(ctx, s.log, s.self.Addr, s.settings.Bind.Control)
 	if err != nil {
-		peers.Close()
-		return errors.Wrap(err, "listen for operators: free the port or change bind_addrs.control_addr")
+		s.stop()
+		return errors.CombineErrors(err, s.db.Close())
 	}
+	peers, control := listeners[0], listeners[1]
 	server := rpc.NewServer(s.handlers())
 	server.Memory, server.MaxConns = s.memory, s.settings.Limits.MaxFDs/peerConnsPart
 	operators := &http.Server{Handler: s.operatorAPI(), ReadHeaderTimeout: 3 * time.Second, WriteTimeout: operatorTimeout, IdleTimeout: 30 * time.Second,
--- a/internal/tier/tiertest/settings_test.go
+++ b/internal/tier/tiertest/settings_test.go
@@ -51,6 +51,9 @@
 	return path
 }
 
+// exitSettings is the exit code of a process whose settings cannot be used.
+const exitSettings = 78
+
 // TestProcessReportsMissingSetting starts real processes with settings that lack something.
 func TestProcessReportsMissingSetting(t *testing.T) {
 	tier := newSettingsTier(t)
@@ -70,6 +73,7 @@
 		{Front, "", []string{"LARCHROUTER_NODE_FILE", "absent.yaml", "make it readable"}},
 	} {
 		t.Run(c.class+" without "+strings.TrimSpace(c.without), func(t *testing.T) {
+			t.Parallel() // each reads its file again for a while
 			m := tier.Class(c.class)[0]
 			log := new(Log)
 			p, err := startProcess(m.path, m.args, writeSettings(t, m, c.without), log)
@@ -83,8 +87,8 @@
 				<-p.done
 				t.Fatalf("it did not end; its output is %s", log)
 			}
-			if p.exitCode() != 1 {
-				t.Errorf("exit code %d, want 1", p.exitCode())
+			if p.exitCode() != exitSettings {
+				t.Errorf("exit code %d, want %d", p.exitCode(), exitSettings)
 			}
 			for _, part := range c.output {
 				if !strings.Contains(log.String(), part) {
--- /dev/null
+++ b/internal/tier/tiertest/start_conditions_test.go
@@ -0,0 +1,251 @@
+package tiertest
+
+import (
+	"cmp"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"larchrouter/internal/tier/controlnode"
+	"larchrouter/internal/tier/turnstore"
+)
+
+const (
+	conditionTime   = 1500 * time.Millisecond // for which a condition that passes holds up a start
+	predecessorTime = 7 * time.Second         // for which a predecessor runs beside its successor: more than SQLite waits for a lock
+	dataFileLimit   = 4096                    // bytes of a disk on which a data file cannot be created
+	damagedHeader   = "this is no data file of a node"
+	exitDiskFailed  = 74
+)
+
+// awaitServing waits until the process of a machine does its work: a front is ready, a store is placed, a core node has a replica.
+func (tt *testTier) awaitServing(m *Machine) {
+	tt.t.Helper()
+	switch m.Class {
+	case Front:
+		must(tt.t, tt.AwaitReady(stepContext(tt.t), m))
+	case Core:
+		must(tt.t, tt.AwaitReplicas(stepContext(tt.t)))
+	default:
+		from := m.Log.Len()
+		must(tt.t, tt.AwaitStatus(stepContext(tt.t), m.Name+" is placed", func(s *controlnode.Status) bool {
+			return !s.PlacementJoint && slices.ContainsFunc(s.Stores, func(store turnstore.Store) bool { return store.Name == m.Name })
+		}))
+		if !strings.Contains(m.Log.String(), "tables complete") {
+			_, err := m.Log.Await(stepContext(tt.t), from, "tables complete")
+			must(tt.t, err)
+		}
+	}
+}
+
+// allStoresPlaced returns the condition that a number of stores is placed and no change of the placement is in progress.
+func allStoresPlaced(stores int) func(*controlnode.Status) bool {
+	return func(s *controlnode.Status) bool { return len(s.Stores) == stores && !s.PlacementJoint }
+}
+
+// checkNoUnaskedEnd expects that no process has ended that nobody told to end.
+func (tt *testTier) checkNoUnaskedEnd() {
+	tt.t.Helper()
+	for _, m := range tt.Machines {
+		for _, end := range m.UnaskedEnds() {
+			tt.t.Errorf("a process ended by itself: %s", end)
+		}
+	}
+}
+
+// terminate ends a process by SIGTERM and expects code 0.
+func (tt *testTier) terminate(m *Machine) {
+	tt.t.Helper()
+	if code, err := m.Terminate(); code != 0 || err != nil {
+		tt.t.Errorf("%s, terminated, exits with %d, %v", m.Name, code, err)
+	}
+}
+
+// setReuseAddress sets or clears SO_REUSEADDR of a socket.
+func setReuseAddress(raw syscall.RawConn, value int) (err error) {
+	controlErr := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEADDR, value) })
+	return cmp.Or(controlErr, err)
+}
+
+// occupyPort opens a connection whose local address is the one that a process is to listen at, and returns a function that closes it. The
+// socket is bound in spite of what the predecessor's connections have left behind, and then shares its address with nobody.
+func occupyPort(t *testing.T, tier *Tier, addr string) (release func()) {
+	t.Helper()
+	local, err := net.ResolveTCPAddr("tcp4", addr)
+	must(t, err)
+	dialer := net.Dialer{LocalAddr: local, Control: func(_, _ string, raw syscall.RawConn) error { return setReuseAddress(raw, 1) }}
+	conn, err := dialer.DialContext(t.Context(), "tcp4", tier.Platform.Addr())
+	must(t, err)
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	must(t, err)
+	must(t, setReuseAddress(raw, 0))
+	return sync.OnceFunc(func() {
+		_ = conn.(*net.TCPConn).SetLinger(0) // no TIME_WAIT
+		conn.Close()
+	})
+}
+
+// A process whose port another socket has, such as an outgoing connection of any program, ended at each start while that lasted.
+func TestStartWaitsForPortOfAnotherSocket(t *testing.T) {
+	whole := newTestTier(t, 3, 3, 1)
+	core, store, front := whole.Class(Core)[1], whole.Class(Store)[1], whole.Class(Front)[0]
+	for _, c := range []struct {
+		name    string
+		machine *Machine
+		addr    string
+	}{
+		{"peers of a core node", core, core.PeerAddr()},
+		{"operators", core, core.ControlAddr()},
+		{"peers of a store", store, store.PeerAddr()},
+		{"clients", front, front.FrontAddr()},
+		{"readiness", front, front.ReadyAddr()},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tt := *whole
+			tt.t = t
+			tt.terminate(c.machine)
+			release := occupyPort(t, tt.Tier, c.addr)
+			defer release()
+			must(t, c.machine.Start())
+			time.Sleep(conditionTime)
+			tt.checkNoUnaskedEnd()
+			if c.machine.Class == Front && c.machine.Ready(t.Context()) {
+				t.Error("the front is ready, but does not listen")
+			}
+			release()
+			tt.awaitServing(c.machine)
+		})
+	}
+}
+
+// A process that is told to stop while it waits for its port ended with an error.
+func TestStopDuringWaitForPort(t *testing.T) {
+	tt := newTestTier(t, 3, 3, 1)
+	front := tt.Class(Front)[0]
+	tt.terminate(front)
+	defer occupyPort(t, tt.Tier, front.FrontAddr())()
+	must(t, front.Start())
+	time.Sleep(conditionTime)
+	tt.terminate(front)
+	tt.checkNoUnaskedEnd()
+}
+
+// A process that is started while its predecessor still runs ended at each start until that had stopped.
+func TestStartWaitsForPredecessor(t *testing.T) {
+	tt := newTestTier(t, 3, 3, 2)
+	machines := []*Machine{tt.Class(Core)[1], tt.Class(Store)[1], tt.Class(Front)[1]}
+	var predecessors []func() (int, error)
+	for _, m := range machines {
+		terminate, err := m.StartSuccessor()
+		must(t, err)
+		predecessors = append(predecessors, terminate)
+	}
+	time.Sleep(predecessorTime)
+	for i, m := range machines {
+		code, err := predecessors[i]()
+		if code != 0 || err != nil {
+			t.Errorf("the predecessor of %s exits with %d, %v", m.Name, code, err)
+		}
+		tt.awaitServing(m)
+	}
+	tt.checkNoUnaskedEnd()
+	tt.serve("by the successors")
+	tt.checkRules()
+}
+
+// A process whose settings file is being written while it starts ended with an error.
+func TestStartWaitsForWholeSettings(t *testing.T) {
+	tt := newTestTier(t, 3, 3, 1)
+	for _, m := range []*Machine{tt.Class(Core)[1], tt.Class(Store)[1], tt.Class(Front)[0]} {
+		tt.terminate(m)
+		path := filepath.Join(m.dir(), settingsFile)
+		whole := tt.settings(m)
+		must(t, os.WriteFile(path, []byte(whole[:len(whole)/2]), 0o600))
+		m.mu.Lock()
+		err := m.startProcess(path)
+		m.mu.Unlock()
+		must(t, err)
+		time.Sleep(conditionTime)
+		tt.checkNoUnaskedEnd()
+		must(t, os.WriteFile(path, []byte(whole), 0o600))
+		tt.awaitServing(m)
+	}
+}
+
+// A store that is started on a full disk ended at each start while the disk was full; a core node waited.
+func TestStartWaitsForDiskSpace(t *testing.T) {
+	tt := newTestTier(t, 3, 3, 1)
+	for _, m := range []*Machine{tt.Class(Core)[1], tt.Class(Store)[1]} {
+		m.Kill()
+		must(t, m.Wipe())
+		program, args := m.path, m.args
+		m.path, m.args = "/bin/sh", append([]string{"-c", `ulimit -S -f 1; exec "$0" "$@"`, program}, args...)
+		must(t, m.Start())
+		m.path, m.args = program, args
+		time.Sleep(conditionTime)
+		tt.checkNoUnaskedEnd()
+		unlimited := unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}
+		must(t, unix.Prlimit(m.ProcessID(), unix.RLIMIT_FSIZE, &unlimited, nil))
+		tt.awaitServing(m)
+	}
+	tt.checkNoUnaskedEnd()
+}
+
+// awaitExit waits for the end of a process and returns its exit code.
+func awaitExit(t *testing.T, p *childProcess) int {
+	t.Helper()
+	timeout := time.NewTimer(stepTimeout)
+	defer timeout.Stop()
+	select {
+	case <-p.done:
+	case <-timeout.C:
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		t.Fatal("the process does not end")
+	}
+	return p.exitCode()
+}
+
+// The exit codes and last lines of processes did not tell the causes of their ends apart.
+func TestLastLineTellsWhyProcessEnds(t *testing.T) {
+	tt := newTestTier(t, 3, 3, 1)
+	for _, m := range []*Machine{tt.Class(Core)[1], tt.Class(Store)[1], tt.Class(Front)[0]} {
+		tt.terminate(m)
+		last := lastLine(m.Log)
+		for _, part := range []string{`msg="process ends"`, "cause=stopped", "code=0", "peak_mb="} {
+			if !strings.Contains(last, part) {
+				t.Errorf("%s ends with %q, without %s", m.Name, last, part)
+			}
+		}
+		if m.Class == Front {
+			continue
+		}
+		must(t, filepath.WalkDir(m.dataDir(), func(path string, entry os.DirEntry, err error) error {
+			if err != nil || entry.IsDir() {
+				return err
+			}
+			return os.WriteFile(path, []byte(strings.Repeat(damagedHeader, dataFileLimit)), 0o600)
+		}))
+		must(t, m.Start())
+		if code := awaitExit(t, m.process); code != exitDiskFailed {
+			t.Errorf("%s with a damaged data file exits with %d, want %d", m.Name, code, exitDiskFailed)
+		}
+		must(t, m.Wipe())
+		must(t, m.Start())
+		tt.awaitServing(m)
+	}
+}
+
+// lastLine returns the last line of a log.
+func lastLine(log *Log) string {
+	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+	return lines[len(lines)-1]
+}
