Handle signals from the first instructions of a node on

The Go runtime installs handlers that end the process before any package is initialized, and the program could replace them only in its own initialization, up to 30 ms later on a busy machine.

Change: package earlysignal, linked into the nodes, has a C constructor, which runs before the runtime. SIGHUP and SIGUSR1 are ignored until the program handles them; the settings are read after that anyway. For SIGTERM it installs a handler that ends the process with 0; the runtime forwards a SIGTERM that nobody handles yet to it. Operators' commands restore the default. What is left is the time of the dynamic linker.

--- a/cmd/larch-control/main.go
+++ b/cmd/larch-control/main.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 
+	"larchrouter/internal/earlysignal"
 	"larchrouter/internal/lifecycle"
 	"larchrouter/internal/process"
 	"larchrouter/internal/tier/controlnode"
@@ -57,12 +58,18 @@
 	return nil
 }
 
+// isNode reports whether a command runs a node of the tier; the others are the operators' commands.
+func isNode(command string) bool { return command == "core" || command == "store" }
+
 func main() {
 	var p program
 	const description = "The control plane of the serving tier, and its operators' client."
 	k := kong.Must(&p, kong.Name("larch-control"), kong.Description(description), kong.UsageOnError())
 	ctx, err := k.Parse(os.Args[1:])
 	k.FatalIfErrorf(err)
+	if !isNode(ctx.Command()) {
+		earlysignal.Release() // a command that is interrupted must not look like one that succeeded
+	}
 	err = ctx.Run()
 	if code := exitCode(0); errors.As(err, &code) {
 		os.Exit(int(code))
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	_ "larchrouter/internal/earlysignal" // handles signals before Run does
 	"larchrouter/internal/process"
 )
 
