Keep outgoing connections off the ports of listeners

The kernel draws the local port of an outgoing connection. It takes ports within net.ipv4.ip_local_port_range.

Change: package netdial, used by all dials of the tier, sets SO_REUSEADDR, with which a listener can be bound beside the connection, and closes a connection that was connected to itself as refused.

--- a/internal/rpc/dial.go
+++ b/internal/rpc/dial.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"larchrouter/internal/netdial"
 )
 
 // DialFunc opens a connection to an address. It returns when the context ends.
@@ -11,8 +13,7 @@
 
 // dialTCP is the DialFunc where none is given.
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp4", addr)
+	return netdial.DialContext(ctx, net.Dialer{}, "tcp4", addr)
 }
 
 // redialInterval is the time after which a dial that has not ended is made once more, in addition to the ones before. The opening
--- a/internal/tier/discovery/client.go
+++ b/internal/tier/discovery/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -10,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tidwall/gjson"
+
+	"larchrouter/internal/netdial"
 )
 
 const (
@@ -27,7 +30,10 @@
 
 // NewClient returns a client of the platform at an address, host:port. Close must be called at the end.
 func NewClient(addr string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, Proxy: nil}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		return netdial.DialContext(ctx, net.Dialer{Timeout: requestTimeout}, network, addr)
+	}
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, Proxy: nil}
 	return &Client{addr: addr, httpClient: &http.Client{Timeout: requestTimeout, Transport: transport}}
 }
 
--- a/internal/tier/fencedcall/client.go
+++ b/internal/tier/fencedcall/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"larchrouter/internal/netdial"
 )
 
 // HTTP header fields of a call.
@@ -81,8 +83,7 @@
 
 // dial connects to the platform.
 func (c *Client) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, network, addr)
+	conn, err := netdial.DialContext(ctx, net.Dialer{Timeout: dialTimeout}, network, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/tier/upstream/dial.go
+++ b/internal/tier/upstream/dial.go
@@ -1,12 +1,15 @@
 package upstream
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"larchrouter/internal/netdial"
 )
 
 // Dial connects to an address within a time-out.
@@ -16,7 +19,7 @@
 func dial(addr string, timeout time.Duration) (net.Conn, error) {
 	d := dialer
 	d.Timeout = timeout
-	return d.Dial("tcp4", addr)
+	return netdial.DialContext(context.Background(), d, "tcp4", addr)
 }
 
 var dialer = net.Dialer{
