Fronts: end a call without reading its host's entry outside the lock

A string that is torn between two lists could end the process; none was seen, as an id keeps its service and zone.

Change: an endpoint has the service and the zone of its host from its creation, and they do not change. The host itself is used under the dispatcher's lock only.

--- a/internal/tier/proxy/attempt.go
+++ b/internal/tier/proxy/attempt.go
@@ -19,9 +19,9 @@
 
 // releaseSlot gives the slot of an attempt back.
 func (r *request) releaseSlot(attempt *attempt, outcome balancer.Outcome) {
-	host := attempt.endpoint.host
-	r.server().options.Usage.CallEnded(host.Service, host.Zone, time.Since(attempt.startedAt))
-	r.server().dispatcher.release(attempt.endpoint, outcome)
+	endpoint := attempt.endpoint
+	r.server().options.Usage.CallEnded(endpoint.service, endpoint.zone, time.Since(attempt.startedAt))
+	r.server().dispatcher.release(endpoint, outcome)
 }
 
 // attemptSucceeded ends an attempt whose response is complete.
--- a/internal/tier/proxy/concurrency_test.go
+++ b/internal/tier/proxy/concurrency_test.go
@@ -129,3 +129,34 @@
 		return f.dispatcher.balancer.InFlight("plain") == 0 && f.dispatcher.balancer.InFlight("engine") == 0 && len(f.dispatcher.backlogged) == 0
 	})
 }
+
+// A call that ended while a new list of hosts was applied read its host's entry without the lock: a data race, which only the race
+// detector shows.
+func TestCallsEndWhileHostListChanges(t *testing.T) {
+	h := newHost(t, "i-1", func(c *call) bool { c.respond(200, "", "ok"); return true })
+	f := newFront(t, h)
+	done := make(chan struct{})
+	var updates sync.WaitGroup
+	updates.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				f.setHosts(h)
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+	})
+	var clients sync.WaitGroup
+	for n := range 4 {
+		clients.Go(func() {
+			for i := range 100 {
+				f.do("POST", "/tool/x", fmt.Sprintf("c%d.%d", n, i), timeLeft, "x")
+			}
+		})
+	}
+	clients.Wait()
+	close(done)
+	updates.Wait()
+}
--- a/internal/tier/proxy/dispatcher.go
+++ b/internal/tier/proxy/dispatcher.go
@@ -42,7 +42,9 @@
 
 // endpoint is one incarnation of a host to which calls may go.
 type endpoint struct {
-	host        *balancer.Host
+	host        *balancer.Host // guarded by dispatcher.mu
+	service     string
+	zone        string
 	connections *upstream.Host
 	latencies   *latencyTables
 }
@@ -97,7 +99,7 @@
 	}
 	current := d.endpoints[listed.ID]
 	if current == nil || current.host != host {
-		current = &endpoint{host: host, connections: d.newHost(listed.ID, listed.Addr, limit), latencies: d.latencies[key]}
+		current = &endpoint{host: host, service: listed.Service, zone: listed.Zone, connections: d.newHost(listed.ID, listed.Addr, limit), latencies: d.latencies[key]}
 		d.endpoints[listed.ID] = current
 	}
 	current.connections.SetConnLimit(limit)
@@ -144,7 +146,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	calls, tokens := d.balancer.ExpectFirstEvent(endpoint.host, generation, time.Now())
-	service := endpoint.host.Service
+	service := endpoint.service
 	return func(took time.Duration) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
