Test that an interrupted operators' command does not look like one that succeeded

The nodes and the operators' commands are one program, in which a SIGTERM before the handlers means code 0 for nodes only.

--- a/internal/tier/tiertest/early_signals_test.go
+++ b/internal/tier/tiertest/early_signals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"slices"
 	"strconv"
@@ -91,3 +92,22 @@
 		}
 	})
 }
+
+// An operators' command that is interrupted must not look like one that succeeded, though it is of the same program as the nodes.
+func TestInterruptedCommandDoesNotSucceed(t *testing.T) {
+	programs, err := buildPrograms()
+	must(t, err)
+	silent, err := net.Listen("tcp4", "127.0.0.1:0")
+	must(t, err)
+	defer silent.Close()
+	args := []string{"status", "--at", silent.Addr().String()}
+	p, err := startProcess(programs.Control, args, "node.yaml", new(Log))
+	must(t, err)
+	accepted, err := silent.Accept() // the command waits for an answer now
+	must(t, err)
+	defer accepted.Close()
+	must(t, p.cmd.Process.Signal(syscall.SIGTERM))
+	if code := awaitExit(t, p); code == 0 {
+		t.Error("the command exits with 0")
+	}
+}
