Test the first start of a system whose processes are held up or killed

By then bootstrap is false, so that they are no founders any more, and no configuration is ever taken. A condition of 0.4 s became one for good.

--- a/internal/tier/tiertest/tier.go
+++ b/internal/tier/tiertest/tier.go
@@ -45,6 +45,8 @@
 
 	// Limits are what the platform grants each process; zero values for the defaults.
 	Limits ProcessLimits
+
+	firstStart func(m *Machine) error // starts a process for the first time; nil for Machine.Start
 }
 
 // ProcessLimits are what the platform grants a process.
@@ -109,9 +111,13 @@
 		control = append(control, m.ControlAddr())
 	}
 	t.Operator = cloudapi.NewOperator(control...)
+	firstStart := o.firstStart
+	if firstStart == nil {
+		firstStart = (*Machine).Start
+	}
 	for _, m := range t.Machines {
 		if !slices.Contains(spares, m) {
-			if err := m.Start(); err != nil {
+			if err := firstStart(m); err != nil {
 				return nil, err
 			}
 		}
