Go on while nobody reads the log of a process

Change: process.LogWriter asks the file by poll before each write, drops what it does not take, and says how many lines were dropped once it is read again.

--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -32,7 +32,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE, syscall.SIGXFSZ) // such writes fail
-	ring := process.NewRingHandler(os.Stderr)
+	output := process.NewLogWriter(os.Stderr)
+	ring := process.NewRingHandler(output)
 	defer ring.DumpOn(syscall.SIGUSR1)()
 	log := slog.New(ring)
 	err := role.run(ctx, log)
@@ -42,7 +43,7 @@
 	cause := CauseOf(err)
 	logEnd(log, cause, err)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", role.Name, err)
+		fmt.Fprintf(output, "%s: %v\n", role.Name, err)
 	}
 	return cause.ExitCode()
 }
--- a/internal/tier/tiertest/machine.go
+++ b/internal/tier/tiertest/machine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -34,6 +35,8 @@
 	path string // of the executable
 	args []string
 
+	output io.Writer // of the next incarnations; nil for Log
+
 	mu           sync.Mutex
 	bootstrap    bool          // the next incarnation may found the tier
 	process      *childProcess // the last incarnation; nil before the first
@@ -138,7 +141,11 @@
 
 // startProcess starts an incarnation with a settings file. mu must be held.
 func (m *Machine) startProcess(settings string) error {
-	process, err := startProcess(m.path, m.args, settings, m.Log)
+	var output io.Writer = m.Log
+	if m.output != nil {
+		output = m.output
+	}
+	process, err := startProcess(m.path, m.args, settings, output)
 	if err != nil {
 		return err
 	}
--- a/internal/tier/tiertest/start_conditions_test.go
+++ b/internal/tier/tiertest/start_conditions_test.go
@@ -199,6 +199,45 @@
 	tt.checkNoUnaskedEnd()
 }
 
+// fullPipe returns the writing end of a pipe that is full and that nobody reads.
+func fullPipe(t *testing.T) *os.File {
+	t.Helper()
+	r, w, err := os.Pipe()
+	must(t, err)
+	t.Cleanup(func() { r.Close(); w.Close() })
+	fd := int(w.Fd())
+	must(t, unix.SetNonblock(fd, true))
+	for _, err = unix.Write(fd, []byte{'x'}); err == nil; _, err = unix.Write(fd, make([]byte, dataFileLimit)) {
+	}
+	for err = nil; err == nil; _, err = unix.Write(fd, []byte{'x'}) {
+	}
+	must(t, unix.SetNonblock(fd, false))
+	return w
+}
+
+// A process whose log nobody reads, such as a supervisor that hangs, stood still with its next line: it served nobody, and did not stop.
+func TestProcessServesAndStopsWhileNobodyReadsItsLog(t *testing.T) {
+	tt := newTestTier(t, 3, 3, 2)
+	for _, m := range []*Machine{tt.Class(Core)[1], tt.Class(Store)[1], tt.Class(Front)[1]} {
+		tt.terminate(m)
+		m.output = fullPipe(t)
+		must(t, m.Start())
+		switch m.Class {
+		case Front:
+			must(t, tt.AwaitReady(stepContext(t), m))
+		case Core:
+			must(t, tt.AwaitReplicas(stepContext(t)))
+		default:
+			must(t, tt.AwaitStatus(stepContext(t), m.Name+" is placed", allStoresPlaced(len(tt.Class(Store)))))
+		}
+		tt.serve("while nobody reads the log of " + m.Name)
+		tt.terminate(m)
+		m.output = nil
+		must(t, m.Start())
+		tt.awaitServing(m)
+	}
+}
+
 // awaitExit waits for the end of a process and returns its exit code.
 func awaitExit(t *testing.T, p *childProcess) int {
 	t.Helper()
