--- a/internal/tier/tiertest/restart_soak_test.go
+++ b/internal/tier/tiertest/restart_soak_test.go
@@ -74,6 +74,7 @@
 			s.checkEnds()
 			s.serveWithKey()
 			s.checkSafety()
+			s.terminateAll()
 		})
 	}
 }
@@ -319,3 +320,17 @@
 	s.t.Helper()
 	s.reportViolations(slices.DeleteFunc(Check(s.history()), func(v Violation) bool { return v.Rule == "SERVED" }))
 }
+
+// terminateAll terminates all processes at once and expects that each of them ends with code 0 within its grace period.
+func (s *restartSoak) terminateAll() {
+	s.t.Helper()
+	var wg sync.WaitGroup
+	for _, m := range s.Machines {
+		wg.Go(func() {
+			if err := exitError(m.Terminate()); err != nil {
+				s.t.Errorf("%s, terminated together with all others: %v", m.Name, err)
+			}
+		})
+	}
+	wg.Wait()
+}
