--- a/internal/tier/tiertest/harness_test.go
+++ b/internal/tier/tiertest/harness_test.go
@@ -231,6 +231,11 @@
 
 // startBackgroundLanes runs background programs in a number of lanes.
 func (tt *testTier) startBackgroundLanes(lanes int) (stop func()) {
+	return tt.startLanes(lanes, backgroundProgram)
+}
+
+// startLanes runs programs one after the other, in a number of lanes, until stop. program returns the n-th program of a lane.
+func (tt *testTier) startLanes(lanes int, program func(lane, n int) Program) (stop func()) {
 	done := make(chan struct{})
 	var wg sync.WaitGroup
 	for lane := range lanes {
@@ -241,7 +246,7 @@
 					return
 				default:
 				}
-				tt.client.Run(tt.t.Context(), backgroundProgram(lane, n))
+				tt.client.Run(tt.t.Context(), program(lane, n))
 			}
 		})
 	}
--- a/internal/tier/tiertest/restart_soak_test.go
+++ b/internal/tier/tiertest/restart_soak_test.go
@@ -67,7 +67,7 @@
 			first.Tenants = []Tenant{{Name: "soak", Keys: []string{soakTenantKey}}}
 			o := Options{Cores: 4, Stores: 4, Fronts: 6, Duties: []string{"usage_report", "autoscale"}}
 			s := &restartSoak{startTestTierWithConfig(t, o, soakEventTime, first), seed}
-			stopBackground := s.startSoakLanes(*soakLanes)
+			stopBackground := s.startLanes(*soakLanes, soakProgram)
 			defer stopBackground()
 			s.play(time.Now().Add(*soakTime))
 			stopBackground()
@@ -86,25 +86,6 @@
 	return p
 }
 
-// startSoakLanes runs programs of the tenant until stop.
-func (s *restartSoak) startSoakLanes(lanes int) (stop func()) {
-	done := make(chan struct{})
-	var wg sync.WaitGroup
-	for lane := range lanes {
-		wg.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-done:
-					return
-				default:
-					s.client.Run(s.t.Context(), soakProgram(lane, n))
-				}
-			}
-		})
-	}
-	return sync.OnceFunc(func() { close(done); wg.Wait() })
-}
-
 // play restarts processes until a time, and waits until the last restarts are over.
 func (s *restartSoak) play(until time.Time) {
 	var lanes sync.WaitGroup
--- a/internal/tier/tiertest/settings_test.go
+++ b/internal/tier/tiertest/settings_test.go
@@ -5,7 +5,6 @@
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	"larchrouter/internal/standin/cloudapi"
 )
@@ -78,17 +77,8 @@
 			log := new(Log)
 			p, err := startProcess(m.path, m.args, writeSettings(t, m, c.without), log)
 			must(t, err)
-			timeout := time.NewTimer(stepTimeout)
-			defer timeout.Stop()
-			select {
-			case <-p.done:
-			case <-timeout.C:
-				_ = p.cmd.Process.Kill()
-				<-p.done
-				t.Fatalf("it did not end; its output is %s", log)
-			}
-			if p.exitCode() != exitSettings {
-				t.Errorf("exit code %d, want %d", p.exitCode(), exitSettings)
+			if code := awaitExit(t, p); code != exitSettings {
+				t.Errorf("exit code %d, want %d", code, exitSettings)
 			}
 			for _, part := range c.output {
 				if !strings.Contains(log.String(), part) {
