Ask again whether the log takes a line when a signal interrupted the question

A front stood still in one of ten runs of TestProcessServesAndStopsWhileNobodyReadsItsLog beside six soaks: poll returned EINTR, as a signal of the Go runtime was pending, LogWriter took the error for a file that cannot be asked, and wrote to the full pipe.

TestLogWriterDoesNotBlockBesideSignals fails without the change (a write blocks), and passes three times with it.

--- a/internal/process/stderr.go
+++ b/internal/process/stderr.go
@@ -5,6 +5,7 @@
 	"os"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -60,6 +61,10 @@
 // ready reports whether the file takes bytes without blocking. A file that cannot be asked is written to.
 func (w *LogWriter) ready() bool {
 	fds := []unix.PollFd{{Fd: int32(w.file.Fd()), Events: unix.POLLOUT}}
-	n, err := unix.Poll(fds, 0)
-	return err != nil || n > 0
+	for {
+		n, err := unix.Poll(fds, 0)
+		if !errors.Is(err, unix.EINTR) { // a signal of the runtime
+			return err != nil || n > 0
+		}
+	}
 }
--- a/internal/process/stderr_test.go
+++ b/internal/process/stderr_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -57,3 +58,35 @@
 		t.Error("nothing was dropped")
 	}
 }
+
+// A signal that interrupted the question whether the file takes a line let the line through, which then blocked.
+func TestLogWriterDoesNotBlockBesideSignals(t *testing.T) {
+	r, f, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	w := NewLogWriter(f)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 200_000 {
+			_, _ = w.Write([]byte("line\n"))
+		}
+	}()
+	timeout := time.NewTimer(20 * time.Second)
+	defer timeout.Stop()
+	for {
+		select {
+		case <-done:
+			r.Close()
+			return
+		case <-timeout.C:
+			r.Close() // ends the write
+			<-done
+			t.Fatal("a write blocks")
+		default:
+			_ = syscall.Kill(os.Getpid(), syscall.SIGURG) // as the runtime does
+		}
+	}
+}
