--- a/internal/tier/tiertest/restart_soak_test.go
+++ b/internal/tier/tiertest/restart_soak_test.go
@@ -67,13 +67,14 @@
 			first.Tenants = []Tenant{{Name: "soak", Keys: []string{soakTenantKey}}}
 			o := Options{Cores: 4, Stores: 4, Fronts: 6, Duties: []string{"usage_report", "autoscale"}}
 			s := &restartSoak{startTestTierWithConfig(t, o, soakEventTime, first), seed}
-			stopBackground := s.startSoakLanes(*soakLanes)
+			stopBackground := s.startLanes(*soakLanes, soakProgram)
 			defer stopBackground()
 			s.play(time.Now().Add(*soakTime))
 			stopBackground()
 			s.checkEnds()
 			s.serveWithKey()
 			s.checkSafety()
+			s.terminateAll()
 		})
 	}
 }
@@ -85,25 +86,6 @@
 	return p
 }
 
-// startSoakLanes runs programs of the tenant until stop.
-func (s *restartSoak) startSoakLanes(lanes int) (stop func()) {
-	done := make(chan struct{})
-	var wg sync.WaitGroup
-	for lane := range lanes {
-		wg.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-done:
-					return
-				default:
-					s.client.Run(s.t.Context(), soakProgram(lane, n))
-				}
-			}
-		})
-	}
-	return sync.OnceFunc(func() { close(done); wg.Wait() })
-}
-
 // play restarts processes until a time, and waits until the last restarts are over.
 func (s *restartSoak) play(until time.Time) {
 	var lanes sync.WaitGroup
@@ -319,3 +301,17 @@
 	s.t.Helper()
 	s.reportViolations(slices.DeleteFunc(Check(s.history()), func(v Violation) bool { return v.Rule == "SERVED" }))
 }
+
+// terminateAll terminates all processes at once and expects that each of them ends with code 0 within its grace period.
+func (s *restartSoak) terminateAll() {
+	s.t.Helper()
+	var wg sync.WaitGroup
+	for _, m := range s.Machines {
+		wg.Go(func() {
+			if err := exitError(m.Terminate()); err != nil {
+				s.t.Errorf("%s, terminated together with all others: %v", m.Name, err)
+			}
+		})
+	}
+	wg.Wait()
+}
