--- a/internal/tier/tiertest/first_start_test.go
+++ b/internal/tier/tiertest/first_start_test.go
@@ -36,8 +36,7 @@
 func TestFirstStartWhileSettingsAreWritten(t *testing.T) {
 	stop := make(chan struct{})
 	var supervisors sync.WaitGroup
-	defer supervisors.Wait()
-	defer close(stop)
+	stopSupervisors := func() { close(stop); supervisors.Wait() }
 	seeds := 0
 	firstStart := func(m *Machine) error {
 		if seeds++; m.Class != Core || seeds > seedCount-foundingSurvivor {
@@ -64,7 +63,7 @@
 		supervisors.Go(func() { supervise(m, stop) })
 		return nil
 	}
-	checkFounding(t, Options{Cores: 4, Stores: 4, Fronts: 2, firstStart: firstStart}, nil)
+	checkFounding(t, Options{Cores: 4, Stores: 4, Fronts: 2, firstStart: firstStart}, nil, stopSupervisors)
 }
 
 // The core is never founded if two of three seeds are killed in the first milliseconds of the system's first start, before they have stored
@@ -83,11 +82,12 @@
 		for _, m := range tier.Class(Core) {
 			must(t, m.Start())
 		}
-	})
+	}, func() {})
 }
 
-// checkFounding starts a tier, has an incident right after the first starts, and expects that the first configuration is taken.
-func checkFounding(t *testing.T, o Options, incident func(*Tier)) {
+// checkFounding starts a tier, has an incident right after the first starts, and expects that the first configuration is taken. It calls
+// stopSupervisors before it ends the tier.
+func checkFounding(t *testing.T, o Options, incident func(*Tier), stopSupervisors func()) {
 	t.Helper()
 	var err error
 	o.Programs, err = buildPrograms()
@@ -96,6 +96,7 @@
 	tier, err := Start(o)
 	must(t, err)
 	defer tier.Close()
+	defer stopSupervisors()
 	if incident != nil {
 		incident(tier)
 	}
--- a/internal/tier/tiertest/machine.go
+++ b/internal/tier/tiertest/machine.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -172,6 +173,18 @@
 // Kill kills its process and waits for its end.
 func (m *Machine) Kill() { _, _ = m.stop(syscall.SIGKILL) }
 
+// killAll kills its process and any predecessor that still runs, and waits for their ends.
+func (m *Machine) killAll() {
+	m.mu.Lock()
+	processes := slices.Clone(m.incarnations)
+	m.mu.Unlock()
+	for _, p := range processes {
+		if p.running() {
+			_, _ = m.end(p, syscall.SIGKILL)
+		}
+	}
+}
+
 // Terminate asks its process to shut down gracefully, waits for its end, and returns its exit code.
 func (m *Machine) Terminate() (exitCode int, err error) {
 	if m.Class == Front {
--- a/internal/tier/tiertest/tier.go
+++ b/internal/tier/tiertest/tier.go
@@ -141,7 +141,7 @@
 // Close kills all processes and stops all stand-ins.
 func (t *Tier) Close() {
 	for _, m := range t.Machines {
-		m.Kill()
+		m.killAll()
 	}
 	if t.LoadBalancer != nil {
 		t.LoadBalancer.close()
