Tests of starts: one check whether a process serves, which sees a store that does not

For a store the check was that it is placed, and that its log had "tables complete" at any time. Both hold for a store that has just ended: a trial that killed one and asked at once was told that it is placed. So a store that serves nobody was not seen by the soak.

Change: testTier.awaitServing serves all of them; a store has to listen, to have its tables since its last start, and to be placed. startWithPartOfSettings replaces the copies, awaitHandler a loop of its own. No bound changes.

--- a/internal/tier/tiertest/early_signals_test.go
+++ b/internal/tier/tiertest/early_signals_test.go
@@ -41,13 +41,18 @@
 	})
 }
 
+// awaitHandler waits until the last process of a machine has set the disposition of a signal.
+func awaitHandler(m *Machine, signal syscall.Signal) {
+	for m.Running() && !handles(m.ProcessID(), signal) {
+	}
+}
+
 // signalEarly starts a machine and sends its process a signal as soon as that has set its disposition, and a delay later.
 func signalEarly(t *testing.T, m *Machine, signal syscall.Signal, delay time.Duration) *childProcess {
 	t.Helper()
 	must(t, m.Start())
 	process := m.process
-	for !handles(m.ProcessID(), signal) && process.running() {
-	}
+	awaitHandler(m, signal)
 	time.Sleep(delay)
 	process.toldTo.Store(signal == syscall.SIGTERM)
 	must(t, m.Signal(signal))
@@ -66,7 +71,7 @@
 			}
 		}
 		must(t, m.Start())
-		tt.awaitServing(m)
+		must(t, tt.awaitServing(m))
 	}
 	tt.checkNoUnaskedEnd()
 }
--- a/internal/tier/tiertest/first_start_test.go
+++ b/internal/tier/tiertest/first_start_test.go
@@ -1,8 +1,6 @@
 package tiertest
 
 import (
-	"os"
-	"path/filepath"
 	"sync"
 	"syscall"
 	"testing"
@@ -42,22 +40,14 @@
 		if seeds++; m.Class != Core || seeds > seedCount-foundingSurvivor {
 			return m.Start()
 		}
-		if err := os.MkdirAll(m.dataDir(), 0o700); err != nil {
-			return err
-		}
-		path, whole := filepath.Join(m.dir(), settingsFile), m.tier.settings(m)
-		if err := os.WriteFile(path, []byte(whole[:len(whole)/2]), 0o600); err != nil {
-			return err
-		}
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		if err := m.startProcess(path); err != nil {
+		complete, err := startWithPartOfSettings(m, 0.5)
+		if err != nil {
 			return err
 		}
 		supervisors.Go(func() {
 			time.Sleep(settingsWritten)
 			if m.Incarnation() == 1 { // else the supervisor has written the file
-				_ = os.WriteFile(path, []byte(whole), 0o600)
+				_ = complete()
 			}
 		})
 		supervisors.Go(func() { supervise(m, stop) })
--- a/internal/tier/tiertest/machine.go
+++ b/internal/tier/tiertest/machine.go
@@ -42,6 +42,7 @@
 	bootstrap    bool          // the next incarnation may found the tier
 	process      *childProcess // the last incarnation; nil before the first
 	incarnations []*childProcess
+	logFrom      int // lines in Log when the last incarnation was started
 }
 
 // ControlAddr returns the address of a core machine's API for operators.
@@ -111,6 +112,13 @@
 	return len(m.incarnations)
 }
 
+// firstLogLine returns the number of the line in Log from which on the last incarnation has written.
+func (m *Machine) firstLogLine() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.logFrom
+}
+
 // UnaskedEnds describes the ends of its processes that nobody asked for.
 func (m *Machine) UnaskedEnds() (ends []string) {
 	m.mu.Lock()
@@ -142,6 +150,7 @@
 
 // startProcess starts an incarnation with a settings file. mu must be held.
 func (m *Machine) startProcess(settings string) error {
+	logFrom := m.Log.Len()
 	var output io.Writer = m.Log
 	if m.output != nil {
 		output = m.output
@@ -151,6 +160,7 @@
 		return err
 	}
 	m.process = process
+	m.logFrom = logFrom
 	m.incarnations = append(m.incarnations, process)
 	return nil
 }
--- a/internal/tier/tiertest/restart_soak_test.go
+++ b/internal/tier/tiertest/restart_soak_test.go
@@ -4,8 +4,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -132,24 +130,11 @@
 		s.t.Errorf("seed %d, %s, %s: %v", s.seed, m.Name, how, err)
 		return
 	}
-	if err := s.awaitService(m); err != nil {
+	if err := s.awaitServing(m); err != nil {
 		s.t.Errorf("seed %d, %s, %s, %v ago: it does not serve: %v", s.seed, m.Name, how, time.Since(began).Round(time.Millisecond), err)
 	}
 }
 
-// awaitService waits until a front is ready, or until every core node has a replica and every store is placed.
-func (s *restartSoak) awaitService(m *Machine) error {
-	ctx := stepContext(s.t)
-	switch m.Class {
-	case Front:
-		return s.AwaitReady(ctx, m)
-	case Core:
-		return s.AwaitReplicas(ctx)
-	default:
-		return s.AwaitStatus(ctx, "all stores are placed", allStoresPlaced(len(s.Class(Store))))
-	}
-}
-
 func (s *restartSoak) restartProcess(m *Machine, how string, random *rand.Rand) error {
 	switch how {
 	case restartAfterStop:
@@ -230,25 +215,12 @@
 }
 
 func startWithHalfFile(m *Machine, d time.Duration) error {
-	path := filepath.Join(m.dir(), settingsFile)
-	whole := m.tier.settings(m)
-	if err := os.WriteFile(path, []byte(whole[:len(whole)*2/3]), 0o600); err != nil {
-		return err
-	}
-	m.mu.Lock()
-	err := m.startProcess(path)
-	m.mu.Unlock()
+	complete, err := startWithPartOfSettings(m, 2.0/3)
 	if err != nil {
 		return err
 	}
 	time.Sleep(d)
-	return os.WriteFile(path, []byte(whole), 0o600)
-}
-
-// awaitHandler waits until the last process of a machine has set the disposition of a signal.
-func awaitHandler(m *Machine, signal syscall.Signal) {
-	for m.Running() && !handles(m.ProcessID(), signal) {
-	}
+	return complete()
 }
 
 // hangUpAgainAndAgain sends SIGHUP from the first instructions of a process on.
--- a/internal/tier/tiertest/start_conditions_test.go
+++ b/internal/tier/tiertest/start_conditions_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
+	"context"
 	"net"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -15,7 +15,6 @@
 	"golang.org/x/sys/unix"
 
 	"larchrouter/internal/tier/controlnode"
-	"larchrouter/internal/tier/turnstore"
 )
 
 const (
@@ -26,24 +25,41 @@
 	exitDiskFailed  = 74
 )
 
-// awaitServing waits until the process of a machine does its work: a front is ready, a store is placed, a core node has a replica.
-func (tt *testTier) awaitServing(m *Machine) {
-	tt.t.Helper()
+// awaitServing waits until the last process of a machine does its work: a front is ready, a store listens, has its tables and is placed,
+// all core nodes have a replica.
+func (tt *testTier) awaitServing(m *Machine) error {
+	ctx := stepContext(tt.t)
 	switch m.Class {
 	case Front:
-		must(tt.t, tt.AwaitReady(stepContext(tt.t), m))
+		return tt.AwaitReady(ctx, m)
 	case Core:
-		must(tt.t, tt.AwaitReplicas(stepContext(tt.t)))
+		return tt.AwaitReplicas(ctx)
 	default:
-		from := m.Log.Len()
-		must(tt.t, tt.AwaitStatus(stepContext(tt.t), m.Name+" is placed", func(s *controlnode.Status) bool {
-			return !s.PlacementJoint && slices.ContainsFunc(s.Stores, func(store turnstore.Store) bool { return store.Name == m.Name })
-		}))
-		if !strings.Contains(m.Log.String(), "tables complete") {
-			_, err := m.Log.Await(stepContext(tt.t), from, "tables complete")
-			must(tt.t, err)
+		return tt.awaitStore(ctx, m)
+	}
+}
+
+// awaitStore waits until a store does its work. That it is placed says little alone: a store stays so for a while after its end.
+func (tt *testTier) awaitStore(ctx context.Context, m *Machine) error {
+	if err := Await(ctx, m.Name+" listens", m.listensToPeers); err != nil {
+		return err
+	}
+	if m.output == nil {
+		if _, err := m.Log.Await(ctx, m.firstLogLine(), "tables complete"); err != nil {
+			return err
 		}
 	}
+	return tt.AwaitStatus(ctx, "all stores are placed", allStoresPlaced(len(tt.Class(Store))))
+}
+
+// listensToPeers reports whether a process takes calls of other processes.
+func (m *Machine) listensToPeers(ctx context.Context) bool {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", m.PeerAddr())
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
 }
 
 // allStoresPlaced returns the condition that a number of stores is placed and no change of the placement is in progress.
@@ -121,7 +137,7 @@
 				t.Error("the front is ready, but does not listen")
 			}
 			release()
-			tt.awaitServing(c.machine)
+			must(t, tt.awaitServing(c.machine))
 		})
 	}
 }
@@ -154,29 +170,39 @@
 		if code != 0 || err != nil {
 			t.Errorf("the predecessor of %s exits with %d, %v", m.Name, code, err)
 		}
-		tt.awaitServing(m)
+		must(t, tt.awaitServing(m))
 	}
 	tt.checkNoUnaskedEnd()
 	tt.serve("by the successors")
 	tt.checkRules()
 }
 
+// startWithPartOfSettings starts a process while its settings file has only a part of its contents, and returns a function that writes
+// them completely.
+func startWithPartOfSettings(m *Machine, part float64) (complete func() error, err error) {
+	if err := os.MkdirAll(m.dataDir(), 0o700); err != nil {
+		return nil, err
+	}
+	path, contents := filepath.Join(m.dir(), settingsFile), []byte(m.tier.settings(m))
+	if err := os.WriteFile(path, contents[:int(part*float64(len(contents)))], 0o600); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return func() error { return os.WriteFile(path, contents, 0o600) }, m.startProcess(path)
+}
+
 // A process whose settings file is being written while it starts ended with an error.
 func TestStartWaitsForWholeSettings(t *testing.T) {
 	tt := newTestTier(t, 3, 3, 1)
 	for _, m := range []*Machine{tt.Class(Core)[1], tt.Class(Store)[1], tt.Class(Front)[0]} {
 		tt.terminate(m)
-		path := filepath.Join(m.dir(), settingsFile)
-		whole := tt.settings(m)
-		must(t, os.WriteFile(path, []byte(whole[:len(whole)/2]), 0o600))
-		m.mu.Lock()
-		err := m.startProcess(path)
-		m.mu.Unlock()
+		complete, err := startWithPartOfSettings(m, 0.5)
 		must(t, err)
 		time.Sleep(conditionTime)
 		tt.checkNoUnaskedEnd()
-		must(t, os.WriteFile(path, []byte(whole), 0o600))
-		tt.awaitServing(m)
+		must(t, complete())
+		must(t, tt.awaitServing(m))
 	}
 }
 
@@ -194,7 +220,7 @@
 		tt.checkNoUnaskedEnd()
 		unlimited := unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}
 		must(t, unix.Prlimit(m.ProcessID(), unix.RLIMIT_FSIZE, &unlimited, nil))
-		tt.awaitServing(m)
+		must(t, tt.awaitServing(m))
 	}
 	tt.checkNoUnaskedEnd()
 }
@@ -222,19 +248,12 @@
 		tt.terminate(m)
 		m.output = fullPipe(t)
 		must(t, m.Start())
-		switch m.Class {
-		case Front:
-			must(t, tt.AwaitReady(stepContext(t), m))
-		case Core:
-			must(t, tt.AwaitReplicas(stepContext(t)))
-		default:
-			must(t, tt.AwaitStatus(stepContext(t), m.Name+" is placed", allStoresPlaced(len(tt.Class(Store)))))
-		}
+		must(t, tt.awaitServing(m))
 		tt.serve("while nobody reads the log of " + m.Name)
 		tt.terminate(m)
 		m.output = nil
 		must(t, m.Start())
-		tt.awaitServing(m)
+		must(t, tt.awaitServing(m))
 	}
 }
 
@@ -279,7 +298,7 @@
 		}
 		must(t, m.Wipe())
 		must(t, m.Start())
-		tt.awaitServing(m)
+		must(t, tt.awaitServing(m))
 	}
 }
 
