larch-control: end a node by its exit code, as larch-proxy does

An error type carried the exit code of lifecycle.Run through the command line's parser to main, which took it out again. The commands of nodes call os.Exit with it, as larch-proxy does.

--- a/cmd/larch-control/main.go
+++ b/cmd/larch-control/main.go
@@ -6,10 +6,8 @@
 	"context"
 	"fmt"
 	"os"
-	"strconv"
 
 	"github.com/alecthomas/kong"
-	"github.com/cockroachdb/errors"
 
 	"larchrouter/internal/earlysignal"
 	"larchrouter/internal/lifecycle"
@@ -28,7 +26,8 @@
 type coreCommand struct{}
 
 func (coreCommand) Run() error {
-	return runRole(lifecycle.Role{Name: "larch-control core", Require: controlnode.RequireSettings, Run: runCore})
+	os.Exit(lifecycle.Run(lifecycle.Role{Name: "larch-control core", Require: controlnode.RequireSettings, Run: runCore}))
+	return nil
 }
 
 // runCore runs a core node until the context ends or its disk fails.
@@ -45,19 +44,6 @@
 	return server.Run(ctx)
 }
 
-// exitCode is the error of a command that has reported why it ended.
-type exitCode int
-
-func (c exitCode) Error() string { return "exit code " + strconv.Itoa(int(c)) }
-
-// runRole runs a node of the tier in this process. Its error is an exitCode.
-func runRole(role lifecycle.Role) error {
-	if code := lifecycle.Run(role); code != 0 {
-		return exitCode(code)
-	}
-	return nil
-}
-
 // isNode reports whether a command runs a node of the tier; the others are the operators' commands.
 func isNode(command string) bool { return command == "core" || command == "store" }
 
@@ -70,11 +56,7 @@
 	if !isNode(ctx.Command()) {
 		earlysignal.Release() // a command that is interrupted must not look like one that succeeded
 	}
-	err = ctx.Run()
-	if code := exitCode(0); errors.As(err, &code) {
-		os.Exit(int(code))
-	}
-	if err != nil {
+	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "larch-control:", err)
 		os.Exit(1)
 	}
--- a/cmd/larch-control/store.go
+++ b/cmd/larch-control/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"sync"
 	"time"
 
@@ -33,7 +34,8 @@
 const diskShare = 0.9
 
 func (storeCommand) Run() error {
-	return runRole(lifecycle.Role{Name: "larch-control store", Require: requireStoreSettings, Run: runStore})
+	os.Exit(lifecycle.Run(lifecycle.Role{Name: "larch-control store", Require: requireStoreSettings, Run: runStore}))
+	return nil
 }
 
 func requireStoreSettings(s *process.Settings) error {
