Rename the words of the new tests of tiers to the field's terms

UnaskedEnds collided with the rule UNASKED, toldTo said nothing, and "whole" and "told" are words that docs/GLOSSARY.md replaces: unexpected exits, endRequested, complete. TestStartWaitsForWholeSettings is TestStartWaitsForCompleteSettings. No logic changes.

--- a/internal/process/reload.go
+++ b/internal/process/reload.go
@@ -19,8 +19,8 @@
 func init() { signal.Notify(reloadSignals, syscall.SIGHUP) }
 
 // WatchSettings calls apply with new settings after each SIGHUP, and within five seconds after the contents of the file
-// became others than those of loaded. Settings that cannot be read or used are logged, and apply is not called. It returns when ctx ends. A process
-// has one WatchSettings at a time.
+// became others than those of loaded. Settings that cannot be read or used are logged, and apply is not called. It
+// returns when ctx ends. A process has one WatchSettings at a time.
 func WatchSettings(ctx context.Context, log *slog.Logger, loaded *Settings, apply func(*Settings)) {
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
--- a/internal/tier/tiertest/early_signals_test.go
+++ b/internal/tier/tiertest/early_signals_test.go
@@ -54,7 +54,7 @@
 	process := m.process
 	awaitHandler(m, signal)
 	time.Sleep(delay)
-	process.toldTo.Store(signal == syscall.SIGTERM)
+	process.endRequested.Store(signal == syscall.SIGTERM)
 	must(t, m.Signal(signal))
 	return process
 }
@@ -73,7 +73,7 @@
 		must(t, m.Start())
 		must(t, tt.awaitServing(m))
 	}
-	tt.checkNoUnaskedEnd()
+	tt.checkNoUnexpectedExit()
 }
 
 // SIGHUP soon after a start, as for new settings, ended the process by the signal.
@@ -81,7 +81,7 @@
 	forEachEarlySignal(t, func(tt *testTier, m *Machine, delay time.Duration) {
 		signalEarly(t, m, syscall.SIGHUP, delay)
 		time.Sleep(earlySignalDelays[len(earlySignalDelays)-1])
-		if ends := m.UnaskedEnds(); len(ends) > 0 {
+		if ends := m.UnexpectedExits(); len(ends) > 0 {
 			t.Fatalf("after SIGHUP %v after its first instructions: %v", delay, ends)
 		}
 		m.Kill()
--- a/internal/tier/tiertest/first_start_test.go
+++ b/internal/tier/tiertest/first_start_test.go
@@ -101,7 +101,7 @@
 		}
 	}
 	for _, m := range tier.Machines {
-		for _, end := range m.UnaskedEnds() {
+		for _, end := range m.UnexpectedExits() {
 			t.Errorf("a process ended by itself: %s", end)
 		}
 	}
--- a/internal/tier/tiertest/machine.go
+++ b/internal/tier/tiertest/machine.go
@@ -119,12 +119,12 @@
 	return m.logFrom
 }
 
-// UnaskedEnds describes the ends of its processes that nobody asked for.
-func (m *Machine) UnaskedEnds() (ends []string) {
+// UnexpectedExits describes the exits of its processes that the harness did not cause.
+func (m *Machine) UnexpectedExits() (ends []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for i, p := range m.incarnations {
-		if p.endedUnasked() {
+		if p.exitedUnexpectedly() {
 			ends = append(ends, fmt.Sprintf("%s, start %d: %v", m.Name, i+1, p.cmd.ProcessState))
 		}
 	}
@@ -226,7 +226,7 @@
 // end sends a signal to a process of the machine and waits for its end.
 func (m *Machine) end(process *childProcess, signal syscall.Signal) (exitCode int, err error) {
 	if process.running() {
-		process.toldTo.Store(true)
+		process.endRequested.Store(true)
 	}
 	if err := process.cmd.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return 0, err
--- a/internal/tier/tiertest/process.go
+++ b/internal/tier/tiertest/process.go
@@ -12,10 +12,10 @@
 
 // childProcess is one incarnation of a program.
 type childProcess struct {
-	cmd     *exec.Cmd
-	toldTo  atomic.Bool   // end, by the harness
-	done    chan struct{} // closed after it has ended
-	waitErr error         // valid after done is closed
+	cmd          *exec.Cmd
+	endRequested atomic.Bool   // by the harness
+	done         chan struct{} // closed after it has ended
+	waitErr      error         // valid after done is closed
 }
 
 // inheritedVariables are the variables of the environment that a process gets: what the platform gives, and no others.
@@ -54,8 +54,8 @@
 	}
 }
 
-// endedUnasked reports whether the process has ended though nobody told it to.
-func (p *childProcess) endedUnasked() bool { return !p.running() && !p.toldTo.Load() }
+// exitedUnexpectedly reports whether the process has exited though the harness did not end it.
+func (p *childProcess) exitedUnexpectedly() bool { return !p.running() && !p.endRequested.Load() }
 
 // exitCode returns the exit code, -1 after a signal. The process must have ended.
 func (p *childProcess) exitCode() int { return p.cmd.ProcessState.ExitCode() }
--- a/internal/tier/tiertest/restart_soak_test.go
+++ b/internal/tier/tiertest/restart_soak_test.go
@@ -55,7 +55,7 @@
 	seed uint64
 }
 
-// A process that ended though nobody told it to, with another code than 0 after SIGTERM, or did not serve after its start: in a tier of
+// A process that exited by itself, with another code than 0 after SIGTERM, or did not serve after its start: in a tier of
 // the shape in which that was reported.
 func TestRestartSoak(t *testing.T) {
 	for i := range *soakRuns {
@@ -235,10 +235,10 @@
 	return nil
 }
 
-// checkEnds expects that no process has ended without being told to, and that none has reported a data race.
+// checkEnds expects that no process has exited that the harness did not end, and that none has reported a data race.
 func (s *restartSoak) checkEnds() {
 	s.t.Helper()
-	s.checkNoUnaskedEnd()
+	s.checkNoUnexpectedExit()
 	starts := 0
 	for _, m := range s.Machines {
 		starts += m.Incarnation()
--- a/internal/tier/tiertest/start_conditions_test.go
+++ b/internal/tier/tiertest/start_conditions_test.go
@@ -67,11 +67,11 @@
 	return func(s *controlnode.Status) bool { return len(s.Stores) == stores && !s.PlacementJoint }
 }
 
-// checkNoUnaskedEnd expects that no process has ended that nobody told to end.
-func (tt *testTier) checkNoUnaskedEnd() {
+// checkNoUnexpectedExit expects that no process has exited that the harness did not end.
+func (tt *testTier) checkNoUnexpectedExit() {
 	tt.t.Helper()
 	for _, m := range tt.Machines {
-		for _, end := range m.UnaskedEnds() {
+		for _, end := range m.UnexpectedExits() {
 			tt.t.Errorf("a process ended by itself: %s", end)
 		}
 	}
@@ -111,8 +111,8 @@
 
 // A process whose port another socket has, such as an outgoing connection of any program, ended at each start while that lasted.
 func TestStartWaitsForPortOfAnotherSocket(t *testing.T) {
-	whole := newTestTier(t, 3, 3, 1)
-	core, store, front := whole.Class(Core)[1], whole.Class(Store)[1], whole.Class(Front)[0]
+	shared := newTestTier(t, 3, 3, 1)
+	core, store, front := shared.Class(Core)[1], shared.Class(Store)[1], shared.Class(Front)[0]
 	for _, c := range []struct {
 		name    string
 		machine *Machine
@@ -125,14 +125,14 @@
 		{"readiness", front, front.ReadyAddr()},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			tt := *whole
+			tt := *shared
 			tt.t = t
 			tt.terminate(c.machine)
 			release := occupyPort(t, tt.Tier, c.addr)
 			defer release()
 			must(t, c.machine.Start())
 			time.Sleep(conditionTime)
-			tt.checkNoUnaskedEnd()
+			tt.checkNoUnexpectedExit()
 			if c.machine.Class == Front && c.machine.Ready(t.Context()) {
 				t.Error("the front is ready, but does not listen")
 			}
@@ -142,7 +142,7 @@
 	}
 }
 
-// A process that is told to stop while it waits for its port ended with an error.
+// A process that got SIGTERM while it could not listen ended with an error.
 func TestStopDuringWaitForPort(t *testing.T) {
 	tt := newTestTier(t, 3, 3, 1)
 	front := tt.Class(Front)[0]
@@ -151,7 +151,7 @@
 	must(t, front.Start())
 	time.Sleep(conditionTime)
 	tt.terminate(front)
-	tt.checkNoUnaskedEnd()
+	tt.checkNoUnexpectedExit()
 }
 
 // A process that is started while its predecessor still runs ended at each start until that had stopped.
@@ -172,7 +172,7 @@
 		}
 		must(t, tt.awaitServing(m))
 	}
-	tt.checkNoUnaskedEnd()
+	tt.checkNoUnexpectedExit()
 	tt.serve("by the successors")
 	tt.checkRules()
 }
@@ -193,14 +193,14 @@
 }
 
 // A process whose settings file is being written while it starts ended with an error.
-func TestStartWaitsForWholeSettings(t *testing.T) {
+func TestStartWaitsForCompleteSettings(t *testing.T) {
 	tt := newTestTier(t, 3, 3, 1)
 	for _, m := range []*Machine{tt.Class(Core)[1], tt.Class(Store)[1], tt.Class(Front)[0]} {
 		tt.terminate(m)
 		complete, err := startWithPartOfSettings(m, 0.5)
 		must(t, err)
 		time.Sleep(conditionTime)
-		tt.checkNoUnaskedEnd()
+		tt.checkNoUnexpectedExit()
 		must(t, complete())
 		must(t, tt.awaitServing(m))
 	}
@@ -217,12 +217,12 @@
 		must(t, m.Start())
 		m.path, m.args = program, args
 		time.Sleep(conditionTime)
-		tt.checkNoUnaskedEnd()
+		tt.checkNoUnexpectedExit()
 		unlimited := unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}
 		must(t, unix.Prlimit(m.ProcessID(), unix.RLIMIT_FSIZE, &unlimited, nil))
 		must(t, tt.awaitServing(m))
 	}
-	tt.checkNoUnaskedEnd()
+	tt.checkNoUnexpectedExit()
 }
 
 // fullPipe returns the writing end of a pipe that is full and that nobody reads.
