Make a response give way while its host is read, not only while its client is written to

Callers saw 503 and closed connections at a front whose memory for requests one response held: from the first bytes that a front read ahead until it wrote to the client, the account of a response was complete and gave way to nobody. A host that stopped after 200 KB held it until the deadline; bodies that came in the milliseconds of an ordinary read were refused. Each write also set the age of the account to zero, so that bodies of a few milliseconds had the larger occupancy.

A response has an account of its own (heldResponse), which may have to give way from its first draw to its end, at its full age. While the host is read, what is held is passed on to the client and the rest is relayed; while the client is written to, or when it does not take a part within 0.3 s after that, its connection is closed. Parts of 32 KB take the place of a buffer that doubles: 256 KB of a response now cost 264 KB, not 576 KB.

All tests of the package with -race: pass.

--- a/internal/tier/proxy/buffered_test.go
+++ b/internal/tier/proxy/buffered_test.go
@@ -99,7 +99,7 @@
 
 // A long response that is truncated does not look complete.
 func TestTruncatedLongResponse(t *testing.T) {
-	some := strings.Repeat("x", maxBufferedBody+10_000)
+	some := strings.Repeat("x", maxHeldResponse+10_000)
 	for name, head := range map[string]string{"length": "Content-Length: 9000000\r\n\r\n" + some,
 		"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(some), some)} {
 		for _, path := range []string{"/tool/x", "/order/x"} {
--- a/internal/tier/proxy/client.go
+++ b/internal/tier/proxy/client.go
@@ -48,7 +48,6 @@
 
 	mu            sync.Mutex
 	gaveWay       bool     // by giveWay: a time-out of reading is none of the client's
-	responding    bool     // giveWay closes the connection
 	inFlight      *request // being served; nil if there is none
 	idle          bool     // between requests
 	idleSince     time.Time
--- a/internal/tier/proxy/doc.go
+++ b/internal/tier/proxy/doc.go
@@ -25,7 +25,7 @@
 //  7. Exchange. forwarder.send makes the call (upstream.Call.Do). forwarder.handleResult decides by its outcome: pass on the
 //     response, retry on another host, or answer with an error (forwarder.respondFailure).
 //  8. Stream. request.relayStream passes on events as they come (request.copyEvents) and counts tokens (eventstream.Parser).
-//     request.serveBuffered buffers up to maxBufferedBody, so that a response that breaks off can be replaced by a retry,
+//     request.serveBuffered buffers up to maxHeldResponse, so that a response that breaks off can be replaced by a retry,
 //     and relays a longer response as it comes (request.relayLong).
 //     At the end request.attemptSucceeded or request.attemptFailed releases the slot with the outcome (dispatcher.release).
 //  9. Record. request.closeTurn writes the turn to the Ledger before the last chunk of its stream is passed on;
--- a/internal/tier/proxy/memory.go
+++ b/internal/tier/proxy/memory.go
@@ -66,16 +66,11 @@
 	}
 }
 
-// giveWay ends the reading of a request, or the writing of its response, because others need the memory or the connection. It does
-// not block.
+// giveWay ends the reading of a request because others need the memory or the connection. It does not block.
 func (c *client) giveWay() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.gaveWay = true
-	if c.responding {
-		c.Conn.Close()
-		return
-	}
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
@@ -94,26 +89,3 @@
 		_ = c.SetReadDeadline(deadline)
 	}
 }
-
-// beginResponse makes a response that is held for a client that does not read it give way to others.
-func (r *request) beginResponse() {
-	if r.memory == nil {
-		return
-	}
-	r.client.mu.Lock()
-	r.client.responding = true
-	r.client.mu.Unlock()
-	r.memory.Resume()
-}
-
-// endResponse ends what beginResponse began. It returns false if the connection was closed meanwhile.
-func (r *request) endResponse() bool {
-	if r.memory == nil {
-		return true
-	}
-	ok := r.memory.Complete()
-	r.client.mu.Lock()
-	defer r.client.mu.Unlock()
-	r.client.responding = false
-	return ok
-}
--- a/internal/tier/proxy/response.go
+++ b/internal/tier/proxy/response.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -11,16 +10,16 @@
 )
 
 const (
-	maxBufferedBody   = 256 << 10 // bytes of a response up to which it can still be replaced by a retry
+	maxPooledBuffer   = 256 << 10 // bytes
 	maxJoinedResponse = 16 << 10  // bytes of a body up to which it is written together with the head
 )
 
 // bufferPool has buffers for responses to clients, of *[]byte.
 var bufferPool = sync.Pool{New: func() any { b := make([]byte, 0, 8<<10); return &b }}
 
-// putBuffer returns a buffer to the pool. b is what was made of *p by appending, or nil if that is used elsewhere.
+// putBuffer returns a buffer to the pool. b is what was made of *p by appending.
 func putBuffer(p *[]byte, b []byte) {
-	if b != nil && cap(b) <= maxBufferedBody {
+	if cap(b) <= maxPooledBuffer {
 		*p = b[:0]
 		bufferPool.Put(p)
 	}
@@ -108,17 +107,12 @@
 	r.keepAlive = err == nil && !r.closeAfter
 }
 
-// respondBuffered passes on a host's response whose body is complete.
-func (r *request) respondBuffered(response *upstream.Response, body []byte) {
+// respondShort passes on a host's response whose body is short and complete.
+func (r *request) respondShort(response *upstream.Response, body []byte) {
 	p := bufferPool.Get().(*[]byte)
 	b := r.appendResponseHead((*p)[:0], response, int64(len(body)))
-	if len(body) <= maxJoinedResponse {
-		b = append(b, body...)
-		r.writeFinal(b)
-	} else {
-		err := r.writeParts(net.Buffers{b, body})
-		r.keepAlive = err == nil && !r.closeAfter
-	}
+	b = append(b, body...)
+	r.writeFinal(b)
 	putBuffer(p, b)
 }
 
--- a/internal/tier/proxy/retry.go
+++ b/internal/tier/proxy/retry.go
@@ -205,7 +205,7 @@
 	case response.Status == http.StatusBadRequest: // a fault of the request
 		r.releaseSlot(attempt, balancer.Success)
 		if !f.mayHaveRun {
-			r.respondBuffered(response, response.RefusalBody)
+			r.respondShort(response, response.RefusalBody)
 		} else {
 			f.respondFailure(0)
 		}
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -95,15 +95,16 @@
 // relayNonStream passes on a response that is no event stream, such as an error. done is false if it broke off and a retry may
 // follow.
 func (r *request) relayNonStream(attempt *attempt, f *forwarder) (done bool) {
-	body, err := r.readBuffered(attempt.Response, make([]byte, 0, streamBufferSize))
-	if err == nil {
-		r.relayLong(attempt, body)
-		return true
-	}
-	if !errors.Is(err, io.EOF) {
+	held := r.newHeldResponse(make([]byte, 0, streamBufferSize))
+	defer held.release()
+	switch err := held.read(attempt.Response); {
+	case errors.Is(err, io.EOF) && held.isHeld():
+		r.attemptSucceeded(attempt)
+		held.respond()
+	case err == nil || errors.Is(err, io.EOF):
+		r.relayLong(attempt, held)
+	default:
 		return f.handleFailure(attempt, err)
 	}
-	r.attemptSucceeded(attempt)
-	r.respondBuffered(attempt.Response, body)
 	return true
 }
