Found the core after all when seeds were killed at the first start

Cause: the first start could not be repeated, and nobody remembered it. Now a seed without a vote asks the other seeds (FoundingCall) each 0.25 s; by the rule of package founding it takes its place in epoch 1, stores that, and its server is opened again in the same process. Stores remember the first start on disk, and say so to the seeds (FirstStartCall) until they have seen a founded core. The head of epoch 1 decides no orders before a majority has confirmed it, so that a founder that is alone stores nothing. A seed that waits logs why.

Two new calls have fixtures; the older ones keep their bytes.

--- a/cmd/larch-control/main.go
+++ b/cmd/larch-control/main.go
@@ -8,6 +8,7 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 
 	"larchrouter/internal/earlysignal"
 	"larchrouter/internal/lifecycle"
@@ -31,7 +32,16 @@
 }
 
 // runCore runs a core node until the context ends or its disk fails.
-func runCore(ctx context.Context, node lifecycle.Node) (err error) {
+func runCore(ctx context.Context, node lifecycle.Node) error {
+	for {
+		if err := openAndRunCore(ctx, node); !errors.Is(err, controlnode.ErrFounder) {
+			return err
+		}
+	}
+}
+
+// openAndRunCore runs a core node with the identity that its data folder has.
+func openAndRunCore(ctx context.Context, node lifecycle.Node) (err error) {
 	var server *controlnode.Server
 	open := func() error {
 		server, err = controlnode.Open(node.Settings, node.Log)
@@ -40,7 +50,9 @@
 	if err := lifecycle.Await(ctx, node.Log, open); err != nil {
 		return err
 	}
-	go process.WatchSettings(ctx, node.Log, node.Settings, server.UpdateSeeds)
+	watching, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	go process.WatchSettings(watching, node.Log, node.Settings, server.UpdateSeeds)
 	return server.Run(ctx)
 }
 
--- a/cmd/larch-control/store.go
+++ b/cmd/larch-control/store.go
@@ -13,6 +13,7 @@
 	"larchrouter/internal/rpc"
 	"larchrouter/internal/sqlitelog"
 	"larchrouter/internal/tier/feed"
+	"larchrouter/internal/tier/founding"
 	"larchrouter/internal/tier/turnstore"
 )
 
@@ -42,22 +43,30 @@
 	return process.RequireSetting("data_dir", s.DataDir, "give a store a folder")
 }
 
+// openedStore is a store whose data folder is open.
+type openedStore struct {
+	*turnstore.Server
+	db         *sqlitelog.DB
+	firstStart *founding.FirstStart
+}
+
 // openStore opens the data folder of a store, waiting while its predecessor has it open or its disk is full.
-func openStore(ctx context.Context, node lifecycle.Node, options turnstore.ServerOptions) (
-	db *sqlitelog.DB, store *turnstore.Server, err error,
-) {
+func openStore(ctx context.Context, node lifecycle.Node, options turnstore.ServerOptions) (store openedStore, err error) {
 	err = lifecycle.Await(ctx, node.Log, func() error {
 		limit := int64(node.Settings.Limits.DiskMB*diskShare) << 20
-		if db, err = sqlitelog.Open(node.Settings.DataDir, "store.db", limit, turnstore.StoreTables...); err != nil {
+		if store.db, err = sqlitelog.Open(node.Settings.DataDir, "store.db", limit, turnstore.StoreTables...); err != nil {
 			return err
 		}
-		options.DB = db
-		if store, err = turnstore.NewServer(options); err != nil {
-			return errors.CombineErrors(err, db.Close())
+		options.DB = store.db
+		if store.Server, err = turnstore.NewServer(options); err == nil {
+			store.firstStart, err = openFirstStart(ctx, node.Settings, store.db, store.Server)
+		}
+		if err != nil {
+			return errors.CombineErrors(err, store.db.Close())
 		}
 		return nil
 	})
-	return db, store, err
+	return store, err
 }
 
 // runStore runs a store until the context ends or its disk fails.
@@ -65,12 +74,12 @@
 	s, log := node.Settings, node.Log
 	calls := &rpc.Clients{}
 	follower := feed.NewFollower(s, calls, log)
-	db, store, err := openStore(ctx, node, turnstore.ServerOptions{Placement: follower.Placement, Changed: follower.Changed,
+	store, err := openStore(ctx, node, turnstore.ServerOptions{Placement: follower.Placement, Changed: follower.Changed,
 		Calls: calls, Log: log, CacheBytes: s.CacheMemory(turnstore.ServerCacheBytes)})
 	if err != nil {
 		return err
 	}
-	defer func() { err = errors.CombineErrors(err, db.Close()) }()
+	defer func() { err = errors.CombineErrors(err, store.db.Close()) }()
 	self := turnstore.Store{ID: store.ID(), Name: s.NodeName, Addr: s.PeerAddr(s.IP, process.StorePort), Zone: s.Zone}
 	listeners, err := lifecycle.Listen(ctx, log, self.Addr)
 	if err != nil {
@@ -88,13 +97,14 @@
 	wg.Go(func() { server.Serve(listeners[0]) })
 	wg.Go(func() { follower.Run(running) })
 	wg.Go(func() { store.Run(running) })
-	wg.Go(func() { register(registering, follower, calls, store, self) })
+	wg.Go(func() { announceFirstStart(running, store.firstStart, follower, calls, log) })
+	wg.Go(func() { register(registering, follower, calls, store.Server, self) })
 	leaver := &leaver{core: follower, calls: calls, id: self.ID, log: log, unplaced: stopRegistering}
 	permitted := leaver.awaitPermission(running, ctx.Done(), stopTimeout(s.TimingBound("grace_period_s", defaultGracePeriod)))
 	select {
 	case <-permitted:
-	case <-db.Failed():
-		err = errors.Wrap(db.Err(), "the disk does not take writes: look at the data folder")
+	case <-store.db.Failed():
+		err = errors.Wrap(store.db.Err(), "the disk does not take writes: look at the data folder")
 	}
 	stop()
 	<-permitted
--- a/internal/tier/controlnode/disk.go
+++ b/internal/tier/controlnode/disk.go
@@ -139,17 +139,24 @@
 func (s *Server) createIdentity() (d Durable, err error) {
 	s.self.ID, _ = s.db.Identity()
 	if s.settings.Bootstrap && slices.Contains(s.settings.Seeds, s.settings.Bind.Control) {
-		var founders []view.Member
-		for _, addr := range seedAddrs(s.settings) {
-			founders = append(founders, view.Member{ID: "seed-" + addr, Addr: addr})
-		}
-		s.self.ID = "seed-" + s.self.Addr
-		d = BootstrapState(founders)
+		s.self.ID, d = s.founderState()
 	}
 	rows := append(s.saved.changedRows(d), sqlitelog.Write{Table: "vote", Key: selfKey, Value: []byte(s.self.ID)})
 	return d, s.db.Commit(s.ctx, rows)
 }
 
+// founderState returns the ID and the durable state of this node as a seed that bootstraps the cluster.
+func (s *Server) founderState() (id string, d Durable) {
+	var founders []view.Member
+	for _, addr := range seedAddrs(s.settings) {
+		founders = append(founders, view.Member{ID: founderID(addr), Addr: addr})
+	}
+	return founderID(s.self.Addr), BootstrapState(founders)
+}
+
+// founderID returns the ID of the seed with the given address.
+func founderID(addr string) string { return "seed-" + addr }
+
 // indexKey returns the key of an index in the table "entries"; keys sort in the order of their indexes.
 func indexKey(index int64) []byte { return binary.BigEndian.AppendUint64(nil, uint64(index)) }
 
--- a/internal/tier/controlnode/event_loop.go
+++ b/internal/tier/controlnode/event_loop.go
@@ -18,6 +18,9 @@
 	defer tick.Stop()
 	lastPublished := publishedState{epoch: -1, commit: -1}
 	for s.handleBatch(tick.C) {
+		if err := s.becomeFounder(); err != nil {
+			return err
+		}
 		if err := s.syncChanges(); err != nil {
 			if s.ctx.Err() != nil {
 				return nil
--- a/internal/tier/controlnode/frames_test.go
+++ b/internal/tier/controlnode/frames_test.go
@@ -22,6 +22,7 @@
 	"larchrouter/internal/tier/chain"
 	"larchrouter/internal/tier/discovery"
 	"larchrouter/internal/tier/feed"
+	"larchrouter/internal/tier/founding"
 	"larchrouter/internal/tier/hosthealth"
 	"larchrouter/internal/tier/orders"
 	"larchrouter/internal/tier/placement"
@@ -103,6 +104,10 @@
 		{15, "duties", sideReply, fullTaskStatus()},
 		{16, "stop", sideRequest, &feed.StopStoreRequest{ID: "store-id", Forwarded: true}},
 		{16, "stop", sideReply, &feed.StopStoreResponse{MayStop: true, Placed: true}},
+		{17, "founding", sideRequest, &feed.Empty{Unused: true}},
+		{17, "founding", sideReply, &founding.Report{Phase: big, Seeds: []string{"10.1.0.2:2", "10.1.0.3:2"}}},
+		{18, "first start", sideRequest, &founding.Witness{ID: "store-id", Seeds: []string{"10.1.0.2:2", "10.1.0.3:2"}}},
+		{18, "first start", sideReply, &feed.Empty{Unused: true}},
 
 		{0, "configuration", sideStored, &feed.ConfigEntry{Version: big + 1, Body: []byte("body"), RecentDigests: [][]byte{[]byte("digest-1"), []byte("digest-2")}}},
 		{0, "placement", sideStored, &turnstore.Placement{Generation: big + 1, ReplicationFactor: big + 2, DurableReplicas: big + 3, FaultTolerance: big + 4, Old: []turnstore.Store{store},
@@ -295,8 +300,8 @@
 // The numbers of methods, message kinds and chunk statuses are on the wire.
 func TestWireNumbersAreUnchanged(t *testing.T) {
 	methods := []rpc.Method{feed.PeerCall, feed.FollowCall, feed.PutConfigCall, feed.ReadConfigCall, feed.RegisterCall, feed.RetireStoreCall, feed.StorePhaseCall, feed.StatusCall, feed.ChangesCall, feed.ChunkCall,
-		feed.HealthCall, feed.UsageCall, feed.LeaseReleaseCall, feed.ClockCall, feed.TaskStatusCall, feed.StopStoreCall}
-	if want := []rpc.Method{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16}; !reflect.DeepEqual(methods, want) {
+		feed.HealthCall, feed.UsageCall, feed.LeaseReleaseCall, feed.ClockCall, feed.TaskStatusCall, feed.StopStoreCall, feed.FoundingCall, feed.FirstStartCall}
+	if want := []rpc.Method{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18}; !reflect.DeepEqual(methods, want) {
 		t.Errorf("methods are %v, want %v", methods, want)
 	}
 	kinds := []int{msgHeartbeat, msgPrepare, msgPromise, msgAccept, msgAccepted, msgDecide, msgChainUpdate, msgChainAck, msgConfirm, msgConfirmed, msgHostList, msgLearnerUpdate, msgLearnerAck}
--- a/internal/tier/controlnode/node.go
+++ b/internal/tier/controlnode/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"larchrouter/internal/tier/chain"
+	"larchrouter/internal/tier/founding"
 	"larchrouter/internal/tier/view"
 )
 
@@ -83,9 +84,27 @@
 
 // IsActiveHead reports whether orders are decided at this node: it is the head of the chain in its view, is active in
 // the chain, and has made no promise for the next epoch. It may have been replaced without knowing it, so a decision is
-// reported to a caller only after Confirm or a commit.
+// reported to a caller only after Confirm or a commit. In epoch 1 a majority of the seeds must have confirmed it: a founder that is
+// alone stores no entries, see package founding.
 func (n *Node) IsActiveHead() bool {
-	return n.acceptor.View.Head() == n.settings.Self.ID && n.chain.IsActive() && !n.acceptor.HasPromised()
+	if n.acceptor.View.Head() != n.settings.Self.ID || !n.chain.IsActive() || n.acceptor.HasPromised() {
+		return false
+	}
+	_, confirmed := n.confirmedRoundSentAt()
+	return confirmed || n.acceptor.View.Epoch > 1
+}
+
+// FoundingPhase returns how far this node is from its founding.
+func (n *Node) FoundingPhase() founding.Phase {
+	state := n.chain.State()
+	switch stored := state.LastIndex > 0 || len(state.Entries) > 0; {
+	case stored || n.acceptor.HasPromised() || n.acceptor.View.Epoch > 1:
+		return founding.Founded
+	case n.acceptor.View.IsVoter(n.settings.Self.ID):
+		return founding.Founder
+	default: // it may know epoch 1 from a founder
+		return founding.Empty
+	}
 }
 
 // HeadAddr returns the address of the head, empty if no head is known.
--- a/internal/tier/controlnode/peer_calls.go
+++ b/internal/tier/controlnode/peer_calls.go
@@ -61,6 +61,8 @@
 		feed.StopStoreCall:    typedHandler(s.handleStopStore),
 		feed.RetireStoreCall:  typedHandler(s.handleRetire),
 		feed.StorePhaseCall:   typedHandler(s.handlePhase),
+		feed.FoundingCall:     typedHandler(s.handleFounding),
+		feed.FirstStartCall:   typedHandler(s.handleFirstStart),
 		feed.StatusCall:       typedHandler(func(context.Context, *feed.Empty) (*Status, error) { return s.status(), nil }),
 	}
 }
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -92,6 +92,7 @@
 	changed   chan struct{}                  // closed when there may be an update for followers
 	senders   map[string]chan Message        // by address; owned by the event loop
 
+	founding  foundingState
 	followers sync.Map // from name to *Follower
 	feed      feedServer
 }
@@ -180,7 +181,7 @@
 
 // Run listens, waiting until its ports are free, and serves until the context ends. It then shuts down gracefully: it leaves the view if
 // other nodes can replace this one, answers the operators' calls in flight, and stops. It returns an error if the node cannot listen or
-// its disk fails. In either case it closes the data folder.
+// its disk fails, and ErrFounder if the data folder has to be opened again. In any case it closes the data folder.
 func (s *Server) Run(ctx context.Context) error {
 	listeners, err := lifecycle.Listen(ctx, s.log, s.self.Addr, s.settings.Bind.Control)
 	if err != nil {
@@ -198,6 +199,7 @@
 	s.wg.Go(s.pollPlatform)
 	s.wg.Go(s.sampleClocks)
 	s.wg.Go(s.runSingletonTasks)
+	s.wg.Go(s.awaitFounding)
 	loopEnded := make(chan error, 1)
 	s.wg.Go(func() { loopEnded <- s.eventLoop() })
 	select {
--- a/internal/tier/feed/messages.go
+++ b/internal/tier/feed/messages.go
@@ -27,6 +27,8 @@
 	ClockCall        // the wall clock of a core node
 	TaskStatusCall   // the state of the singleton tasks, at the head
 	StopStoreCall    // from a store that was told to stop
+	FoundingCall     // how far a core node is from its founding
+	FirstStartCall   // from a store that remembers the first start and has seen no founded core
 )
 
 // FollowRequest is the poll of a follower of an earlier version, which receives every value in full. Messages are encoded
--- a/internal/tier/turnstore/anti_entropy_serve.go
+++ b/internal/tier/turnstore/anti_entropy_serve.go
@@ -70,7 +70,7 @@
 
 // fact returns the write of a number in the table of facts.
 func fact(name string, n int64) sqlitelog.Write {
-	return sqlitelog.Write{Table: tableFacts, Key: []byte(name), Value: strconv.AppendInt(nil, n, 10)}
+	return sqlitelog.Write{Table: FactsTable, Key: []byte(name), Value: strconv.AppendInt(nil, n, 10)}
 }
 
 // handleStates returns the ledgers and turn IDs of the first of the requested programs, up to about maxStateBytes.
--- a/internal/tier/turnstore/capacity.go
+++ b/internal/tier/turnstore/capacity.go
@@ -87,8 +87,8 @@
 // probe writes probeBytes to the disk and deletes them.
 func (s *Server) probe(ctx context.Context) error {
 	key := []byte(factProbe)
-	if err := s.disk.Commit(ctx, []sqlitelog.Write{{Table: tableFacts, Key: key, Value: make([]byte, probeBytes)}}); err != nil {
+	if err := s.disk.Commit(ctx, []sqlitelog.Write{{Table: FactsTable, Key: key, Value: make([]byte, probeBytes)}}); err != nil {
 		return err
 	}
-	return s.disk.Commit(ctx, []sqlitelog.Write{{Table: tableFacts, Key: key}})
+	return s.disk.Commit(ctx, []sqlitelog.Write{{Table: FactsTable, Key: key}})
 }
--- a/internal/tier/turnstore/export_test.go
+++ b/internal/tier/turnstore/export_test.go
@@ -32,7 +32,7 @@
 	RepairDelay         = repairDelay
 	Bodies              = tableBodies
 	Entries             = tableEntries
-	Facts               = tableFacts
+	Facts               = FactsTable
 )
 
 // NewServerOn returns a server on a disk and a transport of the model.
--- a/internal/tier/turnstore/server.go
+++ b/internal/tier/turnstore/server.go
@@ -18,13 +18,15 @@
 const ServerCacheBytes = 24 << 20
 
 // StoreTables are the tables with which a store's database must be opened.
-var StoreTables = []string{tableEntries, tableTurns, tableBodies, tableFacts}
+var StoreTables = []string{tableEntries, tableTurns, tableBodies, FactsTable}
+
+// FactsTable is the table of single values. Others may keep theirs in it, under keys of their own.
+const FactsTable = "facts"
 
 const (
 	tableEntries = "entries"
 	tableTurns   = "turns"
 	tableBodies  = "bodies"
-	tableFacts   = "facts"
 	factAdopted  = "adopted"
 	factSwept    = "swept"
 
--- a/internal/tier/turnstore/server_load.go
+++ b/internal/tier/turnstore/server_load.go
@@ -47,7 +47,7 @@
 // loadFacts reads the generations that the store has adopted and swept.
 func (s *Server) loadFacts() error {
 	for name, to := range map[string]*int64{factAdopted: &s.persistedGeneration, factSwept: &s.sweptGeneration} {
-		v, err := s.disk.Get(tableFacts, []byte(name))
+		v, err := s.disk.Get(FactsTable, []byte(name))
 		if err != nil {
 			return err
 		}
--- a/internal/tier/turnstore/stored_test.go
+++ b/internal/tier/turnstore/stored_test.go
@@ -156,7 +156,7 @@
 	}
 	f.gen = 5
 	f.status("keys", f.store.handleListKeys(ctx, &listKeysCall{To: f.head(), Requester: "store-2", Sweep: true}).Status)
-	if err := f.store.disk.Commit(ctx, []sqlitelog.Write{{Table: tableFacts, Key: []byte(factProbe),
+	if err := f.store.disk.Commit(ctx, []sqlitelog.Write{{Table: FactsTable, Key: []byte(factProbe),
 		Value: make([]byte, 16)}}); err != nil {
 		t.Fatal(err)
 	}
