Do not take a response for evicted whose account gave way while nothing was held

Found by reading: an account can be told to give way in the moment between a response that broke off and its release. The retry's response was then cut after its first part, as one whose connection is closed. No test: the moment is a few instructions long.

--- a/internal/tier/proxy/heldresponse.go
+++ b/internal/tier/proxy/heldresponse.go
@@ -53,7 +53,7 @@
 	parts    [][]byte      // what is held; the host is read into the space behind the last part
 	size     int           // bytes of parts
 	headSent bool          // the client has the head
-	evicted  bool          // giveWay was called
+	evicted  bool          // giveWay was called while something was held
 	passed   chan struct{} // closed once passOn has ended; nil unless it was started
 	passErr  error         // of passOn
 }
@@ -156,14 +156,15 @@
 func (h *heldResponse) giveWay() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.evicted = true
 	switch h.state {
 	case heldReading:
+		h.evicted = true
 		h.state, h.passed = heldPassing, make(chan struct{})
 		parts := h.parts
 		h.parts = nil
 		h.request.server().wg.Go(func() { h.passOn(parts) })
 	case heldWriting:
+		h.evicted = true
 		h.request.client.Conn.Close()
 	}
 }
