Say once which addresses seeds have, and how a soak of restarts runs

The founding after all needs the addresses of the seeds in core nodes and in stores, and TestFirstStartSoak the run of TestRestartSoak; both stood twice. process.Settings.SeedPeerAddrs takes the place of two copies, startRestartSoak and restartSoak.run that of the soaks' bodies. No behaviour changes; vet, golangci-lint, staticcheck and the tests of process, founding and larch-control pass.

--- a/cmd/larch-control/store_firststart.go
+++ b/cmd/larch-control/store_firststart.go
@@ -19,18 +19,10 @@
 	firstStartTimeout  = 400 * time.Millisecond // of a message
 )
 
-// seedPeerAddrs returns the addresses of the seeds for calls between nodes.
-func seedPeerAddrs(s *process.Settings) (addrs []string) {
-	for _, seed := range s.Seeds {
-		addrs = append(addrs, s.PeerAddr(seed, process.CorePort))
-	}
-	return addrs
-}
-
 // openFirstStart returns what a store remembers of the first start.
 func openFirstStart(ctx context.Context, s *process.Settings, db *sqlitelog.DB, store *turnstore.Server) (*founding.FirstStart, error) {
 	isFirst := s.Bootstrap && store.AdoptedGeneration() == 0
-	return founding.OpenFirstStart(ctx, db, turnstore.FactsTable, store.ID(), isFirst, seedPeerAddrs(s))
+	return founding.OpenFirstStart(ctx, db, turnstore.FactsTable, store.ID(), isFirst, s.SeedPeerAddrs())
 }
 
 // announceFirstStart tells the seeds what the store remembers of the first start, until it has its placement from a founded core.
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -125,6 +125,14 @@
 	return net.JoinHostPort(ip, strconv.Itoa(s.PortRange[0]+int(p)))
 }
 
+// SeedPeerAddrs returns the addresses of the seeds for calls between nodes.
+func (s *Settings) SeedPeerAddrs() (addrs []string) {
+	for _, seed := range s.Seeds {
+		addrs = append(addrs, s.PeerAddr(seed, CorePort))
+	}
+	return addrs
+}
+
 // FaultTolerance returns how many replicas may be lost at once. Replicas are spread over as many zones as there are, so
 // that the loss of a zone is the loss of one replica.
 func (s *Settings) FaultTolerance() int { return max(s.Tolerance.Machines, s.Tolerance.Zones) }
--- a/internal/tier/controlnode/disk.go
+++ b/internal/tier/controlnode/disk.go
@@ -148,7 +148,7 @@
 // founderState returns the ID and the durable state of this node as a seed that bootstraps the cluster.
 func (s *Server) founderState() (id string, d Durable) {
 	var founders []view.Member
-	for _, addr := range seedAddrs(s.settings) {
+	for _, addr := range s.settings.SeedPeerAddrs() {
 		founders = append(founders, view.Member{ID: founderID(addr), Addr: addr})
 	}
 	return founderID(s.self.Addr), BootstrapState(founders)
--- a/internal/tier/controlnode/founding.go
+++ b/internal/tier/controlnode/founding.go
@@ -100,7 +100,7 @@
 	tolerance := s.settings.Tolerance
 	return founding.Settings{
 		Self:           s.self.Addr,
-		Seeds:          seedAddrs(s.settings),
+		Seeds:          s.settings.SeedPeerAddrs(),
 		FaultTolerance: s.settings.FaultTolerance(),
 		WholeZones:     tolerance.Zones > 0 || tolerance.Regions > 0,
 	}
@@ -113,7 +113,7 @@
 	var mu sync.Mutex
 	var questions sync.WaitGroup
 	reports := map[string]founding.Report{}
-	for _, addr := range seedAddrs(s.settings) {
+	for _, addr := range s.settings.SeedPeerAddrs() {
 		if addr == s.self.Addr {
 			continue
 		}
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -139,7 +139,7 @@
 	server.node = NewNode(NodeSettings{
 		Self:           server.self,
 		Incarnation:    server.incarnation,
-		Seeds:          seedAddrs(s),
+		Seeds:          s.SeedPeerAddrs(),
 		FaultTolerance: s.FaultTolerance(),
 		ChainLength:    chainLength(s),
 		Timings:        DefaultTimings(),
@@ -158,20 +158,12 @@
 	return ChainLength(s.FaultTolerance())
 }
 
-// seedAddrs returns the addresses of the seeds for calls between nodes.
-func seedAddrs(settings *process.Settings) (addrs []string) {
-	for _, seed := range settings.Seeds {
-		addrs = append(addrs, settings.PeerAddr(seed, process.CorePort))
-	}
-	return addrs
-}
-
 // now returns the time since the start, which is the clock of the Node.
 func (s *Server) now() time.Duration { return time.Since(s.startedAt) }
 
 // UpdateSeeds sets the seeds from reloaded settings; a node without a vote announces itself to them.
 func (s *Server) UpdateSeeds(settings *process.Settings) {
-	s.runOnLoop(&setSeedsRequest{seeds: seedAddrs(settings)})
+	s.runOnLoop(&setSeedsRequest{seeds: settings.SeedPeerAddrs()})
 }
 
 // setSeedsRequest replaces the seeds of the node.
--- a/internal/tier/tiertest/first_start_soak_test.go
+++ b/internal/tier/tiertest/first_start_soak_test.go
@@ -105,19 +105,10 @@
 			starts := &firstStarts{random: rand.New(rand.NewPCG(seed, 0)), quota: seed%2 == 0, stop: make(chan struct{})}
 			endQuota := sync.OnceFunc(func() { close(starts.stop); starts.wg.Wait() })
 			defer endQuota()
-			first := NewConfig(3, DraftService, false)
-			first.Tenants = []Tenant{{Name: "soak", Keys: []string{soakTenantKey}}}
-			o := Options{Cores: 4, Stores: 4, Fronts: 9, Duties: []string{"usage_report", "autoscale"}, firstStart: starts.start}
 			began := time.Now()
-			s := &restartSoak{startTestTierWithConfig(t, o, soakEventTime, first), seed}
+			s := startRestartSoak(t, Options{Cores: 4, Stores: 4, Fronts: 9, firstStart: starts.start}, seed)
 			t.Logf("seed %d, quota %v, killed %q: serves after %v", seed, starts.quota, starts.killed, time.Since(began).Round(time.Millisecond))
-			stopBackground := s.startLanes(*soakLanes, soakProgram)
-			defer stopBackground()
-			s.play(time.Now().Add(*soakTime))
-			stopBackground()
-			s.checkEnds()
-			s.serveWithKey()
-			s.checkSafety()
+			s.run()
 			endQuota()
 			if len(starts.restartErrs) > 0 {
 				t.Errorf("restarts failed: %v", starts.restartErrs)
--- a/internal/tier/tiertest/restart_soak_test.go
+++ b/internal/tier/tiertest/restart_soak_test.go
@@ -61,22 +61,34 @@
 	for i := range *soakRuns {
 		seed := *soakSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			first := NewConfig(3, DraftService, false)
-			first.Tenants = []Tenant{{Name: "soak", Keys: []string{soakTenantKey}}}
-			o := Options{Cores: 4, Stores: 4, Fronts: 6, Duties: []string{"usage_report", "autoscale"}}
-			s := &restartSoak{startTestTierWithConfig(t, o, soakEventTime, first), seed}
-			stopBackground := s.startLanes(*soakLanes, soakProgram)
-			defer stopBackground()
-			s.play(time.Now().Add(*soakTime))
-			stopBackground()
-			s.checkEnds()
-			s.serveWithKey()
-			s.checkSafety()
+			s := startRestartSoak(t, Options{Cores: 4, Stores: 4, Fronts: 6}, seed)
+			s.run()
 			s.terminateAll()
 		})
 	}
 }
 
+// startRestartSoak starts a tier of a shape, with singleton tasks and a tenant.
+func startRestartSoak(t *testing.T, o Options, seed uint64) *restartSoak {
+	t.Helper()
+	first := NewConfig(3, DraftService, false)
+	first.Tenants = []Tenant{{Name: "soak", Keys: []string{soakTenantKey}}}
+	o.Duties = []string{"usage_report", "autoscale"}
+	return &restartSoak{startTestTierWithConfig(t, o, soakEventTime, first), seed}
+}
+
+// run restarts processes beside programs for the time of a run, and checks what happened.
+func (s *restartSoak) run() {
+	s.t.Helper()
+	stopBackground := s.startLanes(*soakLanes, soakProgram)
+	defer stopBackground()
+	s.play(time.Now().Add(*soakTime))
+	stopBackground()
+	s.checkEnds()
+	s.serveWithKey()
+	s.checkSafety()
+}
+
 // soakProgram is the background program of a lane.
 func soakProgram(lane, n int) Program {
 	p := backgroundProgram(lane, n)
