Compare messages with their fixtures in one place, package rpctest

The tests of controlnode and turnstore that hold encodings against their first bytes had 170 lines each of the same reading, comparing and checking. They are in internal/rpc/rpctest now, with the flag and the writing of package fixture. Fixtures, checks and messages stay as they were.

--- a/internal/tier/controlnode/frames_test.go
+++ b/internal/tier/controlnode/frames_test.go
@@ -2,23 +2,21 @@
 
 import (
 	"bytes"
-	"encoding/hex"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
-	"math"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"reflect"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
+	"larchrouter/internal/fixture"
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
+	"larchrouter/internal/rpc/rpctest"
 	"larchrouter/internal/tier/chain"
 	"larchrouter/internal/tier/discovery"
 	"larchrouter/internal/tier/feed"
@@ -31,11 +29,6 @@
 	"larchrouter/internal/tier/view"
 )
 
-// writeFixtures makes tests write missing fixtures under testdata. A fixture contains the bytes of a format at its
-// first use: it is written once and never rewritten, in particular not for a rename. An intended change of a format
-// adds a new fixture next to the old one.
-var writeFixtures = flag.Bool("fixtures.write", false, "write the missing fixtures under testdata; existing ones are not changed")
-
 const (
 	sideRequest = "request"
 	sideReply   = "reply"
@@ -192,39 +185,20 @@
 // dropped or given another type.
 func TestFramesKeepTheirBytes(t *testing.T) {
 	path := filepath.Join("testdata", "frames.txt")
-	if *writeFixtures {
-		writeMissingFrames(t, path, slices.Concat(allEncoded(), boolMessages))
-	}
 	var full, single []any
 	for _, e := range allEncoded() {
-		requireAllSet(t, e.key(), e.value)
+		rpctest.RequireAllSet(t, e.key(), e.value, ".Kind") // kinds of a Message start with 0
 		full = append(full, e.value)
 	}
 	for _, e := range boolMessages {
 		single = append(single, e.value)
 	}
-	requireBoolsDistinguished(t, full, single)
-	fixtures := readFrames(t, path)
+	rpctest.RequireBoolsDistinguished(t, full, single)
+	fixtures := rpctest.Open(t, path)
 	for _, e := range slices.Concat(allEncoded(), boolMessages) {
-		old, known := fixtures[e.key()]
-		delete(fixtures, e.key())
-		if !known {
-			t.Errorf("%s has no fixture in %s", e.key(), path)
-			continue
-		}
-		got := reflect.New(reflect.TypeOf(e.value).Elem()).Interface()
-		if err := rpc.Decode(old, got); err != nil {
-			t.Errorf("%s: decode the fixture: %v", e.key(), err)
-		} else if !equalValues(got, e.value) {
-			t.Errorf("%s: the fixture is decoded as %+v, want %+v", e.key(), got, e.value)
-		}
-		if now := rpc.Encode(e.value); !bytes.Equal(now, old) {
-			t.Errorf("%s is encoded as\n%x, the fixture is\n%x", e.key(), now, old)
-		}
-	}
-	for key := range fixtures {
-		t.Errorf("no value is compared with the fixture %q", key)
+		fixtures.Compare(t, e.key(), e.value)
 	}
+	fixtures.RequireAllCompared(t)
 }
 
 // openSingleCore opens the only core node of a cluster, which decides by itself, and waits until it is the head. It
@@ -322,10 +296,8 @@
 		t.Fatal(err)
 	}
 	now = append(now, '\n')
-	if _, err := os.Stat(path); *writeFixtures && os.IsNotExist(err) {
-		if err := os.WriteFile(path, now, 0o644); err != nil {
-			t.Fatal(err)
-		}
+	if fixture.Missing(t, path) {
+		fixture.File(t, path, now)
 	}
 	old, err := os.ReadFile(path)
 	if err != nil {
@@ -357,171 +329,3 @@
 		}
 	}
 }
-
-// readFrames reads a file of lines, each with the key of a message and its bytes in hexadecimal.
-func readFrames(t *testing.T, path string) map[string][]byte {
-	t.Helper()
-	text, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	frames := map[string][]byte{}
-	for line := range strings.Lines(string(text)) {
-		line = strings.TrimSpace(line)
-		at := strings.LastIndexByte(line, ' ')
-		if at < 0 {
-			t.Fatalf("%s: line %q has no bytes", path, line)
-		}
-		b, err := hex.DecodeString(line[at+1:])
-		if err != nil {
-			t.Fatalf("%s: line %q: %v", path, line, err)
-		}
-		if frames[line[:at]] != nil {
-			t.Fatalf("%s: %q occurs twice", path, line[:at])
-		}
-		frames[line[:at]] = b
-	}
-	return frames
-}
-
-// writeMissingFrames adds the messages that are missing in a file of fixtures.
-func writeMissingFrames(t *testing.T, path string, all []encodedValue) {
-	t.Helper()
-	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
-		t.Fatal(err)
-	}
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	known := readFrames(t, path)
-	for _, e := range all {
-		if known[e.key()] == nil {
-			if _, err := fmt.Fprintf(f, "%s %x\n", e.key(), rpc.Encode(e.value)); err != nil {
-				t.Fatal(err)
-			}
-		}
-	}
-}
-
-// requireAllSet checks that no field of a fixture is zero and that no two of its numbers or strings are equal.
-// Otherwise a dropped field, or two swapped ones, might go undetected.
-func requireAllSet(t *testing.T, what string, value any) {
-	t.Helper()
-	seen := map[any]bool{}
-	var walk func(path string, v reflect.Value)
-	walk = func(path string, v reflect.Value) {
-		switch v.Kind() {
-		case reflect.Pointer:
-			walk(path, v.Elem())
-			return
-		case reflect.Struct:
-			for i := range v.NumField() {
-				walk(path+"."+v.Type().Field(i).Name, v.Field(i))
-			}
-			return
-		}
-		var leaf any
-		switch {
-		case path == ".Kind": // of a Message, whose kinds start with 0
-			return
-		case v.IsZero() || v.Kind() == reflect.Slice && v.Len() == 0:
-			t.Errorf("%s: %s is not set", what, path)
-			return
-		case v.Kind() == reflect.Bool:
-			return
-		case v.Kind() == reflect.Slice && v.Type().Elem().Kind() == reflect.Uint8:
-			leaf = string(v.Bytes())
-		case v.Kind() == reflect.Slice:
-			for i := range v.Len() {
-				walk(fmt.Sprintf("%s[%d]", path, i), v.Index(i))
-			}
-			return
-		case v.CanInt():
-			leaf = v.Int()
-		default:
-			leaf = v.String()
-		}
-		if seen[leaf] {
-			t.Errorf("%s: %s has the value %v of another field", what, path, leaf)
-		}
-		seen[leaf] = true
-	}
-	walk("", reflect.ValueOf(value))
-}
-
-// requireBoolsDistinguished checks that two swapped booleans of a struct would be detected: if a struct has several,
-// there must be a message for each in which only that one is true.
-func requireBoolsDistinguished(t *testing.T, full, single []any) {
-	t.Helper()
-	type field struct {
-		of   reflect.Type
-		name string
-	}
-	needed, found := map[field]bool{}, map[field]bool{}
-	var walk func(v reflect.Value, fields map[field]bool, maxTrue int)
-	walk = func(v reflect.Value, fields map[field]bool, maxTrue int) {
-		switch {
-		case v.Kind() == reflect.Pointer:
-			walk(v.Elem(), fields, maxTrue)
-		case v.Kind() == reflect.Slice:
-			for i := range v.Len() {
-				walk(v.Index(i), fields, maxTrue)
-			}
-		case v.Kind() == reflect.Struct:
-			var bools []string
-			count := 0
-			for i := range v.NumField() {
-				if f := v.Field(i); f.Kind() == reflect.Bool {
-					count++
-					if f.Bool() {
-						bools = append(bools, v.Type().Field(i).Name)
-					}
-				} else {
-					walk(f, fields, maxTrue)
-				}
-			}
-			if count > 1 && len(bools) <= maxTrue {
-				for _, name := range bools {
-					fields[field{v.Type(), name}] = true
-				}
-			}
-		}
-	}
-	for _, v := range full {
-		walk(reflect.ValueOf(v), needed, math.MaxInt)
-	}
-	for _, v := range single {
-		walk(reflect.ValueOf(v), found, 1)
-	}
-	for f := range needed {
-		if !found[f] {
-			t.Errorf("%v has several booleans: add a message in which only %s is true", f.of, f.name)
-		}
-	}
-}
-
-// equalValues compares a decoded value with the expected one. Empty and nil slices are equal, since their encodings are
-// the same.
-func equalValues(got, want any) bool {
-	return reflect.DeepEqual(got, want) || reflect.DeepEqual(clearEmptySlices(got), clearEmptySlices(want))
-}
-
-// clearEmptySlices sets the empty slices among the fields of the struct that v points to, and of nested structs, to
-// nil.
-func clearEmptySlices(v any) any {
-	var walk func(v reflect.Value)
-	walk = func(v reflect.Value) {
-		switch {
-		case v.Kind() == reflect.Struct:
-			for i := range v.NumField() {
-				walk(v.Field(i))
-			}
-		case v.Kind() == reflect.Slice && v.Len() == 0:
-			v.SetZero()
-		}
-	}
-	walk(reflect.ValueOf(v).Elem())
-	return v
-}
--- a/internal/tier/controlnode/stored_test.go
+++ b/internal/tier/controlnode/stored_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"larchrouter/internal/fixture"
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
 	"larchrouter/internal/tier/chain"
@@ -21,7 +22,7 @@
 )
 
 // storedFolder is the data folder of a core node as an earlier release wrote it. Like all fixtures it is never
-// rewritten, see writeFixtures.
+// rewritten, see package fixture.
 var storedFolder = filepath.Join("testdata", "core-node-v1")
 
 // storedMembers are the three core nodes of the fixture. The first is the one with the folder, the head of the chain.
@@ -327,7 +328,7 @@
 
 // A data folder of an earlier release is read completely, row by row, and the node continues from it.
 func TestDataFolderOfEarlierReleaseIsRead(t *testing.T) {
-	if _, err := os.Stat(storedFolder); *writeFixtures && os.IsNotExist(err) {
+	if fixture.Missing(t, storedFolder) {
 		writeStoredFolder(t, storedFolder)
 	}
 	dir := filepath.Join(t.TempDir(), "core")
--- a/internal/tier/turnstore/stored_test.go
+++ b/internal/tier/turnstore/stored_test.go
@@ -13,13 +13,14 @@
 	"testing"
 	"time"
 
+	"larchrouter/internal/fixture"
 	"larchrouter/internal/process"
 	"larchrouter/internal/rpc"
 	"larchrouter/internal/sqlitelog"
 	"larchrouter/internal/tier/budget"
 )
 
-// storedFolder is the folder of a store as an earlier version of the code wrote it. See writeFixtures: it is never rewritten.
+// storedFolder is the folder of a store as an earlier version of the code wrote it. It is never rewritten, see package fixture.
 var storedFolder = filepath.Join("testdata", "store-v1")
 
 // storedID is the identity that the fixture's file got when it was made.
@@ -283,7 +284,7 @@
 
 // A folder that an earlier version of the code wrote is read completely, row by row, and the store continues from it.
 func TestStoredFolderOfEarlierVersionIsServed(t *testing.T) {
-	if _, err := os.Stat(storedFolder); *writeFixtures && os.IsNotExist(err) {
+	if fixture.Missing(t, storedFolder) {
 		writeStoreFolder(t, storedFolder)
 	}
 	dir := filepath.Join(t.TempDir(), "store")
