--- a/cmd/larchrouter/main_test.go
+++ b/cmd/larchrouter/main_test.go
@@ -249,7 +249,7 @@
 func TestCommands(t *testing.T) {
 	s := newSite(t, rig.Bureau(), "")
 	l := s.load()
-	s.hosts["courier-1"].Set(standin.Behaviour{Refuse: true, Wait: time.Hour})
+	s.hosts["courier-1"].Set(standin.Behaviour{Refuse: true, RetryAfter: time.Hour})
 	s.hand(l, "m1", "payment", "pay")
 	s.is(l, "m1", adminapi.Delivered)
 	s.hand(l, "m2", "status-update", "courier")
@@ -413,7 +413,7 @@
 	s.hosts["courier-1"].Set(standin.Behaviour{Hang: true})
 	s.hand(l, "m1", "status-update", "courier")
 	until(t, "it is out", func() bool { return s.ledger.Effects("m1") == 1 })
-	s.hosts["courier-1"].Set(standin.Behaviour{Refuse: true, Wait: 2 * time.Second})
+	s.hosts["courier-1"].Set(standin.Behaviour{Refuse: true, RetryAfter: 2 * time.Second})
 	begin := time.Now()
 	s.cmd.Process.Signal(syscall.SIGTERM)
 	if err := s.cmd.Wait(); err != nil || time.Since(begin) > 5*time.Second {
--- a/internal/relay/appliance/appliance_test.go
+++ b/internal/relay/appliance/appliance_test.go
@@ -135,9 +135,9 @@
 	for _, h := range []string{"pay-1", "pay-2"} {
 		s.Hosts[h].Set(standin.Behaviour{Fail: true})
 	}
-	s.Hosts["courier-1"].Set(standin.Behaviour{Refuse: true, Wait: 20 * time.Millisecond})
+	s.Hosts["courier-1"].Set(standin.Behaviour{Refuse: true, RetryAfter: 20 * time.Millisecond})
 	for _, h := range []string{"market-1", "market-2"} {
-		s.Hosts[h].Set(standin.Behaviour{Refuse: true, Wait: time.Hour})
+		s.Hosts[h].Set(standin.Behaviour{Refuse: true, RetryAfter: time.Hour})
 	}
 	submit(t, l, "ran", "payment", "pay")
 	submit(t, l, "tried", "status-update", "courier")
@@ -196,7 +196,7 @@
 func TestPartnerRemoved(t *testing.T) {
 	s, l := newSite(t, rig.Options{})
 	for _, h := range []string{"pay-1", "pay-2"} {
-		s.Hosts[h].Set(standin.Behaviour{Refuse: true, Wait: time.Hour})
+		s.Hosts[h].Set(standin.Behaviour{Refuse: true, RetryAfter: time.Hour})
 	}
 	for _, h := range []string{"campus-1", "campus-2"} {
 		s.Hosts[h].Set(standin.Behaviour{Latency: 700 * time.Millisecond})
@@ -245,7 +245,7 @@
 func TestRestartAfterPartnerRemoved(t *testing.T) {
 	s, l := newSite(t, rig.Options{})
 	for _, h := range []string{"pay-1", "pay-2"} {
-		s.Hosts[h].Set(standin.Behaviour{Refuse: true, Wait: time.Hour})
+		s.Hosts[h].Set(standin.Behaviour{Refuse: true, RetryAfter: time.Hour})
 	}
 	submit(t, l, "m", "payment", "pay")
 	eventually(t, "it was refused", func() bool { m := messageState(t, l, "m"); return m.Tries > 0 && m.State == adminapi.Waiting })
@@ -267,7 +267,7 @@
 	submit(t, l, "ran", "status-update", "courier")
 	eventually(t, "its call is in flight", func() bool { return s.Ledger.Effects("ran") == 1 })
 	for _, h := range []string{"market-1", "market-2"} {
-		s.Hosts[h].Set(standin.Behaviour{Refuse: true, Wait: time.Hour})
+		s.Hosts[h].Set(standin.Behaviour{Refuse: true, RetryAfter: time.Hour})
 	}
 	submit(t, l, "never-ran", "status-update", "market")
 	eventually(t, "it was refused", func() bool { m := messageState(t, l, "never-ran"); return m.Tries > 0 && m.State == adminapi.Waiting })
@@ -355,7 +355,7 @@
 func TestMessageLists(t *testing.T) {
 	s, l := newSite(t, rig.Options{})
 	for _, h := range s.Hosts {
-		h.Set(standin.Behaviour{Refuse: true, Wait: time.Hour})
+		h.Set(standin.Behaviour{Refuse: true, RetryAfter: time.Hour})
 	}
 	for i := range 40 {
 		class, partner := "status-update", "courier"
--- a/internal/relay/appliance/drain_test.go
+++ b/internal/relay/appliance/drain_test.go
@@ -103,7 +103,7 @@
 				mu.Lock()
 				spans[ep] = append(spans[ep], span)
 				mu.Unlock()
-				for end := time.Now().Add(2 * time.Second); isSingle(ep) && time.Now().Before(end) && s.Hosts[ep].Latest().Before(span.undrain); {
+				for end := time.Now().Add(2 * time.Second); isSingle(ep) && time.Now().Before(end) && s.Hosts[ep].LastCallAt().Before(span.undrain); {
 					time.Sleep(2 * time.Millisecond) // wait for its next request before the next drain
 				}
 			}
@@ -118,13 +118,13 @@
 			n++
 			var first time.Time
 			for _, c := range calls {
-				if late := c.First.Sub(span.acknowledged); late > 0 && c.First.Before(span.undrain) {
+				if late := c.FirstByte.Sub(span.acknowledged); late > 0 && c.FirstByte.Before(span.undrain) {
 					if worst = max(worst, late); late > 250*time.Millisecond {
 						t.Errorf("%s got %s %v after the drain was acknowledged", ep, c.ID, late)
 					}
 				}
-				if c.First.After(span.undrain) && (first.IsZero() || c.First.Before(first)) {
-					first = c.First
+				if c.FirstByte.After(span.undrain) && (first.IsZero() || c.FirstByte.Before(first)) {
+					first = c.FirstByte
 				}
 			}
 			if isSingle(ep) {
@@ -276,7 +276,7 @@
 // relay delivers them after the next start, and is still drained.
 func TestDrainOfRelay(t *testing.T) {
 	s, l := newSite(t, rig.Options{})
-	s.Hosts["courier-1"].Set(standin.Behaviour{Refuse: true, Wait: 4 * time.Second})
+	s.Hosts["courier-1"].Set(standin.Behaviour{Refuse: true, RetryAfter: 4 * time.Second})
 	submit(t, l, "left", "status-update", "courier")
 	submit(t, l, "done", "payment", "pay")
 	eventually(t, "the courier asked for a wait", func() bool { return messageState(t, l, "left").Tries > 0 })
--- a/internal/relay/chaostest/steps.go
+++ b/internal/relay/chaostest/steps.go
@@ -37,7 +37,7 @@
 		case scenario.Relisted:
 			t.fleet.enqueue(action.Relay, func(p *process) error { return p.writeOperatorFile(action.Size) })
 		case scenario.AgentSilent:
-			t.agents[action.Relay].Silence(action.Silent)
+			t.agents[action.Relay].SetSilent(action.Silent)
 		case scenario.Said:
 			wg.Go(func() { t.runCommand(ctx, action) })
 		case scenario.HostSet:
@@ -51,9 +51,9 @@
 // setHost changes a host's behaviour.
 func (t *trial) setHost(action scenario.HostSet) error {
 	h := t.hosts[action.Partner][action.Host]
-	h.Scale(action.Factor)
+	h.ScaleRate(action.Factor)
 	latency := t.plan.Scenario.Partners[action.Partner].Hosts[action.Host].Latency
-	h.Set(standin.Behaviour{Latency: latency, Hang: action.Hang, Refuse: action.Wait > 0, Wait: action.Wait})
+	h.Set(standin.Behaviour{Latency: latency, Hang: action.Hang, Refuse: action.Wait > 0, RetryAfter: action.Wait})
 	if action.Down {
 		h.Down()
 		return nil
--- a/internal/relay/chaostest/trial.go
+++ b/internal/relay/chaostest/trial.go
@@ -62,9 +62,9 @@
 			if err != nil {
 				return nil, err
 			}
-			l := standin.Limit{Rate: h.Rate, Burst: h.Burst, Debt: h.Debt, AtOnce: h.MaxConcurrent, Wait: h.RetryAfter}
+			l := standin.Limit{Rate: h.Rate, Burst: h.Burst, Debt: h.Debt, MaxConcurrent: h.MaxConcurrent, RetryAfter: h.RetryAfter}
 			if h.ColdStart {
-				l.ColdFrom, l.Cold, l.Factor, l.Fall = s.Rules.ColdFrom, s.Rules.Cold, s.Rules.OverloadFactor, s.Rules.Fall
+				l.ColdShare, l.Warmup, l.OverloadFactor, l.Downtime = s.Rules.ColdFrom, s.Rules.Cold, s.Rules.OverloadFactor, s.Rules.Fall
 			}
 			host.SetLimit(l)
 			t.hosts[dest] = append(t.hosts[dest], host)
@@ -83,7 +83,7 @@
 		if err != nil {
 			return nil, nil, fmt.Errorf("an address for relay %d: %w", i, err)
 		}
-		agent, err := standin.NewAgent(servers, func(id, status string) { t.recordNotice(id, status) })
+		agent, err := standin.NewPlatformWithNotices(servers, func(id, status string) { t.recordNotice(id, status) })
 		if err != nil {
 			return nil, nil, err
 		}
@@ -152,7 +152,7 @@
 		for dest, hosts := range t.hosts {
 			sample := CapacitySample{Dest: dest, From: last, Duration: now - last}
 			for i, h := range hosts {
-				rate, _ := h.Takes()
+				rate, _ := h.Rate()
 				if h.Refuses() {
 					rate = 0
 				}
@@ -207,11 +207,11 @@
 	b := t.recorder.log
 	for dest, hosts := range t.hosts {
 		for i, h := range hosts {
-			_, falls := h.Takes()
-			b.ColdOverloads += falls
+			_, overloads := h.Rate()
+			b.ColdOverloads += overloads
 			for _, c := range h.Calls() {
-				b.Calls = append(b.Calls, Call{dest, i, c.ID, t.recorder.since(c.First), t.recorder.since(c.Last),
-					c.Status, c.Wait, c.Applied})
+				b.Calls = append(b.Calls, Call{dest, i, c.ID, t.recorder.since(c.FirstByte), t.recorder.since(c.LastByte),
+					c.Status, c.RetryAfter, c.Applied})
 			}
 		}
 	}
--- a/internal/relay/console/latency_test.go
+++ b/internal/relay/console/latency_test.go
@@ -31,7 +31,7 @@
 		f.Limits.MemoryMB = 2048
 		f.Ends.Keep = 50_000
 	})
-	s.Hosts["courier-1"].Set(standin.Behaviour{Refuse: true, Wait: time.Hour})
+	s.Hosts["courier-1"].Set(standin.Behaviour{Refuse: true, RetryAfter: time.Hour})
 	l.Deadline = time.Hour
 	var wg sync.WaitGroup
 	room := make(chan struct{}, 64)
--- a/internal/relay/console/session_test.go
+++ b/internal/relay/console/session_test.go
@@ -11,7 +11,7 @@
 // An operator's session, from the overview to the history of a message, against a relay under load.
 func TestOperatorSession(t *testing.T) {
 	s, l := newRelay(t, nil)
-	s.Hosts["courier-1"].Set(standin.Behaviour{Refuse: true, Wait: time.Hour})
+	s.Hosts["courier-1"].Set(standin.Behaviour{Refuse: true, RetryAfter: time.Hour})
 	stop := runLoad(t, l, 50)
 	d := startConsole(t, s.Control)
 	d.waitFor("serving on "+s.App.Addr(), "taken on", "held", "calls out", "log")
--- a/internal/relay/demo/faults.go
+++ b/internal/relay/demo/faults.go
@@ -23,7 +23,7 @@
 	inject func(host *standin.Host, normal standin.Behaviour)
 }{
 	{"refuses, and tells how long to wait", func(host *standin.Host, b standin.Behaviour) {
-		b.Refuse, b.Wait = true, 800*time.Millisecond
+		b.Refuse, b.RetryAfter = true, 800*time.Millisecond
 		host.Set(b)
 	}},
 	{"stalls", func(host *standin.Host, b standin.Behaviour) { b.Latency = 900 * time.Millisecond; host.Set(b) }},
--- a/internal/relay/loadbench/site.go
+++ b/internal/relay/loadbench/site.go
@@ -108,11 +108,11 @@
 			case "slow":
 				how = standin.Behaviour{Latency: slowLatency}
 			case "wait":
-				how = standin.Behaviour{Refuse: true, Wait: retryAfter}
+				how = standin.Behaviour{Refuse: true, RetryAfter: retryAfter}
 			}
 		}
 		if dest >= s.Dests {
-			how, ledger = standin.Behaviour{Refuse: true, Wait: backlogRetryAfter}, w.faulty
+			how, ledger = standin.Behaviour{Refuse: true, RetryAfter: backlogRetryAfter}, w.faulty
 		}
 		id := fmt.Sprintf("s-%d", dest)
 		h, err := standin.NewHost(id, "a", ledger, how, false)
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -8,33 +8,35 @@
 	"strings"
 )
 
-// part is one message of a call.
-type part struct {
+// message is a message of a call, which may have several.
+type message struct {
 	id, key string
 	body    []byte
 }
 
-// parts reads the body of a call with several messages.
-func parts(body []byte) (all []part, err error) {
+// parseBatch parses the body of a call with several messages.
+func parseBatch(body []byte) (batch []message, err error) {
 	seen := map[string]bool{}
 	for len(body) > 0 {
-		head, rest, ok := bytes.Cut(body, []byte("\r\n"))
-		f := strings.Fields(string(head))
-		if !ok || len(f) != 3 {
+		line, rest, ok := bytes.Cut(body, []byte("\r\n"))
+		fields := strings.Fields(string(line))
+		if !ok || len(fields) != 3 {
 			return nil, errors.New("a line with id, key and length is missing")
 		}
-		n, err := strconv.Atoi(f[2])
-		if err != nil || n < 0 || len(rest) < n+2 || string(rest[n:n+2]) != "\r\n" || seen[f[0]] {
-			return nil, fmt.Errorf("message %q is too short, or there twice", f[0])
+		id, key := fields[0], fields[1]
+		length, err := strconv.Atoi(fields[2])
+		if err != nil || length < 0 || len(rest) < length+2 || string(rest[length:length+2]) != "\r\n" || seen[id] {
+			return nil, fmt.Errorf("message %q is too short, or occurs twice", id)
 		}
-		if f[1] == "-" {
-			f[1] = ""
+		if key == "-" {
+			key = ""
 		}
-		seen[f[0]] = true
-		all, body = append(all, part{f[0], f[1], rest[:n]}), rest[n+2:]
+		seen[id] = true
+		batch = append(batch, message{id, key, rest[:length]})
+		body = rest[length+2:]
 	}
-	if len(all) == 0 {
+	if len(batch) == 0 {
 		return nil, errors.New("no message")
 	}
-	return all, nil
+	return batch, nil
 }
--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -1,4 +1,4 @@
-// Package standin has stand-ins for the partners that a relay sends to, written from the protocol: hosts
-// that serve, refuse, fail, stall, hang and go down as they are told, and a ledger that counts the effects
-// of every message. They serve tests, the demo and benchmarks, never the relay.
+// Package standin has stand-ins for the hosts of the partners that a relay sends to and for the platform's agent on its machine, written
+// from the protocol. A host serves, refuses, fails, stalls, hangs or goes down as it is set to, and a Ledger counts the effects of each
+// message. They are for tests, the demo and benchmarks, never for the relay.
 package standin
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -14,52 +14,52 @@
 	"larchrouter/internal/standin/reservedport"
 )
 
-// Behaviour is how a host treats calls.
+// Behaviour is what a host does with calls.
 type Behaviour struct {
-	Latency time.Duration // from a call's last byte to its answer
-	Refuse  bool          // turn calls away: 429 with Wait if that is set, else 503
-	Wait    time.Duration
-	Fail    bool // apply, then answer 500
-	Hang    bool // apply, then answer nothing until the behaviour changes or the connection ends
-	Break   bool // apply, then break the connection
-	PerSec  int  // calls taken in each second; further ones are refused, with the rest of the second as wait; 0 for all
+	Latency        time.Duration // between the last byte of a call and the response
+	Refuse         bool          // reject calls: with 429 if RetryAfter is set, else with 503
+	RetryAfter     time.Duration
+	Fail           bool // apply a call, then respond with 500
+	Hang           bool // apply a call, then do not respond until the behaviour changes or the connection ends
+	Break          bool // apply a call, then close the connection
+	CallsPerSecond int  // accepted in each second of the clock; further ones are rejected until its end; 0 for any number
 }
 
-// Call is one message that a host was sent.
+// Call is a message that a host has received.
 type Call struct {
-	Host    string
-	ID, Key string
-	First   time.Time // its first byte came
-	Last    time.Time // its last byte came
-	Status  int       // answered; 0 for none
-	Applied bool
-	Wait    time.Duration // told
+	Host       string
+	ID, Key    string
+	FirstByte  time.Time // when it was received
+	LastByte   time.Time // when it was received
+	Status     int       // of the response; 0 if there was none
+	Applied    bool
+	RetryAfter time.Duration // of the response
 }
 
 // Host is one endpoint of a partner. Its methods are safe for concurrent use.
 type Host struct {
 	Name, Zone string
 	ledger     *Ledger
-	port       *reservedport.Port // held while the host is down, so that it can come back
+	port       *reservedport.Port // reserved while the host is down, so that it can listen there again
 
-	mu      sync.Mutex
-	how     Behaviour
-	changed chan struct{} // closed when how changes
-	l       net.Listener
-	downs   int // how often it was closed
-	conns   map[net.Conn]bool
-	second  int64
-	count   int      // of calls in that second
-	limit   *limiter // nil for none
-	keep    bool
-	calls   []Call
-	wg      sync.WaitGroup
+	mu          sync.Mutex
+	behaviour   Behaviour
+	changed     chan struct{} // closed when behaviour changes
+	listener    net.Listener  // nil while the host is down
+	downs       int           // number of calls of Down
+	conns       map[net.Conn]bool
+	second      int64    // Unix time
+	accepted    int      // calls in that second
+	limit       *limiter // nil for none
+	recordCalls bool
+	calls       []Call
+	wg          sync.WaitGroup
 }
 
-// NewHost starts a host on a loopback port of its own. Its effects go to the ledger. With keep it remembers
-// all calls.
-func NewHost(name, zone string, ledger *Ledger, how Behaviour, keep bool) (*Host, error) {
-	h := &Host{Name: name, Zone: zone, ledger: ledger, how: how, changed: make(chan struct{}), conns: map[net.Conn]bool{}, keep: keep}
+// NewHost starts a host on a free loopback port. Its effects are counted in the ledger. It records its calls if recordCalls is set.
+func NewHost(name, zone string, ledger *Ledger, behaviour Behaviour, recordCalls bool) (*Host, error) {
+	h := &Host{Name: name, Zone: zone, ledger: ledger, behaviour: behaviour, changed: make(chan struct{}),
+		conns: map[net.Conn]bool{}, recordCalls: recordCalls}
 	port, err := reservedport.Reserve()
 	if err != nil {
 		return nil, err
@@ -74,37 +74,37 @@
 	return h, nil
 }
 
-// Addr is where it listens.
+// Addr returns the address of the host.
 func (h *Host) Addr() string { return h.port.Addr() }
 
-// Set changes how calls are treated, also those that hang.
-func (h *Host) Set(how Behaviour) {
+// Set changes the behaviour, also for calls that hang.
+func (h *Host) Set(behaviour Behaviour) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.how = how
+	h.behaviour = behaviour
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
 
-// Down closes the host: connections break, new ones are refused.
+// Down takes the host down: its connections are closed, and new ones are refused.
 func (h *Host) Down() {
 	h.mu.Lock()
-	l := h.l
-	h.l = nil
+	listener := h.listener
+	h.listener = nil
 	h.downs++
 	for c := range h.conns {
 		c.Close()
 	}
 	h.mu.Unlock()
-	if l != nil {
-		l.Close()
+	if listener != nil {
+		listener.Close()
 	}
 }
 
-// Up opens it again at its address.
+// Up has a host that is down listen at its address again.
 func (h *Host) Up() error {
 	h.mu.Lock()
-	up := h.l != nil
+	up := h.listener != nil
 	h.mu.Unlock()
 	if up {
 		return nil
@@ -113,7 +113,7 @@
 	if err == nil {
 		h.mu.Lock()
 		if h.limit != nil {
-			h.limit.returned(time.Now())
+			h.limit.restart(time.Now())
 		}
 		h.mu.Unlock()
 		h.serve(l)
@@ -121,7 +121,7 @@
 	return err
 }
 
-// Close ends the host and waits for its goroutines.
+// Close takes the host down for good and waits for its goroutines.
 func (h *Host) Close() {
 	h.Set(Behaviour{})
 	h.Down()
@@ -129,26 +129,26 @@
 	h.port.Close()
 }
 
-// Calls are those it remembers, in the order of their last bytes.
+// Calls returns the recorded calls, in the order of their last bytes.
 func (h *Host) Calls() []Call {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return append([]Call(nil), h.calls...)
 }
 
-// Latest is when the first byte of the last call came that it remembers; zero for none.
-func (h *Host) Latest() time.Time {
+// LastCallAt returns when the first byte of the last recorded call was received, zero if there is none.
+func (h *Host) LastCallAt() time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.calls) == 0 {
 		return time.Time{}
 	}
-	return h.calls[len(h.calls)-1].First
+	return h.calls[len(h.calls)-1].FirstByte
 }
 
 func (h *Host) serve(l net.Listener) {
 	h.mu.Lock()
-	h.l = l
+	h.listener = l
 	h.mu.Unlock()
 	h.wg.Go(func() {
 		for {
@@ -157,7 +157,7 @@
 				return
 			}
 			h.mu.Lock()
-			open := h.l == l
+			open := h.listener == l
 			if open {
 				h.conns[c] = true
 			}
@@ -167,7 +167,7 @@
 				return
 			}
 			h.wg.Go(func() {
-				h.connection(c)
+				h.serveConn(c)
 				c.Close()
 				h.mu.Lock()
 				delete(h.conns, c)
@@ -177,10 +177,10 @@
 	})
 }
 
-const maxBody = 64 << 10
+const maxBody = 64 << 10 // bytes
 
-// connection serves calls one after the other.
-func (h *Host) connection(c net.Conn) {
+// serveConn serves the calls on a connection one after the other.
+func (h *Host) serveConn(c net.Conn) {
 	in := bufio.NewReader(c)
 	for {
 		if _, err := in.Peek(1); err != nil {
@@ -203,83 +203,83 @@
 
 // call serves one call and reports whether the connection can be used further.
 func (h *Host) call(c net.Conn, req *http.Request, body []byte, first, last time.Time) bool {
-	batch := []part{{req.Header.Get("X-Request-Id"), req.Header.Get("Idempotency-Key"), body}}
-	many := req.URL.Path == "/receive-many"
-	if many {
+	batch := []message{{req.Header.Get("X-Request-Id"), req.Header.Get("Idempotency-Key"), body}}
+	isBatch := req.URL.Path == "/receive-many"
+	if isBatch {
 		var err error
-		if batch, err = parts(body); err != nil {
+		if batch, err = parseBatch(body); err != nil {
 			return answer(c, http.StatusBadRequest, "", err.Error())
 		}
 	} else if req.URL.Path != "/receive" || req.Method != http.MethodPost {
 		return answer(c, http.StatusNotFound, "", "")
 	}
-	how, changed, leave := h.admit(last)
-	defer leave()
-	status := how.status()
+	behaviour, changed, done := h.admit(last)
+	defer done()
+	status := behaviour.status()
 	if status != http.StatusTooManyRequests {
-		how.Wait = 0
+		behaviour.RetryAfter = 0
 	}
 	var list bytes.Buffer
-	for _, p := range batch {
-		if !how.Refuse {
-			h.ledger.apply(p, h)
+	for _, msg := range batch {
+		if !behaviour.Refuse {
+			h.ledger.apply(msg, h)
 		}
-		h.remember(Call{h.Name, p.id, p.key, first, last, status, !how.Refuse, how.Wait})
-		fmt.Fprintf(&list, "%s ok\r\n", p.id)
+		h.record(Call{h.Name, msg.id, msg.key, first, last, status, !behaviour.Refuse, behaviour.RetryAfter})
+		fmt.Fprintf(&list, "%s ok\r\n", msg.id)
 	}
-	if !many {
+	if !isBatch {
 		list.Reset()
 	}
-	if how.Latency > 0 {
-		time.Sleep(how.Latency)
+	if behaviour.Latency > 0 {
+		time.Sleep(behaviour.Latency)
 	}
 	switch {
-	case how.Break:
+	case behaviour.Break:
 		return false
-	case how.Hang:
+	case behaviour.Hang:
 		hang(c, changed)
 		return false
 	}
 	retry := ""
 	if status == http.StatusTooManyRequests {
-		retry = strconv.FormatFloat(max(0.001, how.Wait.Seconds()), 'f', 3, 64)
+		retry = strconv.FormatFloat(max(0.001, behaviour.RetryAfter.Seconds()), 'f', 3, 64)
 	}
 	return answer(c, status, retry, list.String())
 }
 
-// admit returns how a call that came at a time is treated, with the limits applied, and a channel that is closed when the
-// behaviour changes. The caller must call leave once the call has ended.
-func (h *Host) admit(at time.Time) (how Behaviour, changed <-chan struct{}, leave func()) {
+// admit returns the behaviour for a call that was received at a time, with the limits applied, and a channel that is closed when the
+// behaviour changes. The caller must call done once the call has ended.
+func (h *Host) admit(at time.Time) (behaviour Behaviour, changed <-chan struct{}, done func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	how, leave = h.how, func() {}
+	behaviour, done = h.behaviour, func() {}
 	if second := at.Unix(); second != h.second {
-		h.second, h.count = second, 0
+		h.second, h.accepted = second, 0
 	}
-	if how.PerSec > 0 && h.count >= how.PerSec {
-		how.Refuse, how.Wait = true, max(time.Until(time.Unix(at.Unix()+1, 0)), time.Millisecond)
+	if behaviour.CallsPerSecond > 0 && h.accepted >= behaviour.CallsPerSecond {
+		behaviour.Refuse, behaviour.RetryAfter = true, max(time.Until(time.Unix(at.Unix()+1, 0)), time.Millisecond)
 	}
-	if !how.Refuse {
-		h.count++
+	if !behaviour.Refuse {
+		h.accepted++
 	}
-	if h.limit != nil && !how.Refuse {
-		ok, fell := h.limit.admit(at)
+	if h.limit != nil && !behaviour.Refuse {
+		ok, overloaded := h.limit.admit(at)
 		if ok {
-			leave = h.leave
+			done = h.callDone
 		} else {
-			how.Refuse, how.Wait = true, h.limit.Wait
+			behaviour.Refuse, behaviour.RetryAfter = true, h.limit.RetryAfter
 		}
-		if fell {
-			h.wg.Go(h.fall)
+		if overloaded {
+			h.wg.Go(h.restartOverloaded)
 		}
 	}
-	return how, h.changed, leave
+	return behaviour, h.changed, done
 }
 
-// status returns the status that a call is answered with, 0 for none.
+// status returns the status of the response to a call, 0 if there is none.
 func (b *Behaviour) status() int {
 	switch {
-	case b.Refuse && b.Wait > 0:
+	case b.Refuse && b.RetryAfter > 0:
 		return http.StatusTooManyRequests
 	case b.Refuse:
 		return http.StatusServiceUnavailable
@@ -291,7 +291,7 @@
 	return http.StatusOK
 }
 
-// hang waits until the behaviour changes or the connection ends: the relay gives up, or the host closes.
+// hang waits until the behaviour changes or the connection is closed, by the relay or with the host.
 func hang(c net.Conn, changed <-chan struct{}) {
 	gone := make(chan struct{})
 	go func() { c.Read(make([]byte, 1)); close(gone) }()
@@ -301,8 +301,8 @@
 	}
 }
 
-func (h *Host) remember(c Call) {
-	if !h.keep {
+func (h *Host) record(c Call) {
+	if !h.recordCalls {
 		return
 	}
 	h.mu.Lock()
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -5,37 +5,38 @@
 	"time"
 )
 
-// Ledger counts the effects of messages, over all hosts. An effect is counted where it happens. It forgets
-// what is older than twice its memory, so that it can run for days.
+// Ledger counts the effects of messages, over all hosts, at the time of each effect. Effects and keys are kept for one to two times the
+// retention, so that a ledger can run for days.
 type Ledger struct {
-	window, memory time.Duration // in which a zone drops repeats of a key; for which effects are told apart
+	window    time.Duration // in which a zone drops repetitions of a key
+	retention time.Duration
 
-	mu       sync.Mutex
-	effects  [2]map[string]int // by id; the older ones second
-	keys     [2]map[string]time.Time
-	turned   time.Time
-	repeated map[string]int
-	dropped  int
-	total    int
+	mu        sync.Mutex
+	effects   [2]map[string]int       // by id, of the current and of the previous retention period
+	keys      [2]map[string]time.Time // by zone and key, when it was applied
+	rotatedAt time.Time               // when the current retention period began
+	repeated  map[string]int          // effects of messages with more than one
+	dropped   int                     // repetitions of a key
+	total     int                     // effects
 }
 
-// NewLedger returns one whose zones remember keys for a window.
+// NewLedger returns a ledger whose zones drop repetitions of a key within a window.
 func NewLedger(window time.Duration) *Ledger {
-	l := &Ledger{window: window, memory: max(10*time.Minute, window), turned: time.Now(), repeated: map[string]int{}}
+	l := &Ledger{window: window, retention: max(10*time.Minute, window), rotatedAt: time.Now(), repeated: map[string]int{}}
 	l.effects[0], l.keys[0] = map[string]int{}, map[string]time.Time{}
 	return l
 }
 
-func (l *Ledger) apply(p part, h *Host) {
+func (l *Ledger) apply(msg message, h *Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if now.Sub(l.turned) > l.memory {
-		l.effects[1], l.keys[1], l.turned = l.effects[0], l.keys[0], now
+	if now.Sub(l.rotatedAt) > l.retention {
+		l.effects[1], l.keys[1], l.rotatedAt = l.effects[0], l.keys[0], now
 		l.effects[0], l.keys[0] = map[string]int{}, map[string]time.Time{}
 	}
-	if p.key != "" {
-		k := h.Zone + " " + p.key
+	if msg.key != "" {
+		k := h.Zone + " " + msg.key
 		for _, keys := range l.keys {
 			if at, ok := keys[k]; ok && now.Sub(at) < l.window {
 				l.dropped++
@@ -44,33 +45,33 @@
 		}
 		l.keys[0][k] = now
 	}
-	l.effects[0][p.id]++
+	l.effects[0][msg.id]++
 	l.total++
-	if n := l.effects[0][p.id] + l.effects[1][p.id]; n > 1 {
-		l.repeated[p.id] = n
+	if n := l.effects[0][msg.id] + l.effects[1][msg.id]; n > 1 {
+		l.repeated[msg.id] = n
 	}
 }
 
-// Effects is how often a message took effect.
+// Effects returns how often a message took effect.
 func (l *Ledger) Effects(id string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.effects[0][id] + l.effects[1][id]
 }
 
-// Repeated are the messages that took effect more than once, among those that a test picks.
-func (l *Ledger) Repeated(pick func(id string) bool) (ids []string) {
+// Repeated returns the selected messages that took effect more than once.
+func (l *Ledger) Repeated(selected func(id string) bool) (ids []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id := range l.repeated {
-		if pick(id) {
+		if selected(id) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
-// Total is how many effects there were, and how many repeats of a key were dropped.
+// Total returns the number of effects and of dropped repetitions of a key.
 func (l *Ledger) Total() (effects, dropped int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/limit.go
+++ b/internal/standin/limit.go
@@ -6,31 +6,30 @@
 	"golang.org/x/time/rate"
 )
 
-// Limit is what a host takes of all relays together. Calls over it are turned away: 429 with Wait if that is set, else 503.
+// Limit limits the calls that a host accepts, of all relays together. Others are rejected: with 429 if RetryAfter is set, else with 503.
 type Limit struct {
-	Rate   float64       // calls a second
-	Burst  float64       // calls that it takes at once after a rest
-	Debt   float64       // refused calls use the limit up, to so many below none
-	AtOnce int           // calls that it works on at once; 0 for any number
-	Wait   time.Duration // told with a refusal; 0 for none
+	Rate          float64       // calls a second
+	Burst         float64       // calls accepted at once after a pause
+	Debt          float64       // rejected calls count too, until the limit is exceeded by so many calls
+	MaxConcurrent int           // calls in progress; 0 for any number
+	RetryAfter    time.Duration // of a rejection; 0 for none
 
-	// A host that has been down comes back with ColdFrom of its rate, and has all of it after Cold. If more than Factor
-	// times what it takes is offered to it in a second meanwhile, it falls over, and comes back cold after Fall.
-	// Cold is 0 for one that comes back as it was.
-	ColdFrom, Factor float64
-	Cold, Fall       time.Duration
+	// A host that was down accepts ColdShare of its rate, which grows to all of it over Warmup. If it receives more than OverloadFactor
+	// times its present rate in a second of that time, it goes down again for Downtime. Warmup is 0 for a host without a warm-up.
+	ColdShare, OverloadFactor float64
+	Warmup, Downtime          time.Duration
 }
 
-// limiter keeps a host to its limit. It reads no clock.
+// limiter decides which calls a host accepts. It reads no clock.
 type limiter struct {
 	Limit
-	bucket  *rate.Limiter
-	factor  float64   // of the rate, as told
-	cold    time.Time // it came back; zero if it is warm
-	busy    int
-	second  time.Time // offered calls are counted since then, while it is cold
-	offered int
-	falls   int
+	bucket     *rate.Limiter
+	factor     float64   // of the rate, see Host.ScaleRate
+	coldSince  time.Time // when the warm-up began; zero if there is none
+	inProgress int
+	second     time.Time // start of the second of the warm-up in which calls are counted
+	received   int       // in that second
+	overloads  int
 }
 
 func newLimiter(l Limit, now time.Time) *limiter {
@@ -39,44 +38,46 @@
 	return &limiter{Limit: l, bucket: b, factor: 1}
 }
 
-// takes is the rate now.
-func (l *limiter) takes(now time.Time) float64 {
-	r := l.Rate * l.factor
-	if l.cold.IsZero() {
-		return r
+// currentRate returns the calls accepted in a second now.
+func (l *limiter) currentRate(now time.Time) float64 {
+	warm := l.Rate * l.factor
+	if l.coldSince.IsZero() {
+		return warm
 	}
-	return r * min(1, l.ColdFrom+(1-l.ColdFrom)*now.Sub(l.cold).Seconds()/l.Cold.Seconds())
+	progress := now.Sub(l.coldSince).Seconds() / l.Warmup.Seconds()
+	return warm * min(1, l.ColdShare+(1-l.ColdShare)*progress)
 }
 
-// returned notes that the host came back: it is cold, with nothing saved up.
-func (l *limiter) returned(now time.Time) {
-	if l.Cold > 0 {
-		l.cold, l.second, l.offered = now, now, 0
+// restart begins the warm-up of a host that was down. Its burst is used up.
+func (l *limiter) restart(now time.Time) {
+	if l.Warmup > 0 {
+		l.coldSince, l.second, l.received = now, now, 0
 	}
-	l.bucket.SetLimitAt(now, rate.Limit(l.takes(now)))
+	l.bucket.SetLimitAt(now, rate.Limit(l.currentRate(now)))
 	if n := int(l.bucket.TokensAt(now)); n > 0 {
 		l.bucket.AllowN(now, n)
 	}
 }
 
-// admit takes in a call. Fell tells that it was the one too many for a cold host.
-func (l *limiter) admit(now time.Time) (ok, fell bool) {
-	l.bucket.SetLimitAt(now, rate.Limit(l.takes(now)))
-	if !l.cold.IsZero() {
+// admit decides whether a call is accepted. overloaded reports that the call overloads a host that is warming up.
+func (l *limiter) admit(now time.Time) (ok, overloaded bool) {
+	l.bucket.SetLimitAt(now, rate.Limit(l.currentRate(now)))
+	if !l.coldSince.IsZero() {
 		if now.Sub(l.second) >= time.Second {
-			l.second, l.offered = now, 0
+			l.second, l.received = now, 0
 		}
-		l.offered++
-		if float64(l.offered) > l.Factor*l.takes(now)+l.Burst {
-			l.falls, l.offered = l.falls+1, 0
-			fell = true
+		l.received++
+		if float64(l.received) > l.OverloadFactor*l.currentRate(now)+l.Burst {
+			l.overloads++
+			l.received = 0
+			overloaded = true
 		}
-		if now.Sub(l.cold) >= l.Cold {
-			l.cold = time.Time{}
+		if now.Sub(l.coldSince) >= l.Warmup {
+			l.coldSince = time.Time{}
 		}
 	}
-	if fell || l.AtOnce > 0 && l.busy >= l.AtOnce {
-		return false, fell
+	if overloaded || l.MaxConcurrent > 0 && l.inProgress >= l.MaxConcurrent {
+		return false, overloaded
 	}
 	if !l.bucket.AllowN(now, 1) {
 		if l.bucket.TokensAt(now) > 1-l.Debt {
@@ -84,19 +85,19 @@
 		}
 		return false, false
 	}
-	l.busy++
+	l.inProgress++
 	return true, false
 }
 
-// SetLimit gives the host a limit.
+// SetLimit sets the limit of the host.
 func (h *Host) SetLimit(l Limit) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.limit = newLimiter(l, time.Now())
 }
 
-// Scale has the host take so many times the rate of its limit from now on.
-func (h *Host) Scale(factor float64) {
+// ScaleRate multiplies the rate of the limit by a factor, which replaces an earlier one.
+func (h *Host) ScaleRate(factor float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.limit != nil {
@@ -104,43 +105,44 @@
 	}
 }
 
-// Takes is how many calls a second it takes now, and how often it fell over when it was cold.
-func (h *Host) Takes() (rate float64, falls int) {
+// Rate returns the calls that the host accepts in a second now, and how often it was overloaded while it was warming up.
+func (h *Host) Rate() (rate float64, overloads int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.limit == nil {
 		return 0, 0
 	}
-	if h.l != nil {
-		rate = h.limit.takes(time.Now())
+	if h.listener != nil {
+		rate = h.limit.currentRate(time.Now())
 	}
-	return rate, h.limit.falls
+	return rate, h.limit.overloads
 }
 
-// Refuses tells whether it turns every call away, or answers none.
+// Refuses reports whether the host rejects each call, or responds to none.
 func (h *Host) Refuses() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.how.Refuse || h.how.Hang
+	return h.behaviour.Refuse || h.behaviour.Hang
 }
 
-func (h *Host) leave() {
+// callDone ends a call that the limit has accepted.
+func (h *Host) callDone() {
 	h.mu.Lock()
-	h.limit.busy--
+	h.limit.inProgress--
 	h.mu.Unlock()
 }
 
-// fall has it be down for a while, unless it is closed meanwhile.
-func (h *Host) fall() {
+// restartOverloaded takes the host down, and up again after its downtime unless it was taken down once more.
+func (h *Host) restartOverloaded() {
 	h.Down()
 	h.mu.Lock()
-	downs, span := h.downs, h.limit.Fall
+	downs, downtime := h.downs, h.limit.Downtime
 	h.mu.Unlock()
-	time.Sleep(span)
+	time.Sleep(downtime)
 	h.mu.Lock()
-	again := h.downs == downs
+	unchanged := h.downs == downs
 	h.mu.Unlock()
-	if again {
+	if unchanged {
 		h.Up()
 	}
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// Server is an endpoint as discovery lists it.
+// Server is an endpoint in the list of discovery.
 type Server struct {
 	ID     string  `json:"id"`
 	Addr   string  `json:"addr"`
@@ -22,33 +22,33 @@
 	Weight float64 `json:"weight"`
 }
 
-// listVersion is the version of a list that does not change.
+// listVersion is the version of the list, which does not change.
 const listVersion = 1
 
-// Platform is a stand-in for the platform's agent on a relay's machine: discovery, and the taker of notices.
+// Platform is a stand-in for the platform's agent on a relay's machine: it serves discovery and receives notices of messages' ends.
 // Its methods are safe for concurrent use.
 type Platform struct {
 	server *http.Server
 	addr   string
 
-	servers []Server // they stay as they are
+	servers []Server // immutable
 
-	mu      sync.Mutex
-	notices map[string]int // by status
-	told    func(id, status string)
-	silent  chan struct{} // closed when it answers again; nil while it answers
+	mu       sync.Mutex
+	notices  map[string]int          // by status
+	onNotice func(id, status string) // nil for none
+	silent   chan struct{}           // closed when discovery responds again; nil while it responds
 }
 
-// NewPlatform starts one on a loopback port of its own.
-func NewPlatform(servers []Server) (*Platform, error) { return NewAgent(servers, nil) }
+// NewPlatform starts a platform on a free loopback port.
+func NewPlatform(servers []Server) (*Platform, error) { return NewPlatformWithNotices(servers, nil) }
 
-// NewAgent starts one that also hands each notice on, unless told is nil.
-func NewAgent(servers []Server, told func(id, status string)) (*Platform, error) {
+// NewPlatformWithNotices starts a platform that calls a function with each notice, unless the function is nil.
+func NewPlatformWithNotices(servers []Server, onNotice func(id, status string)) (*Platform, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Platform{told: told, addr: l.Addr().String(), servers: servers, notices: map[string]int{}}
+	p := &Platform{onNotice: onNotice, addr: l.Addr().String(), servers: servers, notices: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /discovery/hosts", p.hosts)
 	mux.HandleFunc("POST /status", p.status)
@@ -57,15 +57,14 @@
 	return p, nil
 }
 
-// Addr is where it listens.
+// Addr returns the address of the platform.
 func (p *Platform) Addr() string { return p.addr }
 
-// Close ends it.
+// Close ends the platform.
 func (p *Platform) Close() { p.server.Close() }
 
-// Silence has it answer no question about discovery, or go on; what was asked meanwhile is answered then. Notices are
-// taken throughout.
-func (p *Platform) Silence(on bool) {
+// SetSilent has discovery stop to respond, or respond again, also to the requests that wait. Notices are received all the time.
+func (p *Platform) SetSilent(on bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
@@ -77,8 +76,8 @@
 	}
 }
 
-// answers waits while it is silent, and tells whether the question still waits.
-func (p *Platform) answers(req *http.Request) bool {
+// waitWhileSilent waits until discovery responds. It returns false if the request was cancelled first.
+func (p *Platform) waitWhileSilent(req *http.Request) bool {
 	p.mu.Lock()
 	silent := p.silent
 	p.mu.Unlock()
@@ -93,7 +92,7 @@
 	}
 }
 
-// Notices counts what relays told, by status.
+// Notices returns the number of notices by status.
 func (p *Platform) Notices() map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -107,10 +106,10 @@
 func (p *Platform) hosts(w http.ResponseWriter, req *http.Request) {
 	since, _ := strconv.ParseInt(req.URL.Query().Get("since"), 10, 64)
 	wait, _ := strconv.Atoi(req.URL.Query().Get("timeout_ms"))
-	if !p.answers(req) {
+	if !p.waitWhileSilent(req) {
 		return
 	}
-	if since >= listVersion { // there is no news
+	if since >= listVersion { // the caller has the list
 		select {
 		case <-time.After(time.Duration(min(wait, 60_000)) * time.Millisecond):
 		case <-req.Context().Done():
@@ -143,8 +142,8 @@
 	}
 	p.mu.Unlock()
 	for _, n := range all {
-		if p.told != nil {
-			p.told(n.ID, n.Status)
+		if p.onNotice != nil {
+			p.onNotice(n.ID, n.Status)
 		}
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -14,9 +14,9 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func newHost(t *testing.T, l *Ledger, how Behaviour) *Host {
+func newHost(t *testing.T, l *Ledger, behaviour Behaviour) *Host {
 	t.Helper()
-	h, err := NewHost("h", "z", l, how, true)
+	h, err := NewHost("h", "z", l, behaviour, true)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,12 +52,12 @@
 // Each behaviour gives the outcome that the protocol names, and the effect is counted if it happened.
 func TestBehaviours(t *testing.T) {
 	for name, c := range map[string]struct {
-		how     Behaviour
-		status  int
-		effects int
+		behaviour Behaviour
+		status    int
+		effects   int
 	}{
 		"well":    {Behaviour{}, 200, 1},
-		"wait":    {Behaviour{Refuse: true, Wait: 500 * time.Millisecond}, 429, 0},
+		"wait":    {Behaviour{Refuse: true, RetryAfter: 500 * time.Millisecond}, 429, 0},
 		"refuse":  {Behaviour{Refuse: true}, 503, 0},
 		"fail":    {Behaviour{Fail: true}, 500, 1},
 		"break":   {Behaviour{Break: true}, 0, 1},
@@ -65,7 +65,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := NewLedger(time.Minute)
-			h := newHost(t, l, c.how)
+			h := newHost(t, l, c.behaviour)
 			conn, in := dial(t, h)
 			begin := time.Now()
 			send(conn, "m1", "k1")
@@ -75,17 +75,17 @@
 				}
 			} else {
 				got, header, _ := status(t, in)
-				if got != c.status || c.how.Wait > 0 && header.Get("Retry-After") != "0.500" {
+				if got != c.status || c.behaviour.RetryAfter > 0 && header.Get("Retry-After") != "0.500" {
 					t.Errorf("status %d, Retry-After %q", got, header.Get("Retry-After"))
 				}
 			}
-			if took := time.Since(begin); took < c.how.Latency {
+			if took := time.Since(begin); took < c.behaviour.Latency {
 				t.Errorf("answered after %v", took)
 			}
 			if n := l.Effects("m1"); n != c.effects {
 				t.Errorf("%d effects, want %d", n, c.effects)
 			}
-			if calls := h.Calls(); len(calls) != 1 || calls[0].Applied != (c.effects == 1) || calls[0].First.After(calls[0].Last) {
+			if calls := h.Calls(); len(calls) != 1 || calls[0].Applied != (c.effects == 1) || calls[0].FirstByte.After(calls[0].LastByte) {
 				t.Errorf("calls %+v", calls)
 			}
 		})
@@ -95,19 +95,19 @@
 func TestLedger(t *testing.T) {
 	l := NewLedger(time.Minute)
 	a, b := &Host{Zone: "a"}, &Host{Zone: "b"}
-	l.apply(part{id: "p"}, a)
-	l.apply(part{id: "p"}, b)
-	l.apply(part{id: "k", key: "x"}, a)
-	l.apply(part{id: "k", key: "x"}, a) // dropped: the same zone
+	l.apply(message{id: "p"}, a)
+	l.apply(message{id: "p"}, b)
+	l.apply(message{id: "k", key: "x"}, a)
+	l.apply(message{id: "k", key: "x"}, a) // dropped: the same zone
 	if got := l.Repeated(func(string) bool { return true }); len(got) != 1 || got[0] != "p" {
 		t.Errorf("repeated: %v, want p", got)
 	}
-	l.apply(part{id: "k", key: "x"}, b)
+	l.apply(message{id: "k", key: "x"}, b)
 	if l.Effects("k") != 2 || l.Effects("p") != 2 {
 		t.Errorf("effects %d and %d, want 2 and 2", l.Effects("k"), l.Effects("p"))
 	}
-	l.turned = l.turned.Add(-2 * l.memory) // a new generation: the one before still counts
-	l.apply(part{id: "p"}, a)
+	l.rotatedAt = l.rotatedAt.Add(-2 * l.retention) // effects of the previous period still count
+	l.apply(message{id: "p"}, a)
 	if total, dropped := l.Total(); l.Effects("p") != 3 || total != 5 || dropped != 1 {
 		t.Errorf("%d effects, total %d, dropped %d", l.Effects("p"), total, dropped)
 	}
@@ -136,8 +136,8 @@
 	}
 }
 
-// Forces what happens by chance beside other programs: while the host is down, a connection wants its port as its own.
-func TestPortOfADownHostIsKept(t *testing.T) {
+// While a host was down, a connection of another program took its port, so that the host could not listen again.
+func TestPortOfDownHostIsReserved(t *testing.T) {
 	h := newHost(t, NewLedger(0), Behaviour{})
 	other := newHost(t, NewLedger(0), Behaviour{})
 	h.Down()
@@ -189,11 +189,11 @@
 	}
 }
 
-// Of the calls that come whole in one second as many are taken as the behaviour says, counted by when the host had them: those
-// of a slow machine may lie in two seconds.
+// Of the calls whose last bytes are received in one second, CallsPerSecond are accepted. On a slow machine consecutive calls may be in
+// different seconds.
 func TestCallsASecond(t *testing.T) {
 	l := NewLedger(0)
-	h := newHost(t, l, Behaviour{PerSec: 2})
+	h := newHost(t, l, Behaviour{CallsPerSecond: 2})
 	conn, in := dial(t, h)
 	most := 0 // in one second
 	for n := 0; most < 3 && n < 300; n++ {
@@ -202,7 +202,7 @@
 		calls := h.Calls()
 		last, before := calls[len(calls)-1], 0
 		for _, c := range calls[:len(calls)-1] {
-			if c.Last.Unix() == last.Last.Unix() {
+			if c.LastByte.Unix() == last.LastByte.Unix() {
 				before++
 			}
 		}
