TestIdleConnectionsGiveWay waits until the server takes a connection for idle

The test took a response that its client has for the end of the request at the server; net/http reports the connection idle a moment later, and until then it does not give way. Change: the test waits for the limiter's own state. What it expects is unchanged.

--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -16,7 +16,10 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-const testTimeout = 10 * time.Second
+const (
+	testTimeout    = 10 * time.Second
+	maxIdleReports = 16 // of one test
+)
 
 // server is a limited server whose requests for /wait are answered once release is closed.
 type server struct {
@@ -24,6 +27,7 @@
 	addr    string
 	release chan struct{}
 	serving chan struct{} // gets a value for each request for /wait
+	idle    chan struct{} // gets a value for each connection that has become idle, once the limiter knows
 }
 
 func newServer(t *testing.T, max int) *server {
@@ -32,12 +36,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &server{t: t, addr: listener.Addr().String(), release: make(chan struct{}), serving: make(chan struct{}, max)}
+	s := &server{t: t, addr: listener.Addr().String(), release: make(chan struct{}), serving: make(chan struct{}, max),
+		idle: make(chan struct{}, maxIdleReports)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/wait", func(http.ResponseWriter, *http.Request) { s.serving <- struct{}{}; <-s.release })
 	h := &http.Server{Handler: mux}
 	Apply(h, max)
+	limit := h.ConnState
+	h.ConnState = func(c net.Conn, state http.ConnState) {
+		limit(c, state)
+		if state == http.StateIdle {
+			s.idle <- struct{}{}
+		}
+	}
 	done := make(chan struct{})
 	go func() { defer close(done); _ = h.Serve(listener) }()
 	t.Cleanup(func() { h.Close(); <-done })
@@ -67,6 +79,20 @@
 	return response.StatusCode
 }
 
+// serveAndRest sends a request on a connection and waits until the limiter takes the connection for idle: a client may have its response
+// before.
+func (s *server) serveAndRest(c net.Conn) {
+	s.t.Helper()
+	if status := s.get(c, "/"); status != http.StatusOK {
+		s.t.Fatalf("status %d", status)
+	}
+	select {
+	case <-s.idle:
+	case <-time.After(testTimeout):
+		s.t.Fatal("the connection does not become idle")
+	}
+}
+
 // ended waits for the end of a connection, and reports whether it came.
 func ended(c net.Conn) bool {
 	_, err := c.Read(make([]byte, 1))
@@ -82,13 +108,9 @@
 	<-s.serving
 	begun, idle := s.dial(), s.dial()
 	_, _ = io.WriteString(begun, "GET /")
-	if status := s.get(idle, "/"); status != http.StatusOK {
-		t.Fatalf("status %d", status)
-	}
+	s.serveAndRest(idle)
 	for _, oldest := range []net.Conn{begun, idle} {
-		if status := s.get(s.dial(), "/"); status != http.StatusOK {
-			t.Errorf("a new connection got %d", status)
-		}
+		s.serveAndRest(s.dial())
 		if !ended(oldest) {
 			t.Error("the oldest idle connection did not give way")
 		}
