--- a/internal/tier/hostileclients/harness_test.go
+++ b/internal/tier/hostile/harness_test.go
@@ -1,4 +1,4 @@
-package hostileclients
+package hostile
 
 import (
 	"bytes"
@@ -44,7 +44,7 @@
 
 func (m withBuildDir) Run() int {
 	var err error
-	if buildDir, err = os.MkdirTemp("", "hostileclients"); err != nil {
+	if buildDir, err = os.MkdirTemp("", "hostile"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
@@ -74,7 +74,7 @@
 	t.Helper()
 	programs, err := buildPrograms()
 	must(t, err)
-	dir, err := os.MkdirTemp("/dev/shm", "hostileclients") // of disks: in memory, as no test cuts the power
+	dir, err := os.MkdirTemp("/dev/shm", "hostile") // of disks: in memory, as no test cuts the power
 	if err != nil {
 		dir = t.TempDir()
 	}
--- a/internal/tier/hostileclients/limits_test.go
+++ b/internal/tier/hostile/limits_test.go
@@ -1,4 +1,4 @@
-package hostileclients
+package hostile
 
 import "time"
 
