--- a/internal/standin/modelhost/execution.go
+++ b/internal/standin/modelhost/execution.go
@@ -55,6 +55,11 @@
 	if !ok {
 		return h.reject(c, id, http.StatusServiceUnavailable)
 	}
+	if fault.rejects() {
+		h.rejectEndlessly(ctx, c, req, fault, faultChanged)
+		release()
+		return false
+	}
 	h.mu.Lock()
 	h.runCount++
 	seal := fmt.Sprintf("%s.%d", h.opts.ID, h.runCount)
@@ -109,6 +114,8 @@
 	case e.fault.Kind == InternalError:
 		e.finish(Failed)
 		e.keepAlive = e.host.respond(e.conn, http.StatusInternalServerError, e.header, nil)
+	case e.fault.Kind == Endless:
+		e.endless(ctx)
 	case e.host.opts.Model != "":
 		e.stream(ctx)
 	default:
--- a/internal/standin/modelhost/options.go
+++ b/internal/standin/modelhost/options.go
@@ -1,6 +1,10 @@
 package modelhost
 
-import "time"
+import (
+	"cmp"
+	"net/http"
+	"time"
+)
 
 // Options of a host.
 type Options struct {
@@ -46,6 +50,7 @@
 	DuplicateResponse           // the complete answer, and again where the next one on the connection is due
 	CloseConnection             // the complete answer with Connection: close
 	Overloaded                  // rejected as if the host were full
+	Endless                     // an answer that never ends, of the form Fault.Form
 )
 
 // Fault is a fault of the requests of a host.
@@ -53,4 +58,22 @@
 	Kind  FaultKind
 	After int // events, or bytes of a tool's answer
 	Times int // requests that it affects; 0 for all until it is changed
+
+	// Of Endless.
+	Form   Form
+	Then   Form          // that follows the beginning of Form; "" for none
+	Status int           // of the answer; 0 for 200. With 421, 429 and 503 the request is rejected, not executed
+	Pause  time.Duration // between two lines, events or chunks; 0 for as many as the caller takes
+}
+
+// status returns the status of an endless answer.
+func (f *Fault) status() int { return cmp.Or(f.Status, http.StatusOK) }
+
+// rejects reports whether an endless answer rejects the request.
+func (f *Fault) rejects() bool {
+	switch f.status() {
+	case http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return f.Kind == Endless
+	}
+	return false
 }
