Read the body of a rejection up to 16 KB, and report sizes of responses

A front read up to 1 MB of the body of a 421, 429, 503 or 400 that says that the request was not executed, for each call, outside its budget of memory; no reason is that long. Change: at most 16 KB are read, and Response says that there were more. It also reports the size of the head and the bytes that have come, with the frames of chunks, for the bounds that follow.

--- a/internal/tier/upstream/call.go
+++ b/internal/tier/upstream/call.go
@@ -115,7 +115,8 @@
 	if response.Status == http.StatusMisdirectedRequest || response.Header.Get("X-Not-Executed") != "" {
 		// The head is the proof, also if the short body breaks off or stalls.
 		response.limitDrain()
-		response.RefusalBody, _ = io.ReadAll(io.LimitReader(response, maxSurplusBytes))
+		response.RefusalBody, _ = io.ReadAll(io.LimitReader(response, maxRefusalBytes+1))
+		response.RefusalTooLong = len(response.RefusalBody) > maxRefusalBytes
 		response.Finish()
 		return Result{Outcome: NotRun, Response: response, ResponseStarted: true, ConnReused: reused}
 	}
--- a/internal/tier/upstream/exchange.go
+++ b/internal/tier/upstream/exchange.go
@@ -88,10 +88,14 @@
 		if response.StatusCode/100 == 1 {
 			continue
 		}
+		headBytes := max(0, maxHeadBytes-int(c.limitedReader.N)-c.reader.Buffered())
 		c.limitedReader.N = math.MaxInt64
 		ids := response.Header["X-Attempt-Id"]
 		if len(ids) == 1 && ids[0] == r.ID {
 			exchanged.response, exchanged.err = c.newResponse(r, response)
+			if exchanged.response != nil {
+				exchanged.response.HeadBytes = headBytes
+			}
 			return exchanged
 		}
 		surplus++
--- a/internal/tier/upstream/response.go
+++ b/internal/tier/upstream/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
@@ -18,6 +19,11 @@
 	Length      int64  // of the body; -1 for one in chunks
 	RefusalBody []byte // the body, or what came of it, if the request was rejected
 
+	// RefusalTooLong reports that the request was rejected with a longer body than maxRefusalBytes.
+	RefusalTooLong bool
+	// HeadBytes is the size of the head, with the interim responses ahead of it.
+	HeadBytes int
+
 	body             io.Reader
 	conn             *conn
 	call             *Call
@@ -26,10 +32,19 @@
 	beforeRequestEnd bool // it came before the request was sent completely
 	eof              bool // the body was read to its end
 	finished         bool
+	received         int64 // when it was finished
 }
 
 var errFinished = errors.New("response is finished: read it before Finish")
 
+// Received returns the bytes of the response that have come, with the frames of its chunks.
+func (r *Response) Received() int64 {
+	if r.finished {
+		return r.received
+	}
+	return math.MaxInt64 - r.conn.limitedReader.N
+}
+
 // Complete reports whether the body was read to its end.
 func (r *Response) Complete() bool { return r.eof }
 
@@ -91,7 +106,7 @@
 	if r.finished {
 		return
 	}
-	r.finished = true
+	r.received, r.finished = r.Received(), true
 	c := r.conn
 	r.call.bindConn(nil)
 	if r.call.cancelled() || !r.eof || r.ConnClose || r.beforeRequestEnd || c.reader.Buffered() > 0 || c.sent.full() {
--- a/internal/tier/upstream/upstream.go
+++ b/internal/tier/upstream/upstream.go
@@ -54,6 +54,7 @@
 	maxHeadBytes         = 32 << 10 // of a response, with the interim responses ahead of it
 	maxSurplusResponses  = 4        // to other requests, ahead of a response
 	maxSurplusBytes      = 1 << 20  // of the body of one
+	maxRefusalBytes      = 16 << 10 // of the body of a response that rejects the request
 	dialTimeout          = 400 * time.Millisecond
 	unacknowledgedLimit  = 2 * time.Second        // after which a connection with unacknowledged bytes is closed
 	defaultIdleLimit     = 400 * time.Millisecond // for which an idle connection is used, if its host advertises none
