Stores keep turns of up to 8 MB, and fronts know it

Change: MaxIncrementBytes is one number at both ends. A store rejects a longer turn with a status of its own, a client does not send it. 8 MB is what fronts and stores of 160 MB hold with its copies.

--- a/internal/tier/turnstore/client_close.go
+++ b/internal/tier/turnstore/client_close.go
@@ -13,9 +13,12 @@
 const closeAttempts = 4
 
 // Close stores a turn that ended completely. It returns nil once enough replicas have synced it, so that the end of the
-// turn may be sent to its client. After an error, which is an ErrUnavailable, the turn may be stored or not, and its end
+// turn may be sent to its client. After an error, which is an ErrUnavailable or ErrTooLong, the turn may be stored or not, and its end
 // must not be sent.
 func (c *Client) Close(ctx context.Context, t *Turn) error {
+	if size := t.size(); size > MaxIncrementBytes {
+		return errors.Wrapf(ErrTooLong, "%d bytes", size)
+	}
 	release, err := c.acquireClosing(ctx, t)
 	if err != nil {
 		return unavailable(err, "keep a turn")
--- a/internal/tier/turnstore/client_closing.go
+++ b/internal/tier/turnstore/client_closing.go
@@ -41,7 +41,7 @@
 // acquireClosing waits for the memory to close a turn, until ctx ends. The caller calls release, if it is not nil,
 // once all calls have ended.
 func (c *Client) acquireClosing(ctx context.Context, t *Turn) (release func(), err error) {
-	size := len(t.Base) + len(t.Input) + len(t.Output)
+	size := t.size()
 	if c.closing == nil || size <= freeClosingBytes {
 		return nil, nil
 	}
--- a/internal/tier/turnstore/errors.go
+++ b/internal/tier/turnstore/errors.go
@@ -18,6 +18,8 @@
 	ErrPlacementBehind = errors.New("store has not adopted the placement yet")
 	// ErrFull marks that the store has no capacity left, on its disk or for ledger entries.
 	ErrFull = errors.New("store is full: give it more disk, or add stores")
+	// ErrTooLong marks that a turn adds more than MaxIncrementBytes to the history.
+	ErrTooLong = errors.New("the turn is longer than stores keep")
 	// ErrBusy marks that too many writes are pending at the store's disk.
 	ErrBusy = errors.New("store waits for its disk: look at the disk where it goes on")
 )
@@ -31,6 +33,7 @@
 	statusFull
 	statusFailed
 	statusBusy
+	statusTooLong
 )
 
 // statusError returns the error of a reply's status, nil for statusOK.
@@ -48,6 +51,8 @@
 		return ErrFull
 	case statusBusy:
 		return ErrBusy
+	case statusTooLong:
+		return ErrTooLong
 	default:
 		return errors.Newf("store failed with status %d: its log names the cause", status)
 	}
--- a/internal/tier/turnstore/records.go
+++ b/internal/tier/turnstore/records.go
@@ -24,6 +24,10 @@
 	ContextTokens int    // tokens of its prompt and of what it generated
 }
 
+// MaxIncrementBytes is the largest size of what a turn adds to the history: of its input and output and, where it continues a turn of
+// another program, of that one's history. Fronts pass on no longer turn that is to be retained, and stores take none.
+const MaxIncrementBytes = 8 << 20
+
 // Record is a turn as stores persist and exchange it. Of its contents only the increment, which is what the turn adds to
 // the history, is ever read. It is encoded by rpc.Encode: the order and the types of its fields are part of the protocol.
 type Record struct {
@@ -37,8 +41,11 @@
 	ContextTokens int
 }
 
+// size returns the bytes that the turn adds to the history.
+func (t *Turn) size() int { return len(t.Base) + len(t.Input) + len(t.Output) }
+
 func (t *Turn) record() Record {
-	increment := make([]byte, 0, len(t.Base)+len(t.Input)+len(t.Output))
+	increment := make([]byte, 0, t.size())
 	increment = append(append(append(increment, t.Base...), t.Input...), t.Output...)
 	return Record{Key: t.Key, ID: t.ID, Previous: t.Previous, Root: t.Previous == "" || t.Base != nil,
 		RetainSeconds: t.RetainSeconds, Increment: increment, CacheHost: t.CacheHost, ContextTokens: t.ContextTokens}
--- a/internal/tier/turnstore/server_handlers.go
+++ b/internal/tier/turnstore/server_handlers.go
@@ -135,6 +135,9 @@
 // handleClose stores a turn, settles its entry, and replies once both are synced.
 func (s *Server) handleClose(ctx context.Context, c *closeCall) *statusReply {
 	t := &c.Turn
+	if len(t.Increment) > MaxIncrementBytes {
+		return &statusReply{statusTooLong}
+	}
 	s.mu.Lock()
 	if st := s.admit(c.To); st != statusOK {
 		s.mu.Unlock()
