--- a/internal/process/memory.go
+++ b/internal/process/memory.go
@@ -44,3 +44,17 @@
 	}
 	return min(bytes, int64(s.Limits.MemoryMB*cacheShare*(1<<20)))
 }
+
+// GrantedCores returns the processor time that the platform grants the process, in cores; 0 for no limit.
+func (s *Settings) GrantedCores() float64 {
+	if s.Limits.Cores <= 0 {
+		return s.Limits.CPUShare
+	}
+	return s.Limits.CPUShare * s.Limits.Cores
+}
+
+// LinkBytesPerSecond returns what the link of the process carries; 0 for no limit.
+func (s *Settings) LinkBytesPerSecond() float64 {
+	const bitsPerByte = 8
+	return s.Limits.LinkMbps * 1e6 / bitsPerByte
+}
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -45,11 +45,11 @@
 
 	// What the platform grants the process; 0 means no limit.
 	Limits struct {
-		CPUShare float64 `yaml:"cpu_share"`  // not used
-		Cores    float64 `yaml:"core_count"` // not used
+		CPUShare float64 `yaml:"cpu_share"`  // of a core; see GrantedCores
+		Cores    float64 `yaml:"core_count"` // how many times as fast that core is
 		MemoryMB float64 `yaml:"memory_mb"`  // in MiB
 		MaxFDs   int     `yaml:"max_fds"`    // file descriptors
-		LinkMbps float64 `yaml:"link_mbps"`  // not used
+		LinkMbps float64 `yaml:"link_mbps"`  // see LinkBytesPerSecond
 		DiskMB   float64 `yaml:"disk_mb"`    // in MiB
 	} `yaml:"limits"`
 
