What a front keeps of a response is bounded and drawn from its budget of memory

What callers saw: a host that sends whole events, a line, data lines or junk without end behind 200 made a front of 284 MB grow to gigabytes, until its machine ended it with all its callers. Cause: the parser kept the line, the data of the event and the output, and the splicer what it holds back, without a bound and in no budget; X-Token-Usage was compared with nothing while the stream came. Change: the parser keeps no byte but the output of a retained turn. That, what a splicer holds back and heads over 4 KB are drawn from the budget; a stream gives way by the end of its client's connection. Bounds, each from what is stated: more events than X-Token-Usage and event_tokens permit; more than 1 MB without the end of an event with data; an output that the stores do not keep; an announced length that the link cannot carry in the time left; a rejection with a body over 16 KB. A begun stream ends with its connection and is settled once. GET /api/responses counts them, and has the heap; the log names the host, once a second.

--- a/cmd/larch-proxy/main.go
+++ b/cmd/larch-proxy/main.go
@@ -63,7 +63,9 @@
 		Seed:            rand.Uint64(),
 		MaxClientConns:  s.Limits.MaxFDs / 2,
 		Memory:          s.RequestMemory(process.SmallRequest),
-		NewOracle:       func(bound time.Duration) balancer.Oracle { return oracle.NewDestination(bound) },
+
+		LinkBytesPerSecond: s.LinkBytesPerSecond(),
+		NewOracle:          func(bound time.Duration) balancer.Oracle { return oracle.NewDestination(bound) },
 	}
 	following, unfollow := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/internal/standin/modelhost/runlog.go
+++ b/internal/standin/modelhost/runlog.go
@@ -95,6 +95,13 @@
 	return l.clone(func(r *Run) bool { return r.Attempt == attempt })
 }
 
+// ForHost returns the runs of one host.
+func (l *RunLog) ForHost(host string) []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.clone(func(r *Run) bool { return r.Host == host })
+}
+
 // Wait waits until the runs meet a condition or the context ends.
 func (l *RunLog) Wait(ctx context.Context, met func(runs []Run) bool) error {
 	for {
--- a/internal/tier/eventstream/splicer.go
+++ b/internal/tier/eventstream/splicer.go
@@ -21,22 +21,27 @@
 // A stream can be continued while each of its events has a number as its id, one above the id before. A run that continues it must
 // begin with the number that is due.
 type Splicer struct {
-	parser       *Parser // of what was passed on
-	pending      []byte  // bytes of the current run that Write has not returned, behind those that it returned last
-	returned     int     // bytes of pending that Write returned last
-	scanned      int     // bytes of pending that were searched for the end of an event
-	passThrough  bool    // an event is too long to be held back
-	unnumbered   bool    // an event that was passed on does not follow the one before by its number
-	last         int64   // number of the last event that was passed on
-	hasLast      bool    // there is one
-	version      string  // of the weights, by the last event that named one; empty for none
-	continuation bool    // the current run continues another one and has had no event yet
+	parser   *Parser // of what was passed on
+	pending  buffer  // bytes of the current run that Write has not returned, behind those that it returned last
+	returned int     // bytes of pending that Write returned last
+	scanned  int     // bytes of pending that were searched for the end of an event
+	splicerState
+}
+
+// splicerState is what a Splicer knows of the events that were passed on.
+type splicerState struct {
+	passThrough  bool   // an event is too long to be held back
+	unnumbered   bool   // an event that was passed on does not follow the one before by its number
+	last         int64  // number of the last event that was passed on
+	hasLast      bool   // there is one
+	version      string // of the weights, by the last event that named one; empty for none
+	continuation bool   // the current run continues another one and has had no event yet
 }
 
 // NewSplicer returns a splicer for a stream whose first run begins at its start, or behind the event lastEventID if that is not
-// empty. keepOutput keeps the output of the stream.
-func NewSplicer(lastEventID string, keepOutput bool) *Splicer {
-	s := &Splicer{parser: NewParser(keepOutput)}
+// empty. keepOutput keeps the output of the stream. What the splicer holds back is drawn from the memory of the limits as well.
+func NewSplicer(lastEventID string, keepOutput bool, limits Limits) *Splicer {
+	s := &Splicer{parser: NewParser(keepOutput, limits), pending: buffer{memory: limits.Memory}}
 	s.last, s.hasLast = parseEventID([]byte(lastEventID))
 	s.unnumbered = lastEventID != "" && !s.hasLast
 	return s
@@ -62,43 +67,53 @@
 
 // BeginRun begins the next run, which goes on behind LastEventID. What the run before had begun is dropped.
 func (s *Splicer) BeginRun() {
-	s.pending, s.returned, s.scanned = s.pending[:0], 0, 0
+	s.pending.bytes, s.returned, s.scanned = s.pending.bytes[:0], 0, 0
 	s.continuation = s.hasLast
 }
 
 // Write takes the next bytes of the current run and returns the bytes that may be passed on, which are valid until the next call.
-// An error is marked with ErrNoContinuation.
+// An error is marked with ErrNoContinuation, or is one of Parser.Write: then none of the bytes may be passed on, and another run can
+// continue the stream behind the event before.
 func (s *Splicer) Write(b []byte) (complete []byte, err error) {
-	s.pending = append(s.pending[:0], s.pending[s.returned:]...)
+	before := s.splicerState
+	if complete, err = s.write(b); err != nil {
+		s.splicerState = before
+	}
+	return complete, err
+}
+
+func (s *Splicer) write(b []byte) (complete []byte, err error) {
+	s.pending.bytes = append(s.pending.bytes[:0], s.pending.bytes[s.returned:]...)
 	s.returned = 0
-	s.pending = append(s.pending, b...)
+	if err := s.pending.append(b...); err != nil {
+		return nil, err
+	}
 	if !s.passThrough {
 		if err := s.takeEvents(); err != nil {
 			return nil, err
 		}
 	}
-	tooLong := len(s.pending)-s.returned > maxPendingBytes
+	tooLong := len(s.pending.bytes)-s.returned > maxPendingBytes
 	if tooLong && s.continuation {
 		return nil, errors.Mark(errors.Newf("the first event is longer than %d bytes", maxPendingBytes), ErrNoContinuation)
 	}
 	if s.passThrough || tooLong {
-		s.passThrough, s.returned = true, len(s.pending)
+		s.passThrough, s.returned = true, len(s.pending.bytes)
 	}
 	s.scanned -= min(s.scanned, s.returned)
-	complete = s.pending[:s.returned]
-	s.parser.Write(complete)
-	return complete, nil
+	complete = s.pending.bytes[:s.returned]
+	return complete, s.parser.Write(complete)
 }
 
 // takeEvents moves returned behind the last complete event of pending.
 func (s *Splicer) takeEvents() error {
 	for {
-		end := eventEnd(s.pending, s.returned, s.scanned)
+		end := eventEnd(s.pending.bytes, s.returned, s.scanned)
 		if end < 0 {
-			s.scanned = len(s.pending)
+			s.scanned = len(s.pending.bytes)
 			return nil
 		}
-		if err := s.takeEvent(s.pending[s.returned:end]); err != nil {
+		if err := s.takeEvent(s.pending.bytes[s.returned:end]); err != nil {
 			return err
 		}
 		s.returned, s.scanned = end, end
@@ -127,16 +142,17 @@
 
 // Finish ends the stream with the end of the current run, which is complete. It returns the last bytes that may be passed on.
 func (s *Splicer) Finish() (rest []byte, err error) {
-	rest = s.pending[s.returned:]
+	rest = s.pending.bytes[s.returned:]
 	if parseFields(rest).hasData && !s.passThrough {
 		if err := s.takeEvent(rest); err != nil {
 			return nil, err
 		}
 	}
-	s.parser.Write(rest)
-	s.parser.Finish()
-	s.returned = len(s.pending)
-	return rest, nil
+	if err := s.parser.Write(rest); err != nil {
+		return nil, err
+	}
+	s.returned = len(s.pending.bytes)
+	return rest, s.parser.Finish()
 }
 
 // eventEnd returns the end of the event that begins at start, behind its empty line; -1 if it is incomplete. The bytes up to scanned
--- /dev/null
+++ b/internal/tier/hostile/endless_test.go
@@ -0,0 +1,74 @@
+package hostile
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"larchrouter/internal/standin/modelhost"
+	"larchrouter/internal/tier/tiertest"
+)
+
+var (
+	endlessCallers = flag.Int("endlesscallers", 12, "callers of each route at a time in TestHostileEndlessResponses")
+	endlessTime    = flag.Duration("endlesstime", time.Second, "of each form and status in it")
+)
+
+// A front held gigabytes, or did not answer others, while a host sent a response that never ends: each form, on each kind of route.
+func TestHostileEndlessResponses(t *testing.T) {
+	tt := startEndlessTier(t, tiertest.Options{Fronts: 1, Limits: tiertest.ProcessLimits{MemoryMB: memoryMB, MaxFDs: maxFDs}})
+	front := watch(t, tt.front())
+	for _, form := range modelhost.Forms {
+		for _, status := range []int{http.StatusOK, http.StatusInternalServerError, http.StatusServiceUnavailable} {
+			fault := modelhost.Fault{Kind: modelhost.Endless, Form: form, Status: status}
+			t.Run(fmt.Sprintf("%s, %d", form, status), func(t *testing.T) { tt.playEndless(t, front, fault) })
+		}
+	}
+	for _, form := range []modelhost.Form{modelhost.EndlessEvents, modelhost.EndlessLine, modelhost.EndlessComments, modelhost.EndlessSizeJunk} {
+		fault := modelhost.Fault{Kind: modelhost.Endless, Form: form, After: 5}
+		t.Run(fmt.Sprintf("%s after proper events", form), func(t *testing.T) { tt.playEndless(t, front, fault) })
+		fault = modelhost.Fault{Kind: modelhost.Endless, Form: modelhost.EndlessComments, Then: form}
+		t.Run(fmt.Sprintf("comments, then %s", form), func(t *testing.T) { tt.playEndless(t, front, fault) })
+	}
+	tt.t = t
+	tt.expectBudgetEmpty(tt.front().ReadyAddr())
+}
+
+// playEndless has a crowd call hosts of which half have a fault, and expects that the front stays within its limits and serves others.
+func (tt *endlessTier) playEndless(t *testing.T, front *watched, fault modelhost.Fault) {
+	front.t, tt.t = t, t
+	tt.replaceHosts(fault, true)
+	resetPeak(t, front.pid)
+	began, used := time.Now(), processorTime(t, front.pid)
+	wait := startCallers(t.Context(), tt.front(), endlessPaths, *endlessCallers, endlessBytes, *endlessTime)
+	tt.expectOrdinaryServed("beside endless responses")
+	result := wait()
+	cores := (processorTime(t, front.pid) - used).Seconds() / time.Since(began).Seconds()
+	t.Logf("%s; %.2f cores", result, cores)
+	front.expectWithin(maxFDs)
+	if !front.machine.Running() {
+		t.FailNow()
+	}
+}
+
+// A front held megabytes for each client that does not read a stream which never ends.
+func TestHostileUnreadEndlessStreams(t *testing.T) {
+	tt := startEndlessTier(t, tiertest.Options{Fronts: 1, Limits: tiertest.ProcessLimits{MemoryMB: memoryMB, MaxFDs: maxFDs}})
+	front := watch(t, tt.front())
+	for _, form := range []modelhost.Form{modelhost.EndlessLine, modelhost.EndlessEvents, modelhost.EndlessComments} {
+		t.Run(string(form), func(t *testing.T) {
+			front.t, tt.t = t, t
+			tt.replaceHosts(modelhost.Fault{Kind: modelhost.Endless, Form: form}, true)
+			resetPeak(t, front.pid)
+			wait := startCallers(t.Context(), tt.front(), streamPaths, 100, 0, time.Second)
+			tt.expectOrdinaryServed("beside unread endless streams")
+			t.Log(wait())
+			front.expectWithin(maxFDs)
+		})
+	}
+	tt.t = t
+	tt.expectBudgetEmpty(tt.front().ReadyAddr())
+}
+
--- a/internal/tier/proxy/attempt.go
+++ b/internal/tier/proxy/attempt.go
@@ -40,6 +40,7 @@
 			"route", r.route.Name, "after", time.Since(attempt.startedAt), "broke", err)
 	}
 	if attempt.Response != nil {
+		r.countBound(attempt, err)
 		attempt.Response.Finish()
 	}
 	switch {
--- a/internal/tier/proxy/losslog.go
+++ b/internal/tier/proxy/losslog.go
@@ -51,7 +51,7 @@
 	causeNoRoom      = "no_room"      // no host had a slot in time, and the request has not run
 	causeNotRecorded = "not_recorded" // the stores did not take the turn
 	causeStores      = "stores"       // they could not be sure of the turn
-	causeNoMemory    = "no_memory"    // for the history of the turn
+	causeNoMemory    = "no_memory"    // for the history of the turn, or for what is kept of its stream
 	causeBudget      = "budget"
 	causeNoTurn      = "no_such_turn"
 	causeHostFailed  = "host_failed" // it answered with a failure of its own
@@ -64,6 +64,8 @@
 // errorCause returns the cause of a loss by the error of the last call, or of the opening of the turn.
 func errorCause(err error) string {
 	switch {
+	case isOutOfMemory(err):
+		return causeNoMemory
 	case errors.Is(err, upstream.ErrDeadline):
 		return "host_timeout"
 	case errors.Is(err, upstream.ErrConnect), errors.Is(err, upstream.ErrNotSent):
--- a/internal/tier/proxy/memory.go
+++ b/internal/tier/proxy/memory.go
@@ -6,7 +6,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"larchrouter/internal/membudget"
+	"larchrouter/internal/tier/upstream"
 )
 
 const (
@@ -57,6 +60,27 @@
 	return r.memory
 }
 
+// freeHeadBytes is the size of a response's head up to which it is not counted, as a request's is not.
+const freeHeadBytes = readBufferSize
+
+// holdHead counts a long head of a response as what the request makes the process hold. If there is no memory for it, the attempt is one
+// that may have run and has no response.
+func (r *request) holdHead(attempt *attempt) {
+	response := attempt.Response
+	if response == nil {
+		return
+	}
+	size := response.HeadBytes + len(response.RefusalBody)
+	if size <= freeHeadBytes {
+		return
+	}
+	if err := r.servingAccount().Draw(int64(size)); err != nil {
+		response.Finish()
+		attempt.Result = upstream.Result{Outcome: upstream.MayHaveRun, Err: errors.Mark(err, upstream.ErrCancelled),
+			ResponseStarted: true, ConnReused: attempt.ConnReused}
+	}
+}
+
 // releaseMemory releases what the request made the process hold.
 func (r *request) releaseMemory() {
 	r.body = nil
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -78,6 +78,9 @@
 	// Memory bounds what clients make the server hold. Default: no limit.
 	Memory *membudget.Budget
 
+	// LinkBytesPerSecond is what the link of this node carries; 0 if it is not known.
+	LinkBytesPerSecond float64
+
 	// ConnLimitDivisor divides a service's conn_limit per host among the fronts: this front opens at most
 	// conn_limit / ConnLimitDivisor connections to a host, but at least 4. Default: 4.
 	ConnLimitDivisor int
@@ -147,6 +150,7 @@
 	wg         sync.WaitGroup            // all goroutines of the server
 	losses     lossLog
 	memoryLog  memoryLog
+	bounds     boundLog
 	evictable  evictableConns
 	lingering  atomic.Int32 // clients whose rejected requests are still read
 
@@ -247,6 +251,7 @@
 		}
 	})
 	mux.HandleFunc("GET /api/memory", s.serveMemory)
+	mux.HandleFunc("GET /api/responses", s.serveResponses)
 	h := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, ReadTimeout: readinessTimeout,
 		WriteTimeout: readinessTimeout, IdleTimeout: 15 * time.Second, MaxHeaderBytes: maxReadinessHead}
 	connlimit.Apply(h, maxReadinessConns)
--- a/internal/tier/proxy/retry.go
+++ b/internal/tier/proxy/retry.go
@@ -104,6 +104,7 @@
 	outgoing := &upstream.Request{Method: r.method, URI: r.uri, Host: r.host, ID: r.id, Header: f.header, Body: f.body,
 		Deadline: r.deadline, PreferNewConn: f.info.PreferNewConn}
 	attempt.Result = r.newCall().Do(endpoint.connections, outgoing, f.attemptDeadline(attempt))
+	r.holdHead(attempt)
 	r.phases.attempted(attempt)
 	if attempt.Response != nil {
 		if observeFirstEvent != nil && attempt.Response.Status == http.StatusOK {
@@ -164,6 +165,9 @@
 	if !hasRequiredSeal(attempt.Response) {
 		return nil, f.handleFailure(attempt, upstream.ErrBroken)
 	}
+	if err := f.request.checkLength(attempt.Response); err != nil {
+		return nil, f.handleFailure(attempt, err)
+	}
 	retry := f.shouldRetry(attempt.Response.Status)
 	if !retry && !statusPromisesNotRun(attempt.Response.Status) {
 		return attempt, true
@@ -200,6 +204,9 @@
 func (f *forwarder) handleRejection(attempt *attempt) (done bool) {
 	r, response := f.request, attempt.Response
 	switch {
+	case response.RefusalTooLong:
+		r.countBound(attempt, errRefusalTooLong)
+		r.releaseSlot(attempt, balancer.ResponseBroken)
 	case response.Status == http.StatusBadRequest && !response.Complete(): // the reason broke off: another host may give it
 		r.releaseSlot(attempt, balancer.ResponseBroken)
 	case response.Status == http.StatusBadRequest: // a fault of the request
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -18,6 +18,9 @@
 		if !r.openTurn(&turn) {
 			return
 		}
+		if !r.checkInputSize(&turn) {
+			return
+		}
 		if history := turn.opened.History; len(history) > 0 {
 			if !r.holdHistory(&turn) {
 				return
@@ -49,7 +52,8 @@
 // off for good ends with the connection, so that it does not look complete. done is false if nothing was passed on and a retry may
 // follow.
 func (r *request) relayStream(turn *openTurn, attempt *attempt, f *forwarder) (done bool) {
-	s := newStreamRelay(r, f)
+	s := newStreamRelay(r, f, turn)
+	defer s.memory.release()
 	p := bufferPool.Get().(*[]byte)
 	s.out = r.appendResponseHead((*p)[:0], attempt.Response, -1)
 	defer func() { putBuffer(p, s.out) }()
@@ -58,7 +62,7 @@
 	case err == nil:
 	case s.started:
 		r.settleTurn(turn, r.usedTokens(s.parser))
-		r.logLoss(errorCause(err), 0)
+		r.logLoss(s.lossCause(err), 0)
 		r.client.abort()
 		return true
 	case f.idempotent && !errors.Is(err, upstream.ErrCancelled):
@@ -82,6 +86,14 @@
 	return true
 }
 
+// lossCause returns the cause of the loss of a stream by its error.
+func (s *streamRelay) lossCause(err error) string {
+	if s.memory.gaveWay.Load() {
+		return causeNoMemory
+	}
+	return errorCause(err)
+}
+
 // streamFailed ends an attempt whose stream broke off on either side.
 func (r *request) streamFailed(attempt *attempt, err error) {
 	if errors.Is(err, upstream.ErrCancelled) {
--- a/internal/tier/proxy/streamrelay.go
+++ b/internal/tier/proxy/streamrelay.go
@@ -23,15 +23,22 @@
 	version   string               // Versions of the first response, for the runs that continue it
 	out       []byte               // bytes for the client that are not written yet
 	started   bool                 // some bytes were written
+	memory    streamMemory         // of the splicer and the parser
 }
 
-func newStreamRelay(r *request, f *forwarder) *streamRelay {
+// newStreamRelay returns a relay for the stream of a turn. The caller releases its memory.
+func newStreamRelay(r *request, f *forwarder, turn *openTurn) *streamRelay {
 	s := &streamRelay{request: r, forwarder: f}
+	s.memory.request = r
+	limits := eventstream.Limits{MaxEvents: r.maxEvents(), Memory: &s.memory}
+	if r.route.Retained {
+		limits.MaxOutput = r.maxOutput(turn)
+	}
 	if r.route.Resumable && r.server().options.Retries.Resume {
-		s.splicer = eventstream.NewSplicer(r.get("Last-Event-Id"), r.route.Retained)
+		s.splicer = eventstream.NewSplicer(r.get("Last-Event-Id"), r.route.Retained, limits)
 		s.parser = s.splicer.Parser()
 	} else {
-		s.parser = eventstream.NewParser(r.route.Retained)
+		s.parser = eventstream.NewParser(r.route.Retained, limits)
 	}
 	return s
 }
@@ -41,7 +48,7 @@
 func (s *streamRelay) relay(attempt *attempt) (last *attempt, err error) {
 	s.version = attempt.Response.Header.Get("Versions")
 	for {
-		if err := s.copyEvents(attempt.Response); err == nil {
+		if err := s.copyEvents(attempt); err == nil {
 			s.attemptSucceeded(attempt)
 			return attempt, nil
 		} else if s.streamFailed(attempt, err); !s.prepareResume(err) {
@@ -55,10 +62,10 @@
 
 // copyEvents writes a stream to the client as it comes, behind out, and parses its events. What is left in out at the end is not
 // written yet. The error is upstream.ErrCancelled if the client does not take them.
-func (s *streamRelay) copyEvents(response *upstream.Response) error {
+func (s *streamRelay) copyEvents(attempt *attempt) error {
 	var buffer [streamBufferSize]byte
 	for began := false; ; {
-		n, err := response.Read(buffer[:])
+		n, err := attempt.Response.Read(buffer[:])
 		if n > 0 {
 			if !began {
 				began = true
@@ -80,13 +87,14 @@
 
 // pass passes on the next bytes of a stream, those of an incomplete event only if the stream is not resumable.
 func (s *streamRelay) pass(b []byte) error {
+	var err error
 	if s.splicer == nil {
-		s.parser.Write(b)
+		err = s.parser.Write(b)
 	} else {
-		var err error
-		if b, err = s.splicer.Write(b); err != nil {
-			return errors.Mark(err, upstream.ErrBroken)
-		}
+		b, err = s.splicer.Write(b)
+	}
+	if err != nil {
+		return markBroken(err)
 	}
 	if len(b) == 0 { // an empty chunk would be the last one
 		return nil
@@ -96,7 +104,7 @@
 		s.started = true
 		s.logIfLate()
 	}
-	_, err := s.client.Write(s.out)
+	_, err = s.client.Write(s.out)
 	s.out = s.out[:0]
 	if err != nil {
 		return upstream.ErrCancelled
@@ -106,13 +114,15 @@
 
 // finish ends a stream that is complete.
 func (s *streamRelay) finish() error {
+	var rest []byte
+	var err error
 	if s.splicer == nil {
-		s.parser.Finish()
-		return nil
+		err = s.parser.Finish()
+	} else {
+		rest, err = s.splicer.Finish()
 	}
-	rest, err := s.splicer.Finish()
 	if err != nil {
-		return errors.Mark(err, upstream.ErrBroken)
+		return markBroken(err)
 	}
 	if len(rest) > 0 {
 		s.out = appendChunk(s.out, rest)
@@ -123,7 +133,7 @@
 // prepareResume prepares the forwarder for a run that continues a stream which broke off with an error. It reports whether there
 // may be one: if some of the stream was passed on, and the route and the events permit it.
 func (s *streamRelay) prepareResume(err error) bool {
-	if !s.started || s.splicer == nil || errors.Is(err, upstream.ErrCancelled) {
+	if !s.started || s.splicer == nil || errors.Is(err, upstream.ErrCancelled) || errors.Is(err, eventstream.ErrTooManyEvents) {
 		return false
 	}
 	lastEventID, ok := s.splicer.LastEventID()
--- a/internal/tier/proxy/turn.go
+++ b/internal/tier/proxy/turn.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -89,6 +90,18 @@
 	return false
 }
 
+// checkInputSize rejects a turn to be retained whose input alone is longer than what the stores take. If it returns false, the client has
+// its error response, and the turn is settled.
+func (r *request) checkInputSize(turn *openTurn) bool {
+	if !r.route.Retained || r.inputSize(turn) < turnstore.MaxIncrementBytes {
+		return true
+	}
+	r.settleTurn(turn, 0)
+	r.respondError(http.StatusRequestEntityTooLarge, 0,
+		fmt.Sprintf("the turn is over the %d bytes that the stores keep of one: send less", turnstore.MaxIncrementBytes))
+	return false
+}
+
 // usedTokens returns how many tokens were passed on to the client: those of its events, of which one may be partial, at most
 // maxTokens.
 func (r *request) usedTokens(parser *eventstream.Parser) int {
--- a/internal/tier/tiertest/machine.go
+++ b/internal/tier/tiertest/machine.go
@@ -155,7 +155,7 @@
 	if m.output != nil {
 		output = m.output
 	}
-	process, err := startProcess(m.path, m.args, settings, output)
+	process, err := startProcess(m.path, m.args, settings, m.tier.variables, output)
 	if err != nil {
 		return err
 	}
--- a/internal/tier/tiertest/process.go
+++ b/internal/tier/tiertest/process.go
@@ -21,13 +21,13 @@
 // inheritedVariables are the variables of the environment that a process gets: what the platform gives, and no others.
 var inheritedVariables = []string{"PATH", "HOME", "LANG"}
 
-// startProcess starts a program with a settings file. Its output goes to a writer.
-func startProcess(path string, args []string, settings string, output io.Writer) (*childProcess, error) {
+// startProcess starts a program with a settings file and further variables. Its output goes to a writer.
+func startProcess(path string, args []string, settings string, variables []string, output io.Writer) (*childProcess, error) {
 	p := &childProcess{cmd: exec.Command(path, args...), done: make(chan struct{})}
 	for _, name := range inheritedVariables {
 		p.cmd.Env = append(p.cmd.Env, name+"="+os.Getenv(name))
 	}
-	p.cmd.Env = append(p.cmd.Env, process.SettingsVariable+"="+settings)
+	p.cmd.Env = append(append(p.cmd.Env, variables...), process.SettingsVariable+"="+settings)
 	p.cmd.Stdout, p.cmd.Stderr = output, output
 	// It ends with the caller, and Ctrl-C goes to the caller alone.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
--- a/internal/tier/tiertest/tier.go
+++ b/internal/tier/tiertest/tier.go
@@ -46,6 +46,9 @@
 	// Limits are what the platform grants each process; zero values for the defaults.
 	Limits ProcessLimits
 
+	// Environment has further variables of each process, as NAME=VALUE.
+	Environment []string
+
 	firstStart func(m *Machine) error // starts a process for the first time; nil for Machine.Start
 }
 
@@ -80,6 +83,7 @@
 	dir        string // of settings and disks
 	limits     ProcessLimits
 	duties     []string
+	variables  []string // Options.Environment
 	block      *addressBlock
 	httpClient *http.Client
 
@@ -90,7 +94,7 @@
 // Start starts all processes of a tier that has no configuration and no hosts yet. The caller closes the tier.
 func Start(o Options) (t *Tier, err error) {
 	httpClient := &http.Client{Timeout: statusTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	t = &Tier{dir: o.Dir, limits: o.Limits.withDefaults(), duties: o.Duties, EventLog: &EventLog{revocationBound: o.RevocationBound}, RunLog: new(modelhost.RunLog), httpClient: httpClient}
+	t = &Tier{dir: o.Dir, limits: o.Limits.withDefaults(), duties: o.Duties, variables: o.Environment, EventLog: &EventLog{revocationBound: o.RevocationBound}, RunLog: new(modelhost.RunLog), httpClient: httpClient}
 	defer func() {
 		if err != nil {
 			t.Close()
