Long responses take a fair share of the link and the processor of a front

What callers saw: responses that never end took 0.9 to 4.4 cores for a few callers until each deadline; on one core with 100 callers, ordinary requests stood still (4 or 5 in 6 s, measured by the operators). Cause: a response was relayed as fast as it comes, by a goroutine that never waits while both sockets are ready. Change: from its first 64 KB on a response is paced by package fairshare. One that has waited for most of its time and is cut by its deadline, or by a caller behind the route's target, counts as broken: it sent all that it may and had no end. One that is slow, or whose client is, does not. TestResponseWithoutEndIsBroken.

--- a/cmd/larch-proxy/main.go
+++ b/cmd/larch-proxy/main.go
@@ -65,6 +65,7 @@
 		Memory:          s.RequestMemory(process.SmallRequest),
 
 		LinkBytesPerSecond: s.LinkBytesPerSecond(),
+		Cores:              s.GrantedCores(),
 		NewOracle:          func(bound time.Duration) balancer.Oracle { return oracle.NewDestination(bound) },
 	}
 	following, unfollow := context.WithCancel(context.Background())
--- a/internal/tier/hostile/endless_test.go
+++ b/internal/tier/hostile/endless_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,3 +73,27 @@
 	tt.expectBudgetEmpty(tt.front().ReadyAddr())
 }
 
+// Ordinary requests took seconds on one core while 100 callers got responses that never end.
+func TestHostileEndlessResponsesOnOneCore(t *testing.T) {
+	tt := startEndlessTier(t, tiertest.Options{Fronts: 1, Environment: []string{"GOMAXPROCS=1"},
+		Limits: tiertest.ProcessLimits{MemoryMB: memoryMB, MaxFDs: maxFDs}})
+	front := watch(t, tt.front())
+	alone := tt.ordinaryTimes(time.Second)
+	t.Logf("alone: %d requests, the longest took %v", len(alone), slices.Max(alone))
+	for _, form := range []modelhost.Form{modelhost.EndlessWithoutLength, modelhost.EndlessChunk, modelhost.EndlessLine, modelhost.EndlessComments,
+		modelhost.EndlessTinyChunks, modelhost.EndlessEvents, modelhost.EndlessLength} {
+		t.Run(string(form), func(t *testing.T) {
+			front.t, tt.t = t, t
+			tt.replaceHosts(modelhost.Fault{Kind: modelhost.Endless, Form: form}, false)
+			wait := startCallers(t.Context(), tt.front(), []string{streamPath, writePath}, 50, endlessBytes, 3*time.Second)
+			times := tt.ordinaryTimes(3 * time.Second)
+			result := wait()
+			longest := slices.Max(times)
+			t.Logf("%d requests, the longest took %v; %s", len(times), longest, result)
+			if longest > ordinaryTarget {
+				t.Errorf("an ordinary request took %v, must be answered within its route's target, %v", longest, ordinaryTarget)
+			}
+			front.expectWithin(maxFDs)
+		})
+	}
+}
--- a/internal/tier/proxy/attempt.go
+++ b/internal/tier/proxy/attempt.go
@@ -14,6 +14,7 @@
 	endpoint  *endpoint
 	oracle    balancer.Oracle
 	startedAt time.Time
+	tookAll   bool // its response took all that it may of the link and the processor, see longResponse
 	upstream.Result
 }
 
@@ -39,11 +40,17 @@
 		r.server().options.Log.Debug("attempt failed", "attempt", r.id, "host", attempt.endpoint.connections.ID,
 			"route", r.route.Name, "after", time.Since(attempt.startedAt), "broke", err)
 	}
+	noEnd := r.hasNoEnd(attempt)
 	if attempt.Response != nil {
+		if noEnd {
+			err = errors.Mark(err, errNoEnd)
+		}
 		r.countBound(attempt, err)
 		attempt.Response.Finish()
 	}
 	switch {
+	case noEnd:
+		r.releaseSlot(attempt, balancer.ResponseBroken)
 	case errors.Is(err, upstream.ErrCancelled):
 		r.releaseSlot(attempt, balancer.Inconclusive)
 	case errors.Is(err, upstream.ErrDeadline):
--- a/internal/tier/proxy/bounds.go
+++ b/internal/tier/proxy/bounds.go
@@ -14,6 +14,9 @@
 	// errLengthTooLong: the announced length is more than the link carries in the time that the request has left.
 	errLengthTooLong = errors.New("the announced length is more than the link carries in the time that is left")
 
+	// errNoEnd: the response took all that it may of the link and the processor, and did not end in time.
+	errNoEnd = errors.New("the response took all that it may and did not end in time")
+
 	// errRefusalTooLong: the host rejected the request with a body that is longer than any reason.
 	errRefusalTooLong = errors.New("the rejection has too long a body")
 )
@@ -27,6 +30,7 @@
 	{"events", eventstream.ErrTooManyEvents},
 	{"output_bytes", eventstream.ErrOutputTooLong},
 	{"length", errLengthTooLong},
+	{"end", errNoEnd},
 	{"rejection_bytes", errRefusalTooLong},
 }
 
--- a/internal/tier/proxy/bounds_test.go
+++ b/internal/tier/proxy/bounds_test.go
@@ -232,6 +232,31 @@
 	}
 }
 
+// A host whose response took all that it may and did not end by its deadline stayed in use. One that merely was slow stays so.
+func TestResponseWithoutEndIsBroken(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause time.Duration
+		want  string
+	}{"as fast as it can": {0, "failed"}, "slow": {20 * time.Millisecond, "did not fail"}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFrontWithOptions(t, Options{Ledger: &ledger{}, LinkBytesPerSecond: 8 << 20}, newHost(t, "i-1", func(k *call) bool {
+				k.raw(fmt.Sprintf("HTTP/1.1 200 X\r\nX-Attempt-Id: %s\r\nX-Host-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n", k.id()))
+				for {
+					if _, err := io.WriteString(k.Conn, chunk(strings.Repeat("x", 16<<10))); err != nil {
+						return false
+					}
+					time.Sleep(c.pause)
+				}
+			}))
+			a := f.do("POST", "/order/x", "a", "X-Time-Left-Ms: 1000\r\n", "x")
+			if a.err == nil {
+				t.Errorf("it looks complete: status %d, %d bytes", a.status, len(a.body))
+			}
+			want(t, "the host counts as one that", f.lastOutcome("i-1"), c.want)
+		})
+	}
+}
+
 // heldSlack is what a front may hold of one response beyond what is drawn from the budget: buffers of its connections, the first part of a
 // response, and what the runtime needs.
 const heldSlack = 80 << 10
@@ -241,11 +266,9 @@
 func TestAllThatIsHeldOfResponsesIsDrawn(t *testing.T) {
 	const much = 768 << 10
 	for name, response := range map[string]func(c *call){
-		"one line":   func(c *call) { c.raw(streamHead(c) + chunk("id: 1\ndata: "+strings.Repeat("x", much))) },
-		"data lines": func(c *call) { c.raw(streamHead(c) + chunk("id: 1\n"+strings.Repeat("data: x\n", much/8))) },
-		"events": func(c *call) {
-			c.raw(streamHead(c) + chunk(strings.Repeat(event(1, strings.Repeat("x", 1000)), much/1000)))
-		},
+		"one line":     func(c *call) { c.raw(streamHead(c) + chunk("id: 1\ndata: "+strings.Repeat("x", much))) },
+		"data lines":   func(c *call) { c.raw(streamHead(c) + chunk("id: 1\n"+strings.Repeat("data: x\n", much/8))) },
+		"events":       func(c *call) { c.raw(streamHead(c) + chunk(strings.Repeat(event(1, strings.Repeat("x", 1000)), much/1000))) },
 		"held back":    func(c *call) { c.raw(streamHead(c) + chunk("id: 1\ndata: "+strings.Repeat("x", 200<<10))) },
 		"a plain body": func(c *call) { c.raw(streamHead(c) + chunk(strings.Repeat("x", much))) },
 		"a long head": func(c *call) {
--- a/internal/tier/proxy/buffered.go
+++ b/internal/tier/proxy/buffered.go
@@ -19,7 +19,7 @@
 	held := r.newHeldResponse(*buffer)
 	defer held.release()
 	for attempt := f.forward(); attempt != nil; attempt = f.forward() {
-		switch err := held.read(attempt.Response); {
+		switch err := held.read(attempt); {
 		case errors.Is(err, io.EOF) && held.isHeld():
 			r.attemptSucceeded(attempt)
 			if attempt.Response.Status >= http.StatusInternalServerError {
--- a/internal/tier/proxy/heldresponse.go
+++ b/internal/tier/proxy/heldresponse.go
@@ -44,6 +44,7 @@
 	request *request
 	first   []byte             // buffer of the first part
 	account *membudget.Account // nil while nothing is drawn
+	long    longResponse       // of the attempt whose response is held
 	unread  []byte             // of the host, read after giveWay and not passed on
 	readErr error              // the error that came with it
 
@@ -65,7 +66,9 @@
 
 // read holds a response until its end (io.EOF), an error, or as many bytes as may be held (nil). After an error nothing is held, and
 // another response may be read; else the client is written to next.
-func (h *heldResponse) read(response *upstream.Response) error {
+func (h *heldResponse) read(attempt *attempt) error {
+	response := attempt.Response
+	h.long = longResponse{request: h.request, attempt: attempt}
 	h.mu.Lock()
 	h.state, h.response, h.parts, h.size = heldReading, response, [][]byte{h.first}, 0
 	h.mu.Unlock()
@@ -84,8 +87,10 @@
 			h.releaseAccount()
 		}
 		if err != nil {
+			h.long.close()
 			return err
 		}
+		h.long.wait()
 	}
 }
 
@@ -248,6 +253,7 @@
 
 // relay writes what is held, and the rest as it comes, except for the last chunk.
 func (h *heldResponse) relay() error {
+	defer h.long.close()
 	if err := h.writeNext(h.unread); err != nil {
 		return upstream.ErrCancelled
 	}
@@ -257,7 +263,7 @@
 	}
 	h.response.SetDeadline(h.request.deadline)
 	data := make([]byte, relayBufferSize)
-	for !h.response.Complete() {
+	for ; !h.response.Complete(); h.long.wait() {
 		n, err := h.response.Read(data)
 		if err != nil && !errors.Is(err, io.EOF) {
 			return err
@@ -310,6 +316,7 @@
 
 // release releases what is held.
 func (h *heldResponse) release() {
+	h.long.close()
 	h.mu.Lock()
 	h.state, h.parts = heldIdle, nil
 	h.mu.Unlock()
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"larchrouter/internal/membudget"
 	"larchrouter/internal/tier/admission"
 	"larchrouter/internal/tier/balancer"
+	"larchrouter/internal/tier/fairshare"
 	"larchrouter/internal/tier/feed"
 	"larchrouter/internal/tier/hosthealth"
 	"larchrouter/internal/tier/turnstore"
@@ -78,9 +79,12 @@
 	// Memory bounds what clients make the server hold. Default: no limit.
 	Memory *membudget.Budget
 
-	// LinkBytesPerSecond is what the link of this node carries; 0 if it is not known.
+	// LinkBytesPerSecond is what the link of this node carries; 0 if it is not known. Long responses share it.
 	LinkBytesPerSecond float64
 
+	// Cores is the processor time that this node is granted, in cores; 0 if it is not known. Long responses leave a part of it to others.
+	Cores float64
+
 	// ConnLimitDivisor divides a service's conn_limit per host among the fronts: this front opens at most
 	// conn_limit / ConnLimitDivisor connections to a host, but at least 4. Default: 4.
 	ConnLimitDivisor int
@@ -151,6 +155,7 @@
 	losses     lossLog
 	memoryLog  memoryLog
 	bounds     boundLog
+	pacer      *fairshare.Pacer // of long responses
 	evictable  evictableConns
 	lingering  atomic.Int32 // clients whose rejected requests are still read
 
@@ -175,7 +180,8 @@
 // New returns a server that serves nothing yet.
 func New(options Options) *Server {
 	options = options.withDefaults()
-	s := &Server{options: options, dispatcher: newDispatcher(options), clients: map[*client]bool{}}
+	s := &Server{options: options, dispatcher: newDispatcher(options), clients: map[*client]bool{},
+		pacer: fairshare.New(fairshare.Options{LinkBytesPerSecond: options.LinkBytesPerSecond, Cores: options.Cores})}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	return s
 }
--- a/internal/tier/proxy/responsereport.go
+++ b/internal/tier/proxy/responsereport.go
@@ -6,6 +6,8 @@
 	"runtime/metrics"
 	"sync"
 	"time"
+
+	"larchrouter/internal/tier/fairshare"
 )
 
 // boundLogInterval is the time between two lines about hosts whose responses exceeded a bound.
@@ -60,6 +62,7 @@
 
 // ResponseReport is what is known of the responses that a front passes on.
 type ResponseReport struct {
+	Long      fairshare.Usage  `json:"long"`     // responses longer than what a front holds back
 	Exceeded  map[string]int64 `json:"exceeded"` // responses that exceeded a bound, by bound
 	HeapBytes uint64           `json:"heap_bytes"`
 }
@@ -80,5 +83,5 @@
 // serveResponses serves the ResponseReport as JSON.
 func (s *Server) serveResponses(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(ResponseReport{Exceeded: s.bounds.all(), HeapBytes: heapBytes()})
+	_ = json.NewEncoder(w).Encode(ResponseReport{Long: s.pacer.Usage(), Exceeded: s.bounds.all(), HeapBytes: heapBytes()})
 }
--- a/internal/tier/proxy/streaming.go
+++ b/internal/tier/proxy/streaming.go
@@ -109,7 +109,7 @@
 func (r *request) relayNonStream(attempt *attempt, f *forwarder) (done bool) {
 	held := r.newHeldResponse(make([]byte, 0, streamBufferSize))
 	defer held.release()
-	switch err := held.read(attempt.Response); {
+	switch err := held.read(attempt); {
 	case errors.Is(err, io.EOF) && held.isHeld():
 		r.attemptSucceeded(attempt)
 		held.respond()
--- a/internal/tier/proxy/streamrelay.go
+++ b/internal/tier/proxy/streamrelay.go
@@ -64,7 +64,9 @@
 // written yet. The error is upstream.ErrCancelled if the client does not take them.
 func (s *streamRelay) copyEvents(attempt *attempt) error {
 	var buffer [streamBufferSize]byte
-	for began := false; ; {
+	long := longResponse{request: s.request, attempt: attempt}
+	defer long.close()
+	for began := false; ; long.wait() {
 		n, err := attempt.Response.Read(buffer[:])
 		if n > 0 {
 			if !began {
