Bound the platform's list by the bytes of all its pages

A list whose pages never end was kept up to 16 MB for each of 1,000 pages by the core node that fetches it. Change: 16 MB for all pages together; a longer list is an error, as an incomplete one is. 3,000 hosts have some 0.5 MB. Result: TestFetchHostsBoundsAllPagesTogether; before, the bound was not there to be tested.

--- a/internal/tier/discovery/client.go
+++ b/internal/tier/discovery/client.go
@@ -18,8 +18,8 @@
 const (
 	requestTimeout  = 800 * time.Millisecond // for each page
 	idleConnTimeout = 20 * time.Second
-	maxPageBytes    = 16 << 20
-	maxPages        = 1000 // a list with more is an error
+	maxListBytes    = 16 << 20 // of all pages together; a longer list is an error
+	maxPages        = 1000     // a list with more is an error
 )
 
 // Client fetches the list from the platform's HTTP API. It is safe for concurrent use.
@@ -43,9 +43,9 @@
 // FetchHosts fetches all pages and returns the hosts by rising ID, each once. If any page can't be fetched or parsed, it
 // returns an error and no hosts.
 func (c *Client) FetchHosts(ctx context.Context) (hosts []Host, err error) {
-	token := ""
+	token, bytesLeft := "", maxListBytes
 	for range maxPages {
-		page, next, err := c.fetchPage(ctx, token)
+		page, next, err := c.fetchPage(ctx, token, &bytesLeft)
 		if err != nil {
 			return nil, err
 		}
@@ -59,8 +59,9 @@
 	return nil, errors.Newf("the platform's list has over %d pages", maxPages)
 }
 
-// fetchPage fetches the page of a token, empty for the first one, and returns the next token, empty at the end.
-func (c *Client) fetchPage(ctx context.Context, token string) (hosts []Host, next string, err error) {
+// fetchPage fetches the page of a token, empty for the first one, and returns the next token, empty at the end. The page may have as
+// many bytes as are left of the list's, which are fewer by it afterwards.
+func (c *Client) fetchPage(ctx context.Context, token string, bytesLeft *int) (hosts []Host, next string, err error) {
 	target := "http://" + c.addr + "/instances"
 	if token != "" {
 		target += "?page_token=" + url.QueryEscape(token)
@@ -74,10 +75,13 @@
 		return nil, "", err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(*bytesLeft)+1))
 	if err != nil {
 		return nil, "", err
 	}
+	if *bytesLeft -= len(body); *bytesLeft < 0 {
+		return nil, "", errors.Newf("the platform's list has over %d bytes", maxListBytes)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, "", errors.Newf("the platform's list answers %d: ask less often", resp.StatusCode)
 	}
--- a/internal/tier/discovery/client_test.go
+++ b/internal/tier/discovery/client_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"go.uber.org/goleak"
@@ -100,3 +101,35 @@
 		}
 	})
 }
+
+// A list whose pages never end, or one page that never ends, was kept up to 16 MB for each of 1,000 pages. It is an error once all pages
+// together are over the bound.
+func TestFetchHostsBoundsAllPagesTogether(t *testing.T) {
+	const page = 1 << 20
+	for name, handler := range map[string]http.HandlerFunc{
+		"pages": func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, `{"next_token":"on","instance_list":[`+strings.Repeat(" ", page)+`]}`)
+		},
+		"one page": func(w http.ResponseWriter, _ *http.Request) {
+			for {
+				if _, err := fmt.Fprint(w, strings.Repeat(" ", page)); err != nil {
+					return
+				}
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var served atomic.Int64
+			hosts, err := fetchFrom(t, func(w http.ResponseWriter, r *http.Request) {
+				served.Add(1)
+				handler(w, r)
+			})
+			if err == nil || hosts != nil || !strings.Contains(err.Error(), "bytes") {
+				t.Errorf("%d hosts, err=%v", len(hosts), err)
+			}
+			if n := served.Load(); n > maxListBytes/page+1 {
+				t.Errorf("%d pages were fetched", n)
+			}
+		})
+	}
+}
