Test turns of 7 and 46 MB with real processes of 160 MB

Change: stand-in hosts can send large events; a tier of processes with 160 MB each serves a turn of 7 MB, and ends one of 46 MB before its last byte.

--- a/internal/standin/modelhost/endless.go
+++ b/internal/standin/modelhost/endless.go
@@ -102,6 +102,18 @@
 	w.write(ctx, begun, hugeLength)
 }
 
+// largeEvents executes a turn of large events, which it does not record.
+func (e *execution) largeEvents() {
+	head, keepAlive := e.streamHead()
+	e.conn.write(head)
+	data := strings.Repeat("x", e.fault.EventBytes)
+	for id := 1; id <= e.fault.After && e.conn.err == nil; id++ {
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", id, data)
+		e.conn.write(fmt.Appendf(nil, "%x\r\n%s\r\n", len(event), event))
+	}
+	e.complete([]byte("0\r\n\r\n"), keepAlive)
+}
+
 // rejectEndlessly rejects a request with an answer that never ends.
 func (h *Host) rejectEndlessly(ctx context.Context, c *conn, req *http.Request, fault Fault, faultChanged <-chan struct{}) {
 	h.mu.Lock()
--- a/internal/standin/modelhost/execution.go
+++ b/internal/standin/modelhost/execution.go
@@ -116,6 +116,8 @@
 		e.keepAlive = e.host.respond(e.conn, http.StatusInternalServerError, e.header, nil)
 	case e.fault.Kind == Endless:
 		e.endless(ctx)
+	case e.fault.Kind == LargeEvents:
+		e.largeEvents()
 	case e.host.opts.Model != "":
 		e.stream(ctx)
 	default:
--- a/internal/standin/modelhost/options.go
+++ b/internal/standin/modelhost/options.go
@@ -51,6 +51,7 @@
 	CloseConnection             // the complete answer with Connection: close
 	Overloaded                  // rejected as if the host were full
 	Endless                     // an answer that never ends, of the form Fault.Form
+	LargeEvents                 // no fault: Fault.After events with data of Fault.EventBytes bytes
 )
 
 // Fault is a fault of the requests of a host.
@@ -59,6 +60,8 @@
 	After int // events, or bytes of a tool's answer
 	Times int // requests that it affects; 0 for all until it is changed
 
+	EventBytes int // of LargeEvents
+
 	// Of Endless.
 	Form   Form
 	Then   Form          // that follows the beginning of Form; "" for none
--- a/internal/tier/hostile/endless_harness_test.go
+++ b/internal/tier/hostile/endless_harness_test.go
@@ -117,6 +117,20 @@
 	}
 }
 
+// largeEvent is the size in bytes of the data of the events of large turns.
+const largeEvent = 32 << 10
+
+// replaceLargeHost replaces the hosts by one of models whose turns have so many bytes and a proper end.
+func (tt *endlessTier) replaceLargeHost(size int) {
+	tt.t.Helper()
+	tt.replaceHosts(modelhost.Fault{}, false)
+	for _, host := range tt.hosts {
+		if host.Options().Service == endlessModels {
+			host.SetFault(modelhost.Fault{Kind: modelhost.LargeEvents, After: size / largeEvent, EventBytes: largeEvent})
+		}
+	}
+}
+
 // endlessBytes is what a caller reads of a response at most.
 const endlessBytes = 1 << 30
 
@@ -124,6 +138,7 @@
 type endlessCaller struct {
 	addr, path string
 	method     string // "" for one that suits the path
+	unbounded  bool   // the request does not say how many tokens come out at most
 	reads      int64  // bytes of the response at most; 0 for none, with its connection left open until the deadline
 }
 
@@ -145,6 +160,9 @@
 		"X-Model": tiertest.ModelName, "X-Token-Usage": fmt.Sprintf("10,%d", endlessTokens), "Program": id, "Session": id, "Budget": "100000"} {
 		req.Header.Set(name, value)
 	}
+	if c.unbounded {
+		req.Header.Del("X-Token-Usage")
+	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	response, err := transport.RoundTrip(req)
 	if err != nil {
--- a/internal/tier/hostile/endless_test.go
+++ b/internal/tier/hostile/endless_test.go
@@ -97,3 +97,32 @@
 		})
 	}
 }
+
+// A turn of 46 MB with a proper end made a front hold 866 MB, and stores copies of it. A turn that stores take is served and can be
+// continued; a longer one ends before its last byte, and costs stores nothing.
+func TestHostileLargeTurns(t *testing.T) {
+	const memoryOfTurns = 160 // MB, the least that a deployment grants a front
+	tt := startEndlessTier(t, tiertest.Options{Fronts: 1, Limits: tiertest.ProcessLimits{MemoryMB: memoryOfTurns, MaxFDs: maxFDs}})
+	machines := []*watched{watch(t, tt.front())}
+	for _, store := range tt.Class(tiertest.Store) {
+		machines = append(machines, watch(t, store))
+	}
+	for _, c := range []struct {
+		megabytes int
+		complete  bool
+	}{{7, true}, {46, false}} {
+		t.Run(fmt.Sprintf("%d MB", c.megabytes), func(t *testing.T) {
+			tt.t = t
+			tt.replaceLargeHost(c.megabytes << 20)
+			caller := &endlessCaller{addr: tt.front().FrontAddr(), path: retainedPath, reads: endlessBytes, unbounded: true}
+			status, complete := caller.call(t.Context())
+			if status != http.StatusOK || complete != c.complete {
+				t.Errorf("status %d, complete: %v, want 200 and %v", status, complete, c.complete)
+			}
+			for _, m := range machines {
+				m.t = t
+				m.expectWithinMB(maxFDs, memoryOfTurns)
+			}
+		})
+	}
+}
--- a/internal/tier/hostile/harness_test.go
+++ b/internal/tier/hostile/harness_test.go
@@ -230,6 +230,12 @@
 
 // expectWithin expects that the process lives and has never held more memory or descriptors than its settings grant.
 func (w *watched) expectWithin(descriptors int) {
+	w.t.Helper()
+	w.expectWithinMB(descriptors, memoryMB)
+}
+
+// expectWithinMB is expectWithin for a process with another limit of memory.
+func (w *watched) expectWithinMB(descriptors, memoryMB int) {
 	w.t.Helper()
 	if !w.machine.Running() || w.machine.ProcessID() != w.pid || w.machine.Incarnation() != 1 {
 		w.t.Errorf("the process of %s has ended", w.machine.Name)
--- a/internal/tier/proxy/bounds_test.go
+++ b/internal/tier/proxy/bounds_test.go
@@ -266,9 +266,11 @@
 func TestAllThatIsHeldOfResponsesIsDrawn(t *testing.T) {
 	const much = 768 << 10
 	for name, response := range map[string]func(c *call){
-		"one line":     func(c *call) { c.raw(streamHead(c) + chunk("id: 1\ndata: "+strings.Repeat("x", much))) },
-		"data lines":   func(c *call) { c.raw(streamHead(c) + chunk("id: 1\n"+strings.Repeat("data: x\n", much/8))) },
-		"events":       func(c *call) { c.raw(streamHead(c) + chunk(strings.Repeat(event(1, strings.Repeat("x", 1000)), much/1000))) },
+		"one line":   func(c *call) { c.raw(streamHead(c) + chunk("id: 1\ndata: "+strings.Repeat("x", much))) },
+		"data lines": func(c *call) { c.raw(streamHead(c) + chunk("id: 1\n"+strings.Repeat("data: x\n", much/8))) },
+		"events": func(c *call) {
+			c.raw(streamHead(c) + chunk(strings.Repeat(event(1, strings.Repeat("x", 1000)), much/1000)))
+		},
 		"held back":    func(c *call) { c.raw(streamHead(c) + chunk("id: 1\ndata: "+strings.Repeat("x", 200<<10))) },
 		"a plain body": func(c *call) { c.raw(streamHead(c) + chunk(strings.Repeat("x", much))) },
 		"a long head": func(c *call) {
