--- a/internal/tier/tiertest/attempt.go
+++ b/internal/tier/tiertest/attempt.go
@@ -15,8 +15,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// minRetryDelay is the least time between the attempts of a request.
-const minRetryDelay = 10 * time.Millisecond
+const (
+	minRetryDelay = 10 * time.Millisecond // between the attempts of a request
+	maxBodyBytes  = 8 << 20               // of an answer, up to which a client keeps it; longer ones count as incomplete
+)
 
 // failure returns why a request whose last attempt this is has failed, nil if it was answered completely and successfully.
 func (a *Attempt) failure() error {
@@ -109,7 +111,11 @@
 	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 		retryAfter = time.Duration(seconds * float64(time.Second))
 	}
-	a.Body, err = io.ReadAll(resp.Body)
+	a.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
+	if err == nil && len(a.Body) > maxBodyBytes {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		err = errors.Newf("the body has over %d bytes", maxBodyBytes)
+	}
 	if a.Complete = err == nil; err != nil {
 		a.Err = err.Error()
 	}
@@ -147,17 +153,21 @@
 func parseEvents(body []byte) (events []Event) {
 	var event Event
 	scanner := bufio.NewScanner(bytes.NewReader(body))
+	hasData := false
 	for scanner.Scan() {
-		name, value, _ := strings.Cut(scanner.Text(), ":")
+		line := scanner.Text()
+		name, value, _ := strings.Cut(line, ":")
 		value = strings.TrimPrefix(value, " ")
-		switch name {
-		case "id":
+		switch {
+		case name == "id":
 			event.ID, _ = strconv.Atoi(value)
-		case "data":
-			event.Data = value
-		case "":
-			events = append(events, event)
-			event = Event{}
+		case name == "data":
+			event.Data, hasData = value, true
+		case line == "":
+			if hasData {
+				events = append(events, event)
+			}
+			event, hasData = Event{}, false
 		}
 	}
 	return events
--- a/internal/tier/tiertest/check_requests.go
+++ b/internal/tier/tiertest/check_requests.go
@@ -147,15 +147,18 @@
 	graceEndProportion = 6                      // of the grace period, whose last part is left to requests that outlast it
 )
 
-// checkLostByDrain checks LOST around the SIGTERM of a front: what it passed on to a host is answered completely, unless the
-// deadline is reached or the request was sent soon after the SIGTERM and outlasts the grace period.
+// brokeOff reports whether the last host that ran an attempt broke off its answer.
+func brokeOff(runs []*modelhost.Run) bool { return runs[len(runs)-1].Outcome == modelhost.Aborted }
+
+// checkLostByDrain checks LOST around the SIGTERM of a front: what it passed on to a host is answered completely, unless the host broke
+// off, the deadline is reached or the request was sent soon after the SIGTERM and outlasts the grace period.
 func checkLostByDrain(h *indexedHistory, report reportFunc) {
 	for _, t := range h.Terminations {
 		for _, a := range h.attemptByID {
 			after := a.Sent.Sub(t.At)
 			switch ended := a.Ended.Sub(t.At); {
 			case a.Front != t.Front || a.Incarnation != t.Incarnation || a.Complete || len(h.runsByAttempt[a.ID]) == 0:
-			case ended < 0 || after > h.GracePeriod+drainCheckMargin:
+			case ended < 0 || after > h.GracePeriod+drainCheckMargin || brokeOff(h.runsByAttempt[a.ID]):
 			case !a.Deadline.IsZero() && a.Ended.After(a.Deadline.Add(-deadlineSlack)):
 			case after <= longRequestWindow && ended >= h.GracePeriod-h.GracePeriod/graceEndProportion:
 			default:
