Test crowds of callers of responses without end, and that all fronts leave their host

Change: TestHostileEndlessCrowds and TestHostileEndlessHostIsLeft, by real processes; bytes without end behind a proper response and behind the response to HEAD.

--- a/internal/tier/hostile/endless_harness_test.go
+++ b/internal/tier/hostile/endless_harness_test.go
@@ -82,14 +82,20 @@
 // replaceHosts replaces the hosts of both services by a faulty one and a proper one each, and waits until all fronts know them.
 func (tt *endlessTier) replaceHosts(fault modelhost.Fault, proper bool) {
 	tt.t.Helper()
-	for _, host := range tt.hosts {
-		tt.Platform.Crash(host.Options().ID)
-	}
-	tt.hosts = nil
 	faults := []modelhost.Fault{fault}
 	if proper {
 		faults = append(faults, modelhost.Fault{})
 	}
+	tt.replaceHostsBy(faults)
+}
+
+// replaceHostsBy replaces the hosts of both services by one with each of some faults, and waits until all fronts know them.
+func (tt *endlessTier) replaceHostsBy(faults []modelhost.Fault) {
+	tt.t.Helper()
+	for _, host := range tt.hosts {
+		tt.Platform.Crash(host.Options().ID)
+	}
+	tt.hosts = nil
 	for _, fault := range faults {
 		for _, o := range []modelhost.Options{
 			{Service: endlessModels, Model: tiertest.ModelName, Version: 1, EventTokens: tiertest.EventTokens, CacheTokens: 1 << 20, EventInterval: eventInterval},
--- a/internal/tier/hostile/endless_test.go
+++ b/internal/tier/hostile/endless_test.go
@@ -1,6 +1,7 @@
 package hostile
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"net/http"
@@ -126,3 +127,77 @@
 		})
 	}
 }
+
+// The processor and the memory of a front were exhausted by crowds of callers of responses without end. It serves others beside 240 and
+// 1,000 callers, of whom some leave and some read nothing, and still ends in order, with code 0 and in its time.
+func TestHostileEndlessCrowds(t *testing.T) {
+	const (
+		crowdMemory = 284 // MB
+		crowdFDs    = 4100
+		grace       = 8 * time.Second // grace_period_s of the tier
+	)
+	for _, callers := range []int{240, 1000} {
+		for _, form := range []modelhost.Form{modelhost.EndlessEvents, modelhost.EndlessLine, modelhost.EndlessChunk} {
+			t.Run(fmt.Sprintf("%d callers, %s", callers, form), func(t *testing.T) {
+				tt := startEndlessTier(t, tiertest.Options{Fronts: 1, Limits: tiertest.ProcessLimits{MemoryMB: crowdMemory, MaxFDs: crowdFDs}})
+				front := watch(t, tt.front())
+				tt.replaceHosts(modelhost.Fault{Kind: modelhost.Endless, Form: form}, true)
+				each := callers / len(endlessPaths) / 3
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				waits := []func() *outcomes{
+					startCallers(t.Context(), tt.front(), endlessPaths, each, endlessBytes, 3*time.Second),
+					startCallers(t.Context(), tt.front(), endlessPaths, each, 0, 3*time.Second),
+					startCallers(ctx, tt.front(), endlessPaths, each, endlessBytes, 3*time.Second),
+				}
+				tt.expectOrdinaryServed("beside a crowd")
+				leave()
+				tt.expectOrdinaryServed("after some have left")
+				front.expectWithinMB(crowdFDs, crowdMemory)
+				began := time.Now()
+				code, err := tt.front().Terminate()
+				if took := time.Since(began); code != 0 || err != nil || took > grace {
+					t.Errorf("beside a crowd, the front ended with code %d after %v, err=%v", code, took, err)
+				}
+				for _, wait := range waits {
+					t.Log(wait())
+				}
+			})
+		}
+	}
+}
+
+// A host whose streams never end stayed in use by all fronts: behind 200 the end of its calls was no verdict on it. All fronts leave it,
+// once some have found out.
+func TestHostileEndlessHostIsLeft(t *testing.T) {
+	const (
+		hosts     = 3 // so that one of them may be ejected
+		mostCalls = 0.1
+		lasting   = 4 * time.Second
+	)
+	tt := startEndlessTier(t, tiertest.Options{Fronts: 2, Limits: tiertest.ProcessLimits{MemoryMB: memoryMB, MaxFDs: maxFDs}})
+	for _, form := range []modelhost.Form{modelhost.EndlessEvents, modelhost.EndlessComments} {
+		t.Run(string(form), func(t *testing.T) {
+			tt.t = t
+			tt.replaceHostsBy([]modelhost.Fault{{Kind: modelhost.Endless, Form: form}, {}, {}}[:hosts])
+			before := len(tt.RunLog.Runs())
+			var waits []func() *outcomes
+			for _, front := range tt.Class(tiertest.Front) {
+				waits = append(waits, startCallers(t.Context(), front, []string{streamPath}, 8, endlessBytes, lasting))
+			}
+			for _, wait := range waits {
+				t.Log(wait())
+			}
+			runs, faulty := tt.RunLog.Runs()[before:], 0
+			for _, run := range runs {
+				if run.Host == tt.hosts[0].Options().ID {
+					faulty++
+				}
+			}
+			t.Logf("%d of %d calls went to the faulty host", faulty, len(runs))
+			if float64(faulty) > mostCalls*float64(len(runs)) {
+				t.Errorf("%d of %d calls went to the faulty host", faulty, len(runs))
+			}
+		})
+	}
+}
--- a/internal/tier/proxy/bounds_test.go
+++ b/internal/tier/proxy/bounds_test.go
@@ -328,3 +328,28 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc)
 }
+
+// Bytes without end behind a proper response, or behind the response to HEAD, belong to no request: the next one goes out on another
+// connection.
+func TestEndlessBytesBehindResponse(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD"} {
+		t.Run(method, func(t *testing.T) {
+			f := newFront(t, newHost(t, "i-1", func(c *call) bool {
+				if c.id() != "a" {
+					return respondsOK("yes")(c)
+				}
+				if method == "HEAD" {
+					c.raw("HTTP/1.1 200 X\r\nX-Attempt-Id: a\r\nX-Host-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n")
+				} else {
+					c.respond(http.StatusOK, "X-Host-Seal: seal\r\n", "yes")
+				}
+				return sendsOn(c, "junk", 16<<20)
+			}))
+			a := f.do(method, "/order/x", "a", timeLeft+"Connection: close\r\n", "")
+			want(t, "status", a.status, http.StatusOK)
+			for i := range 4 {
+				want(t, "status of the next", f.do("GET", "/order/x", fmt.Sprint("b", i), timeLeft, "").status, http.StatusOK)
+			}
+		})
+	}
+}
