Control nodes report the ballots of an election, and the times of syncs and ticks

The status tells neither proposals that overtake each other from messages that do not arrive, nor a slow disk from a process that stands still. Change: GET /api/election at a core node's control_addr: the ballots promised and accepted, the proposal in progress with its promises and acceptances, failed proposals and the time until the next; syncs and the times between ticks, with the longest of the last minute. The tests of package controlnode print it with the status where a condition does not come true. GET /api/status is as it was.

--- a/internal/tier/controlnode/event_loop.go
+++ b/internal/tier/controlnode/event_loop.go
@@ -83,6 +83,9 @@
 
 // tick does the periodic work of the loop.
 func (s *Server) tick() {
+	now := time.Now()
+	s.tickTimes.end(now)
+	s.tickTimes.begin(now)
 	s.mergeReady(s.node.Tick(s.now()))
 	s.dropAbandoned()
 	s.planPlacement()
@@ -101,7 +104,9 @@
 		return nil
 	}
 	rows := s.saved.changedRows(s.node.Durable())
+	s.syncTimes.begin(time.Now())
 	err := s.syncRows(s.ctx, rows)
+	s.syncTimes.end(time.Now())
 	if errors.Is(err, sqlitelog.ErrFull) {
 		return s.retrySyncUntilSpace(rows, err)
 	}
--- a/internal/tier/controlnode/fleet_test.go
+++ b/internal/tier/controlnode/fleet_test.go
@@ -269,7 +269,8 @@
 		if time.Since(began) > limit {
 			for i := range f.nodes {
 				_, text := f.call(i, http.MethodGet, "/api/status", "", nil)
-				f.t.Logf("node %d: %s", i, text)
+				_, election := f.call(i, http.MethodGet, "/api/election", "", nil)
+				f.t.Logf("node %d: %s %s", i, text, election)
 			}
 			f.t.Fatalf("not within %v: %s", limit, what)
 		}
--- a/internal/tier/controlnode/operator_api.go
+++ b/internal/tier/controlnode/operator_api.go
@@ -38,6 +38,7 @@
 	{"GET /api/status", (*Server).getStatus},
 	{"GET /api/duties", (*Server).getTaskStatus},
 	{"GET /api/memory", (*Server).getMemory},
+	{"GET /api/election", (*Server).getElection},
 }
 
 // operatorAPI returns the HTTP handler of the operator API.
--- a/internal/tier/controlnode/server.go
+++ b/internal/tier/controlnode/server.go
@@ -65,6 +65,8 @@
 	node            *Node
 	ready           Ready                                          // merged from the steps of the current batch
 	awaitingSync    []chan bool                                    // callers of runOnLoop, see queuedRequest
+	syncTimes       durations                                      // of syncRows
+	tickTimes       durations                                      // between two ticks
 	syncRows        func(context.Context, []sqlitelog.Write) error // db.Commit
 	saved           savedState                                     // on disk
 	pendingRequests map[int64]pendingRequest                       // by request ID
--- a/internal/tier/controlnode/server_test.go
+++ b/internal/tier/controlnode/server_test.go
@@ -150,7 +150,8 @@
 	}
 	for i := range c.n {
 		_, b := c.send(i, "GET", "/api/status", "", nil)
-		c.t.Log(i, b)
+		_, election := c.send(i, "GET", "/api/election", "", nil)
+		c.t.Log(i, b, election)
 	}
 	c.t.Fatalf("not within 20 s: %s", what)
 }
