--- a/internal/tier/proxy/bounds_test.go
+++ b/internal/tier/proxy/bounds_test.go
@@ -31,9 +31,6 @@
 	return false
 }
 
-// inChunk returns the chunk of a text.
-func inChunk(text string) string { return chunk(text) }
-
 // exceeded returns how many responses exceeded a bound, as the front reports.
 func (f *front) exceeded(bound string) int64 {
 	f.t.Helper()
@@ -66,7 +63,7 @@
 					c.raw(chunk(event(id+1, "x")))
 				}
 				<-goOn
-				return sendsOn(c, inChunk(event(6, "x")), 1<<30)
+				return sendsOn(c, chunk(event(6, "x")), 1<<30)
 			})
 			f := newFront(t, h)
 			c := f.dial()
@@ -112,7 +109,7 @@
 			t.Run(name+path, func(t *testing.T) {
 				h := newHost(t, "i-1", func(c *call) bool {
 					c.raw(streamHead(c))
-					return sendsOn(c, inChunk(strings.Repeat(unit, 8)), 64<<20)
+					return sendsOn(c, chunk(strings.Repeat(unit, 8)), 64<<20)
 				})
 				f := newFront(t, h)
 				began := time.Now()
@@ -219,7 +216,7 @@
 		t.Run(strconv.Itoa(status), func(t *testing.T) {
 			f := newFront(t, newHost(t, "i-1", func(c *call) bool {
 				c.raw(fmt.Sprintf("HTTP/1.1 %d X\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n", status, c.id()))
-				return sendsOn(c, inChunk(strings.Repeat("x", 1000)), 64<<20)
+				return sendsOn(c, chunk(strings.Repeat("x", 1000)), 64<<20)
 			}))
 			want(t, "status", f.do("POST", "/order/x", "a", timeLeft, "x").status, http.StatusServiceUnavailable)
 			if f.exceeded("rejection_bytes") == 0 {
