Long responses alone get the whole link, and all of the processor that is granted

Need: a proper host's response of 64 MB over a link of 1,000 Mbit/s took 0.85 to 0.93 s, of which the link takes 0.54 and 0.11 to 0.13 on loopback: honest long responses were slowed down though nobody waited. Cause: each wait for a slice of 0.3 ms lasted a millisecond, as timers are late, and half of the processor was left to others that were not there. Change: a response waits once it is 5 ms behind; while there are no other requests, it may use all that the node is granted.

--- a/internal/tier/fairshare/doc.go
+++ b/internal/tier/fairshare/doc.go
@@ -6,8 +6,8 @@
 // others send without end.
 //
 // The rate is at most that of the link. While hungry responses are open it is adjusted to the processor time that the process takes:
-// it falls while that is over ProcessorShare of what the process is granted, and rises again while it is under it. What leaves the
-// processor idle is never slowed down below the link.
+// it falls while that is over ProcessorShare of what the process is granted, and rises again while it is under it. While there are no other
+// requests, all that is granted may be used. What leaves the processor idle is never slowed down below the link.
 //
 // The decision is pure: see nextRate.
 package fairshare
--- a/internal/tier/fairshare/pacer.go
+++ b/internal/tier/fairshare/pacer.go
@@ -13,6 +13,10 @@
 	LinkBytesPerSecond float64 // of the node; 0 for DefaultLink
 	Cores              float64 // of processor time that the node is granted; 0 for all of the machine's
 
+	// Requests returns how many requests are served now, long responses among them, and how many have begun so far. Default: there are
+	// always others.
+	Requests func() (serving int, begun int64)
+
 	// ProcessorTime returns the processor time that the process has used. Default: what the system reports.
 	ProcessorTime func() time.Duration
 }
@@ -23,6 +27,9 @@
 
 	// MaxSlice is the largest number of bytes that Wait takes at a time.
 	MaxSlice = 64 << 10
+
+	// minWait is the shortest wait: timers are late by up to a millisecond, which a response must not lose each time.
+	minWait = 5 * time.Millisecond
 )
 
 // Pacer paces the long responses of a process. It is safe for concurrent use.
@@ -35,6 +42,7 @@
 	timer      *time.Timer // of the next adjustment; nil while no response is open
 	adjustedAt time.Time
 	used       time.Duration // processor time at adjustedAt
+	begun      int64         // requests that had begun at adjustedAt
 }
 
 // New returns a pacer without responses.
@@ -87,8 +95,8 @@
 	for ; bytes > 0; bytes -= MaxSlice {
 		now := time.Now()
 		delay := r.limiter.ReserveN(now, min(bytes, MaxSlice)).DelayFrom(now)
-		if delay <= 0 {
-			continue
+		if delay < minWait {
+			continue // to be waited for with what follows
 		}
 		r.pacer.setHungry(r)
 		timer := time.NewTimer(min(delay, deadline.Sub(now)))
@@ -133,6 +141,20 @@
 	}
 }
 
+// mostCores returns the cores that the process may use before long responses are slowed down: all that it is granted while there are no
+// other requests, nor were since the last call. mu must be held.
+func (p *Pacer) mostCores() float64 {
+	if p.options.Requests == nil {
+		return ProcessorShare * p.options.Cores
+	}
+	serving, begun := p.options.Requests()
+	others := serving > len(p.open) || begun > p.begun
+	if p.begun = begun; others {
+		return ProcessorShare * p.options.Cores
+	}
+	return p.options.Cores
+}
+
 // adjust adjusts the rate to the processor time that was used, every adjustInterval while responses are open.
 func (p *Pacer) adjust() {
 	p.mu.Lock()
@@ -143,7 +165,7 @@
 	}
 	now, used := time.Now(), p.options.ProcessorTime()
 	if passed := now.Sub(p.adjustedAt); passed > 0 {
-		p.rate = nextRate(p.rate, p.options.LinkBytesPerSecond, (used-p.used).Seconds()/passed.Seconds(), p.options.Cores)
+		p.rate = nextRate(p.rate, p.options.LinkBytesPerSecond, (used-p.used).Seconds()/passed.Seconds(), p.mostCores())
 	}
 	p.adjustedAt, p.used = now, used
 	p.divide(now)
--- a/internal/tier/fairshare/pacer_test.go
+++ b/internal/tier/fairshare/pacer_test.go
@@ -101,6 +101,35 @@
 	}
 }
 
+// While there are no other requests a response may use all of the processor that is granted, beside others half of it.
+func TestAloneMayUseWholeProcessor(t *testing.T) {
+	const coresOfLink = 0.8 // that the process uses at the rate of the link
+	for name, c := range map[string]struct {
+		others      int
+		least, most float64 // parts of the link
+	}{"alone": {0, 0.95, 1.1}, "beside others": {1, 0.45, 0.85}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var taken atomic.Int64
+				began := time.Now()
+				p := New(Options{LinkBytesPerSecond: testLink, Cores: 1, Requests: func() (int, int64) { return 1 + c.others, 0 },
+					ProcessorTime: func() time.Duration {
+						return time.Duration(coresOfLink * float64(taken.Load()) / testLink * float64(time.Second))
+					}})
+				r := p.Open()
+				defer r.Close()
+				for until := began.Add(testTime); time.Now().Before(until); taken.Add(32 << 10) {
+					r.Wait(32<<10, until, nil)
+				}
+				part := float64(taken.Load()) / (testLink * testTime.Seconds())
+				if part < c.least || part > c.most {
+					t.Errorf("it took %.2f of the link, must be %.2f to %.2f", part, c.least, c.most)
+				}
+			})
+		})
+	}
+}
+
 // A wait ends with the request, and with its deadline.
 func TestWaitEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/tier/fairshare/rate.go
+++ b/internal/tier/fairshare/rate.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// ProcessorShare is the part of the processor up to which long responses are not slowed down.
+	// ProcessorShare is the part of the processor up to which long responses are not slowed down while there are other requests.
 	ProcessorShare = 0.5
 
 	adjustInterval = 20 * time.Millisecond
@@ -15,11 +15,12 @@
 	maxFloor     = 16 << 20 // bytes a second
 )
 
-// nextRate returns the rate of the next interval, in bytes a second, by that of the last one and the cores that the process used in it.
-func nextRate(rate, link, usedCores, grantedCores float64) float64 {
+// nextRate returns the rate of the next interval, in bytes a second, by that of the last one and the cores that the process used in it,
+// which shall not be more than mostCores.
+func nextRate(rate, link, usedCores, mostCores float64) float64 {
 	factor := maxIncrease
 	if usedCores > 0 {
-		factor = min(maxIncrease, max(maxDecrease, ProcessorShare*grantedCores/usedCores))
+		factor = min(maxIncrease, max(maxDecrease, mostCores/usedCores))
 	}
 	return min(link, max(min(link/floorDivisor, maxFloor), rate*factor))
 }
--- a/internal/tier/hostile/endless_test.go
+++ b/internal/tier/hostile/endless_test.go
@@ -194,3 +194,33 @@
 		})
 	}
 }
+
+// A proper host's long response comes as fast as the link carries it, also on one core: only what others wait for slows it down.
+func TestLongResponseHasTheLink(t *testing.T) {
+	const (
+		size     = 64 << 20 // bytes
+		linkMbps = 1000     // of the tier's settings
+	)
+	linkTime := time.Duration(size * 8 / (linkMbps * 1e6) * float64(time.Second))
+	for name, environment := range map[string][]string{"all cores": nil, "one core": {"GOMAXPROCS=1"}} {
+		t.Run(name, func(t *testing.T) {
+			tt := startTierWith(t, tiertest.Options{Fronts: 1, Environment: environment,
+				Limits: tiertest.ProcessLimits{MemoryMB: memoryMB, MaxFDs: maxFDs}}, maxHeadBytes)
+			tt.addToolHost("large", "/large/", size)
+			var fastest time.Duration
+			for range 3 {
+				began := time.Now()
+				if status := tt.try(t.Context(), http.MethodGet, "/large/", nil); status != http.StatusOK {
+					t.Fatalf("status %d", status)
+				}
+				if took := time.Since(began); fastest == 0 || took < fastest {
+					fastest = took
+				}
+			}
+			t.Logf("%d bytes took %v, the link takes %v", size, fastest, linkTime)
+			if fastest > 2*linkTime {
+				t.Errorf("%d bytes took %v, the link takes %v", size, fastest, linkTime)
+			}
+		})
+	}
+}
--- a/internal/tier/proxy/proxy.go
+++ b/internal/tier/proxy/proxy.go
@@ -156,6 +156,8 @@
 	memoryLog  memoryLog
 	bounds     boundLog
 	pacer      *fairshare.Pacer // of long responses
+	serving    atomic.Int64     // requests that are handled
+	begun      atomic.Int64     // requests that were or are
 	evictable  evictableConns
 	lingering  atomic.Int32 // clients whose rejected requests are still read
 
@@ -180,12 +182,15 @@
 // New returns a server that serves nothing yet.
 func New(options Options) *Server {
 	options = options.withDefaults()
-	s := &Server{options: options, dispatcher: newDispatcher(options), clients: map[*client]bool{},
-		pacer: fairshare.New(fairshare.Options{LinkBytesPerSecond: options.LinkBytesPerSecond, Cores: options.Cores})}
+	s := &Server{options: options, dispatcher: newDispatcher(options), clients: map[*client]bool{}}
+	s.pacer = fairshare.New(fairshare.Options{LinkBytesPerSecond: options.LinkBytesPerSecond, Cores: options.Cores, Requests: s.requests})
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	return s
 }
 
+// requests returns how many requests are handled now, and how many have begun so far.
+func (s *Server) requests() (serving int, begun int64) { return int(s.serving.Load()), s.begun.Load() }
+
 // draining reports whether the graceful shutdown has begun.
 func (s *Server) draining() bool { return s.drain.Load() != nil }
 
--- a/internal/tier/proxy/request.go
+++ b/internal/tier/proxy/request.go
@@ -113,6 +113,9 @@
 
 // handle serves a request that was read completely.
 func (r *request) handle() {
+	r.server().begun.Add(1)
+	r.server().serving.Add(1)
+	defer r.server().serving.Add(-1)
 	r.closeAfter = r.close
 	if !r.findRoute() || !r.authenticate() || !r.parseHeaders() || !r.admitDuringDrain() {
 		return
