--- a/internal/tier/hostile/harness_test.go
+++ b/internal/tier/hostile/harness_test.go
@@ -241,7 +241,10 @@
 		w.t.Errorf("the process of %s has ended", w.machine.Name)
 		return
 	}
-	peak := peakResidentMB(w.t, w.pid)
+	peak := w.machine.PeakMemoryMB()
+	if peak == 0 {
+		w.t.Errorf("the kernel names no peak of resident memory of %s", w.machine.Name)
+	}
 	w.t.Logf("%s: peak of resident memory %d of %d MB, of descriptors %d of %d", w.machine.Name, peak, memoryMB, w.descriptors.Load(),
 		descriptors)
 	if peak > memoryMB {
@@ -252,22 +255,6 @@
 	}
 }
 
-// peakResidentMB returns the most memory that a process has held, in MiB, rounded up.
-func peakResidentMB(t *testing.T, pid int) int {
-	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	must(t, err)
-	for line := range strings.Lines(string(status)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kB, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")))
-			must(t, err)
-			return (kB + 1023) / 1024
-		}
-	}
-	t.Fatal("the kernel names no peak of resident memory")
-	return 0
-}
-
 // expectBudgetEmpty expects that a process whose clients have left holds nothing for them any more. The process reports that at
 // GET /api/memory of an address.
 func (tt *testTier) expectBudgetEmpty(addr string) {
--- a/internal/tier/tiertest/endless_soak_test.go
+++ b/internal/tier/tiertest/endless_soak_test.go
@@ -4,10 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -109,7 +106,7 @@
 	watcher.Go(func() {
 		for {
 			for _, m := range s.Machines {
-				most[m.Class] = max(most[m.Class], m.peakMemoryMB())
+				most[m.Class] = max(most[m.Class], m.PeakMemoryMB())
 			}
 			select {
 			case <-done:
@@ -129,24 +126,3 @@
 		}
 	})
 }
-
-// peakMemoryMB returns the most memory that the process of a machine has held, in MiB, rounded up; 0 if none runs.
-func (m *Machine) peakMemoryMB() int {
-	m.mu.Lock()
-	p := m.process
-	m.mu.Unlock()
-	if !p.running() {
-		return 0
-	}
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(status)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kB, _ := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")))
-			return (kB + 1023) / 1024
-		}
-	}
-	return 0
-}
