TestEndlessBytesBehindResponse waits until the bytes behind the response were sent

It failed once in ten runs with -race: the next request, which may not run twice, got 502. The host must have sent them first; what is expected is unchanged.

--- a/internal/tier/proxy/bounds_test.go
+++ b/internal/tier/proxy/bounds_test.go
@@ -331,6 +331,7 @@
 func TestEndlessBytesBehindResponse(t *testing.T) {
 	for _, method := range []string{"GET", "HEAD"} {
 		t.Run(method, func(t *testing.T) {
+			junkSent := make(chan struct{})
 			f := newFront(t, newHost(t, "i-1", func(c *call) bool {
 				if c.id() != "a" {
 					return respondsOK("yes")(c)
@@ -340,10 +341,13 @@
 				} else {
 					c.respond(http.StatusOK, "X-Host-Seal: seal\r\n", "yes")
 				}
+				c.raw("junk")
+				close(junkSent)
 				return sendsOn(c, "junk", 16<<20)
 			}))
 			a := f.do(method, "/order/x", "a", timeLeft+"Connection: close\r\n", "")
 			want(t, "status", a.status, http.StatusOK)
+			<-junkSent // what crosses the next request may be taken for the response to it, which then may have run
 			for i := range 4 {
 				want(t, "status of the next", f.do("GET", "/order/x", fmt.Sprint("b", i), timeLeft, "").status, http.StatusOK)
 			}
