checkLostByDrain leaves out answers that never end, not all that a host broke off

The exception that the soak of hosts without end needs was too wide: it left out every run that the host broke off, as the planted ones are. Change: a run of the stand-in hosts says whether its answer never ends, by its fault; only these are left out.

--- a/internal/standin/modelhost/endless.go
+++ b/internal/standin/modelhost/endless.go
@@ -91,6 +91,7 @@
 	ctx, stop := context.WithTimeout(ctx, endlessTime)
 	defer stop()
 	w := &endless{execution: e, form: e.fault.Form, first: firstEvent(e.request.Header)}
+	e.host.runLog.update(func() { e.run.Endless = true })
 	defer e.finish(Aborted)
 	begun := w.begin(ctx)
 	if then := e.fault.Then; then != "" {
--- a/internal/standin/modelhost/runlog.go
+++ b/internal/standin/modelhost/runlog.go
@@ -34,6 +34,7 @@
 	Events        []string // the data of the events that were written
 	PrefillTokens int      // tokens of the prompt that were not cached
 	Outcome       Outcome
+	Endless       bool // the host sent an answer that never ends, by its fault
 }
 
 // RunLog records the runs of all hosts that share it. It is safe for concurrent use; its zero value is ready.
--- a/internal/tier/tiertest/check_requests.go
+++ b/internal/tier/tiertest/check_requests.go
@@ -139,6 +139,9 @@
 	}
 }
 
+// hasEndlessAnswer reports whether the last host that ran an attempt sent an answer that never ends.
+func hasEndlessAnswer(runs []*modelhost.Run) bool { return runs[len(runs)-1].Endless }
+
 // The bounds of checkLostByDrain.
 const (
 	drainCheckMargin   = time.Second            // past the grace period, up to which requests may have been sent
@@ -147,18 +150,16 @@
 	graceEndProportion = 6                      // of the grace period, whose last part is left to requests that outlast it
 )
 
-// brokeOff reports whether the last host that ran an attempt broke off its answer.
-func brokeOff(runs []*modelhost.Run) bool { return runs[len(runs)-1].Outcome == modelhost.Aborted }
-
-// checkLostByDrain checks LOST around the SIGTERM of a front: what it passed on to a host is answered completely, unless the host broke
-// off, the deadline is reached or the request was sent soon after the SIGTERM and outlasts the grace period.
+// checkLostByDrain checks LOST around the SIGTERM of a front: what it passed on to a host is answered completely, unless the last host that
+// ran it sent an answer that never ends, the deadline is reached or the request was sent soon after the SIGTERM and outlasts the grace
+// period.
 func checkLostByDrain(h *indexedHistory, report reportFunc) {
 	for _, t := range h.Terminations {
 		for _, a := range h.attemptByID {
 			after := a.Sent.Sub(t.At)
 			switch ended := a.Ended.Sub(t.At); {
 			case a.Front != t.Front || a.Incarnation != t.Incarnation || a.Complete || len(h.runsByAttempt[a.ID]) == 0:
-			case ended < 0 || after > h.GracePeriod+drainCheckMargin || brokeOff(h.runsByAttempt[a.ID]):
+			case ended < 0 || after > h.GracePeriod+drainCheckMargin || hasEndlessAnswer(h.runsByAttempt[a.ID]):
 			case !a.Deadline.IsZero() && a.Ended.After(a.Deadline.Add(-deadlineSlack)):
 			case after <= longRequestWindow && ended >= h.GracePeriod-h.GracePeriod/graceEndProportion:
 			default:
--- a/internal/tier/tiertest/check_test.go
+++ b/internal/tier/tiertest/check_test.go
@@ -161,6 +161,10 @@
 func TestDrainMayCut(t *testing.T) {
 	for name, plant := range map[string]func(h testHistory){
 		"outlasts the grace period": func(h testHistory) { h.addCut("a-10", 3900, 8000) },
+		"its host's answer never ends": func(h testHistory) {
+			h.addCut("a-10", 1100, 7000)
+			h.run("a-10").Endless = true
+		},
 		"at its deadline": func(h testHistory) {
 			h.addCut("a-10", 5000, 7000)
 			h.attempt("a-10").Deadline = at(7010)
