A response that is always ready lets others run after each 16 KB

Cause: the part of a response that is not paced was read without a pause, for up to 10 ms of the scheduler's time at once for each of them. Change: the goroutine yields after each 16 KB. Shorter responses are as before.

--- a/internal/tier/proxy/longresponse.go
+++ b/internal/tier/proxy/longresponse.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"runtime"
 	"time"
 
 	"larchrouter/internal/tier/fairshare"
@@ -16,11 +17,20 @@
 	attempt *attempt
 	paced   *fairshare.Response // nil until it is long
 	counted int64               // bytes of the response that were waited for
+	yielded int64               // bytes of the response at the last yield
 }
 
+// yieldBytes is how much of a response is passed on before its goroutine lets others run. While its host and its client are always ready,
+// it would not wait, and the runtime would let it run for 10 ms at a time.
+const yieldBytes = 16 << 10
+
 // wait waits until the response may go on, by the bytes that have come since the last call.
 func (l *longResponse) wait() {
 	received := l.attempt.Response.Received()
+	if received-l.yielded >= yieldBytes {
+		l.yielded = received
+		runtime.Gosched()
+	}
 	if l.paced == nil {
 		if received <= freeResponseBytes {
 			return
